--- /dev/null
+++ b/keeper/store.go
@@ -0,0 +1,144 @@
+// Package keeper reaches the platform's key-value service, the store. It
+// resolves answers that were lost, renews leases and mirrors watched keys.
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the store accepts.
+const MaxValueBytes = 1 << 20
+
+// LeaseID names a lease of the store. Zero is no lease.
+type LeaseID int64
+
+// Entry is one key of the store with its value.
+type Entry struct {
+	// Key is the name of the entry.
+	Key string
+	// Value is the stored value. It is nil for an absent key.
+	Value []byte
+	// Version is the store revision of the last write of the key, or zero for
+	// an absent key.
+	Version int64
+	// Lease is the lease that the entry ends with, or zero.
+	Lease LeaseID
+}
+
+// Change is one change that a watch reports.
+type Change struct {
+	// Entry is the entry after the change. Its Value is nil when Deleted is set.
+	Entry Entry
+	// Deleted tells that the key was deleted or ended with its lease.
+	Deleted bool
+}
+
+// Listing is a consistent view of the entries under a prefix.
+type Listing struct {
+	// Entries are the entries, sorted by key.
+	Entries []Entry
+	// Revision is the store revision of the view.
+	Revision int64
+}
+
+// Changes are the changes under a prefix since a revision.
+type Changes struct {
+	// Items are the changes in the order of their versions.
+	Items []Change
+	// Revision is the store revision up to which Items is complete.
+	Revision int64
+}
+
+// Store is the platform's key-value service. Every method returns an
+// *UnavailableError where the call certainly took no effect, and an
+// *UnclearError where it may have taken effect.
+type Store interface {
+	// Get reads one key. An absent key is an Entry of version zero.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List reads the keys under a prefix.
+	List(ctx context.Context, prefix string) (Listing, error)
+	// Swap writes value if the key is at the expected version, zero being
+	// absent, and returns the new version. A nil value deletes the key. It
+	// returns a *ConflictError where the key is at another version.
+	Swap(ctx context.Context, key string, expected int64, value []byte, lease LeaseID) (int64, error)
+	// Grant makes a lease.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews a lease. It returns a *LapsedError for a lease that has
+	// ended.
+	KeepAlive(ctx context.Context, lease LeaseID) error
+	// Revoke ends a lease and deletes its entries.
+	Revoke(ctx context.Context, lease LeaseID) error
+	// Watch waits up to wait for changes under a prefix that are newer than
+	// the revision. It returns a *CompactedError where the store no longer
+	// knows the changes since then.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
+}
+
+// ConflictError reports a swap that expected another version.
+type ConflictError struct {
+	// Current is the entry as it stands.
+	Current Entry
+	// Expected is the version that the swap expected.
+	Expected int64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("store: key %q is at version %d, not %d", e.Current.Key, e.Current.Version, e.Expected)
+}
+
+// UnavailableError reports a call that certainly took no effect.
+type UnavailableError struct {
+	// Operation is the store call.
+	Operation string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("store: %s unavailable: %v", e.Operation, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// UnclearError reports a call whose answer was lost: it may have taken effect.
+type UnclearError struct {
+	// Operation is the store call.
+	Operation string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *UnclearError) Error() string {
+	return fmt.Sprintf("store: %s unclear: %v", e.Operation, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnclearError) Unwrap() error { return e.Err }
+
+// LapsedError reports a lease that has ended.
+type LapsedError struct {
+	// Lease is the lease.
+	Lease LeaseID
+}
+
+// Error implements error.
+func (e *LapsedError) Error() string { return fmt.Sprintf("store: lease %d has ended", e.Lease) }
+
+// CompactedError reports a watch from a revision that the store has forgotten.
+type CompactedError struct {
+	// After is the revision that was asked for.
+	After int64
+	// Oldest is the oldest revision that a watch can start after.
+	Oldest int64
+}
+
+// Error implements error.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("store: changes after revision %d are forgotten, oldest is %d", e.After, e.Oldest)
+}
--- /dev/null
+++ b/placer/plan.go
@@ -0,0 +1,63 @@
+package placer
+
+// ActionKind names what is to be done with a task.
+type ActionKind string
+
+// Kinds of actions.
+const (
+	// ActionStart starts a waiting task on a worker.
+	ActionStart ActionKind = "start"
+	// ActionThrottle limits the share of its processors that a task may use.
+	ActionThrottle ActionKind = "throttle"
+	// ActionEvict checkpoints and stops a placed task, to wait again.
+	ActionEvict ActionKind = "evict"
+)
+
+// Action is one step of a plan.
+type Action struct {
+	// Kind names what is to be done.
+	Kind ActionKind
+	// Task is the id of the task.
+	Task string
+	// Worker is the worker concerned.
+	Worker string
+	// Throttle is the new share for ActionThrottle.
+	Throttle float64
+	// Reason tells the operator why.
+	Reason string
+}
+
+// ReasonCode names why a task waits.
+type ReasonCode string
+
+// Reasons for waiting.
+const (
+	// ReasonNever marks a task that no worker could run even when empty.
+	ReasonNever ReasonCode = "never"
+	// ReasonCapacity marks a task that waits for room.
+	ReasonCapacity ReasonCode = "capacity"
+	// ReasonQuota marks a task that waits for its organisation's quota.
+	ReasonQuota ReasonCode = "quota"
+	// ReasonWindow marks a task whose time window has not begun.
+	ReasonWindow ReasonCode = "window"
+	// ReasonInterference marks a task held back to protect services.
+	ReasonInterference ReasonCode = "interference"
+)
+
+// Waiting tells why a task was not started.
+type Waiting struct {
+	// Task is the id of the task.
+	Task string
+	// Code names the reason.
+	Code ReasonCode
+	// Detail gives the exact reason.
+	Detail string
+}
+
+// Plan is the outcome of a decision.
+type Plan struct {
+	// Actions are in the order in which they are to be done.
+	Actions []Action
+	// Waiting explains each task that stays waiting.
+	Waiting []Waiting
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,73 @@
+package recorder
+
+import (
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// DefaultCapacity is the number of events that a Recorder keeps when its
+// Capacity is zero.
+const DefaultCapacity = 8192
+
+// Recorder keeps the most recent events of one process. Its exported fields
+// are set before the first call. It is safe for concurrent use.
+type Recorder struct {
+	// Clock gives the wall time.
+	Clock clockwork.Clock
+	// Process is the id of this process.
+	Process string
+	// FailureDomain is the failure domain of this process.
+	FailureDomain string
+	// Capacity is the number of events kept.
+	Capacity int
+
+	mu     sync.Mutex
+	last   Timestamp
+	events []Event
+	next   int
+}
+
+// Record stamps the event with this process and the next timestamp, keeps it
+// and returns the timestamp. The oldest event makes room for it.
+func (r *Recorder) Record(event Event) Timestamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = r.last.Next(r.Clock.Now())
+	event.Time = r.last
+	event.Process = r.Process
+	event.FailureDomain = r.FailureDomain
+	r.keep(event)
+	return event.Time
+}
+
+// Observe advances the clock past a timestamp received from another process.
+func (r *Recorder) Observe(remote Timestamp) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.last.Before(remote) {
+		r.last = remote
+	}
+}
+
+// Events returns the events that are kept, oldest first.
+func (r *Recorder) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events := make([]Event, 0, len(r.events))
+	events = append(events, r.events[r.next:]...)
+	return append(events, r.events[:r.next]...)
+}
+
+func (r *Recorder) keep(event Event) {
+	capacity := r.Capacity
+	if capacity == 0 {
+		capacity = DefaultCapacity
+	}
+	if len(r.events) < capacity {
+		r.events = append(r.events, event)
+		return
+	}
+	r.events[r.next] = event
+	r.next = (r.next + 1) % capacity
+}
