--- a/logger/logger.go
+++ b/logger/logger.go
@@ -17,10 +17,15 @@
 // Writer is a logx.Writer that writes structured lines by klog.
 type Writer struct{}
 
-// Install makes Writer the destination of go-zero's log.
-func Install() {
+// Install makes Writer the destination of go-zero's log. It sets the log up
+// first, because a later set-up would replace the writer.
+func Install() error {
+	if err := logx.SetUp(logx.LogConf{}); err != nil {
+		return err
+	}
 	logx.SetWriter(Writer{})
 	logx.DisableStat()
+	return nil
 }
 
 // Alert implements logx.Writer.
