Add a stand-in for endpoints with faults of connections and answers

The request path and the stand-in of workers both need an endpoint that counts what ran, and that can be slow, silent, truncated, oversized, late or draining. Its slots are its own guard; MaxInFlight counts refused arrivals as well, so an excess shows even where the guard refuses it.

--- /dev/null
+++ b/standin/endpoint.go
@@ -0,0 +1,361 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	headerRequest  = "Zinnia-Request"
+	headerKey      = "Zinnia-Key"
+	headerDraining = "Zinnia-Draining"
+	headerRefused  = "Zinnia-Refused"
+)
+
+// EndpointFaults are the faults that an Endpoint shows.
+type EndpointFaults struct {
+	// SlowFactor multiplies the service time, if above zero.
+	SlowFactor float64 `json:"slow_factor"`
+	// Silent accepts connections and reads requests, runs none and answers none.
+	Silent bool `json:"silent"`
+	// SilenceOpen silences the connections that are open when it is set. New
+	// ones work.
+	SilenceOpen bool `json:"silence_open"`
+	// Truncate ends each answer in the middle of its announced length.
+	Truncate bool `json:"truncate"`
+	// OversizeBytes is the length of each answer, if above zero.
+	OversizeBytes int `json:"oversize_bytes"`
+	// WrongEcho answers in the name of another request.
+	WrongEcho bool `json:"wrong_echo"`
+	// LateMilliseconds delays each answer after the request ran.
+	LateMilliseconds int64 `json:"late_milliseconds"`
+	// FailAll answers 500 to each request after it ran.
+	FailAll bool `json:"fail_all"`
+	// Drain refuses each request before it runs.
+	Drain bool `json:"drain"`
+	// Unhealthy fails probes.
+	Unhealthy bool `json:"unhealthy"`
+}
+
+// EndpointCounts are the counts that an Endpoint keeps.
+type EndpointCounts struct {
+	// Total is the number of requests that ran.
+	Total int `json:"total"`
+	// Refused is the number of requests that arrived and did not run.
+	Refused int `json:"refused"`
+	// InFlight is the number of requests that run now.
+	InFlight int `json:"in_flight"`
+	// MaxInFlight is the most requests that were there at once, refused ones too.
+	MaxInFlight int `json:"max_in_flight"`
+	// MaxConnections is the most connections that were open at once.
+	MaxConnections int `json:"max_connections"`
+	// Runs counts the runs of each idempotency key.
+	Runs map[string]int `json:"runs"`
+}
+
+// Endpoint is a stand-in for one endpoint of a service. It runs a request by
+// waiting for ServiceTime and answers with the body of the request.
+type Endpoint struct {
+	// Service names the service.
+	Service string
+	// Slots is how many requests run at once; more are queued or refused.
+	Slots int
+	// Connections is how many connections it accepts; more are closed at once.
+	// Zero accepts all.
+	Connections int
+	// ServiceTime is how long each request runs.
+	ServiceTime time.Duration
+	// QueueLength is how many requests wait for a slot before one is refused.
+	QueueLength int
+
+	mu          sync.Mutex
+	faults      EndpointFaults
+	counts      EndpointCounts
+	connections map[*endpointConnection]bool
+	slots       chan struct{}
+}
+
+// Start listens on address and serves until ctx ends. It returns the IP
+// address and port that it listens on.
+func (e *Endpoint) Start(ctx context.Context, address string) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	e.mu.Lock()
+	e.counts.Runs = map[string]int{}
+	e.connections = map[*endpointConnection]bool{}
+	e.slots = make(chan struct{}, max(e.Slots, 1))
+	e.mu.Unlock()
+	server := &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(&endpointListener{Listener: listener, endpoint: e}) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return listener.Addr().String(), nil
+}
+
+// SetFaults replaces the faults.
+func (e *Endpoint) SetFaults(faults EndpointFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+	if !faults.SilenceOpen {
+		return
+	}
+	for connection := range e.connections {
+		connection.silence()
+	}
+}
+
+// Counts returns a copy of the counts.
+func (e *Endpoint) Counts() EndpointCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	counts := e.counts
+	counts.Runs = map[string]int{}
+	for key, runs := range e.counts.Runs {
+		counts.Runs[key] = runs
+	}
+	return counts
+}
+
+// Ran returns how often the request with this idempotency key ran.
+func (e *Endpoint) Ran(key string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts.Runs[key]
+}
+
+// MaxInFlight returns the most requests that were there at once.
+func (e *Endpoint) MaxInFlight() int { return e.Counts().MaxInFlight }
+
+// MaxConnections returns the most connections that were open at once.
+func (e *Endpoint) MaxConnections() int { return e.Counts().MaxConnections }
+
+// Total returns the number of requests that ran.
+func (e *Endpoint) Total() int { return e.Counts().Total }
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/control/faults":
+		var faults EndpointFaults
+		if readMessage(w, r, &faults) {
+			e.SetFaults(faults)
+			writeMessage(w, faults)
+		}
+	case "/control/counts":
+		writeMessage(w, e.Counts())
+	case "/healthz":
+		e.serveProbe(w, r)
+	default:
+		e.serveRequest(w, r)
+	}
+}
+
+func (e *Endpoint) serveProbe(w http.ResponseWriter, r *http.Request) {
+	faults := e.currentFaults()
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if faults.Unhealthy || faults.FailAll {
+		http.Error(w, "unhealthy", http.StatusInternalServerError)
+		return
+	}
+	if faults.Drain {
+		w.Header().Set(headerDraining, "true")
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (e *Endpoint) serveRequest(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
+	faults := e.currentFaults()
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if faults.Drain {
+		e.refuse(w, headerDraining)
+		return
+	}
+	if !e.enter() {
+		e.refuse(w, headerRefused)
+		return
+	}
+	e.run(r.Header.Get(headerKey), faults)
+	e.leave()
+	time.Sleep(time.Duration(faults.LateMilliseconds) * time.Millisecond)
+	e.answer(w, body, faults)
+}
+
+// enter takes a slot, waiting in the queue if there is room in it.
+func (e *Endpoint) enter() bool {
+	e.mu.Lock()
+	e.counts.InFlight++
+	e.counts.MaxInFlight = max(e.counts.MaxInFlight, e.counts.InFlight)
+	full := e.counts.InFlight > cap(e.slots)+e.QueueLength
+	if full {
+		e.counts.InFlight--
+	}
+	e.mu.Unlock()
+	if full {
+		return false
+	}
+	e.slots <- struct{}{}
+	return true
+}
+
+func (e *Endpoint) run(key string, faults EndpointFaults) {
+	duration := e.ServiceTime
+	if faults.SlowFactor > 0 {
+		duration = time.Duration(float64(duration) * faults.SlowFactor)
+	}
+	e.mu.Lock()
+	e.counts.Total++
+	if key != "" {
+		e.counts.Runs[key]++
+	}
+	e.mu.Unlock()
+	time.Sleep(duration)
+}
+
+func (e *Endpoint) leave() {
+	<-e.slots
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.InFlight--
+}
+
+func (e *Endpoint) refuse(w http.ResponseWriter, header string) {
+	e.mu.Lock()
+	e.counts.Refused++
+	e.mu.Unlock()
+	w.Header().Set(header, "true")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (e *Endpoint) answer(w http.ResponseWriter, body []byte, faults EndpointFaults) {
+	if faults.OversizeBytes > 0 {
+		body = make([]byte, faults.OversizeBytes)
+	}
+	if faults.WrongEcho {
+		w.Header().Set(headerRequest, "another-request")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if faults.FailAll {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	if !faults.Truncate {
+		_, _ = w.Write(body)
+		return
+	}
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	dropConnection(w)
+}
+
+func (e *Endpoint) currentFaults() EndpointFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// admit counts a connection, or reports that there is no room for it.
+func (e *Endpoint) admit(connection *endpointConnection) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Connections > 0 && len(e.connections) >= e.Connections {
+		return false
+	}
+	e.connections[connection] = true
+	e.counts.MaxConnections = max(e.counts.MaxConnections, len(e.connections))
+	return true
+}
+
+func (e *Endpoint) forget(connection *endpointConnection) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.connections, connection)
+}
+
+type endpointListener struct {
+	net.Listener
+	endpoint *Endpoint
+}
+
+func (l *endpointListener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		connection := &endpointConnection{
+			Conn: inner, endpoint: l.endpoint,
+			silenced: make(chan struct{}),
+		}
+		if l.endpoint.admit(connection) {
+			return connection, nil
+		}
+		_ = inner.Close()
+	}
+}
+
+// endpointConnection is a connection that can go silent: what arrives is lost
+// and what is sent vanishes, and neither end is told.
+type endpointConnection struct {
+	net.Conn
+	endpoint    *Endpoint
+	silenceOnce sync.Once
+	closeOnce   sync.Once
+	silenced    chan struct{}
+}
+
+func (c *endpointConnection) silence() {
+	c.silenceOnce.Do(func() { close(c.silenced) })
+}
+
+func (c *endpointConnection) isSilent() bool {
+	select {
+	case <-c.silenced:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read implements net.Conn.
+func (c *endpointConnection) Read(buffer []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(buffer)
+		if err != nil || !c.isSilent() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *endpointConnection) Write(buffer []byte) (int, error) {
+	if c.isSilent() {
+		return len(buffer), nil
+	}
+	return c.Conn.Write(buffer)
+}
+
+// Close implements net.Conn.
+func (c *endpointConnection) Close() error {
+	c.closeOnce.Do(func() { c.endpoint.forget(c) })
+	return c.Conn.Close()
+}
