Add the strict reader of JSON with comments

Cause: settings, templates and administration bodies need one strict reader with positions; encoding/json knows neither position, duplicate nor unit. Ruled out: hujson.Standardize with encoding/json, which accepts duplicates and loses positions of unknown fields. Change: package decoder over hujson's syntax tree; all faults of a document are collected as *FieldError in a *DocumentError. Seen failing: without the check of depth, 1 MB of '[' ended the process ('goroutine stack exceeds-byte limit'); the case 'nested too deep' holds it now. Before and after: no reader before. Conclusion: loader and configurer can use it.

--- /dev/null
+++ b/decoder/document.go
@@ -0,0 +1,156 @@
+// Package decoder reads JSON with comments strictly. It knows the position of
+// every field, reports unknown and duplicate fields, wrong types, units and
+// ranges, and collects all faults of a document before it gives up.
+package decoder
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// MaxDocumentBytes is the largest document that Parse reads.
+const MaxDocumentBytes = 1 << 20
+
+// FieldError reports one fault of a document.
+type FieldError struct {
+	// File names the document.
+	File string
+	// Line is the line of the fault, counted from 1.
+	Line int
+	// Column is the byte within the line, counted from 1.
+	Column int
+	// Field is the path of the field, such as "templates[2].name".
+	Field string
+	// Value is the text of the value as written, empty where it is missing.
+	Value string
+	// Problem tells what is wrong.
+	Problem string
+	// Allowed tells what is allowed, or is empty.
+	Allowed string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	text := fmt.Sprintf("%s:%d:%d: ", e.File, e.Line, e.Column)
+	if e.Field != "" {
+		text += e.Field + ": "
+	}
+	text += e.Problem
+	if e.Allowed != "" {
+		text += "; allowed: " + e.Allowed
+	}
+	return text
+}
+
+// DocumentError reports all faults of a document.
+type DocumentError struct {
+	// Faults are the faults by position. There is at least one.
+	Faults []*FieldError
+}
+
+// Error implements error.
+func (e *DocumentError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults, so that errors.As finds a *FieldError.
+func (e *DocumentError) Unwrap() []error {
+	faults := make([]error, len(e.Faults))
+	for i, fault := range e.Faults {
+		faults[i] = fault
+	}
+	return faults
+}
+
+// document collects the faults of one text.
+type document struct {
+	file    string
+	content []byte
+	faults  []*FieldError
+	objects []*Object
+}
+
+// Parse reads the root object of a document. It returns a *DocumentError where
+// the text is not an object in JSON with comments.
+func Parse(file string, content []byte) (*Object, error) {
+	d := &document{file: file, content: content}
+	if len(content) > MaxDocumentBytes {
+		d.fault(0, "", "", fmt.Sprintf("is %d bytes long", len(content)), fmt.Sprintf("at most %d bytes", MaxDocumentBytes))
+		return nil, d.err()
+	}
+	if offset, found := tooDeep(content); found {
+		d.fault(offset, "", "", "is nested too deep", fmt.Sprintf("at most %d levels", MaxDepth))
+		return nil, d.err()
+	}
+	root, err := hujson.Parse(content)
+	if err != nil {
+		d.syntaxFault(err)
+		return nil, d.err()
+	}
+	object, ok := root.Value.(*hujson.Object)
+	if !ok {
+		d.fault(root.StartOffset, "", "", "is not an object", "an object in JSON with comments")
+		return nil, d.err()
+	}
+	return d.object("", root.StartOffset, object), nil
+}
+
+func (d *document) syntaxFault(err error) {
+	fault := &FieldError{File: d.file, Line: 1, Column: 1, Problem: err.Error()}
+	_, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &fault.Line, &fault.Column)
+	if _, detail, found := strings.Cut(err.Error(), ": "); found && scanErr == nil {
+		_, fault.Problem, _ = strings.Cut(detail, ": ")
+	}
+	d.faults = append(d.faults, fault)
+}
+
+func (d *document) fault(offset int, field, value, problem, allowed string) {
+	before := d.content[:min(offset, len(d.content))]
+	d.faults = append(d.faults, &FieldError{
+		File:    d.file,
+		Line:    1 + bytes.Count(before, []byte("\n")),
+		Column:  len(before) - bytes.LastIndexByte(before, '\n'),
+		Field:   field,
+		Value:   value,
+		Problem: problem,
+		Allowed: allowed,
+	})
+}
+
+func (d *document) err() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	sort.SliceStable(d.faults, func(i, j int) bool {
+		a, b := d.faults[i], d.faults[j]
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		return a.Column < b.Column
+	})
+	return &DocumentError{Faults: d.faults}
+}
+
+// object registers an object of the document, reporting duplicate fields.
+func (d *document) object(path string, offset int, syntax *hujson.Object) *Object {
+	o := &Object{document: d, path: path, offset: offset, fields: map[string]hujson.Value{}, read: map[string]bool{}}
+	for _, member := range syntax.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		if _, found := o.fields[name]; found {
+			d.fault(member.Name.StartOffset, o.field(name), "", "is given twice", "once")
+			continue
+		}
+		o.names = append(o.names, memberName{name: name, offset: member.Name.StartOffset})
+		o.fields[name] = member.Value
+	}
+	d.objects = append(d.objects, o)
+	return o
+}
