--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,582 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"zinniashore.example/commander"
+	"zinniashore.example/placer"
+)
+
+const (
+	workerStep       = 2 * time.Millisecond
+	defaultUsageLag  = time.Second
+	defaultServiceMs = 5
+)
+
+// Behaviour is what the tasks of a template really do.
+type Behaviour struct {
+	// WorkFactor is the true run time over the declared one, 1 if zero.
+	WorkFactor float64 `json:"work_factor"`
+	// UseFactor is the true use of processors over the reserved, 1 if zero.
+	UseFactor float64 `json:"use_factor"`
+	// Fails makes each task of the template fail.
+	Fails bool `json:"fails"`
+	// ServiceMilliseconds is the service time of a service instance.
+	ServiceMilliseconds int64 `json:"service_milliseconds"`
+	// Slowdown is the factor by which one task of another template beside it
+	// slows a task of this one.
+	Slowdown map[string]float64 `json:"slowdown"`
+}
+
+// WorkerFaults are the faults that a Worker shows.
+type WorkerFaults struct {
+	// FailAll makes each task fail.
+	FailAll bool `json:"fail_all"`
+	// Frozen leaves commands unanswered, and tasks do not proceed. Leases end.
+	// Commands that came meanwhile take effect when it is over.
+	Frozen bool `json:"frozen"`
+	// Cut closes each connection before a command takes effect.
+	Cut bool `json:"cut"`
+	// LoseAnswers is the number of coming answers to lose after the effect.
+	LoseAnswers int `json:"lose_answers"`
+	// LoseEvery loses each answer of that ordinal after the effect, if above zero.
+	LoseEvery int `json:"lose_every"`
+}
+
+// Worker is a stand-in for a worker of the platform. Its exported fields are
+// set before Start.
+type Worker struct {
+	// ID names the worker.
+	ID string
+	// FailureDomain is its failure domain.
+	FailureDomain string
+	// Rack is its rack.
+	Rack string
+	// Capacity is what it can carry.
+	Capacity placer.Size
+	// Templates are the behaviours by template.
+	Templates map[string]Behaviour
+	// UsageLag is how old reported usage is, a second if zero.
+	UsageLag time.Duration
+	// Ledger keeps the history. It may be shared by workers.
+	Ledger *Ledger
+
+	ctx         context.Context
+	incarnation string
+	booted      time.Time
+	mu          sync.Mutex
+	faults      WorkerFaults
+	thawed      chan struct{}
+	settled     time.Time
+	answers     int
+	calls       map[string]int64
+	bytes       int64
+	cells       map[string]*workerCell
+}
+
+// workerCell is what a worker keeps of one cell.
+type workerCell struct {
+	epoch int64
+	until time.Duration
+	tasks map[string]*workerTask
+	// fences are attempts that can never start, until the clock is past the value.
+	fences map[string]workerFence
+}
+
+type workerFence struct {
+	attempt int64
+	until   time.Duration
+}
+
+type workerTask struct {
+	message    commander.StartMessage
+	run        *Run
+	state      commander.TaskState
+	progress   float64
+	throttle   float64
+	checkpoint string
+	address    string
+	reason     string
+	reported   time.Time
+	usage      int64
+	slowdown   float64
+	close      context.CancelFunc
+}
+
+// Start listens on address and serves until ctx ends, which kills its tasks. It
+// returns the IP address and port that it listens on.
+func (w *Worker) Start(ctx context.Context, address string) (string, error) {
+	w.ctx = ctx
+	w.booted = time.Now()
+	w.settled = w.booted
+	w.incarnation = w.ID + "-" + strconv.FormatInt(w.booted.UnixNano(), 36)
+	w.thawed = make(chan struct{})
+	close(w.thawed)
+	w.cells = map[string]*workerCell{}
+	w.calls = map[string]int64{}
+	if w.Ledger == nil {
+		w.Ledger = &Ledger{}
+	}
+	go w.work(ctx)
+	return Listen(ctx, address, w)
+}
+
+// SetFaults replaces the faults.
+func (w *Worker) SetFaults(faults WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	if faults.Frozen && !w.faults.Frozen {
+		w.thawed = make(chan struct{})
+	}
+	if !faults.Frozen && w.faults.Frozen {
+		close(w.thawed)
+	}
+	w.faults = faults
+}
+
+// Calls returns the number of commands by operation, and their bytes both ways.
+func (w *Worker) Calls() (map[string]int64, int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	calls := map[string]int64{}
+	for operation, count := range w.calls {
+		calls[operation] = count
+	}
+	return calls, w.bytes
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/control/faults":
+		var faults WorkerFaults
+		if readMessage(rw, r, &faults) {
+			w.SetFaults(faults)
+			writeMessage(rw, faults)
+		}
+		return
+	case "/control/history":
+		writeMessage(rw, historyMessage{Runs: w.Ledger.Runs(), Overruns: w.Ledger.Overruns()})
+		return
+	}
+	content, err := io.ReadAll(r.Body)
+	if err != nil || !w.arrive() {
+		dropConnection(rw)
+		return
+	}
+	w.serve(rw, strings.TrimPrefix(r.URL.Path, "/v1/"), content)
+}
+
+type historyMessage struct {
+	Runs     []Run    `json:"runs"`
+	Overruns []string `json:"overruns"`
+}
+
+// arrive waits while the worker is frozen and reports whether the command
+// reaches it.
+func (w *Worker) arrive() bool {
+	w.mu.Lock()
+	thawed := w.thawed
+	w.mu.Unlock()
+	select {
+	case <-thawed:
+	case <-w.ctx.Done():
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.faults.Cut && w.ctx.Err() == nil
+}
+
+func (w *Worker) serve(rw http.ResponseWriter, operation string, content []byte) {
+	status, answer := w.execute(operation, content)
+	body, err := json.Marshal(answer)
+	if err != nil || w.loseAnswer(operation, len(content)+len(body)) {
+		dropConnection(rw)
+		return
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	_, _ = rw.Write(body)
+}
+
+func (w *Worker) loseAnswer(operation string, size int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls[operation]++
+	w.bytes += int64(size)
+	w.answers++
+	if w.faults.LoseAnswers > 0 {
+		w.faults.LoseAnswers--
+		return true
+	}
+	return w.faults.LoseEvery > 0 && w.answers%w.faults.LoseEvery == 0
+}
+
+// execute gives one command its effect.
+func (w *Worker) execute(operation string, content []byte) (int, commander.AnswerMessage) {
+	var start commander.StartMessage
+	var tasks commander.TasksMessage
+	if json.Unmarshal(content, &start) != nil || json.Unmarshal(content, &tasks) != nil {
+		return http.StatusBadRequest, commander.AnswerMessage{}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	answer := commander.AnswerMessage{Incarnation: w.incarnation, ClockMicroseconds: w.clock().Microseconds()}
+	header := tasks.HeaderMessage
+	cell := w.cell(header.Cell)
+	answer.Epoch = cell.epoch
+	if header.Epoch < cell.epoch {
+		return http.StatusConflict, answer
+	}
+	cell.epoch = header.Epoch
+	answer.Epoch = cell.epoch
+	if header.Incarnation != "" && header.Incarnation != w.incarnation {
+		answer.Refused = "another incarnation"
+		return http.StatusOK, answer
+	}
+	cell.until = max(cell.until, time.Duration(header.UntilMicroseconds)*time.Microsecond)
+	answer.Tasks, answer.Refused = w.apply(operation, cell, start, tasks)
+	return http.StatusOK, answer
+}
+
+func (w *Worker) apply(operation string, cell *workerCell, start commander.StartMessage, tasks commander.TasksMessage) ([]commander.ReportMessage, string) {
+	until := time.Duration(tasks.UntilMicroseconds) * time.Microsecond
+	switch operation {
+	case "start":
+		return w.start(cell, start)
+	case "renew":
+		return cell.reports(), ""
+	case "stop", "checkpoint":
+		return w.stop(cell, tasks.Tasks, until, operation == "checkpoint"), ""
+	case "throttle":
+		return cell.throttle(tasks), ""
+	case "forget":
+		cell.forget(tasks.Tasks, until)
+		return nil, ""
+	}
+	return nil, "unknown command"
+}
+
+func (w *Worker) start(cell *workerCell, start commander.StartMessage) ([]commander.ReportMessage, string) {
+	known := cell.tasks[start.Task]
+	switch {
+	case known != nil && known.message.Attempt == start.Attempt:
+		return []commander.ReportMessage{known.report()}, ""
+	case known != nil && known.message.Attempt > start.Attempt:
+		return nil, "a newer attempt is known"
+	case known != nil && !known.state.Ended():
+		return nil, "an older attempt runs"
+	case cell.fences[start.Task].attempt >= start.Attempt && cell.fences[start.Task].attempt > 0:
+		return nil, "the attempt has ended"
+	case w.clock() >= time.Duration(start.UntilMicroseconds)*time.Microsecond:
+		return nil, "the lease has lapsed"
+	}
+	task := w.begin(start)
+	cell.tasks[start.Task] = task
+	w.checkCapacity(start.Task)
+	return []commander.ReportMessage{task.report()}, ""
+}
+
+func (w *Worker) begin(start commander.StartMessage) *workerTask {
+	now := time.Now()
+	from, _ := strconv.ParseInt(start.Checkpoint, 10, 64)
+	service := start.Class == string(placer.ClassService)
+	task := &workerTask{
+		message: start, state: commander.TaskRunning, progress: float64(from), throttle: 1,
+		reported: now, slowdown: 0, checkpoint: "",
+		run: &Run{
+			Task: start.Task, Attempt: start.Attempt, Worker: w.ID, Cell: start.Cell, Epoch: start.Epoch,
+			Service: service, From: from, Started: now.UnixNano(), State: RunRunning,
+		},
+	}
+	w.Ledger.begin(task.run)
+	if service {
+		w.open(task)
+	}
+	return task
+}
+
+// open starts the endpoint of a service instance.
+func (w *Worker) open(task *workerTask) {
+	milliseconds := w.Templates[task.message.Template].ServiceMilliseconds
+	if milliseconds == 0 {
+		milliseconds = defaultServiceMs
+	}
+	ctx, cancel := context.WithCancel(w.ctx)
+	endpoint := &Endpoint{
+		Service: task.message.Task, Slots: task.message.Slots, Connections: task.message.Connections,
+		ServiceTime: time.Duration(milliseconds) * time.Millisecond,
+	}
+	address, err := endpoint.Start(ctx, "127.0.0.1:0")
+	task.close = cancel
+	if err != nil {
+		w.end(task, commander.TaskFailed, RunFailed, time.Now())
+		task.reason = err.Error()
+		return
+	}
+	task.address = address
+}
+
+func (w *Worker) checkCapacity(cause string) {
+	var used placer.Size
+	for _, cell := range w.cells {
+		for _, task := range cell.tasks {
+			if !task.state.Ended() {
+				used = used.Plus(placer.Size{Processors: task.message.Processors, Memory: task.message.Memory, Accelerators: task.message.Accelerators})
+			}
+		}
+	}
+	if !used.Within(w.Capacity) {
+		w.Ledger.overrun(fmt.Sprintf("%s: %+v is past %+v with %s", w.ID, used, w.Capacity, cause))
+	}
+}
+
+func (w *Worker) stop(cell *workerCell, refs []commander.RefMessage, until time.Duration, checkpoint bool) []commander.ReportMessage {
+	var reports []commander.ReportMessage
+	for _, ref := range refs {
+		task := cell.tasks[ref.Task]
+		if task == nil || task.message.Attempt < ref.Attempt {
+			cell.fence(ref, until)
+			reports = append(reports, commander.ReportMessage{Task: ref.Task, Attempt: ref.Attempt, State: string(commander.TaskStopped)})
+			continue
+		}
+		if task.message.Attempt == ref.Attempt && !task.state.Ended() {
+			w.halt(task, checkpoint)
+		}
+		reports = append(reports, task.report())
+	}
+	return reports
+}
+
+func (w *Worker) halt(task *workerTask, checkpoint bool) {
+	state := RunStopped
+	if checkpoint && !task.run.Service {
+		task.checkpoint = strconv.FormatInt(int64(task.progress), 10)
+		state = RunCheckpointed
+	}
+	w.end(task, commander.TaskStopped, state, time.Now())
+}
+
+// end ends a running task.
+func (w *Worker) end(task *workerTask, state commander.TaskState, runState RunState, at time.Time) {
+	task.state = state
+	if task.close != nil {
+		task.close()
+	}
+	w.Ledger.change(func() {
+		task.run.State = runState
+		task.run.Ended = at.UnixNano()
+		task.run.To = int64(task.progress)
+	})
+}
+
+func (w *Worker) cell(name string) *workerCell {
+	cell := w.cells[name]
+	if cell == nil {
+		cell = &workerCell{tasks: map[string]*workerTask{}, fences: map[string]workerFence{}}
+		w.cells[name] = cell
+	}
+	return cell
+}
+
+func (w *Worker) clock() time.Duration { return time.Since(w.booted) }
+
+func (w *Worker) work(ctx context.Context) {
+	ticker := time.NewTicker(workerStep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			w.kill()
+			return
+		case <-ticker.C:
+			w.mu.Lock()
+			w.settle()
+			w.mu.Unlock()
+		}
+	}
+}
+
+func (w *Worker) kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, cell := range w.cells {
+		for _, task := range cell.tasks {
+			if !task.state.Ended() {
+				w.end(task, commander.TaskLapsed, RunKilled, time.Now())
+				continue
+			}
+			w.Ledger.change(func() { task.run.Discarded = true })
+		}
+	}
+}
+
+// settle brings leases and progress up to now; the caller holds the mutex.
+func (w *Worker) settle() {
+	now := time.Now()
+	elapsed := now.Sub(w.settled)
+	w.settled = now
+	for _, cell := range w.cells {
+		w.lapse(cell)
+	}
+	if w.faults.Frozen {
+		return
+	}
+	neighbours := w.templates()
+	for _, cell := range w.cells {
+		for _, task := range cell.tasks {
+			if !task.state.Ended() {
+				w.proceed(task, now, elapsed, neighbours)
+			}
+		}
+	}
+}
+
+// lapse ends the tasks of a cell whose lease is over.
+func (w *Worker) lapse(cell *workerCell) {
+	clock := w.clock()
+	for task, fence := range cell.fences {
+		if clock >= fence.until {
+			delete(cell.fences, task)
+		}
+	}
+	if clock < cell.until {
+		return
+	}
+	for _, task := range cell.tasks {
+		switch task.state {
+		case commander.TaskRunning:
+			w.end(task, commander.TaskLapsed, RunLapsed, w.booted.Add(cell.until))
+		case commander.TaskDone, commander.TaskStopped:
+			task.state = commander.TaskLapsed
+			task.checkpoint = ""
+			w.Ledger.change(func() { task.run.Discarded = true })
+		}
+	}
+}
+
+func (w *Worker) templates() map[string]int {
+	count := map[string]int{}
+	for _, cell := range w.cells {
+		for _, task := range cell.tasks {
+			if !task.state.Ended() {
+				count[task.message.Template]++
+			}
+		}
+	}
+	return count
+}
+
+func (w *Worker) proceed(task *workerTask, now time.Time, elapsed time.Duration, neighbours map[string]int) {
+	behaviour := w.Templates[task.message.Template]
+	if w.faults.FailAll || behaviour.Fails {
+		task.reason = "exit status 1"
+		w.end(task, commander.TaskFailed, RunFailed, now)
+		return
+	}
+	slowdown := behaviour.slowdown(task.message.Template, neighbours)
+	w.measure(task, now, behaviour, slowdown)
+	if task.run.Service {
+		return
+	}
+	ran := min(elapsed, now.Sub(time.Unix(0, task.run.Started)))
+	task.progress += float64(ran) / float64(time.Millisecond) * task.throttle / slowdown
+	work := float64(task.message.WorkMilliseconds)
+	if behaviour.WorkFactor > 0 {
+		work *= behaviour.WorkFactor
+	}
+	if task.progress >= work {
+		task.progress = work
+		w.end(task, commander.TaskDone, RunDone, now)
+	}
+}
+
+// measure refreshes what is reported of a task once the lag has passed.
+func (w *Worker) measure(task *workerTask, now time.Time, behaviour Behaviour, slowdown float64) {
+	lag := w.UsageLag
+	if lag == 0 {
+		lag = defaultUsageLag
+	}
+	if now.Sub(task.reported) < lag {
+		return
+	}
+	task.reported = now
+	task.usage = task.message.Processors
+	if behaviour.UseFactor > 0 {
+		task.usage = int64(float64(task.usage) * behaviour.UseFactor)
+	}
+	if task.run.Service {
+		task.slowdown = slowdown
+	}
+}
+
+func (b Behaviour) slowdown(template string, neighbours map[string]int) float64 {
+	slowdown := 1.0
+	for other, count := range neighbours {
+		if other == template {
+			count--
+		}
+		if factor := b.Slowdown[other]; factor > 0 {
+			slowdown += (factor - 1) * float64(count)
+		}
+	}
+	return slowdown
+}
+
+func (c *workerCell) reports() []commander.ReportMessage {
+	var reports []commander.ReportMessage
+	for _, task := range c.tasks {
+		reports = append(reports, task.report())
+	}
+	sort.Slice(reports, func(i, j int) bool { return reports[i].Task < reports[j].Task })
+	return reports
+}
+
+func (c *workerCell) throttle(message commander.TasksMessage) []commander.ReportMessage {
+	var reports []commander.ReportMessage
+	for _, ref := range message.Tasks {
+		task := c.tasks[ref.Task]
+		if task != nil && task.message.Attempt == ref.Attempt {
+			task.throttle = message.Throttle
+			reports = append(reports, task.report())
+		}
+	}
+	return reports
+}
+
+func (c *workerCell) forget(refs []commander.RefMessage, until time.Duration) {
+	for _, ref := range refs {
+		task := c.tasks[ref.Task]
+		if task != nil && task.message.Attempt == ref.Attempt && task.state.Ended() {
+			delete(c.tasks, ref.Task)
+			c.fence(ref, until)
+		}
+	}
+}
+
+// fence refuses the attempt until every start of it that is under way has lapsed.
+func (c *workerCell) fence(ref commander.RefMessage, until time.Duration) {
+	fence := c.fences[ref.Task]
+	c.fences[ref.Task] = workerFence{attempt: max(fence.attempt, ref.Attempt), until: max(fence.until, until)}
+}
+
+func (t *workerTask) report() commander.ReportMessage {
+	return commander.ReportMessage{
+		Task: t.message.Task, Attempt: t.message.Attempt, State: string(t.state),
+		Address: t.address, Checkpoint: t.checkpoint, Processors: t.usage,
+		Memory: t.message.Memory, Accelerators: t.message.Accelerators,
+		Slowdown: t.slowdown, Reason: t.reason,
+	}
+}
