--- /dev/null
+++ b/exchanger/connection.go
@@ -0,0 +1,208 @@
+package exchanger
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const drainBufferBytes = 4 << 10
+
+// progress is how far an exchange got.
+type progress string
+
+const (
+	progressFresh     progress = "fresh"
+	progressSent      progress = "sent"
+	progressAbandoned progress = "abandoned"
+	progressFinished  progress = "finished"
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	id      string
+	held    func() bool
+	clock   clockwork.Clock
+	release func()
+
+	mu         sync.Mutex
+	progress   progress
+	sentAt     time.Time
+	connection *connection
+}
+
+// send permits the first write of the exchange, or tells why it must not be.
+func (x *exchange) send() error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch x.progress {
+	case progressSent:
+		return nil
+	case progressAbandoned, progressFinished:
+		return errAbandoned
+	}
+	if !x.held() {
+		return errLapsed
+	}
+	x.progress = progressSent
+	x.sentAt = x.clock.Now()
+	return nil
+}
+
+func (x *exchange) finish() {
+	x.mu.Lock()
+	x.progress = progressFinished
+	x.mu.Unlock()
+	x.release()
+}
+
+// fail ends the exchange. If it was sent, its connection is closed and
+// releases the slot once the endpoint is done.
+func (x *exchange) fail(cause Cause, err error) *Error {
+	x.mu.Lock()
+	sent := x.progress != progressFresh
+	if !sent {
+		x.progress = progressAbandoned
+	}
+	connection := x.connection
+	x.mu.Unlock()
+	if sent {
+		connection.abandon(x)
+	} else {
+		x.release()
+	}
+	return &Error{Sent: sent, Cause: cause, Err: err}
+}
+
+// running reports whether the endpoint may still run the exchange.
+func (x *exchange) running() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.progress == progressSent
+}
+
+// connection is a connection to an endpoint that belongs to one exchange at a
+// time. When it is closed before the answer was whole, it stays open for
+// reading until the endpoint is done, so that the slot is not given away early.
+type connection struct {
+	net.Conn
+	longest   time.Duration
+	unreserve func()
+
+	current  atomic.Pointer[exchange]
+	answered atomic.Bool
+	closing  atomic.Bool
+	spoiled  atomic.Bool
+	readMu   sync.Mutex
+}
+
+// begin gives the connection to an exchange, or to a probe if x is nil.
+func (c *connection) begin(x *exchange) {
+	c.answered.Store(false)
+	c.current.Store(x)
+	if x == nil {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.connection = c
+}
+
+// abandon closes the connection of a failed exchange. If another exchange has
+// the connection, the answer to the failed one was read in full: it is done.
+func (c *connection) abandon(x *exchange) {
+	if c.current.Load() == x {
+		_ = c.Close()
+		return
+	}
+	c.spoiled.Store(true)
+	x.finish()
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(content []byte) (int, error) {
+	if x := c.current.Load(); x != nil {
+		if c.spoiled.Load() && !x.running() {
+			return 0, errAbandoned
+		}
+		if err := x.send(); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(content)
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(buffer []byte) (int, error) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	if c.closing.Load() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.answered.Store(true)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	if c.closing.Swap(true) {
+		return nil
+	}
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	x := c.current.Load()
+	if x == nil || !x.running() {
+		return c.end()
+	}
+	go c.linger(x)
+	return nil
+}
+
+func (c *connection) end() error {
+	c.unreserve()
+	return c.Conn.Close()
+}
+
+// linger waits until the endpoint is done with an abandoned exchange. A late
+// answer is dropped. Only an answer, or the longest time that a request runs,
+// shows that the endpoint is done; the end of the connection does not.
+func (c *connection) linger(x *exchange) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	x.mu.Lock()
+	until := x.sentAt.Add(c.longest)
+	x.mu.Unlock()
+	_ = c.Conn.SetReadDeadline(until)
+	if half, ok := c.Conn.(*net.TCPConn); ok {
+		_ = half.CloseWrite()
+	}
+	answered := c.drain()
+	_ = c.end()
+	if !answered {
+		<-x.clock.After(until.Sub(x.clock.Now()))
+	}
+	x.finish()
+}
+
+func (c *connection) drain() bool {
+	buffer := make([]byte, drainBufferBytes)
+	for {
+		n, err := c.Conn.Read(buffer)
+		if n > 0 {
+			c.answered.Store(true)
+		}
+		if err != nil {
+			return c.answered.Load() && !isTimeout(err)
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
