Read the settings strictly

Cause: a wrong setting has to be refused before anything starts, with its file, line, field and what is allowed. Ruled out: encoding/json with DisallowUnknownFields, which knows no positions of fields, stops at the first fault and takes the last of two equal fields. Change: loader.Load over package decoder; secrets are taken out of faults.

--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,276 @@
+package loader
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"zinniashore.example/decoder"
+)
+
+const (
+	maxNameBytes    = 64
+	maxDomains      = 64
+	maxSeats        = 64
+	maxQueue        = 100_000
+	maxKeys         = 10_000_000
+	maxBodyBytes    = 64 << 20
+	minSecretBytes  = 16
+	maxSecretBytes  = 256
+	shortest        = 10 * time.Millisecond
+	longest         = 24 * time.Hour
+	renewalsPerTerm = 2
+)
+
+// Load reads and checks a settings file. It returns a *decoder.DocumentError
+// with every fault.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, content)
+}
+
+// Parse checks settings that were read from the file of that name.
+func Parse(file string, content []byte) (Settings, error) {
+	root, err := decoder.Parse(file, content)
+	if err != nil {
+		return Settings{}, err
+	}
+	settings := Settings{
+		Process:        root.Text("process", name()),
+		FailureDomain:  root.Text("failure_domain", name()),
+		FailureDomains: root.Texts("failure_domains", name()),
+		Addresses:      readAddresses(root.Object("addresses", true)),
+		Store:          readStore(root.Object("store", true)),
+		Platform:       readPlatform(root.Object("platform", true)),
+		Seats:          readSeats(root.Object("seats", true)),
+		Requests:       readRequests(section(root, "requests")),
+		Tasks:          readTasks(section(root, "tasks")),
+		Shutdown:       readShutdown(section(root, "shutdown")),
+	}
+	settings.Cells = readCells(root, settings)
+	settings.Tokens = readTokens(root)
+	checkDomains(root, settings)
+	if err := root.Finish(); err != nil {
+		return Settings{}, hideSecrets(err)
+	}
+	return settings, nil
+}
+
+// section returns an optional object; a missing one reads as empty.
+func section(root *decoder.Object, name string) *decoder.Object {
+	if object := root.Object(name, false); object != nil {
+		return object
+	}
+	empty, err := decoder.Parse(name, []byte("{}"))
+	if err != nil {
+		return nil
+	}
+	return empty
+}
+
+func name() decoder.Text {
+	limits := optionalName()
+	limits.Required = true
+	return limits
+}
+
+func optionalName() decoder.Text {
+	return decoder.Text{
+		Check:   func(value string) bool { return value != "" && len(value) <= maxNameBytes },
+		Allowed: fmt.Sprintf("1 to %d bytes", maxNameBytes),
+	}
+}
+
+func readAddresses(o *decoder.Object) Addresses {
+	if o == nil {
+		return Addresses{}
+	}
+	return Addresses{
+		Callers:        readAddress(o, "callers"),
+		Administration: readAddress(o, "administration"),
+		Peers:          readAddress(o, "peers"),
+	}
+}
+
+func readAddress(o *decoder.Object, field string) string {
+	return o.Text(field, decoder.Text{
+		Required: true,
+		Check:    isAddress,
+		Allowed:  `an IP address and a port such as "10.0.0.7:7000"`,
+	})
+}
+
+func isAddress(value string) bool {
+	host, port, err := net.SplitHostPort(value)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func readStore(o *decoder.Object) Store {
+	if o == nil {
+		return Store{}
+	}
+	store := Store{
+		Address:     readAddress(o, "address"),
+		Lease:       o.Duration("lease", span(10*time.Second)),
+		Renewal:     o.Duration("renewal", span(3*time.Second)),
+		DriftMargin: o.Duration("drift_margin", span(500*time.Millisecond)),
+	}
+	if store.Renewal*renewalsPerTerm+store.DriftMargin > store.Lease {
+		o.Reject("lease", "is shorter than two renewals and the drift margin",
+			fmt.Sprintf("at least %v", store.Renewal*renewalsPerTerm+store.DriftMargin))
+	}
+	return store
+}
+
+func readPlatform(o *decoder.Object) Platform {
+	if o == nil {
+		return Platform{}
+	}
+	return Platform{
+		Address: readAddress(o, "address"),
+		Period:  o.Duration("period", span(time.Second)),
+	}
+}
+
+func readSeats(o *decoder.Object) Seats {
+	if o == nil {
+		return Seats{}
+	}
+	seats := Seats{
+		Count:     int(o.Integer("count", decoder.Integer{Required: true, Min: 1, Max: maxSeats})),
+		Promise:   o.Duration("promise", span(5*time.Second)),
+		Heartbeat: o.Duration("heartbeat", span(500*time.Millisecond)),
+	}
+	if seats.Heartbeat*renewalsPerTerm > seats.Promise {
+		o.Reject("promise", "is shorter than two heartbeats", fmt.Sprintf("at least %v", seats.Heartbeat*renewalsPerTerm))
+	}
+	return seats
+}
+
+func readRequests(o *decoder.Object) Requests {
+	return Requests{
+		Longest:     o.Duration("longest", span(10*time.Second)),
+		Queue:       int(o.Integer("queue", decoder.Integer{Default: 1024, Max: maxQueue})),
+		BodyBytes:   o.Bytes("body", decoder.Bytes{Default: 1 << 20, Min: 1, Max: maxBodyBytes}),
+		AnswerBytes: o.Bytes("answer", decoder.Bytes{Default: 4 << 20, Min: 1, Max: maxBodyBytes}),
+		KeyWindow:   o.Duration("key_window", span(10*time.Minute)),
+		Keys:        int(o.Integer("keys", decoder.Integer{Default: 50_000, Min: 1, Max: maxKeys})),
+	}
+}
+
+func readTasks(o *decoder.Object) Tasks {
+	tasks := Tasks{
+		Lease:   o.Duration("lease", span(15*time.Second)),
+		Renewal: o.Duration("renewal", span(2*time.Second)),
+		Period:  o.Duration("period", span(500*time.Millisecond)),
+		Drain:   o.Duration("drain", span(5*time.Second)),
+	}
+	if tasks.Renewal*renewalsPerTerm > tasks.Lease {
+		o.Reject("lease", "is shorter than two renewals", fmt.Sprintf("at least %v", tasks.Renewal*renewalsPerTerm))
+	}
+	return tasks
+}
+
+func readShutdown(o *decoder.Object) Shutdown {
+	return Shutdown{Limit: o.Duration("limit", span(30*time.Second))}
+}
+
+func span(missing time.Duration) decoder.Duration {
+	return decoder.Duration{Default: missing, Min: shortest, Max: longest}
+}
+
+func readCells(root *decoder.Object, settings Settings) []Cell {
+	var cells []Cell
+	for _, o := range root.Objects("cells") {
+		cell := Cell{
+			ID:            o.Text("id", name()),
+			FailureDomain: o.Text("failure_domain", name()),
+			Racks:         o.Texts("racks", optionalName()),
+		}
+		if slices.ContainsFunc(cells, func(other Cell) bool { return other.ID == cell.ID }) {
+			o.Reject("id", "is a duplicate", "one cell an id")
+		}
+		if !slices.Contains(settings.FailureDomains, cell.FailureDomain) {
+			o.Reject("failure_domain", "is not a failure domain", fmt.Sprintf("one of %q", settings.FailureDomains))
+		}
+		cells = append(cells, cell)
+	}
+	if len(cells) == 0 {
+		return wholeDomains(settings.FailureDomains)
+	}
+	return cells
+}
+
+// wholeDomains returns one cell for each failure domain.
+func wholeDomains(failureDomains []string) []Cell {
+	var cells []Cell
+	for _, failureDomain := range failureDomains {
+		cells = append(cells, Cell{ID: failureDomain, FailureDomain: failureDomain})
+	}
+	return cells
+}
+
+func readTokens(root *decoder.Object) []Token {
+	var tokens []Token
+	for _, o := range root.Objects("tokens") {
+		token := Token{
+			Role:         TokenRole(o.Text("role", tokenRole())),
+			Organisation: o.Text("organisation", optionalName()),
+			Secret:       o.Text("secret", secret()),
+		}
+		if token.Role == TokenOrganisation && token.Organisation == "" {
+			o.Reject("organisation", "is missing", "the organisation that the token acts for")
+		}
+		tokens = append(tokens, token)
+	}
+	return tokens
+}
+
+func tokenRole() decoder.Text {
+	return decoder.Text{Required: true, Choices: []string{string(TokenOperator), string(TokenOrganisation)}}
+}
+
+func secret() decoder.Text {
+	return decoder.Text{
+		Required: true,
+		Check:    func(value string) bool { return len(value) >= minSecretBytes && len(value) <= maxSecretBytes },
+		Allowed:  fmt.Sprintf("%d to %d bytes", minSecretBytes, maxSecretBytes),
+	}
+}
+
+// hideSecrets takes the values of secrets out of the faults.
+func hideSecrets(err error) error {
+	var faults *decoder.DocumentError
+	if !errors.As(err, &faults) {
+		return err
+	}
+	for _, fault := range faults.Faults {
+		if strings.HasSuffix(fault.Field, ".secret") {
+			fault.Value = ""
+		}
+	}
+	return err
+}
+
+func checkDomains(root *decoder.Object, settings Settings) {
+	if len(settings.FailureDomains) == 0 || len(settings.FailureDomains) > maxDomains {
+		root.Reject("failure_domains", "has the wrong length", fmt.Sprintf("1 to %d failure domains", maxDomains))
+	}
+	seen := map[string]bool{}
+	for _, failureDomain := range settings.FailureDomains {
+		if seen[failureDomain] {
+			root.Reject("failure_domains", fmt.Sprintf("names %q twice", failureDomain), "each failure domain once")
+		}
+		seen[failureDomain] = true
+	}
+	if settings.FailureDomain != "" && !seen[settings.FailureDomain] {
+		root.Reject("failure_domain", "is not one of failure_domains", fmt.Sprintf("one of %q", settings.FailureDomains))
+	}
+}
