--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -71,12 +71,12 @@
 	ServiceTime time.Duration
 }
 
-// Waiter is a claim in the queue. Ready receives nil once it is popped, or a
-// *RefusedError.
+// Waiter is a claim in the queue.
 type Waiter struct {
 	// Claim is what it asks for.
 	Claim Claim
-	// Ready receives one value.
+	// Ready receives one value: a *RefusedError from the Limiter, or nil from
+	// whoever popped it.
 	Ready chan error
 
 	sequence uint64
@@ -131,7 +131,6 @@
 		first := l.waiting[queue][0]
 		l.remove(first)
 		if !now.Add(load.ServiceTime).After(first.Claim.Deadline) {
-			first.Ready <- nil
 			return first
 		}
 		first.Ready <- &RefusedError{Reason: ReasonDeadline, RetryAfter: smallestRetryAfter}
