Decide by order, filters, scorers, claims and reactions; learn sizes and pairs

Cause: the placer was first fit without order, quotas, eviction or reasons. Contract: Task gains Reserved, ThrottledAt and Evictions; Action gains Reserved and Within; ActionResize is new. Zero values keep the former meaning. Ruled out: a switch over kinds of decisions, since variants for the baselines would have to copy it.

--- /dev/null
+++ b/placer/ledger.go
@@ -0,0 +1,257 @@
+package placer
+
+// tenant is a task that may run on a worker.
+type tenant struct {
+	task     *Task
+	held     Size
+	leaving  bool
+	template int
+	// excess is the expected slowdown above 1 that the neighbours cause.
+	excess float64
+}
+
+// room is what the decision knows of one worker.
+type room struct {
+	worker   *Worker
+	free     Size
+	coming   Size
+	tenants  []*tenant
+	services []*tenant
+}
+
+// expected is the free size once the evictions under way are done.
+func (r *room) expected() Size {
+	return r.free.Plus(r.coming)
+}
+
+// ledger accounts for one decision. It starts from a snapshot and follows the
+// actions as they are planned.
+type ledger struct {
+	snapshot  *Snapshot
+	rooms     []*room
+	byWorker  map[string]*room
+	use       map[string]Size
+	quotas    map[string]Size
+	spread    spreadCounts
+	templates map[string]int
+	names     []string
+	pairs     map[[2]int]float64
+	largest   map[string]Size
+	evictions int
+}
+
+func newLedger(snapshot *Snapshot) *ledger {
+	l := &ledger{
+		snapshot:  snapshot,
+		byWorker:  make(map[string]*room, len(snapshot.Workers)),
+		use:       map[string]Size{},
+		quotas:    map[string]Size{},
+		spread:    spreadCounts{},
+		templates: map[string]int{},
+		pairs:     map[[2]int]float64{},
+		largest:   map[string]Size{},
+	}
+	for i := range snapshot.Workers {
+		l.addWorker(&snapshot.Workers[i])
+	}
+	for _, quota := range snapshot.Quotas {
+		l.quotas[quota.Organisation] = quota.Limit
+	}
+	for i := range snapshot.Tasks {
+		l.addTask(&snapshot.Tasks[i])
+	}
+	return l
+}
+
+func (l *ledger) addWorker(worker *Worker) {
+	r := &room{worker: worker, free: worker.Capacity}
+	l.rooms = append(l.rooms, r)
+	l.byWorker[worker.ID] = r
+}
+
+func (l *ledger) addTask(task *Task) {
+	if task.State == TaskWaiting && len(task.Workers) == 0 {
+		return
+	}
+	held := heldSize(task)
+	l.use[task.Organisation] = l.use[task.Organisation].Plus(held)
+	for _, id := range task.Workers {
+		if r, known := l.byWorker[id]; known {
+			l.occupy(r, task, held)
+		}
+	}
+}
+
+// heldSize is what a task that may run somewhere keeps reserved there.
+func heldSize(task *Task) Size {
+	if task.Reserved == (Size{}) {
+		return task.Declared
+	}
+	return task.Reserved
+}
+
+// occupy takes a room for a task.
+func (l *ledger) occupy(r *room, task *Task, held Size) *tenant {
+	t := &tenant{
+		task:     task,
+		held:     held,
+		template: l.templateIndex(task.Template),
+		leaving:  task.State == TaskEvicting,
+	}
+	for _, service := range r.services {
+		service.excess += l.pair(service.template, t.template)
+	}
+	t.excess = l.excessBeside(t, r)
+	r.free = r.free.Minus(held)
+	r.tenants = append(r.tenants, t)
+	if t.leaving {
+		r.coming = r.coming.Plus(held)
+	}
+	if task.Class == ClassService {
+		r.services = append(r.services, t)
+		l.spread.add(task.Group, r.worker, 1)
+	}
+	return t
+}
+
+// excessBeside is the slowdown above 1 of a service among the tenants of a room.
+func (l *ledger) excessBeside(t *tenant, r *room) float64 {
+	if t.task.Class != ClassService {
+		return 0
+	}
+	excess := 0.0
+	for _, neighbour := range r.tenants {
+		if neighbour.task != t.task {
+			excess += l.pair(t.template, neighbour.template)
+		}
+	}
+	return excess
+}
+
+// release marks a tenant as being evicted. It holds its room until it has
+// stopped.
+func (l *ledger) release(r *room, t *tenant) {
+	t.leaving = true
+	r.coming = r.coming.Plus(t.held)
+	l.use[t.task.Organisation] = l.use[t.task.Organisation].Minus(t.held)
+	l.evictions++
+}
+
+// hold keeps room for a task that waits for evictions.
+func (l *ledger) hold(r *room, size Size) {
+	r.free = r.free.Minus(size)
+}
+
+func (l *ledger) templateIndex(template string) int {
+	index, known := l.templates[template]
+	if !known {
+		index = len(l.names)
+		l.templates[template] = index
+		l.names = append(l.names, template)
+	}
+	return index
+}
+
+// pair is the slowdown above 1 that one neighbour causes a template.
+func (l *ledger) pair(template, neighbour int) float64 {
+	if l.snapshot.Estimates == nil {
+		return 0
+	}
+	key := [2]int{template, neighbour}
+	excess, known := l.pairs[key]
+	if !known {
+		names := []string{l.names[neighbour]}
+		excess = l.snapshot.Estimates.Slowdown(l.names[template], names) - 1
+		l.pairs[key] = excess
+	}
+	return excess
+}
+
+// measured is the slowdown that a service shows now.
+func (l *ledger) measured(t *tenant) float64 {
+	if l.snapshot.Estimates == nil {
+		return 1
+	}
+	return l.snapshot.Estimates.Measured(t.task.ID)
+}
+
+// sizeFor is the size to reserve for a new attempt of a task: what was learned,
+// at most the largest worker of its failure domains unless more is declared.
+func (l *ledger) sizeFor(task *Task) Size {
+	if l.snapshot.Estimates == nil {
+		return task.Declared
+	}
+	learned := l.snapshot.Estimates.Size(task.Template, task.Declared)
+	learned.Accelerators = task.Declared.Accelerators
+	return learned.Min(l.largestFor(task).Max(task.Declared))
+}
+
+// largestFor is the largest capacity among the workers of a task's failure
+// domains.
+func (l *ledger) largestFor(task *Task) Size {
+	place := placeName(task)
+	largest, known := l.largest[place]
+	if known {
+		return largest
+	}
+	for _, r := range l.rooms {
+		if inDomains(task, r.worker) {
+			largest = largest.Max(r.worker.Capacity)
+		}
+	}
+	l.largest[place] = largest
+	return largest
+}
+
+// learned reports whether sizes of a template are more than cautious guesses.
+func (l *ledger) learned(template string) bool {
+	confidence, tells := l.snapshot.Estimates.(Confidence)
+	return !tells || confidence.Learned(template)
+}
+
+// reclaimable reports whether an organisation exceeds its quota.
+func (l *ledger) reclaimable() bool {
+	for organisation := range l.quotas {
+		if l.borrows(organisation, Size{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// borrows reports whether an organisation would exceed its quota with a size.
+// An organisation without a quota never borrows.
+func (l *ledger) borrows(organisation string, size Size) bool {
+	limit, limited := l.quotas[organisation]
+	return limited && !l.use[organisation].Plus(size).Within(limit)
+}
+
+// spreadCounts counts the instances of groups by place.
+type spreadCounts map[spreadKey]int
+
+// spreadKey names a place; rack and worker are empty for the levels above them.
+type spreadKey struct {
+	group  string
+	domain string
+	rack   string
+	worker string
+}
+
+func (s spreadCounts) add(group string, worker *Worker, count int) {
+	if group == "" {
+		return
+	}
+	for _, key := range placesOf(group, worker) {
+		s[key] += count
+	}
+}
+
+// placesOf names the failure domain, the rack and the worker of a group.
+func placesOf(group string, worker *Worker) [3]spreadKey {
+	domain := spreadKey{group: group, domain: worker.FailureDomain}
+	rack := domain
+	rack.rack = worker.Rack
+	single := rack
+	single.worker = worker.ID
+	return [3]spreadKey{domain, rack, single}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,48 +1,261 @@
 package placer
 
-// Placer decides over snapshots. Its exported fields are set before use.
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// DefaultEvictionBudget is the number of tasks that may be evicted to protect
+// services and quotas within an EvictionPeriod.
+const DefaultEvictionBudget = 8
+
+// EvictionPeriod is the time over which evictions count against the budget.
+const EvictionPeriod = time.Minute
+
+// Placer decides over snapshots. Its exported fields are set before use; those
+// that are empty have defaults.
 type Placer struct {
 	// Seed makes the choice among equals deterministic.
 	Seed uint64
+	// EvictionBudget is the number of evictions in an EvictionPeriod, zero for
+	// DefaultEvictionBudget. Urgent work and services waiting for room, leaving
+	// workers and lack of memory are not held back by it.
+	EvictionBudget int
+	// Orders put the waiting tasks in order.
+	Orders []Prioritized[Order]
+	// Filters rule workers out.
+	Filters []Prioritized[Filter]
+	// Scorers choose among the workers that are left.
+	Scorers []Prioritized[Scorer]
+	// Claims let waiting tasks evict others.
+	Claims []Prioritized[Claim]
+	// Reactions act on what runs.
+	Reactions []Prioritized[Reaction]
 }
 
-// Decide returns the plan for a snapshot.
+// Decide returns the plan for a snapshot. It depends on nothing else than the
+// fields of the Placer and the snapshot.
 func (p *Placer) Decide(snapshot Snapshot) Plan {
-	free := freeByWorker(snapshot)
+	d := p.withDefaults()
+	l := newLedger(&snapshot)
+	l.evictions = recentEvictions(&snapshot)
 	var plan Plan
-	for _, task := range snapshot.Tasks {
-		if task.State != TaskWaiting {
-			continue
+	for _, reaction := range sorted(d.Reactions) {
+		reaction.React(&Reactor{ledger: l, plan: &plan, budget: d.EvictionBudget})
+	}
+	d.placeAll(l, &plan)
+	return plan
+}
+
+func (p *Placer) withDefaults() *Placer {
+	d := *p
+	if d.EvictionBudget == 0 {
+		d.EvictionBudget = DefaultEvictionBudget
+	}
+	if d.Orders == nil {
+		d.Orders = DefaultOrders()
+	}
+	if d.Filters == nil {
+		d.Filters = DefaultFilters()
+	}
+	if d.Scorers == nil {
+		d.Scorers = DefaultScorers(d.Seed)
+	}
+	if d.Claims == nil {
+		d.Claims = DefaultClaims()
+	}
+	if d.Reactions == nil {
+		d.Reactions = DefaultReactions()
+	}
+	return &d
+}
+
+// recentEvictions counts the evictions under way and those of the last period.
+func recentEvictions(snapshot *Snapshot) int {
+	count := 0
+	for i := range snapshot.Tasks {
+		task := &snapshot.Tasks[i]
+		recent := snapshot.Now.Sub(task.Since) < EvictionPeriod
+		waits := task.State == TaskWaiting && task.Evictions > 0 && recent
+		if task.State == TaskEvicting || waits {
+			count++
+		}
+	}
+	return count
+}
+
+// shape is what decides where a task may go. Tasks of equal shape find the same
+// workers.
+type shape struct {
+	size     Size
+	class    Class
+	template string
+	domains  string
+}
+
+// placeAll starts, makes room for or explains each waiting task.
+func (p *Placer) placeAll(l *ledger, plan *Plan) {
+	s := &search{
+		placer:  p,
+		ledger:  l,
+		filters: sorted(p.Filters),
+		scorers: sorted(p.Scorers),
+		failed:  map[shape]ReasonCode{},
+	}
+	for _, w := range p.queue(l) {
+		if waiting, waits := s.place(plan, w); waits {
+			plan.Waiting = append(plan.Waiting, waiting)
 		}
-		worker, found := firstFit(snapshot.Workers, free, task)
-		if !found {
-			plan.Waiting = append(plan.Waiting, Waiting{Task: task.ID, Code: ReasonCapacity})
+	}
+}
+
+// search places tasks one after the other.
+type search struct {
+	placer  *Placer
+	ledger  *ledger
+	filters []Filter
+	scorers []Scorer
+	failed  map[shape]ReasonCode
+}
+
+func (s *search) place(plan *Plan, w *Waiter) (Waiting, bool) {
+	if detail, impossible := never(s.ledger, w.Task, w.Size); impossible {
+		return Waiting{Task: w.Task.ID, Code: ReasonNever, Detail: detail}, true
+	}
+	if w.Task.NotBefore.After(w.Now) {
+		detail := "its window begins at " + w.Task.NotBefore.UTC().Format(time.RFC3339)
+		return Waiting{Task: w.Task.ID, Code: ReasonWindow, Detail: detail}, true
+	}
+	r, code := s.find(w)
+	if r != nil {
+		s.start(plan, w, r)
+		return Waiting{}, false
+	}
+	if detail, coming := s.placer.claimRoom(s.ledger, plan, w); coming {
+		return Waiting{Task: w.Task.ID, Code: ReasonCapacity, Detail: detail}, true
+	}
+	return s.explain(w, code), true
+}
+
+func (s *search) start(plan *Plan, w *Waiter, r *room) {
+	l := s.ledger
+	l.occupy(r, w.Task, w.Size)
+	l.use[w.Task.Organisation] = l.use[w.Task.Organisation].Plus(w.Size)
+	plan.Actions = append(plan.Actions, Action{
+		Kind:     ActionStart,
+		Task:     w.Task.ID,
+		Worker:   r.worker.ID,
+		Throttle: 1,
+		Reserved: w.Size,
+	})
+}
+
+func (s *search) explain(w *Waiter, code ReasonCode) Waiting {
+	detail := waitingDetail(s.ledger, w.Task, w.Size, code)
+	if w.Borrowing {
+		code = ReasonQuota
+		limit := s.ledger.quotas[w.Task.Organisation]
+		detail = fmt.Sprintf("%s exceeds its quota of %s and borrows only free room: %s",
+			w.Task.Organisation, describe(limit), detail)
+	}
+	return Waiting{Task: w.Task.ID, Code: code, Detail: detail}
+}
+
+// find returns the best room for a waiter, or the reason for which there is
+// none. Rooms only fill up while a plan is made, so that a shape that found no
+// room is not tried again.
+func (s *search) find(w *Waiter) (*room, ReasonCode) {
+	key := shape{size: w.Size, class: w.Task.Class, template: w.Task.Template, domains: placeName(w.Task)}
+	if code, known := s.failed[key]; known {
+		return nil, code
+	}
+	best, code := s.scan(w)
+	if best == nil && len(w.Task.Excluded) == 0 {
+		s.failed[key] = code
+	}
+	return best, code
+}
+
+func (s *search) scan(w *Waiter) (*room, ReasonCode) {
+	var best *room
+	var lowest scores
+	code := ReasonCapacity
+	for _, r := range s.ledger.rooms {
+		c := s.ledger.candidate(w.Task, w.Size, r)
+		reason, admitted := admitsAll(s.filters, &c)
+		if !admitted {
+			code = worse(code, reason)
 			continue
 		}
-		free[worker] = free[worker].Minus(task.Declared)
-		plan.Actions = append(plan.Actions, Action{Kind: ActionStart, Task: task.ID, Worker: worker})
+		if lowest.improve(s.scorers, &c, best == nil) {
+			best = r
+		}
 	}
-	return plan
+	return best, code
 }
 
-func freeByWorker(snapshot Snapshot) map[string]Size {
-	free := make(map[string]Size, len(snapshot.Workers))
-	for _, worker := range snapshot.Workers {
-		free[worker.ID] = worker.Capacity
+// worse keeps the reason of the filter that let a worker come furthest.
+func worse(code, reason ReasonCode) ReasonCode {
+	if reason == ReasonInterference {
+		return reason
 	}
-	for _, task := range snapshot.Tasks {
-		for _, worker := range task.Workers {
-			free[worker] = free[worker].Minus(task.Declared)
+	return code
+}
+
+// admits reports whether all filters admit a candidate.
+func (p *Placer) admits(c *Candidate) (ReasonCode, bool) {
+	return admitsAll(sorted(p.Filters), c)
+}
+
+func admitsAll(filters []Filter, c *Candidate) (ReasonCode, bool) {
+	for _, filter := range filters {
+		if reason, admitted := filter.Admits(c); !admitted {
+			return reason, false
 		}
 	}
-	return free
+	return "", true
+}
+
+// candidate returns a room as a Candidate for a task.
+func (l *ledger) candidate(task *Task, size Size, r *room) Candidate {
+	return Candidate{
+		Task:     task,
+		Size:     size,
+		Worker:   r.worker,
+		Free:     r.free,
+		ledger:   l,
+		room:     r,
+		template: l.templateIndex(task.Template),
+	}
+}
+
+// maxScorers limits the number of registered scorers.
+const maxScorers = 16
+
+// scores are the scores of the best candidate so far.
+type scores struct {
+	values [maxScorers]float64
 }
 
-func firstFit(workers []Worker, free map[string]Size, task Task) (string, bool) {
-	for _, worker := range workers {
-		if worker.State == WorkerReady && task.Declared.Within(free[worker.ID]) {
-			return worker.ID, true
+// improve compares a candidate with the best and takes its place if it is
+// better or the first.
+func (s *scores) improve(scorers []Scorer, c *Candidate, first bool) bool {
+	better := first
+	for i, scorer := range scorers[:min(len(scorers), maxScorers)] {
+		value := scorer.Score(c)
+		if !better && value > s.values[i] {
+			return false
+		}
+		better = better || value < s.values[i]
+		if better {
+			s.values[i] = value
 		}
 	}
-	return "", false
+	return better
+}
+
+// clampThrottle keeps a throttle within its steps.
+func clampThrottle(throttle float64) float64 {
+	return math.Min(1, math.Max(minThrottle, throttle))
 }
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -1,5 +1,10 @@
 package placer
 
+import (
+	"slices"
+	"time"
+)
+
 // ActionKind names what is to be done with a task.
 type ActionKind string
 
@@ -11,6 +16,8 @@
 	ActionThrottle ActionKind = "throttle"
 	// ActionEvict checkpoints and stops a placed task, to wait again.
 	ActionEvict ActionKind = "evict"
+	// ActionResize changes what is reserved for a placed task.
+	ActionResize ActionKind = "resize"
 )
 
 // Action is one step of a plan.
@@ -23,6 +30,12 @@
 	Worker string
 	// Throttle is the new share for ActionThrottle.
 	Throttle float64
+	// Reserved is the size to record as Task.Reserved for ActionStart and
+	// ActionResize. Zero stands for the declared size.
+	Reserved Size
+	// Within limits how long the checkpoint of an ActionEvict may take before
+	// the task is stopped without it; zero is no limit.
+	Within time.Duration
 	// Reason tells the operator why.
 	Reason string
 }
@@ -61,3 +74,10 @@
 	// Waiting explains each task that stays waiting.
 	Waiting []Waiting
 }
+
+// evict adds an eviction, which takes the place of other actions on the task.
+func (p *Plan) evict(action Action) {
+	action.Kind = ActionEvict
+	p.Actions = slices.DeleteFunc(p.Actions, func(a Action) bool { return a.Task == action.Task })
+	p.Actions = append(p.Actions, action)
+}
--- /dev/null
+++ b/placer/reaction.go
@@ -0,0 +1,295 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Reaction acts on tasks that are placed, before waiting tasks are served.
+type Reaction interface {
+	// React plans actions through the reactor.
+	React(r *Reactor)
+}
+
+// DefaultReactions returns the reactions that a Placer uses when it has none set.
+func DefaultReactions() []Prioritized[Reaction] {
+	return []Prioritized[Reaction]{
+		{Value: vacateReaction{}, Priority: 100},
+		{Value: resizeReaction{}, Priority: 200},
+		{Value: protectReaction{}, Priority: 300},
+	}
+}
+
+// Reactor is what a Reaction sees of a decision and acts through.
+type Reactor struct {
+	ledger *ledger
+	plan   *Plan
+	budget int
+}
+
+func (r *Reactor) evict(place *room, t *tenant, reason string) {
+	r.ledger.release(place, t)
+	r.plan.evict(Action{
+		Task:   t.task.ID,
+		Worker: place.worker.ID,
+		Reason: reason,
+	})
+}
+
+// vacateReaction moves tasks off workers that are leaving.
+type vacateReaction struct{}
+
+// serviceShare is the part of the instances of a group that may be evicted from
+// leaving workers at once.
+const serviceShare = 4
+
+// React implements Reaction.
+func (vacateReaction) React(r *Reactor) {
+	allowance := groupAllowance(r.ledger)
+	for _, place := range r.ledger.rooms {
+		if place.worker.State != WorkerLeaving {
+			continue
+		}
+		for _, t := range place.tenants {
+			if t.leaving || t.task.State != TaskPlaced {
+				continue
+			}
+			if t.task.Class == ClassService {
+				if allowance[t.task.Group] <= 0 {
+					continue
+				}
+				allowance[t.task.Group]--
+			}
+			r.evict(place, t, "its worker is leaving")
+		}
+	}
+}
+
+// groupAllowance counts how many instances of each group may still be evicted.
+func groupAllowance(l *ledger) map[string]int {
+	instances := map[string]int{}
+	missing := map[string]int{}
+	for i := range l.snapshot.Tasks {
+		task := &l.snapshot.Tasks[i]
+		if task.Class != ClassService {
+			continue
+		}
+		instances[task.Group]++
+		if task.State != TaskPlaced {
+			missing[task.Group]++
+		}
+	}
+	allowance := map[string]int{}
+	for group, count := range instances {
+		allowance[group] = max(1, count/serviceShare) - missing[group]
+	}
+	return allowance
+}
+
+// resizeReaction follows what was learned of the sizes of placed tasks, and
+// evicts where a worker is promised more than it has.
+type resizeReaction struct{}
+
+// resizeStep is the relative difference from which a reservation is changed.
+const resizeStep = 0.1
+
+// React implements Reaction.
+func (x resizeReaction) React(r *Reactor) {
+	if r.ledger.snapshot.Estimates == nil {
+		return
+	}
+	for _, place := range r.ledger.rooms {
+		for _, t := range place.tenants {
+			single := t.task.State == TaskPlaced && len(t.task.Workers) == 1
+			if !t.leaving && single && r.ledger.learned(t.task.Template) {
+				x.resize(r, place, t)
+			}
+		}
+		x.relieve(r, place)
+	}
+}
+
+// resize plans a new reservation. Growth counts at once, and what shrinking
+// frees counts from the next snapshot on. Processors grow only into free room;
+// memory that does not fit counts all the same, so that relieve makes room, and
+// is recorded once it fits.
+func (resizeReaction) resize(r *Reactor, place *room, t *tenant) {
+	wanted := r.ledger.sizeFor(t.task)
+	if wanted.Processors > t.held.Processors+max(place.free.Processors, 0) {
+		wanted.Processors = t.held.Processors
+	}
+	if !differs(wanted, t.held) {
+		return
+	}
+	grown := wanted.Max(t.held)
+	growth := grown.Minus(t.held)
+	fits := growth.Within(place.free.Max(Size{}))
+	place.free = place.free.Minus(growth)
+	t.held = grown
+	r.ledger.use[t.task.Organisation] = r.ledger.use[t.task.Organisation].Plus(growth)
+	if !fits {
+		return
+	}
+	r.plan.Actions = append(r.plan.Actions, Action{
+		Kind:     ActionResize,
+		Task:     t.task.ID,
+		Worker:   place.worker.ID,
+		Reserved: wanted,
+	})
+}
+
+func differs(a, b Size) bool {
+	return differsBy(a.Processors, b.Processors) || differsBy(a.Memory, b.Memory)
+}
+
+func differsBy(a, b int64) bool {
+	difference := float64(max(a-b, b-a))
+	return difference > resizeStep*float64(max(a, b))
+}
+
+// relieve evicts batch tasks, cheapest first, until the memory that is needed
+// fits the worker.
+func (resizeReaction) relieve(r *Reactor, place *room) {
+	if place.expected().Memory >= 0 {
+		return
+	}
+	candidates := batchTenants(place)
+	slices.SortStableFunc(candidates, func(a, b *tenant) int {
+		return cmp.Compare(evictionCost(r.ledger, a), evictionCost(r.ledger, b))
+	})
+	for _, t := range candidates {
+		if place.expected().Memory >= 0 {
+			return
+		}
+		r.evict(place, t, "its worker lacks memory")
+	}
+}
+
+func batchTenants(place *room) []*tenant {
+	var found []*tenant
+	for _, t := range place.tenants {
+		if !t.leaving && t.task.State == TaskPlaced && t.task.Class == ClassBatch {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+// Steps of throttling.
+const (
+	minThrottle    = 0.25
+	throttleFactor = 0.5
+	// settleTime is how long an action on a worker takes to show in reports.
+	settleTime = 20 * time.Second
+	// calmTime is how long a throttle stays before it is lifted by a step.
+	calmTime = time.Minute
+)
+
+// protectReaction keeps the measured slowdown of services below a limit: it
+// throttles the neighbour that disturbs most, then evicts it, and lifts
+// throttles once the services are well.
+type protectReaction struct{}
+
+// React implements Reaction.
+func (x protectReaction) React(r *Reactor) {
+	if r.ledger.snapshot.Estimates == nil {
+		return
+	}
+	for _, place := range r.ledger.rooms {
+		worst, slowdown := worstService(r.ledger, place)
+		switch {
+		case worst == nil:
+			x.lift(r, place)
+		case slowdown > measuredHigh:
+			x.restrain(r, place, worst)
+		case slowdown < measuredLow:
+			x.lift(r, place)
+		}
+	}
+}
+
+func worstService(l *ledger, place *room) (*tenant, float64) {
+	var worst *tenant
+	slowdown := 0.0
+	for _, t := range place.services {
+		if measured := l.measured(t); !t.leaving && measured > slowdown {
+			worst, slowdown = t, measured
+		}
+	}
+	return worst, slowdown
+}
+
+// settled reports whether the last action on a room shows in the reports.
+func settled(l *ledger, place *room) bool {
+	now := l.snapshot.Now
+	for _, t := range place.tenants {
+		if t.leaving || now.Sub(t.task.ThrottledAt) < settleTime {
+			return false
+		}
+	}
+	return true
+}
+
+func (protectReaction) restrain(r *Reactor, place *room, service *tenant) {
+	if !settled(r.ledger, place) {
+		return
+	}
+	t := mostDisturbing(r.ledger, place, service)
+	if t == nil {
+		return
+	}
+	throttle := throttleOf(t.task)
+	if throttle > minThrottle {
+		r.throttle(place, t, clampThrottle(throttle*throttleFactor), "slows down "+service.task.ID)
+		return
+	}
+	if r.ledger.evictions < r.budget {
+		r.evict(place, t, "slows down "+service.task.ID)
+	}
+}
+
+// mostDisturbing returns the batch neighbour that costs a service most.
+func mostDisturbing(l *ledger, place *room, service *tenant) *tenant {
+	var most *tenant
+	highest := 0.0
+	for _, t := range batchTenants(place) {
+		cost := l.pair(service.template, t.template) * throttleOf(t.task)
+		if most == nil || cost > highest {
+			most, highest = t, cost
+		}
+	}
+	return most
+}
+
+func throttleOf(task *Task) float64 {
+	if task.Throttle == 0 {
+		return 1
+	}
+	return task.Throttle
+}
+
+// lift raises one throttle of a room by a step.
+func (protectReaction) lift(r *Reactor, place *room) {
+	if !settled(r.ledger, place) {
+		return
+	}
+	for _, t := range batchTenants(place) {
+		throttle := throttleOf(t.task)
+		calm := r.ledger.snapshot.Now.Sub(t.task.ThrottledAt) >= calmTime
+		if throttle < 1 && calm {
+			r.throttle(place, t, clampThrottle(throttle/throttleFactor), "the services beside it are well")
+			return
+		}
+	}
+}
+
+func (r *Reactor) throttle(place *room, t *tenant, throttle float64, reason string) {
+	r.plan.Actions = append(r.plan.Actions, Action{
+		Kind:     ActionThrottle,
+		Task:     t.task.ID,
+		Worker:   place.worker.ID,
+		Throttle: throttle,
+		Reason:   reason,
+	})
+}
--- a/placer/snapshot.go
+++ b/placer/snapshot.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// Max returns the larger of s and o in every resource.
+func (s Size) Max(o Size) Size {
+	return Size{
+		Processors:   max(s.Processors, o.Processors),
+		Memory:       max(s.Memory, o.Memory),
+		Accelerators: max(s.Accelerators, o.Accelerators),
+	}
+}
+
+// Min returns the smaller of s and o in every resource.
+func (s Size) Min(o Size) Size {
+	return Size{
+		Processors:   min(s.Processors, o.Processors),
+		Memory:       min(s.Memory, o.Memory),
+		Accelerators: min(s.Accelerators, o.Accelerators),
+	}
+}
+
 // Within reports whether s fits into o in every resource.
 func (s Size) Within(o Size) bool {
 	return s.Processors <= o.Processors && s.Memory <= o.Memory && s.Accelerators <= o.Accelerators
@@ -102,6 +120,9 @@
 	Class Class
 	// Declared is the size that its template declares.
 	Declared Size
+	// Reserved is the size that its current attempt was given, as
+	// Action.Reserved said; zero stands for Declared.
+	Reserved Size
 	// Priority orders tasks; higher goes first.
 	Priority int
 	// Urgent marks a task that must start within the urgent start limit.
@@ -126,6 +147,10 @@
 	Workers []string
 	// Throttle is the share of its processors that it may use, 1 if not throttled.
 	Throttle float64
+	// ThrottledAt is when Throttle last changed, zero if never.
+	ThrottledAt time.Time
+	// Evictions is how often the task has been evicted so far.
+	Evictions int
 	// Since is when it reached its state.
 	Since time.Time
 }
@@ -157,8 +182,16 @@
 	// Size returns the size to reserve for a task of the template.
 	Size(template string, declared Size) Size
 	// Slowdown returns the expected slowdown, 1 being none, of a task of
-	// template beside one task of each of the neighbours.
+	// template beside one task of each of the neighbours. The excess over 1 is
+	// the sum of the excesses beside each neighbour alone.
 	Slowdown(template string, neighbours []string) float64
 	// Measured returns the slowdown that a running task shows now, 1 if unknown.
 	Measured(task string) float64
 }
+
+// Confidence is implemented by Estimates that tell what they have learned from
+// what they guess. Placed tasks are resized only to learned sizes.
+type Confidence interface {
+	// Learned reports whether Size rests on enough reports of the template.
+	Learned(template string) bool
+}
