--- a/placer/filter.go
+++ b/placer/filter.go
@@ -27,12 +27,7 @@
 
 // DefaultFilters returns the filters that a Placer uses when it has none set.
 func DefaultFilters() []Prioritized[Filter] {
-	return []Prioritized[Filter]{
-		{Value: placeFilter{}, Priority: 100},
-		{Value: capacityFilter{}, Priority: 200},
-		{Value: acceleratorFilter{}, Priority: 300},
-		{Value: interferenceFilter{}, Priority: 400},
-	}
+	return append(CapacityFilters(), Prioritized[Filter]{Value: interferenceFilter{}, Priority: 400})
 }
 
 // placeFilter keeps tasks to ready workers of their failure domains.
@@ -123,3 +118,13 @@
 	}
 	return excess
 }
+
+// CapacityFilters returns the default filters without the one that protects
+// services from interference.
+func CapacityFilters() []Prioritized[Filter] {
+	return []Prioritized[Filter]{
+		{Value: placeFilter{}, Priority: 100},
+		{Value: capacityFilter{}, Priority: 200},
+		{Value: acceleratorFilter{}, Priority: 300},
+	}
+}
