Add the configurer: templates, acceptance by every failure domain, permits

Cause: operators change template parameters and must be able to trust the word accepted. Ruled out: confirmation by one watched key a failure domain, since each write would wake every watch (N entry VMs confirm, N watches answer: N*N calls a change); confirmation bounded by time, since a cut-off entry VM has to go on serving and would then run an older revision after acceptance. Change: package configurer. One document under watched/config holds templates and parameter values; members register under config/members before they read it, and a change is accepted once every record has confirmed. A process that can't reach the store gets a short permit from a registered peer of its failure domain. Before and after: no configuration before.

--- /dev/null
+++ b/configurer/applier.go
@@ -0,0 +1,216 @@
+package configurer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"zinniashore.example/keeper"
+	"zinniashore.example/recorder"
+)
+
+// Apply commits a change and waits up to ConfirmWait for every failure domain to
+// confirm it. Repeated with the same id it answers for the same revision. It
+// returns a *keeper.UnavailableError where the change was certainly not
+// committed, and a *keeper.UnclearError where it may have been: the change is
+// then to be repeated with the same id.
+func (c *Configurer) Apply(ctx context.Context, change Change) (Result, error) {
+	revision, err := c.commit(ctx, change)
+	var rejected *rejectedError
+	var conflict *conflictError
+	switch {
+	case errors.As(err, &rejected):
+		return c.count(Result{State: StateRejected, Revision: revision, Faults: rejected.faults}), nil
+	case errors.As(err, &conflict):
+		return c.count(Result{State: StateConflict, Revision: conflict.revision}), nil
+	case err != nil:
+		return Result{}, err
+	}
+	return c.count(c.await(ctx, revision)), nil
+}
+
+// Outcome returns what became of the change with this id, without waiting. It
+// reports false for an id that the store does not remember.
+func (c *Configurer) Outcome(ctx context.Context, id string) (Result, bool, error) {
+	stored, err := c.Keeper.Read(ctx, documentKey)
+	if err != nil {
+		return Result{}, false, err
+	}
+	document, err := decodeDocument(stored.Body)
+	if err != nil {
+		return Result{}, false, err
+	}
+	applied, found := document.applied(id)
+	if !found {
+		return Result{}, false, nil
+	}
+	result, err := c.acceptance(ctx, applied.revision)
+	return result, true, err
+}
+
+// Members returns the records of all processes that may run a configuration.
+func (c *Configurer) Members(ctx context.Context) ([]Member, error) {
+	view, err := c.membership(ctx)
+	return view.members, err
+}
+
+// Release removes the record of an entry VM that the operator knows to be gone,
+// so that no acceptance waits for it. It returns an *AliveError where the
+// process still renews its lease, and an *UnknownVMError.
+func (c *Configurer) Release(ctx context.Context, vm, operator string) error {
+	members, err := c.Members(ctx)
+	if err != nil {
+		return err
+	}
+	for _, member := range members {
+		if member.VM == vm {
+			return c.release(ctx, member, operator)
+		}
+	}
+	return &UnknownVMError{VM: vm}
+}
+
+func (c *Configurer) release(ctx context.Context, member Member, operator string) error {
+	alive, err := c.Keeper.Store.Get(ctx, keeper.AlivePrefix+member.Process)
+	if err != nil {
+		return err
+	}
+	if alive.Version != 0 {
+		return &AliveError{VM: member.VM, Process: member.Process}
+	}
+	// Processes that the VM permitted to serve stop by themselves meanwhile.
+	if err := c.sleep(ctx, permitLapse); err != nil {
+		return err
+	}
+	_, err = c.Keeper.Update(ctx, member.key(), func(d keeper.Document) ([]byte, error) {
+		stored, found, err := decodeMember(d)
+		if err != nil {
+			return nil, err
+		}
+		if !found || stored.Process != member.Process {
+			return nil, &UnknownVMError{VM: member.VM}
+		}
+		return nil, nil
+	})
+	if err != nil {
+		return err
+	}
+	c.Recorder.Record(recorder.Event{Kind: EventReleased, VM: member.VM, Detail: "by " + operator})
+	return nil
+}
+
+// commit makes the change durable and returns its revision.
+func (c *Configurer) commit(ctx context.Context, change Change) (int64, error) {
+	var revision int64
+	_, err := c.Keeper.Update(ctx, documentKey, func(d keeper.Document) ([]byte, error) {
+		document, err := decodeDocument(d.Body)
+		if err != nil {
+			return nil, err
+		}
+		revision = document.Revision
+		next, err := change.apply(document, c.FailureDomains)
+		if err != nil {
+			return nil, err
+		}
+		revision = next.Revision
+		return encodeBounded(next, change)
+	})
+	var repeated *repeatedError
+	if errors.As(err, &repeated) {
+		return repeated.revision, nil
+	}
+	if err == nil {
+		c.record(EventCommitted, change.Organisation, revision)
+	}
+	return revision, err
+}
+
+func encodeBounded(d Document, change Change) ([]byte, error) {
+	body, err := d.encode()
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxDocumentBytes {
+		return nil, change.reject("files", "", fmt.Sprintf("make the configuration %d bytes long", len(body)), fmt.Sprintf("at most %d bytes", maxDocumentBytes))
+	}
+	return body, nil
+}
+
+// await polls the confirmations until the revision is accepted or the wait ends.
+func (c *Configurer) await(ctx context.Context, revision int64) Result {
+	wait := c.ConfirmWait
+	if wait == 0 {
+		wait = DefaultConfirmWait
+	}
+	deadline := c.Clock.Now().Add(wait)
+	result := Result{State: StatePending, Revision: revision, Pending: c.FailureDomains}
+	for pause := firstPoll; ; pause = min(2*pause, slowestPoll) {
+		if err := c.sleep(ctx, pause); err != nil {
+			return result
+		}
+		if latest, err := c.acceptance(ctx, revision); err == nil {
+			result = latest
+		}
+		if result.State == StateAccepted || !c.Clock.Now().Before(deadline) {
+			return result
+		}
+	}
+}
+
+// acceptance tells whether a durable revision is accepted. What was accepted
+// once is recorded and stays accepted.
+func (c *Configurer) acceptance(ctx context.Context, revision int64) (Result, error) {
+	pending := Result{State: StatePending, Revision: revision, Pending: c.FailureDomains}
+	view, err := c.membership(ctx)
+	if err != nil {
+		return pending, err
+	}
+	pending.Pending = view.pending(revision, c.FailureDomains)
+	if len(pending.Pending) > 0 {
+		return pending, nil
+	}
+	if revision > view.accepted {
+		if err := c.accept(ctx, revision); err != nil {
+			return pending, err
+		}
+	}
+	return Result{State: StateAccepted, Revision: revision}, nil
+}
+
+func (c *Configurer) accept(ctx context.Context, revision int64) error {
+	_, err := c.Keeper.Update(ctx, acceptanceKey, func(d keeper.Document) ([]byte, error) {
+		accepted, err := decodeAcceptance(d)
+		if err != nil {
+			return nil, err
+		}
+		return json.Marshal(acceptanceMessage{Format: memberFormat, Revision: max(accepted, revision)})
+	})
+	if err == nil {
+		c.record(EventAccepted, "", revision)
+	}
+	return err
+}
+
+func (c *Configurer) membership(ctx context.Context) (membership, error) {
+	listing, err := c.Keeper.Store.List(ctx, prefix)
+	if err != nil {
+		return membership{}, err
+	}
+	return decodeMembership(listing)
+}
+
+func (c *Configurer) sleep(ctx context.Context, pause time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.Clock.After(pause):
+		return nil
+	}
+}
+
+func (c *Configurer) count(result Result) Result {
+	c.Metrics.Tagged(map[string]string{"state": string(result.State)}).Counter("configuration_changes").Inc(1)
+	return result
+}
--- /dev/null
+++ b/configurer/organisation.go
@@ -0,0 +1,141 @@
+package configurer
+
+import (
+	"strings"
+
+	"zinniashore.example/decoder"
+	"zinniashore.example/placer"
+)
+
+// Organisation is the parameter values of one organisation.
+type Organisation struct {
+	// Name names the organisation.
+	Name string
+	// Quota is what it may use without borrowing; its zero value is none.
+	Quota placer.Size
+	// Workloads are its services and kinds of batch jobs.
+	Workloads []Workload
+}
+
+// Workload is one use of a template.
+type Workload struct {
+	// Name names the workload within its organisation.
+	Name string
+	// Template is the template that it uses.
+	Template string
+
+	values map[string]Value
+}
+
+// Fault tells why a change was rejected.
+type Fault struct {
+	// Organisation is the organisation concerned, empty for a template.
+	Organisation string
+	// Workload is the workload or template concerned.
+	Workload string
+	// Parameter is the parameter or field concerned.
+	Parameter string
+	// Value is the value as written.
+	Value string
+	// Problem tells what is wrong.
+	Problem string
+	// Allowed tells what is allowed.
+	Allowed string
+	// File is the file concerned.
+	File string
+	// Line is the line in the file, counted from 1.
+	Line int
+	// Column is the byte within the line, counted from 1.
+	Column int
+	// Field is the path of the field in the file.
+	Field string
+}
+
+// ParseOrganisation reads the parameter values of an organisation against the
+// templates. It returns a *decoder.DocumentError.
+func ParseOrganisation(file string, content []byte, templates []Template) (Organisation, error) {
+	o, err := decoder.Parse(file, content)
+	if err != nil {
+		return Organisation{}, err
+	}
+	organisation := Organisation{
+		Name: o.Text("organisation", decoder.Text{Required: true, Check: isName, Allowed: nameAllowed}),
+	}
+	if o.Has("quota") {
+		organisation.Quota = readSize(o, "quota", widest(nil), false).size
+	}
+	seen := map[string]bool{}
+	for _, child := range o.Objects("workloads") {
+		workload := readWorkload(child, templates)
+		if seen[workload.Name] {
+			child.Reject("name", "is used twice", "each name once")
+		}
+		seen[workload.Name] = true
+		organisation.Workloads = append(organisation.Workloads, workload)
+	}
+	return organisation, o.Finish()
+}
+
+func readWorkload(o *decoder.Object, templates []Template) Workload {
+	w := Workload{
+		Name:     o.Text("name", decoder.Text{Required: true, Check: isName, Allowed: nameAllowed}),
+		Template: o.Text("template", decoder.Text{Required: true}),
+		values:   map[string]Value{},
+	}
+	given := o.Object("values", false)
+	template, found := findTemplate(templates, w.Template)
+	if !found {
+		o.Reject("template", "is not a template", strings.Join(templateNames(templates), ", "))
+		given.Skip()
+		return w
+	}
+	for _, p := range template.Parameters {
+		w.values[p.Name] = readParameterValue(o, given, p)
+	}
+	checkPairs(o, template, w.values)
+	return w
+}
+
+func readParameterValue(o, given *decoder.Object, p Parameter) Value {
+	switch {
+	case given != nil && (p.Required || given.Has(p.Name)):
+		return parameterKinds[p.Type].read(given, p.Name, p.bounds, p.Required)
+	case given != nil:
+		given.Accept(p.Name)
+	case p.Required:
+		o.Reject("values", "lacks "+p.Name, "a value of type "+string(p.Type))
+	}
+	return p.missing
+}
+
+// checkPairs rejects values that exclude each other.
+func checkPairs(o *decoder.Object, template Template, values map[string]Value) {
+	if template.Kind == KindService {
+		slots := template.bind(fieldSlots, values).integer
+		if connections := template.bind(fieldConnections, values).integer; connections < slots {
+			o.Reject("values", "give fewer connections than slots", "at least as many connections as slots")
+		}
+		return
+	}
+	window := template.bind(fieldWindow, values).window
+	if runTime := template.bind(fieldRunTime, values).duration; !window.Always() && runTime > window.Length() {
+		o.Reject("values", "give a run time of "+runTime.String()+", longer than the window", "at most "+window.Length().String())
+	}
+}
+
+func findTemplate(templates []Template, name string) (Template, bool) {
+	for _, t := range templates {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Template{}, false
+}
+
+func templateNames(templates []Template) []string {
+	names := make([]string, len(templates))
+	for i, t := range templates {
+		names[i] = t.Name
+	}
+	return names
+}
--- /dev/null
+++ b/configurer/previewer.go
@@ -0,0 +1,166 @@
+package configurer
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// StepKind names what a change does to a workload.
+type StepKind string
+
+// Kinds of steps.
+const (
+	// StepStart starts instances of a service.
+	StepStart StepKind = "start"
+	// StepStop stops instances of a service.
+	StepStop StepKind = "stop"
+	// StepMove replaces instances, because their size, template or failure
+	// domains change.
+	StepMove StepKind = "move"
+	// StepUpdate changes a workload or quota without a restart.
+	StepUpdate StepKind = "update"
+	// StepAdd makes a kind of batch job available.
+	StepAdd StepKind = "add"
+	// StepRemove withdraws a kind of batch job.
+	StepRemove StepKind = "remove"
+)
+
+// Step is one thing that a change would do.
+type Step struct {
+	// Kind names what is done.
+	Kind StepKind
+	// Organisation is the organisation.
+	Organisation string
+	// Workload is the service or kind of batch job, empty for a quota.
+	Workload string
+	// Instances is how many instances are concerned, for a service.
+	Instances int
+	// Detail tells what differs.
+	Detail string
+}
+
+// Preview is what a change would do.
+type Preview struct {
+	// Result is rejected or conflict, or else accepted with the revision that
+	// the change would make.
+	Result Result
+	// Steps are what would be done, by organisation and workload.
+	Steps []Step
+}
+
+// Preview tells what a change would do to the configuration in force here. It
+// changes nothing and calls no store.
+func (c *Configurer) Preview(change Change) Preview {
+	next, err := change.apply(c.Document(), c.FailureDomains)
+	var rejected *rejectedError
+	var conflict *conflictError
+	var repeated *repeatedError
+	switch {
+	case errors.As(err, &rejected):
+		return Preview{Result: Result{State: StateRejected, Faults: rejected.faults}}
+	case errors.As(err, &conflict):
+		return Preview{Result: Result{State: StateConflict, Revision: conflict.revision}}
+	case errors.As(err, &repeated):
+		return Preview{Result: Result{State: StateAccepted, Revision: repeated.revision}}
+	}
+	configuration, _ := Expand(next.Templates, next.Organisations, c.FailureDomains)
+	return Preview{
+		Result: Result{State: StateAccepted, Revision: next.Revision},
+		Steps:  Difference(c.Current(), configuration),
+	}
+}
+
+// Difference returns the steps from one configuration to another. It is a pure
+// function.
+func Difference(from, to Configuration) []Step {
+	var steps []Step
+	for _, service := range to.Services {
+		old, found := from.Service(service.Organisation, service.Name)
+		if !found {
+			old = Service{}
+		}
+		steps = append(steps, serviceSteps(old, service)...)
+	}
+	for _, service := range from.Services {
+		if _, found := to.Service(service.Organisation, service.Name); !found {
+			steps = append(steps, Step{Kind: StepStop, Organisation: service.Organisation, Workload: service.Name, Instances: service.Instances, Detail: "removed"})
+		}
+	}
+	steps = append(steps, batchSteps(from, to)...)
+	return append(steps, quotaSteps(from, to)...)
+}
+
+func serviceSteps(old, service Service) []Step {
+	step := Step{Organisation: service.Organisation, Workload: service.Name}
+	var steps []Step
+	kept := min(old.Instances, service.Instances)
+	moved := old.Size != service.Size || old.Template != service.Template || !slices.Equal(old.FailureDomains, service.FailureDomains)
+	changed := old.Priority != service.Priority || old.Slots != service.Slots || old.Connections != service.Connections
+	if kept > 0 && moved {
+		step.Kind, step.Instances, step.Detail = StepMove, kept, "size, template or failure domains change"
+		steps = append(steps, step)
+	}
+	if kept > 0 && changed && !moved {
+		step.Kind, step.Instances, step.Detail = StepUpdate, kept, "priority, slots or connections change"
+		steps = append(steps, step)
+	}
+	if more := service.Instances - old.Instances; more > 0 {
+		step.Kind, step.Instances, step.Detail = StepStart, more, fmt.Sprintf("from %d to %d instances", old.Instances, service.Instances)
+		steps = append(steps, step)
+	}
+	if fewer := old.Instances - service.Instances; fewer > 0 {
+		step.Kind, step.Instances, step.Detail = StepStop, fewer, fmt.Sprintf("from %d to %d instances", old.Instances, service.Instances)
+		steps = append(steps, step)
+	}
+	return steps
+}
+
+func batchSteps(from, to Configuration) []Step {
+	var steps []Step
+	for _, batch := range to.Batches {
+		old, found := from.Batch(batch.Organisation, batch.Name)
+		step := Step{Organisation: batch.Organisation, Workload: batch.Name}
+		switch {
+		case !found:
+			step.Kind, step.Detail = StepAdd, "jobs may be submitted"
+		case !sameBatch(old, batch):
+			step.Kind, step.Detail = StepUpdate, "holds for jobs submitted from now on"
+		default:
+			continue
+		}
+		steps = append(steps, step)
+	}
+	for _, batch := range from.Batches {
+		if _, found := to.Batch(batch.Organisation, batch.Name); !found {
+			steps = append(steps, Step{Kind: StepRemove, Organisation: batch.Organisation, Workload: batch.Name, Detail: "no more jobs may be submitted"})
+		}
+	}
+	return steps
+}
+
+func sameBatch(a, b Batch) bool {
+	domainsEqual := slices.Equal(a.FailureDomains, b.FailureDomains)
+	return domainsEqual && a.Template == b.Template && a.Size == b.Size && a.Priority == b.Priority &&
+		a.Urgent == b.Urgent && a.Window == b.Window && a.RunTime == b.RunTime
+}
+
+func quotaSteps(from, to Configuration) []Step {
+	old := map[string]Quota{}
+	for _, quota := range from.Quotas {
+		old[quota.Organisation] = quota
+	}
+	var steps []Step
+	for _, quota := range to.Quotas {
+		if old[quota.Organisation] != quota {
+			steps = append(steps, Step{Kind: StepUpdate, Organisation: quota.Organisation, Detail: "quota changes"})
+		}
+		delete(old, quota.Organisation)
+	}
+	for _, quota := range from.Quotas {
+		if _, left := old[quota.Organisation]; left {
+			steps = append(steps, Step{Kind: StepUpdate, Organisation: quota.Organisation, Detail: "quota is removed"})
+		}
+	}
+	return steps
+}
--- a/decoder/object.go
+++ b/decoder/object.go
@@ -52,6 +52,9 @@
 	Max int64
 }
 
+// String describes the allowed values.
+func (i Integer) String() string { return fmt.Sprintf("a whole number from %d to %d", i.Min, i.Max) }
+
 // Duration limits a duration, written as a string with units such as "1m30s".
 type Duration struct {
 	// Required makes a missing field a fault.
@@ -95,6 +98,16 @@
 	return found
 }
 
+// Peek returns the string in a field, or nothing for another field. It does not
+// count as reading it.
+func (o *Object) Peek(name string) string {
+	value, found := o.fields[name]
+	if !found || value.Value.Kind() != '"' {
+		return ""
+	}
+	return value.Value.(hujson.Literal).String()
+}
+
 // Names returns the names of the fields in the order of the document.
 func (o *Object) Names() []string {
 	names := make([]string, len(o.names))
@@ -148,7 +161,7 @@
 
 // Integer reads a whole number.
 func (o *Object) Integer(name string, limits Integer) int64 {
-	allowed := fmt.Sprintf("a whole number from %d to %d", limits.Min, limits.Max)
+	allowed := limits.String()
 	value, found := o.value(name, limits.Required)
 	if !found {
 		return limits.Default
@@ -262,6 +275,19 @@
 	o.reject(name, value, problem, allowed)
 }
 
+// Accept counts a field as known without reading it.
+func (o *Object) Accept(name string) { o.read[name] = true }
+
+// Skip counts every field of the object as known. It does nothing for nil.
+func (o *Object) Skip() {
+	if o == nil {
+		return
+	}
+	for _, member := range o.names {
+		o.read[member.name] = true
+	}
+}
+
 // Position returns the line and the column of the object, counted from 1.
 func (o *Object) Position() (line, column int) {
 	before := string(o.document.content[:o.offset])
