--- a/configurer/expander_test.go
+++ b/configurer/expander_test.go
@@ -38,66 +38,68 @@
 	goldie.New(t).Assert(t, "expand", text)
 }
 
+// expandFaults are single edits of the files of testdata with their fault.
+var expandFaults = map[string]struct {
+	name         string
+	replacements []string
+	want         configurer.Fault
+}{
+	"value out of range": {
+		name: "moka", replacements: []string{`"instances": 65`, `"instances": 650`},
+		want: configurer.Fault{Organisation: "moka", Workload: "finishing", Parameter: "instances", Value: "650", Problem: "is out of range", Allowed: "a whole number from 1 to 200", Line: 6, Column: 69},
+	},
+	"wrong unit": {
+		name: "moka", replacements: []string{`"45m"`, `"45 minutes"`},
+		want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "run_time", Value: `"45 minutes"`, Problem: "is not a duration with a unit", Allowed: `a string from "1m0s" to "8h0m0s"`, Line: 10, Column: 16},
+	},
+	"unknown parameter": {
+		name: "moka", replacements: []string{`"run_time"`, `"runtime"`},
+		want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "runtime", Problem: "is unknown", Allowed: "run_time, size, urgency, window", Line: 10, Column: 4},
+	},
+	"unknown failure domain": {
+		name: "moka", replacements: []string{`"phoenix"`, `"graz-a"`},
+		want: configurer.Fault{Organisation: "moka", Workload: "finishing", Parameter: "failure_domains[1]", Value: `"graz-a"`, Problem: "is not one of the choices", Allowed: "curepipe, vacoas, phoenix", Line: 6, Column: 105},
+	},
+	"unknown zone": {
+		name: "moka", replacements: []string{"Indian/Mauritius", "Moka"},
+		want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "window.zone", Value: `"Moka"`, Problem: "is malformed", Allowed: `a time zone such as "Europe/Vienna"`, Line: 9, Column: 55},
+	},
+	"missing value": {
+		name: "moka", replacements: []string{`"size": {"processors": 2, "memory": "4GiB"},`, ""},
+		want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "size", Problem: "is missing", Line: 7, Column: 54},
+	},
+	"impossible pair": {
+		name: "moka", replacements: []string{`"05:30"`, `"19:30"`},
+		want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "values", Value: "{\n\t\t\t\"size\": {\"processors\": 2, \"memory\": \"4GiB\"},\n\t\t\t\"window\": {\"from\": \"19:00\",...", Problem: "give a run time of 45m0s, longer than the window", Allowed: "at most 30m0s", Line: 7, Column: 54},
+	},
+	"name used twice": {
+		name: "moka", replacements: []string{`"night"`, `"finishing"`},
+		want: configurer.Fault{Organisation: "moka", Workload: "finishing", Parameter: "name", Value: `"finishing"`, Problem: "is used twice", Allowed: "each name once", Line: 7, Column: 12},
+	},
+	"unknown template": {
+		name: "moka", replacements: []string{`"sorting"`, `"sort"`},
+		want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "template", Value: `"sort"`, Problem: "is not a template", Allowed: "shop, sorting", Line: 7, Column: 33},
+	},
+	"default out of bounds": {
+		name: "shop", replacements: []string{`"default": 2`, `"default": 0`},
+		want: configurer.Fault{Workload: "shop", Parameter: "parameters[0].default", Value: "0", Problem: "is out of range", Allowed: "a whole number from 1 to 200", Line: 6, Column: 77},
+	},
+	"parameter of another type": {
+		name: "shop", replacements: []string{`"size": "$size"`, `"size": "$priority"`},
+		want: configurer.Fault{Workload: "shop", Parameter: "fields.size", Value: `"$priority"`, Problem: "names a parameter of type integer", Allowed: "a parameter of type size", Line: 15, Column: 11},
+	},
+	"parameter wider than the field": {
+		name: "shop", replacements: []string{`"max": 100`, `"max": 101`},
+		want: configurer.Fault{Workload: "shop", Parameter: "fields.priority", Value: `"$priority"`, Problem: "names a parameter with wider limits than the field", Allowed: "a whole number from 0 to 100", Line: 16, Column: 15},
+	},
+	"field without a value": {
+		name: "shop", replacements: []string{`"slots": 8,`, ""},
+		want: configurer.Fault{Workload: "shop", Parameter: "fields.slots", Problem: "is missing", Line: 13, Column: 12},
+	},
+}
+
 func TestExpandFaults(t *testing.T) {
-	cases := map[string]struct {
-		name         string
-		replacements []string
-		want         configurer.Fault
-	}{
-		"value out of range": {
-			name: "moka", replacements: []string{`"instances": 65`, `"instances": 650`},
-			want: configurer.Fault{Organisation: "moka", Workload: "finishing", Parameter: "instances", Value: "650", Problem: "is out of range", Allowed: "a whole number from 1 to 200", Line: 6, Column: 69},
-		},
-		"wrong unit": {
-			name: "moka", replacements: []string{`"45m"`, `"45 minutes"`},
-			want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "run_time", Value: `"45 minutes"`, Problem: "is not a duration with a unit", Allowed: `a string from "1m0s" to "8h0m0s"`, Line: 10, Column: 16},
-		},
-		"unknown parameter": {
-			name: "moka", replacements: []string{`"run_time"`, `"runtime"`},
-			want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "runtime", Problem: "is unknown", Allowed: "run_time, size, urgency, window", Line: 10, Column: 4},
-		},
-		"unknown failure domain": {
-			name: "moka", replacements: []string{`"phoenix"`, `"graz-a"`},
-			want: configurer.Fault{Organisation: "moka", Workload: "finishing", Parameter: "failure_domains[1]", Value: `"graz-a"`, Problem: "is not one of the choices", Allowed: "curepipe, vacoas, phoenix", Line: 6, Column: 105},
-		},
-		"unknown zone": {
-			name: "moka", replacements: []string{"Indian/Mauritius", "Moka"},
-			want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "window.zone", Value: `"Moka"`, Problem: "is malformed", Allowed: `a time zone such as "Europe/Vienna"`, Line: 9, Column: 55},
-		},
-		"missing value": {
-			name: "moka", replacements: []string{`"size": {"processors": 2, "memory": "4GiB"},`, ""},
-			want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "size", Problem: "is missing", Line: 7, Column: 54},
-		},
-		"impossible pair": {
-			name: "moka", replacements: []string{`"05:30"`, `"19:30"`},
-			want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "values", Value: "{\n\t\t\t\"size\": {\"processors\": 2, \"memory\": \"4GiB\"},\n\t\t\t\"window\": {\"from\": \"19:00\",...", Problem: "give a run time of 45m0s, longer than the window", Allowed: "at most 30m0s", Line: 7, Column: 54},
-		},
-		"name used twice": {
-			name: "moka", replacements: []string{`"night"`, `"finishing"`},
-			want: configurer.Fault{Organisation: "moka", Workload: "finishing", Parameter: "name", Value: `"finishing"`, Problem: "is used twice", Allowed: "each name once", Line: 7, Column: 12},
-		},
-		"unknown template": {
-			name: "moka", replacements: []string{`"sorting"`, `"sort"`},
-			want: configurer.Fault{Organisation: "moka", Workload: "night", Parameter: "template", Value: `"sort"`, Problem: "is not a template", Allowed: "shop, sorting", Line: 7, Column: 33},
-		},
-		"default out of bounds": {
-			name: "shop", replacements: []string{`"default": 2`, `"default": 0`},
-			want: configurer.Fault{Workload: "shop", Parameter: "parameters[0].default", Value: "0", Problem: "is out of range", Allowed: "a whole number from 1 to 200", Line: 6, Column: 77},
-		},
-		"parameter of another type": {
-			name: "shop", replacements: []string{`"size": "$size"`, `"size": "$priority"`},
-			want: configurer.Fault{Workload: "shop", Parameter: "fields.size", Value: `"$priority"`, Problem: "names a parameter of type integer", Allowed: "a parameter of type size", Line: 15, Column: 11},
-		},
-		"parameter wider than the field": {
-			name: "shop", replacements: []string{`"max": 100`, `"max": 101`},
-			want: configurer.Fault{Workload: "shop", Parameter: "fields.priority", Value: `"$priority"`, Problem: "names a parameter with wider limits than the field", Allowed: "a whole number from 0 to 100", Line: 16, Column: 15},
-		},
-		"field without a value": {
-			name: "shop", replacements: []string{`"slots": 8,`, ""},
-			want: configurer.Fault{Workload: "shop", Parameter: "fields.slots", Problem: "is missing", Line: 13, Column: 12},
-		},
-	}
-	for name, c := range cases {
+	for name, c := range expandFaults {
 		t.Run(name, func(t *testing.T) {
 			files := map[string]configurer.File{"shop": file(t, "shop"), "sorting": file(t, "sorting"), "moka": file(t, "moka")}
 			files[c.name] = file(t, c.name, c.replacements...)
