Prove that exchanges are whole and never resent

Seen failing first, each in a scratch copy: a rewindable body with the caller's Idempotency-Key kept (TestNeverResent, GET and POST), http.NoBody on GET (TestNeverResent/GET), the slot released when the exchange returns (TestReleaseFollowsEndpoint), no echo check and no close after a failure (TestExchange), no check of the lease before the first write (TestExchange/lapsed_before_sent), a probe that keeps to the open connections (TestSilentConnections).

--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,235 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/zeromicro/go-zero/core/logx"
+	"go.uber.org/goleak"
+
+	"zinniashore.example/exchanger"
+	"zinniashore.example/standin"
+)
+
+const longest = 600 * time.Millisecond
+
+func TestMain(m *testing.M) {
+	logx.Disable()
+	goleak.VerifyTestMain(m, goleak.IgnoreCurrent())
+}
+
+func newEndpoint(t *testing.T, e *standin.Endpoint) string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	address, err := e.Start(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+func newExchanger(t *testing.T, address string) *exchanger.Exchanger {
+	t.Helper()
+	x := &exchanger.Exchanger{
+		Clock:          clockwork.NewRealClock(),
+		Address:        address,
+		Connections:    func() int { return 4 },
+		Held:           func() bool { return true },
+		MaxAnswerBytes: 1000,
+		LongestRequest: longest,
+	}
+	t.Cleanup(x.CloseIdle)
+	return x
+}
+
+func post(key string, wait time.Duration) exchanger.Request {
+	return exchanger.Request{
+		Method: http.MethodPost, Path: "/order", Key: key, Body: []byte("body of " + key),
+		Header: http.Header{"Idempotency-Key": {key}}, Deadline: time.Now().Add(wait),
+	}
+}
+
+func TestExchange(t *testing.T) {
+	cases := map[string]struct {
+		faults  standin.EndpointFaults
+		lapsed  bool
+		noBody  bool
+		cause   exchanger.Cause
+		sent    bool
+		ran     int
+		refused bool
+	}{
+		"whole":              {ran: 1},
+		"truncated":          {faults: standin.EndpointFaults{Truncate: true}, cause: exchanger.CauseConnection, sent: true, ran: 1},
+		"oversized":          {faults: standin.EndpointFaults{OversizeBytes: 2000}, cause: exchanger.CauseOversize, sent: true, ran: 1},
+		"of another":         {faults: standin.EndpointFaults{WrongEcho: true}, cause: exchanger.CauseEcho, sent: true, ran: 1},
+		"of another, empty":  {faults: standin.EndpointFaults{WrongEcho: true}, noBody: true, cause: exchanger.CauseEcho, sent: true, ran: 1},
+		"late":               {faults: standin.EndpointFaults{LateMilliseconds: 400}, cause: exchanger.CauseTimeout, sent: true, ran: 1},
+		"silent":             {faults: standin.EndpointFaults{Silent: true}, cause: exchanger.CauseTimeout, sent: true},
+		"draining":           {faults: standin.EndpointFaults{Drain: true}, refused: true},
+		"lapsed before sent": {lapsed: true, cause: exchanger.CauseLapsed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := &standin.Endpoint{Slots: 2, ServiceTime: time.Millisecond}
+			x := newExchanger(t, newEndpoint(t, e))
+			x.Held = func() bool { return !c.lapsed }
+			e.SetFaults(c.faults)
+			request := post("first", 200*time.Millisecond)
+			if c.noBody {
+				request.Body = nil
+			}
+			released := make(chan struct{})
+			answer, err := x.Exchange(t.Context(), request, func() { close(released) })
+			var failure *exchanger.Error
+			if errors.As(err, &failure) != (c.cause != "") {
+				t.Fatalf("Exchange() error = %v, want cause %q", err, c.cause)
+			}
+			if failure != nil && (failure.Cause != c.cause || failure.Sent != c.sent) {
+				t.Fatalf("Exchange() error = %v, want cause %q, sent %t", err, c.cause, c.sent)
+			}
+			if failure == nil && !c.refused && string(answer.Body) != "body of first" {
+				t.Fatalf("answer = %q, want its own", answer.Body)
+			}
+			if answer.Draining != c.refused {
+				t.Fatalf("draining = %t, want %t", answer.Draining, c.refused)
+			}
+			<-released
+			e.SetFaults(standin.EndpointFaults{})
+			x.Held = func() bool { return true }
+			answer, err = x.Exchange(t.Context(), post("second", time.Second), func() {})
+			if err != nil || string(answer.Body) != "body of second" {
+				t.Fatalf("next answer = %q, %v, want its own", answer.Body, err)
+			}
+			if got := e.Ran("first"); got != c.ran {
+				t.Fatalf("ran %d times, want %d", got, c.ran)
+			}
+		})
+	}
+}
+
+// TestReleaseFollowsEndpoint abandons an exchange while its endpoint runs it:
+// the slot must come free only once the endpoint is done.
+func TestReleaseFollowsEndpoint(t *testing.T) {
+	e := &standin.Endpoint{Slots: 1, ServiceTime: 300 * time.Millisecond}
+	x := newExchanger(t, newEndpoint(t, e))
+	inFlight := make(chan int, 1)
+	_, err := x.Exchange(t.Context(), post("k", 50*time.Millisecond), func() { inFlight <- e.Counts().InFlight })
+	var failure *exchanger.Error
+	if !errors.As(err, &failure) || !failure.Sent {
+		t.Fatalf("Exchange() error = %v, want a sent request that timed out", err)
+	}
+	if got := <-inFlight; got != 0 {
+		t.Fatalf("slot released with %d requests at the endpoint, want 0", got)
+	}
+}
+
+// TestSilentConnections silences the open connections: the exchange on one of
+// them is lost, the next dials and succeeds.
+func TestSilentConnections(t *testing.T) {
+	e := &standin.Endpoint{Slots: 2, ServiceTime: 50 * time.Millisecond}
+	x := newExchanger(t, newEndpoint(t, e))
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() { _, _ = x.Exchange(t.Context(), post("a", time.Second), func() {}) })
+	}
+	group.Wait()
+	if got := e.MaxConnections(); got != 2 {
+		t.Fatalf("%d connections open, want 2", got)
+	}
+	e.SetFaults(standin.EndpointFaults{SilenceOpen: true})
+	probe := func(fresh bool) exchanger.Health {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		return x.Probe(ctx, fresh)
+	}
+	if got := probe(false); got != exchanger.HealthSilent {
+		t.Fatalf("probe on an open connection = %q, want %q", got, exchanger.HealthSilent)
+	}
+	if got := probe(true); got != exchanger.HealthGood {
+		t.Fatalf("probe on a fresh connection = %q, want %q", got, exchanger.HealthGood)
+	}
+	if _, err := x.Exchange(t.Context(), post("b", time.Second), func() {}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestNeverResent has a server close each reused connection after it read a
+// request, which makes Go's transport send idempotent requests again.
+func TestNeverResent(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			var received atomic.Int32
+			x := newExchanger(t, closingServer(t, &received))
+			request := post("k", time.Second)
+			request.Method = method
+			if method == http.MethodGet {
+				request.Body = nil
+			}
+			if _, err := x.Exchange(t.Context(), request, func() {}); err != nil {
+				t.Fatal(err)
+			}
+			released := make(chan struct{})
+			_, err := x.Exchange(t.Context(), request, func() { close(released) })
+			<-released
+			var failure *exchanger.Error
+			if !errors.As(err, &failure) || !failure.Sent {
+				t.Fatalf("Exchange() error = %v, want a sent request without an answer", err)
+			}
+			if got := received.Load(); got != 2 {
+				t.Fatalf("server received %d requests, want 2", got)
+			}
+		})
+	}
+}
+
+// closingServer answers the first request of a connection and closes the
+// connection after it read the second.
+func closingServer(t *testing.T, received *atomic.Int32) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnce(connection, received)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerOnce(connection net.Conn, received *atomic.Int32) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for i := range 2 {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		received.Add(1)
+		if i == 0 {
+			id := request.Header.Get(exchanger.HeaderRequest)
+			_, _ = io.Copy(connection, strings.NewReader(fmt.Sprintf(
+				"HTTP/1.1 200 OK\r\nZinnia-Request: %s\r\nContent-Length: 0\r\n\r\n", id)))
+		}
+	}
+}
