--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,159 @@
+package limiter_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"zinniashore.example/limiter"
+)
+
+var load = limiter.Load{Slots: 2, ServiceTime: 10 * time.Millisecond}
+
+func claim(organisation string, priority int, deadline time.Time) limiter.Claim {
+	return limiter.Claim{Organisation: organisation, Queue: "q", Priority: priority, Deadline: deadline, Bytes: 1}
+}
+
+func TestPush(t *testing.T) {
+	type push struct {
+		organisation string
+		priority     int
+		wait         time.Duration
+		bytes        int
+	}
+	const long = time.Minute
+	cases := map[string]struct {
+		queued []push
+		pushed push
+		reason limiter.Reason
+		shed   int
+	}{
+		"room":                             {pushed: push{"a", 0, long, 1}, shed: -1},
+		"cannot finish in time":            {queued: []push{{"a", 0, long, 1}, {"a", 0, long, 1}}, pushed: push{"a", 0, 20 * time.Millisecond, 1}, reason: limiter.ReasonDeadline, shed: -1},
+		"overtakes lower priority in time": {queued: []push{{"a", -1, long, 1}, {"a", -1, long, 1}}, pushed: push{"a", 0, 20 * time.Millisecond, 1}, shed: -1},
+		"full of the same":                 {queued: []push{{"a", 0, long, 1}, {"a", 0, long, 1}, {"a", 0, long, 1}, {"a", 0, long, 1}}, pushed: push{"a", 0, long, 1}, reason: limiter.ReasonFull, shed: -1},
+		"full, sheds batch first":          {queued: []push{{"a", 0, long, 1}, {"b", -1, long, 1}, {"a", 0, long, 1}, {"a", 0, long, 1}}, pushed: push{"a", 0, long, 1}, shed: 1},
+		"full, batch is refused":           {queued: []push{{"a", 0, long, 1}, {"a", 0, long, 1}, {"a", 0, long, 1}, {"a", 0, long, 1}}, pushed: push{"b", -1, long, 1}, reason: limiter.ReasonFull, shed: -1},
+		"full, sheds who holds most":       {queued: []push{{"a", 0, long, 1}, {"b", 0, long, 1}, {"a", 0, long, 1}, {"a", 0, long, 1}}, pushed: push{"c", 0, long, 1}, shed: 3},
+		"bytes full":                       {queued: []push{{"a", 0, long, 90}}, pushed: push{"a", 0, long, 20}, reason: limiter.ReasonFull, shed: -1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			l := &limiter.Limiter{Clock: clock, Length: 4, Bytes: 100}
+			add := func(p push) (*limiter.Waiter, error) {
+				asked := claim(p.organisation, p.priority, clock.Now().Add(p.wait))
+				asked.Bytes = p.bytes
+				return l.Push(asked, load)
+			}
+			var waiters []*limiter.Waiter
+			for _, p := range c.queued {
+				w, err := add(p)
+				if err != nil {
+					t.Fatal(err)
+				}
+				waiters = append(waiters, w)
+			}
+			_, err := add(c.pushed)
+			var refusal *limiter.RefusedError
+			if errors.As(err, &refusal) != (c.reason != "") || refusal != nil && refusal.Reason != c.reason {
+				t.Fatalf("Push() error = %v, want reason %q", err, c.reason)
+			}
+			for i, w := range waiters {
+				if got := len(w.Ready) == 1; got != (i == c.shed) {
+					t.Errorf("waiter %d shed = %t, want %t", i, got, i == c.shed)
+				}
+			}
+		})
+	}
+}
+
+// TestLimiterKeepsBounds checks any order of calls against a plain model: the
+// bounds hold, each waiter ends once, and pops come by priority, then by age.
+func TestLimiterKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		l := &limiter.Limiter{Clock: clock, Length: 5, Bytes: 6}
+		var waiting []*limiter.Waiter
+		settle := func() {
+			kept := waiting[:0]
+			for _, w := range waiting {
+				if len(w.Ready) == 0 {
+					kept = append(kept, w)
+				}
+			}
+			waiting = kept
+		}
+		held := func() (bytes int) {
+			for _, w := range waiting {
+				bytes += w.Claim.Bytes
+			}
+			return bytes
+		}
+		forget := func(gone *limiter.Waiter) {
+			for i, w := range waiting {
+				if w == gone {
+					waiting = append(waiting[:i:i], waiting[i+1:]...)
+					return
+				}
+			}
+			t.Fatal("a waiter ended twice")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				asked := claim(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation"),
+					rapid.IntRange(-1, 1).Draw(t, "priority"),
+					clock.Now().Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "wait"))*time.Millisecond))
+				asked.Bytes = rapid.IntRange(0, 3).Draw(t, "bytes")
+				room := len(waiting) < 5 && held()+asked.Bytes <= 6
+				w, err := l.Push(asked, load)
+				var refusal *limiter.RefusedError
+				if errors.As(err, &refusal) && refusal.Reason == limiter.ReasonFull && room {
+					t.Fatal("refused as full with room")
+				}
+				settle()
+				if err == nil {
+					waiting = append(waiting, w)
+				}
+			},
+			"pop": func(t *rapid.T) {
+				w := l.Pop("q", load)
+				if w == nil {
+					settle()
+					return
+				}
+				forget(w)
+				settle()
+				if clock.Now().Add(load.ServiceTime).After(w.Claim.Deadline) {
+					t.Fatal("popped what cannot finish in time")
+				}
+				for _, other := range waiting {
+					if other.Claim.Priority > w.Claim.Priority {
+						t.Fatal("popped before a higher priority")
+					}
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					return
+				}
+				w := rapid.SampledFrom(waiting).Draw(t, "waiter")
+				if !l.Withdraw(w) || l.Withdraw(w) {
+					t.Fatal("withdrawing must work once")
+				}
+				forget(w)
+			},
+			"advance": func(t *rapid.T) {
+				clock.Advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "by")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if len(waiting) > 5 || held() > 6 || l.Waiting("q") != len(waiting) {
+					t.Fatalf("%d waiters (%d counted) hold %d bytes", len(waiting), l.Waiting("q"), held())
+				}
+			},
+		})
+	})
+}
