--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,89 +72,97 @@
 	}
 }
 
+// model is a plain list of the waiters that a Limiter should hold.
+type model struct {
+	clock   *clockwork.FakeClock
+	limiter *limiter.Limiter
+	waiting []*limiter.Waiter
+}
+
+func (m *model) held() (bytes int) {
+	for _, w := range m.waiting {
+		bytes += w.Claim.Bytes
+	}
+	return bytes
+}
+
+// settle drops the waiters that the limiter refused.
+func (m *model) settle() {
+	m.waiting = slices.DeleteFunc(m.waiting, func(w *limiter.Waiter) bool { return len(w.Ready) > 0 })
+}
+
+func (m *model) forget(t *rapid.T, gone *limiter.Waiter) {
+	at := slices.Index(m.waiting, gone)
+	if at < 0 {
+		t.Fatal("a waiter ended twice")
+	}
+	m.waiting = slices.Delete(m.waiting, at, at+1)
+}
+
+func (m *model) push(t *rapid.T) {
+	wait := time.Duration(rapid.IntRange(1, 100).Draw(t, "wait")) * time.Millisecond
+	asked := claim(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation"),
+		rapid.IntRange(-1, 1).Draw(t, "priority"), m.clock.Now().Add(wait))
+	asked.Bytes = rapid.IntRange(0, 3).Draw(t, "bytes")
+	room := len(m.waiting) < 5 && m.held()+asked.Bytes <= 6
+	w, err := m.limiter.Push(asked, load)
+	var refusal *limiter.RefusedError
+	if errors.As(err, &refusal) && refusal.Reason == limiter.ReasonFull && room {
+		t.Fatal("refused as full with room")
+	}
+	m.settle()
+	if err == nil {
+		m.waiting = append(m.waiting, w)
+	}
+}
+
+func (m *model) pop(t *rapid.T) {
+	w := m.limiter.Pop("q", load)
+	if w == nil {
+		m.settle()
+		return
+	}
+	m.forget(t, w)
+	m.settle()
+	if m.clock.Now().Add(load.ServiceTime).After(w.Claim.Deadline) {
+		t.Fatal("popped what cannot finish in time")
+	}
+	for _, other := range m.waiting {
+		if other.Claim.Priority > w.Claim.Priority {
+			t.Fatal("popped before a higher priority")
+		}
+	}
+}
+
+func (m *model) withdraw(t *rapid.T) {
+	if len(m.waiting) == 0 {
+		return
+	}
+	w := rapid.SampledFrom(m.waiting).Draw(t, "waiter")
+	if !m.limiter.Withdraw(w) || m.limiter.Withdraw(w) {
+		t.Fatal("withdrawing must work once")
+	}
+	m.forget(t, w)
+}
+
+func (m *model) advance(t *rapid.T) {
+	m.clock.Advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "by")) * time.Millisecond)
+}
+
+func (m *model) check(t *rapid.T) {
+	if len(m.waiting) > 5 || m.held() > 6 || m.limiter.Waiting("q") != len(m.waiting) {
+		t.Fatalf("%d waiters (%d counted) hold %d bytes", len(m.waiting), m.limiter.Waiting("q"), m.held())
+	}
+}
+
 // TestLimiterKeepsBounds checks any order of calls against a plain model: the
-// bounds hold, each waiter ends once, and pops come by priority, then by age.
+// bounds hold, each waiter ends once, and pops come by priority.
 func TestLimiterKeepsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := clockwork.NewFakeClock()
-		l := &limiter.Limiter{Clock: clock, Length: 5, Bytes: 6}
-		var waiting []*limiter.Waiter
-		settle := func() {
-			kept := waiting[:0]
-			for _, w := range waiting {
-				if len(w.Ready) == 0 {
-					kept = append(kept, w)
-				}
-			}
-			waiting = kept
-		}
-		held := func() (bytes int) {
-			for _, w := range waiting {
-				bytes += w.Claim.Bytes
-			}
-			return bytes
-		}
-		forget := func(gone *limiter.Waiter) {
-			for i, w := range waiting {
-				if w == gone {
-					waiting = append(waiting[:i:i], waiting[i+1:]...)
-					return
-				}
-			}
-			t.Fatal("a waiter ended twice")
-		}
+		m := &model{clock: clock, limiter: &limiter.Limiter{Clock: clock, Length: 5, Bytes: 6}}
 		t.Repeat(map[string]func(*rapid.T){
-			"push": func(t *rapid.T) {
-				asked := claim(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation"),
-					rapid.IntRange(-1, 1).Draw(t, "priority"),
-					clock.Now().Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "wait"))*time.Millisecond))
-				asked.Bytes = rapid.IntRange(0, 3).Draw(t, "bytes")
-				room := len(waiting) < 5 && held()+asked.Bytes <= 6
-				w, err := l.Push(asked, load)
-				var refusal *limiter.RefusedError
-				if errors.As(err, &refusal) && refusal.Reason == limiter.ReasonFull && room {
-					t.Fatal("refused as full with room")
-				}
-				settle()
-				if err == nil {
-					waiting = append(waiting, w)
-				}
-			},
-			"pop": func(t *rapid.T) {
-				w := l.Pop("q", load)
-				if w == nil {
-					settle()
-					return
-				}
-				forget(w)
-				settle()
-				if clock.Now().Add(load.ServiceTime).After(w.Claim.Deadline) {
-					t.Fatal("popped what cannot finish in time")
-				}
-				for _, other := range waiting {
-					if other.Claim.Priority > w.Claim.Priority {
-						t.Fatal("popped before a higher priority")
-					}
-				}
-			},
-			"withdraw": func(t *rapid.T) {
-				if len(waiting) == 0 {
-					return
-				}
-				w := rapid.SampledFrom(waiting).Draw(t, "waiter")
-				if !l.Withdraw(w) || l.Withdraw(w) {
-					t.Fatal("withdrawing must work once")
-				}
-				forget(w)
-			},
-			"advance": func(t *rapid.T) {
-				clock.Advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "by")) * time.Millisecond)
-			},
-			"": func(t *rapid.T) {
-				if len(waiting) > 5 || held() > 6 || l.Waiting("q") != len(waiting) {
-					t.Fatalf("%d waiters (%d counted) hold %d bytes", len(waiting), l.Waiting("q"), held())
-				}
-			},
+			"push": m.push, "pop": m.pop, "withdraw": m.withdraw, "advance": m.advance, "": m.check,
 		})
 	})
 }
