--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 )
@@ -10,6 +11,9 @@
 // Capacity is zero.
 const DefaultCapacity = 8192
 
+// MaxLead is how far the clock of another process may lead that of this one.
+const MaxLead = time.Minute
+
 // Recorder keeps the most recent events of one process. Its exported fields
 // are set before the first call. It is safe for concurrent use.
 type Recorder struct {
@@ -41,10 +45,23 @@
 	return event.Time
 }
 
-// Observe advances the clock past a timestamp received from another process.
+// Stamp advances the clock and returns its time, to be sent to another process.
+func (r *Recorder) Stamp() Timestamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = r.last.Next(r.Clock.Now())
+	return r.last
+}
+
+// Observe advances the clock past a timestamp received from another process. A
+// timestamp that leads the wall clock by more than MaxLead is not taken over, so
+// that one VM with a wrong clock can't carry the others away.
 func (r *Recorder) Observe(remote Timestamp) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if remote.Wall-r.Clock.Now().UnixNano() > int64(MaxLead) {
+		return
+	}
 	if r.last.Before(remote) {
 		r.last = remote
 	}
--- a/recorder/timestamp.go
+++ b/recorder/timestamp.go
@@ -1,6 +1,11 @@
 package recorder
 
-import "time"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
 
 // Timestamp is a hybrid logical time: wall time, and a counter that orders
 // events of the same wall time.
@@ -27,3 +32,29 @@
 	}
 	return Timestamp{Wall: t.Wall, Counter: t.Counter + 1}
 }
+
+// String returns the wall time in nanoseconds and the counter, joined by a dot.
+func (t Timestamp) String() string {
+	return strconv.FormatInt(t.Wall, 10) + "." + strconv.FormatUint(uint64(t.Counter), 10)
+}
+
+// TimestampError reports a text that is not a timestamp.
+type TimestampError struct {
+	// Text is the text.
+	Text string
+}
+
+// Error implements error.
+func (e *TimestampError) Error() string { return fmt.Sprintf("timestamp: %q is malformed", e.Text) }
+
+// ParseTimestamp reads the form that String writes. It returns a
+// *TimestampError.
+func ParseTimestamp(text string) (Timestamp, error) {
+	wallText, counterText, _ := strings.Cut(text, ".")
+	wall, wallErr := strconv.ParseInt(wallText, 10, 64)
+	counter, counterErr := strconv.ParseUint(counterText, 10, 32)
+	if wallErr != nil || counterErr != nil {
+		return Timestamp{}, &TimestampError{Text: text}
+	}
+	return Timestamp{Wall: wall, Counter: uint32(counter)}, nil
+}
