--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,10 @@
 	// for passing a request to another failure domain and back.
 	DefaultSpillCost = 12 * time.Millisecond
 
+	// DefaultBodyTimeout is the time for the body of a Router whose BodyTimeout
+	// is zero.
+	DefaultBodyTimeout = 5 * time.Second
+
 	busyRetryAfter     = 100 * time.Millisecond
 	drainingRetryAfter = 10 * time.Millisecond
 )
@@ -85,6 +89,8 @@
 	MaxBytes int64
 	// QueueLength is how many requests wait at most.
 	QueueLength int
+	// BodyTimeout is how long a caller may take to send the body.
+	BodyTimeout time.Duration
 
 	mu       sync.Mutex
 	started  bool
@@ -306,6 +312,13 @@
 	return r.SpillCost
 }
 
+func (r *Router) bodyTimeout() time.Duration {
+	if r.BodyTimeout == 0 {
+		return DefaultBodyTimeout
+	}
+	return r.BodyTimeout
+}
+
 func (r *Router) maxBodyBytes() int64 {
 	if r.MaxBodyBytes == 0 {
 		return DefaultMaxBodyBytes
--- a/router/server.go
+++ b/router/server.go
@@ -39,7 +39,6 @@
 	maxPathDepth = 8
 	prefixParts  = 6
 
-	bodyTimeout   = 5 * time.Second
 	answerTimeout = 5 * time.Second
 )
 
@@ -120,7 +119,7 @@
 // gone holds nothing for long.
 func (r *Router) readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = controller.SetReadDeadline(time.Now().Add(r.bodyTimeout()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, r.maxBodyBytes()))
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
