--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -30,7 +30,7 @@
 
 const (
 	// measurementWeight is the weight of a report in the measured slowdown.
-	measurementWeight = 0.5
+	measurementWeight = 0.3
 	// measurementLimit is the age from which a measured slowdown is not used.
 	measurementLimit = time.Minute
 	// pruneLimit is the age from which measurements and workers are forgotten.
@@ -92,7 +92,7 @@
 	e.services[task.Task] = measurement{slowdown: slowdown, time: report.Time}
 	pairs, known := e.pairs[task.Template]
 	if !known {
-		pairs = newTemplatePairs()
+		pairs = newTemplatePairs(task.Template)
 		e.pairs[task.Template] = pairs
 	}
 	pairs.observe(report.Time, task.Slowdown-1, e.influences(report, index))
@@ -162,8 +162,8 @@
 	}
 	for template, pairs := range e.pairs {
 		bounds := make(map[string]float64, len(pairs.neighbours))
-		for neighbour, b := range pairs.neighbours {
-			bounds[neighbour] = b.at(now).bound()
+		for neighbour := range pairs.neighbours {
+			bounds[neighbour] = pairs.neighbour(neighbour, now).bound()
 		}
 		v.pairs[template] = bounds
 	}
@@ -202,7 +202,7 @@
 	for _, neighbour := range neighbours {
 		bound, known := v.pairs[template][neighbour]
 		if !known {
-			bound = priorBelief().bound()
+			bound = priorBetween(template, neighbour).bound()
 		}
 		slowdown += bound
 	}
--- a/estimator/pairs.go
+++ b/estimator/pairs.go
@@ -10,6 +10,9 @@
 const (
 	priorMean      = 0.03
 	priorDeviation = 0.03
+	// replicaMean and replicaDeviation are those between tasks of one template.
+	replicaMean      = 0.005
+	replicaDeviation = 0.01
 	// baseDeviation is the prior deviation of a service's slowdown when alone.
 	baseDeviation = 0.03
 	// reportDeviation is the deviation of a reported slowdown.
@@ -30,17 +33,21 @@
 	renewed  time.Time
 }
 
-func priorBelief() belief {
+// priorBetween is the belief about a template and a neighbour before anything was
+// measured.
+func priorBetween(template, neighbour string) belief {
+	if template == neighbour {
+		return belief{mean: replicaMean, variance: replicaDeviation * replicaDeviation}
+	}
 	return belief{mean: priorMean, variance: priorDeviation * priorDeviation}
 }
 
-// at returns the belief as it has faded until now.
-func (b belief) at(now time.Time) belief {
+// at returns the belief as it has faded towards the prior one until now.
+func (b belief) at(now time.Time, prior belief) belief {
 	if b.renewed.IsZero() || !now.After(b.renewed) {
 		return b
 	}
 	kept := math.Exp2(-float64(now.Sub(b.renewed)) / float64(beliefHalfLife))
-	prior := priorBelief()
 	return belief{
 		mean:     prior.mean + kept*(b.mean-prior.mean),
 		variance: prior.variance + kept*(b.variance-prior.variance),
@@ -64,12 +71,14 @@
 // its neighbours: a linear model whose weights are independent normal
 // distributions, updated as by a Kalman filter.
 type templatePairs struct {
+	template   string
 	base       belief
 	neighbours map[string]belief
 }
 
-func newTemplatePairs() *templatePairs {
+func newTemplatePairs(template string) *templatePairs {
 	return &templatePairs{
+		template:   template,
 		base:       belief{variance: baseDeviation * baseDeviation},
 		neighbours: map[string]belief{},
 	}
@@ -81,7 +90,7 @@
 	variance := reportDeviation*reportDeviation + p.base.variance
 	beliefs := make([]belief, len(influences))
 	for i, n := range influences {
-		beliefs[i] = p.neighbour(n.template).at(at)
+		beliefs[i] = p.neighbour(n.template, at)
 		expected += n.load * beliefs[i].mean
 		variance += n.load * n.load * beliefs[i].variance
 	}
@@ -103,10 +112,12 @@
 	}
 }
 
-func (p *templatePairs) neighbour(template string) belief {
+// neighbour returns the belief about a neighbour at a time.
+func (p *templatePairs) neighbour(template string, now time.Time) belief {
+	prior := priorBetween(p.template, template)
 	b, known := p.neighbours[template]
 	if !known {
-		return priorBelief()
+		return prior
 	}
-	return b
+	return b.at(now, prior)
 }
--- a/estimator/sizes.go
+++ b/estimator/sizes.go
@@ -14,7 +14,7 @@
 	// use up to this multiple of their declared memory never exceed a worker.
 	coldMemory = 4.0
 	// memoryMargin is kept above the highest use that was seen.
-	memoryMargin = 1.25
+	memoryMargin = 1.15
 	// memoryFloor is the least that is reserved, however little is used.
 	memoryFloor = 0.125
 	// processorQuantile is the quantile of the use of processors.
--- a/placer/claim.go
+++ b/placer/claim.go
@@ -108,6 +108,10 @@
 	return !limited || left > 2*criticalSlack
 }
 
+// maxEvictions is the number of evictions after which a task no longer yields to
+// budgeted claims.
+const maxEvictions = 3
+
 // Budgeted implements Claim.
 func (deadlineClaim) Budgeted() bool {
 	return true
@@ -231,7 +235,8 @@
 	var yielding []*tenant
 	for _, t := range r.tenants {
 		over := l.borrows(t.task.Organisation, Size{})
-		if !t.leaving && t.task.State == TaskPlaced && claim.Yields(w, t.task, over) {
+		spared := claim.Budgeted() && t.task.Evictions >= maxEvictions
+		if !spared && !t.leaving && t.task.State == TaskPlaced && claim.Yields(w, t.task, over) {
 			yielding = append(yielding, t)
 		}
 	}
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -33,6 +33,9 @@
 	use       map[string]Size
 	quotas    map[string]Size
 	spread    spreadCounts
+	groups    map[string]int
+	serving   map[int]bool
+	quiet     map[int]float64
 	templates map[string]int
 	names     []string
 	pairs     map[[2]int]float64
@@ -47,6 +50,9 @@
 		use:       map[string]Size{},
 		quotas:    map[string]Size{},
 		spread:    spreadCounts{},
+		groups:    map[string]int{},
+		serving:   map[int]bool{},
+		quiet:     map[int]float64{},
 		templates: map[string]int{},
 		pairs:     map[[2]int]float64{},
 		largest:   map[string]Size{},
@@ -70,6 +76,12 @@
 }
 
 func (l *ledger) addTask(task *Task) {
+	if task.Class == ClassService {
+		l.serving[l.templateIndex(task.Template)] = true
+	}
+	if task.Group != "" {
+		l.groups[task.Group]++
+	}
 	if task.State == TaskWaiting && len(task.Workers) == 0 {
 		return
 	}
@@ -167,6 +179,22 @@
 	return excess
 }
 
+// quietness tells how little a template slows any service of the cell down, from
+// 0 for one that no service bears to 1.
+func (l *ledger) quietness(template int) float64 {
+	quiet, known := l.quiet[template]
+	if known {
+		return quiet
+	}
+	noise := 0.0
+	for service := range l.serving {
+		noise = max(noise, l.pair(service, template))
+	}
+	quiet = max(0, 1-noise/expectedExcess)
+	l.quiet[template] = quiet
+	return quiet
+}
+
 // measured is the slowdown that a service shows now.
 func (l *ledger) measured(t *tenant) float64 {
 	if l.snapshot.Estimates == nil {
--- a/placer/order.go
+++ b/placer/order.go
@@ -52,13 +52,16 @@
 // so that no task waits for ever behind more important ones.
 const agingPeriod = 30 * time.Minute
 
-// agedPriority is the priority of a waiting task, raised by its waiting time
-// since its window began.
+// agedPriority is the priority of a waiting task, raised by the time that it has
+// waited since its window began or since it was evicted.
 func (w *Waiter) agedPriority() int {
 	if w.Task.Class == ClassService {
 		return w.Task.Priority
 	}
-	since := w.Task.Submitted
+	since := w.Task.Since
+	if since.IsZero() {
+		since = w.Task.Submitted
+	}
 	if w.Task.NotBefore.After(since) {
 		since = w.Task.NotBefore
 	}
--- a/placer/scorer.go
+++ b/placer/scorer.go
@@ -18,9 +18,10 @@
 	return []Prioritized[Scorer]{
 		{Value: AcceleratorScorer{}, Priority: 100},
 		{Value: SpreadScorer{}, Priority: 200},
-		{Value: InterferenceScorer{}, Priority: 300},
-		{Value: PackingScorer{}, Priority: 400},
-		{Value: SeedScorer{Seed: seed}, Priority: 500},
+		{Value: IsolationScorer{}, Priority: 300},
+		{Value: InterferenceScorer{}, Priority: 400},
+		{Value: PackingScorer{}, Priority: 500},
+		{Value: SeedScorer{Seed: seed}, Priority: 600},
 	}
 }
 
@@ -32,16 +33,18 @@
 	if c.Size.Accelerators > 0 {
 		return float64(c.Free.Accelerators - c.Size.Accelerators)
 	}
-	if c.Free.Accelerators > 0 {
-		return 1
-	}
-	return 0
+	return boolCost(c.Free.Accelerators > 0)
 }
 
-// SpreadScorer spreads the instances of a group over failure domains, racks
-// and workers.
+// SpreadScorer spreads the instances of a group over failure domains and racks,
+// and keeps each worker to a part of them. Below that part it leaves workers
+// equal, so that others stay free of services.
 type SpreadScorer struct{}
 
+// workerPart is the part of the instances of a group that one worker may run
+// before others are preferred: one in so many.
+const workerPart = 12
+
 // Weights of the levels of places; a level outweighs those below it.
 const (
 	domainWeight = 1e8
@@ -56,7 +59,52 @@
 	places := placesOf(c.Task.Group, c.Worker)
 	spread := c.ledger.spread
 	score := domainWeight*float64(spread[places[0]]) + rackWeight*float64(spread[places[1]])
-	return score + float64(spread[places[2]])
+	limit := max(1, c.ledger.groups[c.Task.Group]/workerPart)
+	return score + float64(max(0, spread[places[2]]+1-limit))
+}
+
+// isolationStep is the difference of cost that matters to an IsolationScorer.
+const isolationStep = 0.1
+
+// IsolationScorer keeps workers without services free for the work that services
+// do not bear: services join each other, and quiet batch work goes beside them as
+// long as it uses up no more of what they bear than of the room.
+type IsolationScorer struct{}
+
+// Score implements Scorer.
+func (IsolationScorer) Score(c *Candidate) float64 {
+	alone := len(c.room.services) == 0
+	if c.Task.Class == ClassService {
+		return boolCost(alone)
+	}
+	if alone {
+		return math.Round(c.ledger.quietness(c.template) / isolationStep)
+	}
+	over := c.toleranceShare() - c.roomShare()
+	return math.Round(math.Max(0, over) / isolationStep)
+}
+
+func boolCost(costs bool) float64 {
+	if costs {
+		return 1
+	}
+	return 0
+}
+
+// toleranceShare is the part that the task takes of the slowdown which the
+// services of the worker still bear.
+func (c *Candidate) toleranceShare() float64 {
+	highest := 0.0
+	for _, service := range c.room.services {
+		left := math.Max(interferenceStep, expectedExcess-service.excess)
+		highest = math.Max(highest, c.ledger.pair(service.template, c.template)/left)
+	}
+	return highest
+}
+
+// roomShare is the part that the task takes of what is free on the worker.
+func (c *Candidate) roomShare() float64 {
+	return math.Max(share(c.Size.Processors, c.Free.Processors), share(c.Size.Memory, c.Free.Memory))
 }
 
 // interferenceStep is the difference of expected slowdown that matters.
--- a/replayer/outcome.go
+++ b/replayer/outcome.go
@@ -1,6 +1,9 @@
 package replayer
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -102,7 +105,7 @@
 	o := Outcome{
 		Slowdown99:   float64(t.slowdowns.ValueAtQuantile(99)) / slowdownScale,
 		Slowdown50:   float64(t.slowdowns.ValueAtQuantile(50)) / slowdownScale,
-		Bound:        bound(w),
+		Bound:        min(processorBound(w), memoryBound(w)),
 		Evictions:    t.evictions,
 		Throttles:    t.throttles,
 		Missed:       t.late,
@@ -141,20 +144,16 @@
 	return processors / milliPerProcessor * run.Hours()
 }
 
-// bound is the most batch work that any schedule could have done: for each time,
+// processorBound is the most batch work that any schedule could have done: for each time,
 // the work that had arrived by then and the processors that were free after it,
 // whichever time gives least. A task does at most its own work, and no more than
 // the time since its window began allows.
-func bound(w *world) float64 {
+func processorBound(w *world) float64 {
 	steps := int(w.trace.Length / w.trace.Step)
 	arrived := make([]float64, steps+1)
-	for _, j := range w.all {
-		if j.task.Class == placer.ClassService || j.cancelled || w.tally.never[j.task.ID] {
-			continue
-		}
-		begin := max(j.submitted, j.template.NotBefore)
-		work := processorHours(j, min(j.work, w.trace.Length-begin))
-		arrived[min(steps, int(begin/w.trace.Step))] += work
+	for _, j := range w.countedBatch() {
+		work := processorHours(j, w.possibleRun(j))
+		arrived[min(steps, int(j.begin()/w.trace.Step))] += work
 	}
 	free := freeProcessors(w)
 	least := 0.0
@@ -170,6 +169,60 @@
 	return min(least, after)
 }
 
+// memoryBound is the most batch work that fits the memory which services leave of
+// all workers over the whole trace: tasks are taken in parts, those that use the
+// least memory for their processors first.
+func memoryBound(w *world) float64 {
+	free := 0.0
+	for _, worker := range w.trace.Workers {
+		free += float64(worker.Capacity.Memory) * w.trace.Length.Hours()
+	}
+	for _, j := range w.all {
+		if j.task.Class == placer.ClassService {
+			free -= j.memory() * w.trace.Length.Hours()
+		}
+	}
+	jobs := w.countedBatch()
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Compare(processorHours(b, time.Hour)/b.memory(), processorHours(a, time.Hour)/a.memory())
+	})
+	work := 0.0
+	for _, j := range jobs {
+		run := w.possibleRun(j)
+		needed := j.memory() * run.Hours()
+		part := math.Min(1, free/needed)
+		work += part * processorHours(j, run)
+		free -= part * needed
+	}
+	return work
+}
+
+// countedBatch returns the batch jobs that the bound counts.
+func (w *world) countedBatch() []*job {
+	var counted []*job
+	for _, j := range w.all {
+		if j.task.Class == placer.ClassBatch && !j.cancelled && !w.tally.never[j.task.ID] {
+			counted = append(counted, j)
+		}
+	}
+	return counted
+}
+
+// begin is when a job could run first, since the start of the trace.
+func (j *job) begin() time.Duration {
+	return max(j.submitted, j.template.NotBefore)
+}
+
+// memory is the true use of memory of a job in bytes.
+func (j *job) memory() float64 {
+	return float64(j.task.Declared.Memory) * j.template.Memory * j.factor
+}
+
+// possibleRun is the longest run time that a job can get in the trace.
+func (w *world) possibleRun(j *job) time.Duration {
+	return max(0, min(j.work, w.trace.Length-j.begin()))
+}
+
 // freeProcessors is what services leave of the processors of sound workers at
 // each step.
 func freeProcessors(w *world) []float64 {
