Give a stored answer only to its own request

Cause: the home of an idempotency key stored the answer under the key alone, so another organisation that sent the same key got the first one's answer. Ruled out: the organisation as part of the key, which leaves a key reused for another order of the same organisation with the wrong answer. Change: the stored answer is sealed with a digest of organisation, service, method, path and body; another request under the key is not run. Before and after: TestStoredAnswerIsForItsOwnRequest failed in 'other organisation', 'other path' and 'other body' (outcome ok), now passes. Conclusion: an answer reaches only the request it belongs to.

--- a/router/router.go
+++ b/router/router.go
@@ -188,10 +188,10 @@
 	switch verdict.Verdict {
 	case VerdictRun:
 		response := r.execute(ctx, request.withAttempt(1), true)
-		r.Keys.Finish(request.Key, string(response.Outcome), encodeResponse(response))
+		r.Keys.Finish(request.Key, string(response.Outcome), sealAnswer(request, response))
 		return response
 	case VerdictAnswered:
-		return decodeResponse(request, verdict.Answer)
+		return openAnswer(request, verdict.Answer)
 	case VerdictNotRun:
 		return Response{Outcome: OutcomeNotRun, RetrySafe: true, RetryAfter: busyRetryAfter, Detail: "not decided in time"}
 	default:
