Say truly that a request under another's key did not run

Ruled out: expecting 'unknown' in the test, which would be the weaker truth. Change: openAnswer answers not_run itself. Before and after: three cases of TestStoredAnswerIsForItsOwnRequest failed with 'unknown', all pass; package router passes with -race.

--- a/router/fingerprint.go
+++ b/router/fingerprint.go
@@ -24,11 +24,12 @@
 	return append(request.fingerprint(), encodeResponse(response)...)
 }
 
-// openAnswer returns the stored answer if it is the answer to this request.
+// openAnswer returns the stored answer if it is the answer to this request. A
+// request that reuses the key of another one has not run in any attempt.
 func openAnswer(request Request, content []byte) Response {
 	stored, found := bytes.CutPrefix(content, request.fingerprint())
 	if !found {
-		return request.notRun("the idempotency key belongs to another request", 0)
+		return Response{Outcome: OutcomeNotRun, RetrySafe: true, Detail: "the idempotency key belongs to another request"}
 	}
 	return decodeResponse(request, stored)
 }
