--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -83,6 +83,7 @@
 	shares     *shares
 	connection *grpc.ClientConn
 	intercept  func(method string) error
+	dead       bool
 }
 
 // fleet is some entry VMs that reach each other over gRPC.
@@ -203,7 +204,7 @@
 	for i, v := range p.fleet.vms {
 		if i != p.self {
 			all = append(all, router.Peer{
-				VM: v.router.VM, FailureDomain: v.router.FailureDomain, Alive: true, Connection: v.connection,
+				VM: v.router.VM, FailureDomain: v.router.FailureDomain, Alive: !v.dead, Connection: v.connection,
 			})
 		}
 	}
