Move instances of services together while batch work waits for interference

Cause: at moka instances start two to a worker, since memory is reserved cautiously until their template is learned, so that 36 of 65 workers run services and noisy work finds too few without. Change: gatherReaction, the greedy local move of the paper on repartitioning (Samar and Eto 2017) used as a repair step: the instance with the fewest others beside it moves to the worker of its rack with the most, under the limits of capacity and slowdown, one of a group at a time, at most three times each.

--- a/placer/claim.go
+++ b/placer/claim.go
@@ -96,7 +96,7 @@
 // Entitles implements Claim.
 func (deadlineClaim) Entitles(w *Waiter) bool {
 	left, limited := slack(w.Task, w.Now)
-	return limited && !w.Borrowing && left < criticalSlack && w.slackRank() == 0
+	return limited && !w.Borrowing && left < criticalSlack && w.slackRank == 0
 }
 
 // Yields implements Claim.
--- a/placer/order.go
+++ b/placer/order.go
@@ -19,6 +19,23 @@
 	Reclaimable bool
 	// Now is the time of the decision.
 	Now time.Time
+
+	aged      int
+	slack     time.Duration
+	slackRank int
+}
+
+func newWaiter(l *ledger, task *Task, reclaimable bool) *Waiter {
+	w := &Waiter{
+		Task:        task,
+		Size:        l.sizeFor(task),
+		Reclaimable: reclaimable,
+		Now:         l.snapshot.Now,
+	}
+	w.aged = w.agedPriority()
+	w.slack, _ = slack(task, w.Now)
+	w.slackRank = w.rankSlack()
+	return w
 }
 
 // Order compares waiting tasks.
@@ -88,7 +105,7 @@
 }
 
 func comparePriority(a, b *Waiter) int {
-	return cmp.Compare(b.agedPriority(), a.agedPriority())
+	return cmp.Compare(b.aged, a.aged)
 }
 
 func compareBorrowing(a, b *Waiter) int {
@@ -98,15 +115,15 @@
 // compareSlack puts the least slack first, then tasks without a deadline, then
 // those that can no longer meet theirs.
 func compareSlack(a, b *Waiter) int {
-	if c := cmp.Compare(a.slackRank(), b.slackRank()); c != 0 {
+	if c := cmp.Compare(a.slackRank, b.slackRank); c != 0 {
 		return c
 	}
-	slackA, _ := slack(a.Task, a.Now)
-	slackB, _ := slack(b.Task, b.Now)
-	return cmp.Compare(slackA, slackB)
+	return cmp.Compare(a.slack, b.slack)
 }
 
-func (w *Waiter) slackRank() int {
+// rankSlack puts a task among those with a deadline, without one, or too late for
+// theirs.
+func (w *Waiter) rankSlack() int {
 	left, limited := slack(w.Task, w.Now)
 	if !limited {
 		return 1
@@ -138,12 +155,7 @@
 	for i := range l.snapshot.Tasks {
 		task := &l.snapshot.Tasks[i]
 		if task.State == TaskWaiting && len(task.Workers) == 0 {
-			waiters = append(waiters, &Waiter{
-				Task:        task,
-				Size:        l.sizeFor(task),
-				Reclaimable: reclaimable,
-				Now:         l.snapshot.Now,
-			})
+			waiters = append(waiters, newWaiter(l, task, reclaimable))
 		}
 	}
 	orders := sorted(p.Orders)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -196,8 +196,9 @@
 	var best *room
 	var lowest scores
 	code := ReasonCapacity
+	c := s.ledger.candidate(w.Task, w.Size, nil)
 	for _, r := range s.ledger.rooms {
-		c := s.ledger.candidate(w.Task, w.Size, r)
+		c.enter(r)
 		reason, admitted := admitsAll(s.filters, &c)
 		if !admitted {
 			code = worse(code, reason)
@@ -232,17 +233,26 @@
 	return "", true
 }
 
-// candidate returns a room as a Candidate for a task.
+// candidate returns a Candidate for a task that is in a room, or in none yet if
+// that is nil.
 func (l *ledger) candidate(task *Task, size Size, r *room) Candidate {
-	return Candidate{
+	c := Candidate{
 		Task:     task,
 		Size:     size,
-		Worker:   r.worker,
-		Free:     r.free,
 		ledger:   l,
-		room:     r,
 		template: l.templateIndex(task.Template),
 	}
+	if r != nil {
+		c.enter(r)
+	}
+	return c
+}
+
+// enter considers another room.
+func (c *Candidate) enter(r *room) {
+	c.room = r
+	c.Worker = r.worker
+	c.Free = r.free
 }
 
 // maxScorers limits the number of registered scorers.
--- a/placer/reaction.go
+++ b/placer/reaction.go
@@ -23,6 +23,7 @@
 		{Value: resizeReaction{}, Priority: 200},
 		{Value: protectReaction{}, Priority: 300},
 		{Value: growReaction{}, Priority: PlacementPriority + 100},
+		{Value: gatherReaction{}, Priority: PlacementPriority + 200},
 	}
 }
 
--- a/placer/scorer.go
+++ b/placer/scorer.go
@@ -73,11 +73,11 @@
 
 // Score implements Scorer.
 func (IsolationScorer) Score(c *Candidate) float64 {
-	alone := len(c.room.services) == 0
+	services := len(c.room.services)
 	if c.Task.Class == ClassService {
-		return boolCost(alone)
+		return -float64(services)
 	}
-	if alone {
+	if services == 0 {
 		return math.Round(c.ledger.quietness(c.template) / isolationStep)
 	}
 	over := c.toleranceShare() - c.roomShare()
