--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,10 @@
 	// for passing a request to another failure domain and back.
 	DefaultSpillCost = 12 * time.Millisecond
 
+	// DefaultBodyTimeout is the time for the body of a Router whose BodyTimeout
+	// is zero.
+	DefaultBodyTimeout = 5 * time.Second
+
 	busyRetryAfter     = 100 * time.Millisecond
 	drainingRetryAfter = 10 * time.Millisecond
 )
@@ -85,6 +89,8 @@
 	MaxBytes int64
 	// QueueLength is how many requests wait at most.
 	QueueLength int
+	// BodyTimeout is how long a caller may take to send the body.
+	BodyTimeout time.Duration
 
 	mu       sync.Mutex
 	started  bool
@@ -182,10 +188,10 @@
 	switch verdict.Verdict {
 	case VerdictRun:
 		response := r.execute(ctx, request.withAttempt(1), true)
-		r.Keys.Finish(request.Key, string(response.Outcome), encodeResponse(response))
+		r.Keys.Finish(request.Key, string(response.Outcome), sealAnswer(request, response))
 		return response
 	case VerdictAnswered:
-		return decodeResponse(request, verdict.Answer)
+		return openAnswer(request, verdict.Answer)
 	case VerdictNotRun:
 		return Response{Outcome: OutcomeNotRun, RetrySafe: true, RetryAfter: busyRetryAfter, Detail: "not decided in time"}
 	default:
@@ -306,6 +312,13 @@
 	return r.SpillCost
 }
 
+func (r *Router) bodyTimeout() time.Duration {
+	if r.BodyTimeout == 0 {
+		return DefaultBodyTimeout
+	}
+	return r.BodyTimeout
+}
+
 func (r *Router) maxBodyBytes() int64 {
 	if r.MaxBodyBytes == 0 {
 		return DefaultMaxBodyBytes
