Let updates of one document by one keeper take turns

A document's writer mark names only the last write of a writer. With two updates of one document in flight in a process, the one whose answer was lost took the other's later mark for its own. Ruled out: a fault of the configurer (its document is changed by Keeper.Update only); exact marks for each write, which push out other writers' marks from the bounded list. Change: the smallest in this shared package: updates of the same key take turns. They would have conflicted anyway.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -24,6 +24,7 @@
 	Writer string
 
 	sequence atomic.Int64
+	turns    turns
 }
 
 // ChangeFunc computes the new body of a document. A nil body deletes it. An error
@@ -53,6 +54,11 @@
 }
 
 func (k *Keeper) update(ctx context.Context, key string, lease LeaseID, change ChangeFunc) (Document, error) {
+	end, err := k.turns.take(ctx, key)
+	if err != nil {
+		return Document{}, &UnavailableError{Operation: "update", Err: err}
+	}
+	defer end()
 	current, err := k.Read(ctx, key)
 	if err != nil {
 		return Document{}, err
