Retry what did not run under a new key; divide quotas; default settings

Cause: a caller told not_run sent its order again as attempt 2. Ruled out: a home that trusts attempt 1 of any age, since a caller's library may send attempt 1 twice. Change: the load sends a request that did not run under a new key, one whose answer was lost as the next attempt of the same key. placer.Size.Divided, loader.Default and loader.WholeDomains serve the wiring.

--- a/generator/generator.go
+++ b/generator/generator.go
@@ -154,23 +154,38 @@
 	return int(float64(i+1)*g.Orders) > int(float64(i)*g.Orders)
 }
 
+// exchange sends one request until it is answered. A request that did not run
+// is sent again under a new key; one whose answer is lost under the same key,
+// as the next attempt.
 func (g *Generator) exchange(ctx context.Context, i int, intended time.Time) Exchange {
-	exchange := Exchange{Outcome: OutcomeLost}
-	if g.isOrder(i) {
-		exchange.Key = newKey()
-	}
+	exchange := Exchange{Outcome: OutcomeNotRun}
+	sending := sending{}
 	for exchange.Attempts < max(1, g.Attempts) {
+		if g.isOrder(i) && exchange.Outcome == OutcomeNotRun {
+			sending = sending.withKey(newKey())
+			exchange.Keys = append(exchange.Keys, sending.key)
+		}
 		target := g.Targets[(i+exchange.Attempts)%len(g.Targets)]
 		exchange.Attempts++
-		exchange.Outcome = g.send(ctx, target, exchange)
+		exchange.Outcome = g.send(ctx, target, sending)
 		if exchange.Outcome != OutcomeNotRun && exchange.Outcome != OutcomeLost {
 			break
 		}
+		sending.attempt++
 	}
 	exchange.Latency = g.Clock.Since(intended)
 	return exchange
 }
 
+// sending is what one request is sent with.
+type sending struct {
+	key     string
+	attempt int
+}
+
+// withKey returns the first attempt under a key.
+func (sending) withKey(key string) sending { return sending{key: key, attempt: 1} }
+
 func newKey() string {
 	key, err := uuid.NewV7()
 	if err != nil {
@@ -179,10 +194,10 @@
 	return key.String()
 }
 
-func (g *Generator) send(ctx context.Context, target string, exchange Exchange) Outcome {
+func (g *Generator) send(ctx context.Context, target string, sending sending) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, g.Deadline+answerGracePeriod)
 	defer cancel()
-	request, err := g.request(ctx, target, exchange)
+	request, err := g.request(ctx, target, sending)
 	if err != nil {
 		return OutcomeNotRun
 	}
@@ -210,11 +225,11 @@
 	return OutcomeLost
 }
 
-func (g *Generator) request(ctx context.Context, target string, exchange Exchange) (*http.Request, error) {
+func (g *Generator) request(ctx context.Context, target string, sending sending) (*http.Request, error) {
 	url := fmt.Sprintf("http://%s/v1/organisations/%s/services/%s/fit", target, g.Organisation, g.Service)
 	method := http.MethodGet
 	var body io.Reader
-	if exchange.Key != "" {
+	if sending.key != "" {
 		method = http.MethodPost
 		// The reader hides its type so that the transport can't send it again.
 		body = io.NopCloser(bytes.NewReader([]byte(`{"order":"cane"}`)))
@@ -224,9 +239,9 @@
 		return nil, err
 	}
 	request.Header.Set(headerDeadline, strconv.FormatInt(g.Deadline.Milliseconds(), 10))
-	if exchange.Key != "" {
-		request.Header.Set(headerKey, exchange.Key)
-		request.Header.Set(headerAttempt, strconv.Itoa(exchange.Attempts))
+	if sending.key != "" {
+		request.Header.Set(headerKey, sending.key)
+		request.Header.Set(headerAttempt, strconv.Itoa(sending.attempt))
 	}
 	if g.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+g.Token)
--- a/generator/report.go
+++ b/generator/report.go
@@ -32,8 +32,9 @@
 
 // Exchange is one request with what its caller was told.
 type Exchange struct {
-	// Key is the idempotency key, or empty for an idempotent request.
-	Key string
+	// Keys are the idempotency keys that it was sent under, none for an
+	// idempotent request. At most one of them may have run, and only once.
+	Keys []string
 	// Attempts is how often the caller sent it.
 	Attempts int
 	// Outcome is what the caller was told last.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -63,6 +63,22 @@
 	return settings, nil
 }
 
+// Default returns the settings that a file leaves out.
+func Default() Settings {
+	empty, err := decoder.Parse("default", []byte("{}"))
+	if err != nil {
+		return Settings{}
+	}
+	return Settings{
+		Store:    readStore(empty),
+		Platform: readPlatform(empty),
+		Seats:    readSeats(empty),
+		Requests: readRequests(empty),
+		Tasks:    readTasks(empty),
+		Shutdown: readShutdown(empty),
+	}
+}
+
 // section returns an optional object; a missing one reads as empty.
 func section(root *decoder.Object, name string) *decoder.Object {
 	if object := root.Object(name, false); object != nil {
@@ -203,13 +219,13 @@
 		cells = append(cells, cell)
 	}
 	if len(cells) == 0 {
-		return wholeDomains(settings.FailureDomains)
+		return WholeDomains(settings.FailureDomains)
 	}
 	return cells
 }
 
-// wholeDomains returns one cell for each failure domain.
-func wholeDomains(failureDomains []string) []Cell {
+// WholeDomains returns one cell for each failure domain.
+func WholeDomains(failureDomains []string) []Cell {
 	var cells []Cell
 	for _, failureDomain := range failureDomains {
 		cells = append(cells, Cell{ID: failureDomain, FailureDomain: failureDomain})
--- a/placer/snapshot.go
+++ b/placer/snapshot.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// Divided returns an equal part of s in whole units, of parts above zero.
+func (s Size) Divided(parts int) Size {
+	n := int64(max(parts, 1))
+	return Size{
+		Processors:   s.Processors / n,
+		Memory:       s.Memory / n,
+		Accelerators: s.Accelerators / n,
+	}
+}
+
 // Within reports whether s fits into o in every resource.
 func (s Size) Within(o Size) bool {
 	return s.Processors <= o.Processors && s.Memory <= o.Memory && s.Accelerators <= o.Accelerators
