Learn run times, and let time to spare decide who yields and who is throttled

Declared run times are far off; sorts evicted labels of the same deadline, which only moves the miss; throttles hit tasks without time to spare; work without a deadline overtook by age. Change: the estimator learns run times by template from endings and weighs them with what is declared; slack uses them on the safe side. A task with a deadline evicts lower priorities without one or with a later one, once its time left is less than twice its expected need. Of similar disturbers the one with most time to spare is throttled, and the one with least is lifted. Age raises a priority every 2 h instead of 30 min. Windows count as missed if they were long enough for the true run time at all.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -4,6 +4,7 @@
 package estimator
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 type Estimator struct {
 	mu        sync.Mutex
 	templates map[string]*templateSizes
+	times     map[string]templateTimes
 	pairs     map[string]*templatePairs
 	services  map[string]measurement
 	reported  map[string]time.Time
@@ -63,11 +65,20 @@
 	return true
 }
 
+// ObserveEnd learns from the end of a batch task that did its work.
+func (e *Estimator) ObserveEnd(ending Ending) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prepare()
+	e.times[ending.Template] = e.times[ending.Template].observe(ending)
+}
+
 func (e *Estimator) prepare() {
 	if e.templates != nil {
 		return
 	}
 	e.templates = map[string]*templateSizes{}
+	e.times = map[string]templateTimes{}
 	e.pairs = map[string]*templatePairs{}
 	e.services = map[string]measurement{}
 	e.reported = map[string]time.Time{}
@@ -153,6 +164,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	v := &View{
+		times:    maps.Clone(e.times),
 		sizes:    make(map[string]factors, len(e.templates)),
 		pairs:    make(map[string]map[string]float64, len(e.pairs)),
 		measured: make(map[string]float64, len(e.services)),
@@ -177,6 +189,7 @@
 
 // View is what an Estimator knew at a time. It implements placer.Estimates.
 type View struct {
+	times    map[string]templateTimes
 	sizes    map[string]factors
 	pairs    map[string]map[string]float64
 	measured map[string]float64
@@ -196,6 +209,11 @@
 	return v.sizes[template].learned
 }
 
+// Remaining implements placer.RunTimes.
+func (v *View) Remaining(template string, declared, ran time.Duration) time.Duration {
+	return v.times[template].remaining(declared, ran)
+}
+
 // Slowdown implements placer.Estimates.
 func (v *View) Slowdown(template string, neighbours []string) float64 {
 	slowdown := 1.0
--- a/placer/claim.go
+++ b/placer/claim.go
@@ -12,12 +12,27 @@
 	// Entitles reports whether the task may evict at all.
 	Entitles(w *Waiter) bool
 	// Yields reports whether the placed task has to make room for the waiter.
-	// Over tells that the organisation of the placed task exceeds its quota.
-	Yields(w *Waiter, placed *Task, over bool) bool
+	Yields(w *Waiter, placed Placed) bool
 	// Budgeted reports whether the evictions count against the budget.
 	Budgeted() bool
 }
 
+// Placed is a placed task as the claims see it.
+type Placed struct {
+	// Task is the task.
+	Task *Task
+	// Over tells that its organisation exceeds its quota.
+	Over bool
+	// Slack is the time that it can still wait and end by its deadline. It is
+	// negative if it will be late, and meaningless without a deadline.
+	Slack time.Duration
+}
+
+// yieldable reports whether a placed task is batch work that is not urgent.
+func (p Placed) yieldable() bool {
+	return p.Task.Class == ClassBatch && !p.Task.Urgent
+}
+
 // DefaultClaims returns the claims that a Placer uses when it has none set.
 func DefaultClaims() []Prioritized[Claim] {
 	return []Prioritized[Claim]{
@@ -37,8 +52,8 @@
 }
 
 // Yields implements Claim.
-func (urgentClaim) Yields(_ *Waiter, placed *Task, _ bool) bool {
-	return placed.Class == ClassBatch && !placed.Urgent
+func (urgentClaim) Yields(_ *Waiter, placed Placed) bool {
+	return placed.yieldable()
 }
 
 // Budgeted implements Claim.
@@ -55,8 +70,8 @@
 }
 
 // Yields implements Claim.
-func (serviceClaim) Yields(_ *Waiter, placed *Task, _ bool) bool {
-	return placed.Class == ClassBatch && !placed.Urgent
+func (serviceClaim) Yields(_ *Waiter, placed Placed) bool {
+	return placed.yieldable()
 }
 
 // Budgeted implements Claim.
@@ -74,11 +89,8 @@
 }
 
 // Yields implements Claim.
-func (quotaClaim) Yields(w *Waiter, placed *Task, over bool) bool {
-	if placed.Class != ClassBatch || placed.Urgent || placed.Organisation == w.Task.Organisation {
-		return false
-	}
-	return over
+func (quotaClaim) Yields(w *Waiter, placed Placed) bool {
+	return placed.yieldable() && placed.Over && placed.Task.Organisation != w.Task.Organisation
 }
 
 // Budgeted implements Claim.
@@ -86,26 +98,28 @@
 	return true
 }
 
-// criticalSlack is the slack below which a task may evict for its deadline.
+// criticalSlack is the slack below which a task is about to miss its deadline.
 const criticalSlack = 10 * time.Minute
 
-// deadlineClaim lets work that is about to miss its deadline evict work of a
-// lower priority that can wait.
+// deadlineClaim lets work evict work of a lower priority that can wait until it
+// has ended, once the time left to its deadline is less than twice what it is
+// expected to need.
 type deadlineClaim struct{}
 
 // Entitles implements Claim.
 func (deadlineClaim) Entitles(w *Waiter) bool {
-	left, limited := slack(w.Task, w.Now)
-	return limited && !w.Borrowing && left < criticalSlack && w.slackRank == 0
+	return w.slackRank == 0 && !w.Borrowing && w.slack < max(criticalSlack, w.remaining)
 }
 
 // Yields implements Claim.
-func (deadlineClaim) Yields(w *Waiter, placed *Task, _ bool) bool {
-	if placed.Class != ClassBatch || placed.Urgent || placed.Priority >= w.Task.Priority {
+func (deadlineClaim) Yields(w *Waiter, placed Placed) bool {
+	if !placed.yieldable() || placed.Task.Priority >= w.Task.Priority {
 		return false
 	}
-	left, limited := slack(placed, w.Now)
-	return !limited || left > 2*criticalSlack
+	if placed.Task.Deadline.IsZero() {
+		return true
+	}
+	return placed.Task.Deadline.After(w.Task.Deadline) && placed.Slack > w.remaining+criticalSlack
 }
 
 // maxEvictions is the number of evictions after which a task no longer yields to
@@ -234,9 +248,10 @@
 func yieldingTenants(l *ledger, w *Waiter, claim Claim, r *room) []*tenant {
 	var yielding []*tenant
 	for _, t := range r.tenants {
-		over := l.borrows(t.task.Organisation, Size{})
+		slack, _ := l.slack(t.task)
+		placed := Placed{Task: t.task, Over: l.borrows(t.task.Organisation, Size{}), Slack: slack}
 		spared := claim.Budgeted() && t.task.Evictions >= maxEvictions
-		if !spared && !t.leaving && t.task.State == TaskPlaced && claim.Yields(w, t.task, over) {
+		if !spared && !t.leaving && t.task.State == TaskPlaced && claim.Yields(w, placed) {
 			yielding = append(yielding, t)
 		}
 	}
@@ -268,7 +283,7 @@
 	if !l.borrows(t.task.Organisation, Size{}) {
 		cost += quotaCost
 	}
-	if left, limited := slack(t.task, l.snapshot.Now); limited && left < 2*criticalSlack {
+	if left, limited := l.slack(t.task); limited && left < 2*criticalSlack {
 		cost += hurryCost
 	}
 	if !t.task.Since.IsZero() {
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -1,5 +1,7 @@
 package placer
 
+import "time"
+
 // tenant is a task that may run on a worker.
 type tenant struct {
 	task     *Task
@@ -232,6 +234,29 @@
 	return largest
 }
 
+// remaining is the run time that a task may still need.
+func (l *ledger) remaining(task *Task) time.Duration {
+	ran := task.Ran
+	if task.State == TaskPlaced && !task.Since.IsZero() {
+		ran += time.Duration(throttleOf(task) * float64(l.snapshot.Now.Sub(task.Since)))
+	}
+	declared := task.Work + task.Ran
+	times, learns := l.snapshot.Estimates.(RunTimes)
+	if !learns {
+		return max(0, declared-ran)
+	}
+	return times.Remaining(task.Template, declared, ran)
+}
+
+// slack is the time that a task can still wait and end by its deadline, and
+// whether it has one.
+func (l *ledger) slack(task *Task) (time.Duration, bool) {
+	if task.Deadline.IsZero() {
+		return 0, false
+	}
+	return task.Deadline.Sub(l.snapshot.Now) - l.remaining(task), true
+}
+
 // learned reports whether sizes of a template are more than cautious guesses.
 func (l *ledger) learned(template string) bool {
 	confidence, tells := l.snapshot.Estimates.(Confidence)
--- a/placer/order.go
+++ b/placer/order.go
@@ -21,6 +21,7 @@
 	Now time.Time
 
 	aged      int
+	remaining time.Duration
 	slack     time.Duration
 	slackRank int
 }
@@ -33,7 +34,8 @@
 		Now:         l.snapshot.Now,
 	}
 	w.aged = w.agedPriority()
-	w.slack, _ = slack(task, w.Now)
+	w.remaining = l.remaining(task)
+	w.slack, _ = l.slack(task)
 	w.slackRank = w.rankSlack()
 	return w
 }
@@ -67,7 +69,7 @@
 
 // agingPeriod is the time of waiting that raises a batch task by one priority,
 // so that no task waits for ever behind more important ones.
-const agingPeriod = 30 * time.Minute
+const agingPeriod = 2 * time.Hour
 
 // agedPriority is the priority of a waiting task, raised by the time that it has
 // waited since its window began or since it was evicted.
@@ -88,14 +90,6 @@
 	return w.Task.Priority + int(w.Now.Sub(since)/agingPeriod)
 }
 
-// slack is the time that a task can still wait and end by its deadline.
-func slack(task *Task, now time.Time) (time.Duration, bool) {
-	if task.Deadline.IsZero() {
-		return 0, false
-	}
-	return task.Deadline.Sub(now) - task.Work, true
-}
-
 func compareUrgency(a, b *Waiter) int {
 	return compareTrueFirst(a.Task.Urgent, b.Task.Urgent)
 }
@@ -124,11 +118,10 @@
 // rankSlack puts a task among those with a deadline, without one, or too late for
 // theirs.
 func (w *Waiter) rankSlack() int {
-	left, limited := slack(w.Task, w.Now)
-	if !limited {
+	if w.Task.Deadline.IsZero() {
 		return 1
 	}
-	if left < -w.Task.Work/2 {
+	if w.slack < -w.remaining/2 {
 		return 2
 	}
 	return 0
--- a/placer/reaction.go
+++ b/placer/reaction.go
@@ -286,17 +286,41 @@
 	}
 }
 
-// mostDisturbing returns the batch neighbour that costs a service most.
+// similarPart is the part of the greatest disturbance from which another counts as
+// similar.
+const similarPart = 0.5
+
+// mostDisturbing returns, of the batch neighbours that cost a service most, the
+// one that can best wait.
 func mostDisturbing(l *ledger, place *room, service *tenant) *tenant {
-	var most *tenant
+	neighbours := batchTenants(place)
 	highest := 0.0
-	for _, t := range batchTenants(place) {
-		cost := l.pair(service.template, t.template) * throttleOf(t.task)
-		if most == nil || cost > highest {
-			most, highest = t, cost
+	for _, t := range neighbours {
+		highest = max(highest, l.disturbance(service, t))
+	}
+	var chosen *tenant
+	for _, t := range neighbours {
+		similar := l.disturbance(service, t) >= similarPart*highest
+		if similar && (chosen == nil || l.waitsBetter(t, chosen)) {
+			chosen = t
 		}
 	}
-	return most
+	return chosen
+}
+
+// disturbance is what a tenant costs a service at its present throttle.
+func (l *ledger) disturbance(service, t *tenant) float64 {
+	return l.pair(service.template, t.template) * throttleOf(t.task)
+}
+
+// waitsBetter reports whether a has more time to spare than b.
+func (l *ledger) waitsBetter(a, b *tenant) bool {
+	slackA, limitedA := l.slack(a.task)
+	slackB, limitedB := l.slack(b.task)
+	if limitedA != limitedB {
+		return limitedB
+	}
+	return slackA > slackB
 }
 
 func throttleOf(task *Task) float64 {
@@ -312,18 +336,28 @@
 	if !settled(r.ledger, place) {
 		return
 	}
+	t := mostHeldBack(r.ledger, place)
+	if t == nil {
+		return
+	}
+	throttle := throttleOf(t.task)
+	raised := clampThrottle(throttle / throttleFactor)
+	if slowdown+(raised-throttle)*worstPair(r.ledger, place, t) < measuredLow {
+		r.throttle(place, t, raised, "the services beside it are well")
+	}
+}
+
+// mostHeldBack returns the throttled tenant with the least time to spare, of those
+// whose throttle has not changed lately.
+func mostHeldBack(l *ledger, place *room) *tenant {
+	var chosen *tenant
 	for _, t := range batchTenants(place) {
-		throttle := throttleOf(t.task)
-		calm := r.ledger.snapshot.Now.Sub(t.task.ThrottledAt) >= calmTime
-		if throttle == 1 || !calm {
-			continue
-		}
-		raised := clampThrottle(throttle / throttleFactor)
-		if slowdown+(raised-throttle)*worstPair(r.ledger, place, t) < measuredLow {
-			r.throttle(place, t, raised, "the services beside it are well")
-			return
+		calm := l.snapshot.Now.Sub(t.task.ThrottledAt) >= calmTime
+		if throttleOf(t.task) < 1 && calm && (chosen == nil || l.waitsBetter(chosen, t)) {
+			chosen = t
 		}
 	}
+	return chosen
 }
 
 // worstPair is the greatest slowdown above 1 that a tenant is expected to cause a
--- a/placer/snapshot.go
+++ b/placer/snapshot.go
@@ -139,6 +139,8 @@
 	Deadline time.Time
 	// Work is the declared run time of the remaining work.
 	Work time.Duration
+	// Ran is the run time that its last checkpoint holds.
+	Ran time.Duration
 	// Submitted is when it began to wait.
 	Submitted time.Time
 	// State is its state.
@@ -189,6 +191,13 @@
 	Measured(task string) float64
 }
 
+// RunTimes is implemented by Estimates that learn how long tasks run.
+type RunTimes interface {
+	// Remaining returns the run time that a task of the template may still need,
+	// on the safe side, from its declared total and what it ran so far.
+	Remaining(template string, declared, ran time.Duration) time.Duration
+}
+
 // Confidence is implemented by Estimates that tell what they have learned from
 // what they guess. Placed tasks are resized only to learned sizes.
 type Confidence interface {
--- a/replayer/outcome.go
+++ b/replayer/outcome.go
@@ -27,7 +27,8 @@
 	Evictions int
 	// Throttles is the number of changes of a throttle.
 	Throttles int
-	// Missed is the number of feasible windows missed.
+	// Missed is the number of windows missed that were long enough for the true run
+	// time of their task, however little they left to spare.
 	Missed int
 	// Never is the number of tasks reported as never to run.
 	Never int
@@ -130,7 +131,7 @@
 	switch {
 	case j.finished:
 		o.Finished++
-	case !j.task.Deadline.IsZero() && w.now.After(j.task.Deadline):
+	case w.late(j):
 		o.Missed++
 	}
 	if j.task.Urgent && j.started.IsZero() {
