--- a/placer/claim.go
+++ b/placer/claim.go
@@ -108,7 +108,7 @@
 
 // Entitles implements Claim.
 func (deadlineClaim) Entitles(w *Waiter) bool {
-	return w.hurried() && !w.Borrowing
+	return w.slackRank == 0 && !w.Borrowing && w.slack < max(criticalSlack, w.remaining)
 }
 
 // Yields implements Claim.
--- a/placer/order.go
+++ b/placer/order.go
@@ -33,13 +33,10 @@
 		Reclaimable: reclaimable,
 		Now:         l.snapshot.Now,
 	}
+	w.aged = w.agedPriority()
 	w.remaining = l.remaining(task)
 	w.slack, _ = l.slack(task)
 	w.slackRank = w.rankSlack()
-	w.aged = w.agedPriority()
-	if w.hurried() {
-		w.aged += hurryRaise
-	}
 	return w
 }
 
@@ -70,15 +67,6 @@
 	}
 }
 
-// hurryRaise is by how much the priority of hurried work is raised.
-const hurryRaise = 1
-
-// hurried reports whether the time left to the deadline is less than twice what the
-// task is expected to need.
-func (w *Waiter) hurried() bool {
-	return w.slackRank == 0 && w.slack < max(criticalSlack, w.remaining)
-}
-
 // agingPeriod is the time of waiting that raises a batch task by one priority,
 // so that no task waits for ever behind more important ones.
 const agingPeriod = 2 * time.Hour
