--- a/placer/snapshot.go
+++ b/placer/snapshot.go
@@ -43,6 +43,34 @@
 	}
 }
 
+// Max returns the larger of s and o in every resource.
+func (s Size) Max(o Size) Size {
+	return Size{
+		Processors:   max(s.Processors, o.Processors),
+		Memory:       max(s.Memory, o.Memory),
+		Accelerators: max(s.Accelerators, o.Accelerators),
+	}
+}
+
+// Min returns the smaller of s and o in every resource.
+func (s Size) Min(o Size) Size {
+	return Size{
+		Processors:   min(s.Processors, o.Processors),
+		Memory:       min(s.Memory, o.Memory),
+		Accelerators: min(s.Accelerators, o.Accelerators),
+	}
+}
+
+// Divided returns an equal part of s in whole units, of parts above zero.
+func (s Size) Divided(parts int) Size {
+	n := int64(max(parts, 1))
+	return Size{
+		Processors:   s.Processors / n,
+		Memory:       s.Memory / n,
+		Accelerators: s.Accelerators / n,
+	}
+}
+
 // Within reports whether s fits into o in every resource.
 func (s Size) Within(o Size) bool {
 	return s.Processors <= o.Processors && s.Memory <= o.Memory && s.Accelerators <= o.Accelerators
@@ -102,6 +130,9 @@
 	Class Class
 	// Declared is the size that its template declares.
 	Declared Size
+	// Reserved is the size that its current attempt was given, as
+	// Action.Reserved said; zero stands for Declared.
+	Reserved Size
 	// Priority orders tasks; higher goes first.
 	Priority int
 	// Urgent marks a task that must start within the urgent start limit.
@@ -118,6 +149,8 @@
 	Deadline time.Time
 	// Work is the declared run time of the remaining work.
 	Work time.Duration
+	// Ran is the run time that its last checkpoint holds.
+	Ran time.Duration
 	// Submitted is when it began to wait.
 	Submitted time.Time
 	// State is its state.
@@ -126,6 +159,10 @@
 	Workers []string
 	// Throttle is the share of its processors that it may use, 1 if not throttled.
 	Throttle float64
+	// ThrottledAt is when Throttle last changed, zero if never.
+	ThrottledAt time.Time
+	// Evictions is how often the task has been evicted so far.
+	Evictions int
 	// Since is when it reached its state.
 	Since time.Time
 }
@@ -157,8 +194,23 @@
 	// Size returns the size to reserve for a task of the template.
 	Size(template string, declared Size) Size
 	// Slowdown returns the expected slowdown, 1 being none, of a task of
-	// template beside one task of each of the neighbours.
+	// template beside one task of each of the neighbours. The excess over 1 is
+	// the sum of the excesses beside each neighbour alone.
 	Slowdown(template string, neighbours []string) float64
 	// Measured returns the slowdown that a running task shows now, 1 if unknown.
 	Measured(task string) float64
 }
+
+// RunTimes is implemented by Estimates that learn how long tasks run.
+type RunTimes interface {
+	// Remaining returns the run time that a task of the template may still need,
+	// on the safe side, from its declared total and what it ran so far.
+	Remaining(template string, declared, ran time.Duration) time.Duration
+}
+
+// Confidence is implemented by Estimates that tell what they have learned from
+// what they guess. Placed tasks are resized only to learned sizes.
+type Confidence interface {
+	// Learned reports whether Size rests on enough reports of the template.
+	Learned(template string) bool
+}
