Prove the owner under faults of workers, store and processes

Tests: eight seeded sequences of faults (frozen, cut, killed and lossy workers, store outages, frozen, cut and killed owners), unreachable workers with and without a successor, a worker that only the earlier owner reaches, a decider without regard to capacity, blame, and a job that can never run. Not caught yet: a worker that counts the lease from receipt.

--- /dev/null
+++ b/owner/fault_test.go
@@ -0,0 +1,275 @@
+package owner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"zinniashore.example/owner"
+	"zinniashore.example/placer"
+	"zinniashore.example/standin"
+	"zinniashore.example/submitter"
+)
+
+// TestRandomFaults runs jobs under a seeded sequence of faults of workers, the
+// store and the processes. Whatever the timing, the history has no breach and
+// every job ends with all its tasks done.
+func TestRandomFaults(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newChaos(t, seed)
+			for i := range 3 {
+				c.world.submit(submitter.Job{Name: fmt.Sprintf("night-%d", i), Tasks: 12, Work: 200 * time.Millisecond})
+			}
+			for range 25 {
+				c.fault()
+				time.Sleep(time.Duration(c.random.IntN(60)) * time.Millisecond)
+			}
+			c.heal()
+			for i := range 3 {
+				if job := c.world.ended(fmt.Sprintf("night-%d", i)); job.State != submitter.JobDone || job.DoneTasks != 12 {
+					t.Errorf("job ended %q with %d done: %s", job.State, job.DoneTasks, job.Reason)
+				}
+			}
+			c.world.check()
+		})
+	}
+}
+
+// chaos puts faults into a world.
+type chaos struct {
+	world     *world
+	random    *rand.Rand
+	processes []*process
+	born      int
+}
+
+func newChaos(t *testing.T, seed uint64) *chaos {
+	c := &chaos{world: newWorld(t, 4), random: randomly(seed)}
+	c.spawn()
+	c.spawn()
+	return c
+}
+
+func (c *chaos) spawn() {
+	c.born++
+	seed := uint64(c.born)
+	c.processes = append(c.processes, c.world.process(fmt.Sprintf("p%d", c.born), func(o *owner.Owner) {
+		o.Decider = &evictingDecider{random: randomly(seed), budget: 15}
+	}))
+}
+
+func (c *chaos) worker() (string, *standin.Worker) {
+	id := fmt.Sprintf("w%d", c.random.IntN(len(c.world.rows)))
+	return id, c.world.workers[id]
+}
+
+func (c *chaos) fault() {
+	p := c.processes[c.random.IntN(len(c.processes))]
+	id, worker := c.worker()
+	switch c.random.IntN(10) {
+	case 0:
+		worker.SetFaults(standin.WorkerFaults{Frozen: true})
+	case 1:
+		worker.SetFaults(standin.WorkerFaults{Cut: true})
+	case 2:
+		worker.SetFaults(standin.WorkerFaults{LoseEvery: 2 + c.random.IntN(3)})
+	case 3:
+		worker.SetFaults(standin.WorkerFaults{})
+	case 4:
+		c.world.kills[id]()
+		c.world.addWorker(id)
+	case 5:
+		c.world.store.SetFaults(standin.StoreFaults{Outage: c.random.IntN(2) == 0, LoseAnswers: c.random.IntN(6)})
+	case 6:
+		p.valve.freeze()
+	case 7:
+		p.valve.thaw()
+	case 8:
+		p.valve.set(func(v *valve) { v.cut[c.world.rows[c.random.IntN(4)].Address] = true })
+	case 9:
+		p.kill()
+		c.replace(p)
+	}
+}
+
+func (c *chaos) replace(gone *process) {
+	var rest []*process
+	for _, p := range c.processes {
+		if p != gone {
+			rest = append(rest, p)
+		}
+	}
+	c.processes = rest
+	c.spawn()
+}
+
+func (c *chaos) heal() {
+	c.world.store.SetFaults(standin.StoreFaults{})
+	for _, worker := range c.world.workers {
+		worker.SetFaults(standin.WorkerFaults{})
+	}
+	for _, p := range c.processes {
+		p.valve.set(func(v *valve) { clear(v.cut) })
+		p.valve.thaw()
+	}
+}
+
+// TestUnreachableWorker takes a worker away in several ways while tasks run
+// there: they run elsewhere only after they have ended there.
+func TestUnreachableWorker(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		fault standin.WorkerFaults
+		kill  bool
+		// successor lets a new owner meet the worker for the first time.
+		successor bool
+	}{
+		"frozen":                    {fault: standin.WorkerFaults{Frozen: true}},
+		"cut off":                   {fault: standin.WorkerFaults{Cut: true}},
+		"killed":                    {kill: true},
+		"frozen before a successor": {fault: standin.WorkerFaults{Frozen: true}, successor: true},
+		"cut off from a successor":  {fault: standin.WorkerFaults{Cut: true}, successor: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 2)
+			first := w.process("a", nil)
+			w.submit(submitter.Job{Name: "night", Tasks: 6, Work: 400 * time.Millisecond})
+			w.eventually("all tasks run", func() bool { return len(w.ledger.Runs()) == 6 })
+			w.workers["w0"].SetFaults(test.fault)
+			if test.kill {
+				w.kills["w0"]()
+			}
+			if test.successor {
+				first.kill()
+				w.process("b", nil)
+			}
+			if job := w.ended("night"); job.DoneTasks != 6 {
+				t.Errorf("job ended %q with %d done", job.State, job.DoneTasks)
+			}
+			w.workers["w0"].SetFaults(standin.WorkerFaults{})
+			time.Sleep(testLease / 4)
+			w.check()
+		})
+	}
+}
+
+// TestCutFromSuccessorOnly lets an owner without the store renew a worker that
+// its successor cannot reach: the successor waits for the end of the outage
+// limit and the lease.
+func TestCutFromSuccessorOnly(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	first := w.process("a", nil)
+	w.submit(submitter.Job{Name: "night", Tasks: 6, Work: 900 * time.Millisecond})
+	w.eventually("all tasks run", func() bool { return len(w.ledger.Runs()) == 6 })
+	second := w.process("b", nil)
+	second.valve.set(func(v *valve) { v.cut[w.rows[0].Address] = true })
+	first.valve.set(func(v *valve) { v.cut[w.rows[1].Address], v.down = true, true })
+	if job := w.ended("night"); job.DoneTasks != 6 {
+		t.Errorf("job ended %q with %d done", job.State, job.DoneTasks)
+	}
+	w.check()
+}
+
+// TestCapacityHolds gives the owner a decider that disregards capacity.
+func TestCapacityHolds(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	w.process("a", func(o *owner.Owner) { o.Decider = &evictingDecider{random: randomly(1), budget: 10, overfill: true} })
+	w.submit(submitter.Job{Name: "processors", Tasks: 12, Size: placer.Size{Processors: 1500}, Work: 60 * time.Millisecond})
+	w.submit(submitter.Job{Name: "memory", Tasks: 6, Size: placer.Size{Memory: 3 << 30}, Work: 60 * time.Millisecond})
+	w.submit(submitter.Job{Name: "accelerators", Tasks: 6, Size: placer.Size{Accelerators: 1}, Work: 60 * time.Millisecond})
+	for _, name := range []string{"processors", "memory", "accelerators"} {
+		if job := w.ended(name); job.State != submitter.JobDone {
+			t.Errorf("job %s ended %q: %s", name, job.State, job.Reason)
+		}
+	}
+	w.check()
+}
+
+// TestBlame tells faulty tasks from faulty workers.
+func TestBlame(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		badWorkers  int
+		template    string
+		want        submitter.JobState
+		quarantined int
+	}{
+		"sound":        {template: "sorting", want: submitter.JobDone},
+		"bad template": {template: "bad", want: submitter.JobFailed},
+		"bad worker":   {badWorkers: 1, template: "sorting", want: submitter.JobDone, quarantined: 1},
+		"bad workers":  {badWorkers: 2, template: "sorting", want: submitter.JobDone, quarantined: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 6)
+			for i := range test.badWorkers {
+				w.workers[fmt.Sprintf("w%d", i)].SetFaults(standin.WorkerFaults{FailAll: true})
+			}
+			p := w.process("a", func(o *owner.Owner) { o.ProbeWait = time.Hour })
+			w.submit(submitter.Job{Name: "night", Tasks: 24, Template: test.template, Work: 50 * time.Millisecond})
+			if job := w.ended("night"); job.State != test.want || (job.State == submitter.JobFailed) != (job.Reason != "") {
+				t.Errorf("job ended %q for %q, want %q", job.State, job.Reason, test.want)
+			}
+			quarantined := 0
+			for _, worker := range p.owner.Status().Cells[0].Workers {
+				if worker.State == placer.WorkerQuarantined {
+					quarantined++
+				}
+			}
+			if quarantined != test.quarantined {
+				t.Errorf("%d workers in quarantine, want %d", quarantined, test.quarantined)
+			}
+			w.check()
+		})
+	}
+}
+
+// TestNeverRunnableJob is told the exact reason at once, and runs once a worker
+// that can carry it comes.
+func TestNeverRunnableJob(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1)
+	p := w.process("a", nil)
+	w.submit(submitter.Job{Name: "wide", Tasks: 2, Size: placer.Size{Processors: 9000}, Work: 10 * time.Millisecond})
+	w.eventually("the job tells why it cannot run", func() bool {
+		job, err := w.submitter("reader").Get(w.ctx, "moka", "wide")
+		return err == nil && job.Reason == "9000 of 4000" && job.State == submitter.JobAccepted
+	})
+	waiting := 0
+	for _, task := range p.owner.Status().Cells[0].Tasks {
+		if task.Code == placer.ReasonNever && task.Reason == "9000 of 4000" {
+			waiting++
+		}
+	}
+	if waiting != 2 {
+		t.Errorf("status explains %d tasks, want 2", waiting)
+	}
+	w.addLargeWorker("large")
+	if job := w.ended("wide"); job.State != submitter.JobDone || job.Reason != "" {
+		t.Errorf("job ended %q: %s", job.State, job.Reason)
+	}
+	w.check()
+}
+
+func (w *world) addLargeWorker(id string) {
+	w.t.Helper()
+	size := placer.Size{Processors: 16000, Memory: 16 << 30}
+	worker := &standin.Worker{ID: id, FailureDomain: "vacoas", Capacity: size, Ledger: w.ledger}
+	address, err := worker.Start(w.ctx, "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers[id] = worker
+	w.rows = append(w.rows, owner.WorkerVM{ID: id, Address: address, FailureDomain: "vacoas", Capacity: size})
+}
