Prove races, restarts, cancellation waves and service instances

Tests: four processes race over a store that loses answers and each epoch has one owner; all processes and workers restart; a wave of 4,000 cancellations costs at most 8 stop commands and 12 writes; instances follow their number and settings, stay published over a takeover and are published as leaving before they stop; commands that take effect late at a worker extend no lease.

--- a/owner/fault_test.go
+++ b/owner/fault_test.go
@@ -1,13 +1,18 @@
 package owner_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
+	"zinniashore.example/keeper"
 	"zinniashore.example/owner"
 	"zinniashore.example/placer"
+	"zinniashore.example/publisher"
+	"zinniashore.example/recorder"
 	"zinniashore.example/standin"
 	"zinniashore.example/submitter"
 )
@@ -125,12 +130,15 @@
 	tests := map[string]struct {
 		fault standin.WorkerFaults
 		kill  bool
+		// late lets commands that wait at the worker take effect before the fault.
+		late bool
 		// successor lets a new owner meet the worker for the first time.
 		successor bool
 	}{
 		"frozen":                    {fault: standin.WorkerFaults{Frozen: true}},
 		"cut off":                   {fault: standin.WorkerFaults{Cut: true}},
 		"killed":                    {kill: true},
+		"late commands, cut off":    {fault: standin.WorkerFaults{Cut: true}, late: true},
 		"frozen before a successor": {fault: standin.WorkerFaults{Frozen: true}, successor: true},
 		"cut off from a successor":  {fault: standin.WorkerFaults{Cut: true}, successor: true},
 	}
@@ -139,8 +147,11 @@
 			t.Parallel()
 			w := newWorld(t, 2)
 			first := w.process("a", nil)
-			w.submit(submitter.Job{Name: "night", Tasks: 6, Work: 400 * time.Millisecond})
+			w.submit(submitter.Job{Name: "night", Tasks: 6, Work: 800 * time.Millisecond})
 			w.eventually("all tasks run", func() bool { return len(w.ledger.Runs()) == 6 })
+			if test.late {
+				w.delayCommands("w0")
+			}
 			w.workers["w0"].SetFaults(test.fault)
 			if test.kill {
 				w.kills["w0"]()
@@ -159,6 +170,15 @@
 	}
 }
 
+// delayCommands has a worker take commands late, shortly before its leases
+// lapse, and answer none.
+func (w *world) delayCommands(id string) {
+	w.workers[id].SetFaults(standin.WorkerFaults{Frozen: true})
+	time.Sleep(testLease * 3 / 4)
+	w.workers[id].SetFaults(standin.WorkerFaults{LoseEvery: 1})
+	time.Sleep(testRenewal)
+}
+
 // TestCutFromSuccessorOnly lets an owner without the store renew a worker that
 // its successor cannot reach: the successor waits for the end of the outage
 // limit and the lease.
@@ -273,3 +293,218 @@
 	w.workers[id] = worker
 	w.rows = append(w.rows, owner.WorkerVM{ID: id, Address: address, FailureDomain: "vacoas", Capacity: size})
 }
+
+// TestRacingOwners starts several processes at once over a store that loses
+// answers, and kills each in turn: no epoch of the cell has two owners.
+func TestRacingOwners(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	w.store.SetFaults(standin.StoreFaults{LoseEvery: 7})
+	timeline := &recorder.Recorder{Clock: w.clock}
+	var processes []*process
+	for i := range 4 {
+		processes = append(processes, w.process(fmt.Sprintf("p%d", i), func(o *owner.Owner) { o.Recorder = timeline }))
+	}
+	w.submit(submitter.Job{Name: "night", Tasks: 16, Work: 300 * time.Millisecond})
+	for range 3 {
+		w.eventually("a process owns the cell and is killed", func() bool {
+			for _, p := range processes {
+				if !p.dead() && p.owns() {
+					p.kill()
+					return true
+				}
+			}
+			return false
+		})
+	}
+	if job := w.ended("night"); job.DoneTasks != 16 {
+		t.Errorf("job ended %q with %d done", job.State, job.DoneTasks)
+	}
+	epochs := map[int64]bool{}
+	for _, event := range timeline.Events() {
+		if event.Kind != owner.KindCellTaken {
+			continue
+		}
+		if epochs[event.Epoch] {
+			t.Errorf("epoch %d has two owners", event.Epoch)
+		}
+		epochs[event.Epoch] = true
+	}
+	if len(epochs) < 4 {
+		t.Errorf("%d epochs, want at least 4", len(epochs))
+	}
+	w.check()
+}
+
+// TestRestartOfEverything kills all processes and workers at once, while tasks
+// run: each task is done once by new ones.
+func TestRestartOfEverything(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	first := w.process("a", nil)
+	w.submit(submitter.Job{Name: "night", Tasks: 10, Work: 300 * time.Millisecond})
+	w.eventually("some tasks are done", func() bool { return w.count(standin.RunDone) > 2 })
+	first.kill()
+	for i := range 2 {
+		id := fmt.Sprintf("w%d", i)
+		w.kills[id]()
+		w.addWorker(id)
+	}
+	w.process("b", nil)
+	if job := w.ended("night"); job.DoneTasks != 10 {
+		t.Errorf("job ended %q with %d done", job.State, job.DoneTasks)
+	}
+	w.check()
+}
+
+// TestCancellationWave cancels jobs of 4,000 tasks of which few run: the calls
+// to workers and store stay bounded.
+func TestCancellationWave(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 4)
+	w.process("a", func(o *owner.Owner) { o.Renewal = time.Second })
+	w.submit(submitter.Job{Name: "wave", Tasks: 4000, Work: time.Hour})
+	w.eventually("workers are full", func() bool { return len(w.ledger.Runs()) == 16 })
+	calls, swaps := w.calls(), w.store.Counts()["swap"]
+	if _, err := w.submitter("operator").Cancel(w.ctx, "moka", "wave"); err != nil {
+		t.Fatal(err)
+	}
+	if job := w.ended("wave"); job.State != submitter.JobCancelled || job.DoneTasks != 0 {
+		t.Errorf("job ended %q", job.State)
+	}
+	if stops := w.calls()["stop"] - calls["stop"]; stops > 2*4 {
+		t.Errorf("%d stop commands for 4 workers", stops)
+	}
+	if got := w.store.Counts()["swap"] - swaps; got > 12 {
+		t.Errorf("%d writes of the store", got)
+	}
+	w.check()
+}
+
+// calls returns the commands to all workers by operation.
+func (w *world) calls() map[string]int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	total := map[string]int64{}
+	for _, worker := range w.workers {
+		calls, _ := worker.Calls()
+		for operation, count := range calls {
+			total[operation] += count
+		}
+	}
+	return total
+}
+
+// TestServiceInstances follows the instances of a service through a change of
+// their number and settings, the death of the owner, and the end: an endpoint
+// is published as leaving before it stops, and stays published over a takeover.
+func TestServiceInstances(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 3)
+	workloads := &fakeWorkloads{}
+	shop := owner.Service{
+		Organisation: "moka", Name: "line", Template: "line", Instances: 4,
+		Size: placer.Size{Processors: 2000, Memory: 1 << 30}, Slots: 8, Connections: 64,
+	}
+	workloads.set(shop)
+	first := w.process("a", func(o *owner.Owner) { o.Workloads = workloads })
+	w.eventually("4 endpoints are ready", func() bool { return w.published(8) == 4 })
+	w.process("b", func(o *owner.Owner) { o.Workloads = workloads })
+	first.kill()
+	before := len(w.ledger.Runs())
+	w.eventually("another epoch", func() bool { return w.store.Counts()["grant"] > 1 && w.epoch() == 2 })
+	time.Sleep(testLease)
+	if got := w.published(8); got != 4 || len(w.ledger.Runs()) != before {
+		t.Errorf("%d endpoints ready after the takeover, %d new starts", got, len(w.ledger.Runs())-before)
+	}
+	shop.Instances, shop.Slots = 3, 6
+	workloads.set(shop)
+	w.eventually("3 endpoints with the new settings", func() bool { return w.published(6) == 3 && w.published(8) == 0 })
+	workloads.set()
+	w.eventually("no endpoint", func() bool { return len(w.endpoints()) == 0 && w.count(standin.RunRunning) == 0 })
+	w.checkDrains()
+	w.check()
+}
+
+// fakeWorkloads is a configuration that tests change.
+type fakeWorkloads struct {
+	mu       sync.Mutex
+	services []owner.Service
+}
+
+func (f *fakeWorkloads) set(services ...owner.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services = append([]owner.Service{}, services...)
+}
+
+// Services implements owner.Workloads.
+func (f *fakeWorkloads) Services() []owner.Service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.services
+}
+
+// Quotas implements owner.Workloads.
+func (f *fakeWorkloads) Quotas() []placer.Quota { return nil }
+
+func (w *world) endpoints() []publisher.Endpoint {
+	entry, err := keeper.NewClient(w.address).Get(w.ctx, publisher.Prefix+"vacoas-1")
+	if err != nil || entry.Version == 0 {
+		return nil
+	}
+	document, err := keeper.DecodeDocument(entry)
+	if err != nil {
+		w.t.Error(err)
+	}
+	endpoints, err := publisher.DecodeList(document.Body)
+	if err != nil {
+		w.t.Error(err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range endpoints {
+		key := fmt.Sprintf("%s/%d", e.Task, e.Attempt)
+		if e.State == publisher.EndpointLeaving && w.leaving[key] == 0 {
+			w.leaving[key] = time.Now().UnixNano()
+		}
+	}
+	return endpoints
+}
+
+// published returns the number of ready endpoints with so many slots.
+func (w *world) published(slots int) int {
+	ready := 0
+	for _, e := range w.endpoints() {
+		if e.State == publisher.EndpointReady && e.Slots == slots {
+			ready++
+		}
+	}
+	return ready
+}
+
+// checkDrains fails the test for an instance that stopped without having been
+// seen as leaving before.
+func (w *world) checkDrains() {
+	w.t.Helper()
+	for _, run := range w.ledger.Runs() {
+		seen := w.leaving[fmt.Sprintf("%s/%d", run.Task, run.Attempt)]
+		if run.State == standin.RunStopped && (seen == 0 || seen > run.Ended) {
+			w.t.Errorf("%s attempt %d stopped before it was published as leaving", run.Task, run.Attempt)
+		}
+	}
+}
+
+func (w *world) epoch() int64 {
+	entry, err := keeper.NewClient(w.address).Get(w.ctx, "cells/vacoas-1/owner")
+	if err != nil || entry.Version == 0 {
+		return 0
+	}
+	var document struct {
+		Body struct{ Epoch int64 }
+	}
+	if err := json.Unmarshal(entry.Value, &document); err != nil {
+		w.t.Error(err)
+	}
+	return document.Body.Epoch
+}
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -46,6 +46,8 @@
 	rows    []owner.WorkerVM
 	workers map[string]*standin.Worker
 	kills   map[string]context.CancelFunc
+	// leaving is when an endpoint was first seen published as leaving.
+	leaving map[string]int64
 }
 
 func newWorld(t *testing.T, workers int) *world {
@@ -55,6 +57,7 @@
 	w := &world{
 		t: t, ctx: ctx, clock: clockwork.NewRealClock(), store: &standin.Store{}, ledger: &standin.Ledger{},
 		workers: map[string]*standin.Worker{}, kills: map[string]context.CancelFunc{},
+		leaving: map[string]int64{},
 	}
 	address, err := standin.Listen(ctx, "127.0.0.1:0", w.store)
 	if err != nil {
