Tell segments that an earlier owner added late

Ruled out: reading the segments twice, which leaves the same gap. Change: the record of the cell's owner names the last epoch that sealed all segments before it acted; a segment of an earlier epoch does not count. Also: the wave test holds one worker frozen, the takeover of services reaches no worker at first, and a start lost with its worker.

--- a/owner/cell.go
+++ b/owner/cell.go
@@ -54,10 +54,10 @@
 }
 
 // load reads the records of a cell that was taken.
-func (o *Owner) load(ctx context.Context, spec Cell, t *tenure, bound time.Time) (*cell, error) {
+func (o *Owner) load(ctx context.Context, spec Cell, t *tenure, bound time.Time, sealed int64) (*cell, error) {
 	c := &cell{
 		owner: o, spec: spec, tenure: t, bound: bound,
-		journal: newJournal(o.Keeper, spec.ID, t.epoch),
+		journal: newJournal(o.Keeper, spec.ID, t.epoch, sealed),
 		inbox:   make(chan func()),
 		tasks:   map[string]*task{}, links: map[string]*link{}, jobs: map[string]*jobView{},
 		seen: map[string]int64{}, stagedKeys: map[string]bool{},
--- a/owner/fault_test.go
+++ b/owner/fault_test.go
@@ -357,6 +357,32 @@
 	w.check()
 }
 
+// TestStartLostWithWorker kills a worker whose answer to a start was lost: the
+// attempt is not started again on its next incarnation.
+func TestStartLostWithWorker(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1)
+	p := w.process("a", nil)
+	w.eventually("the cell is owned", p.owns)
+	var once sync.Once
+	p.valve.set(func(v *valve) {
+		v.before = func(call string) bool {
+			if call == "start" {
+				once.Do(func() { w.workers["w0"].SetFaults(standin.WorkerFaults{LoseEvery: 1}) })
+			}
+			return false
+		}
+	})
+	w.submit(submitter.Job{Name: "night", Tasks: 1, Work: 400 * time.Millisecond})
+	w.eventually("the task runs", func() bool { return len(w.ledger.Runs()) == 1 })
+	w.kills["w0"]()
+	w.addWorker("w0")
+	if job := w.ended("night"); job.DoneTasks != 1 {
+		t.Errorf("job ended %q with %d done", job.State, job.DoneTasks)
+	}
+	w.check()
+}
+
 // TestCancellationWave cancels jobs of 4,000 tasks of which few run: the calls
 // to workers and store stay bounded.
 func TestCancellationWave(t *testing.T) {
@@ -365,10 +391,17 @@
 	w.process("a", func(o *owner.Owner) { o.Renewal = time.Second })
 	w.submit(submitter.Job{Name: "wave", Tasks: 4000, Work: time.Hour})
 	w.eventually("workers are full", func() bool { return len(w.ledger.Runs()) == 16 })
+	w.workers["w0"].SetFaults(standin.WorkerFaults{Frozen: true})
 	calls, swaps := w.calls(), w.store.Counts()["swap"]
 	if _, err := w.submitter("operator").Cancel(w.ctx, "moka", "wave"); err != nil {
 		t.Fatal(err)
 	}
+	w.eventually("tasks on 3 workers are stopped", func() bool { return w.count(standin.RunStopped) == 12 })
+	time.Sleep(4 * testPeriod)
+	if job, err := w.submitter("reader").Get(w.ctx, "moka", "wave"); err != nil || job.State.Ended() {
+		t.Errorf("job is %q while tasks may run: %v", job.State, err)
+	}
+	w.workers["w0"].SetFaults(standin.WorkerFaults{})
 	if job := w.ended("wave"); job.State != submitter.JobCancelled || job.DoneTasks != 0 {
 		t.Errorf("job ended %q", job.State)
 	}
@@ -407,13 +440,21 @@
 		Size: placer.Size{Processors: 2000, Memory: 1 << 30}, Slots: 8, Connections: 64,
 	}
 	workloads.set(shop)
-	first := w.process("a", func(o *owner.Owner) { o.Workloads = workloads })
+	first := w.process("a", func(o *owner.Owner) { o.Workloads, o.TaskLease = workloads, 20*testLease })
 	w.eventually("4 endpoints are ready", func() bool { return w.published(8) == 4 })
-	w.process("b", func(o *owner.Owner) { o.Workloads = workloads })
+	second := w.process("b", func(o *owner.Owner) { o.Workloads, o.TaskLease = workloads, 20*testLease })
+	for _, row := range w.rows {
+		second.valve.set(func(v *valve) { v.cut[row.Address] = true })
+	}
 	first.kill()
 	before := len(w.ledger.Runs())
 	w.eventually("another epoch", func() bool { return w.store.Counts()["grant"] > 1 && w.epoch() == 2 })
-	time.Sleep(testLease)
+	time.Sleep(4 * testPeriod)
+	if got := w.published(8); got != 4 {
+		t.Errorf("%d endpoints ready before the takeover reached a worker", got)
+	}
+	second.valve.set(func(v *valve) { clear(v.cut) })
+	time.Sleep(4 * testRenewal)
 	if got := w.published(8); got != 4 || len(w.ledger.Runs()) != before {
 		t.Errorf("%d endpoints ready after the takeover, %d new starts", got, len(w.ledger.Runs())-before)
 	}
--- a/owner/holder.go
+++ b/owner/holder.go
@@ -24,6 +24,8 @@
 	Format int    `json:"format"`
 	Holder string `json:"holder"`
 	Epoch  int64  `json:"epoch"`
+	// Sealed is the last epoch whose owner has sealed all segments.
+	Sealed int64 `json:"sealed"`
 }
 
 func ownerKey(cell string) string { return "cells/" + cell + "/owner" }
@@ -150,7 +152,7 @@
 
 func (o *Owner) swapOwner(ctx context.Context, h *holding, read keeper.Document, current ownerMessage) error {
 	tenure := &tenure{owner: o, epoch: current.Epoch + 1, until: o.Session.ValidUntil()}
-	next := ownerMessage{Format: ownerFormat, Holder: o.Process, Epoch: tenure.epoch}
+	next := ownerMessage{Format: ownerFormat, Holder: o.Process, Epoch: tenure.epoch, Sealed: current.Sealed}
 	_, err := o.Keeper.Update(ctx, ownerKey(h.spec.ID), func(document keeper.Document) ([]byte, error) {
 		if document.Version != read.Version {
 			return nil, errChanged
@@ -170,12 +172,12 @@
 	}
 	h.freeFrom = time.Time{}
 	h.holder = o.Process
-	return o.install(ctx, h, tenure, current.Holder, unbroken)
+	return o.install(ctx, h, tenure, current, unbroken)
 }
 
 // install runs a cell that was taken. An earlier run of it in this process is
 // stopped first; unbroken tells that no other process had the cell since.
-func (o *Owner) install(ctx context.Context, h *holding, t *tenure, before string, unbroken bool) error {
+func (o *Owner) install(ctx context.Context, h *holding, t *tenure, before ownerMessage, unbroken bool) error {
 	o.mu.Lock()
 	if h.cell != nil {
 		h.last, h.cell = h.cell, nil
@@ -184,11 +186,15 @@
 	if h.last != nil {
 		h.last.stop()
 	}
-	bound := o.Clock.Now().Add(o.inheritedBound(before))
-	c, err := o.load(ctx, h.spec, t, bound)
+	bound := o.Clock.Now().Add(o.inheritedBound(before.Holder))
+	c, err := o.load(ctx, h.spec, t, bound, before.Sealed)
 	if err != nil {
 		return err
 	}
+	if err := o.markSealed(ctx, h.spec, t.epoch); err != nil {
+		c.cancel()
+		return err
+	}
 	if h.last != nil && unbroken {
 		c.inheritBounds(h.last)
 	}
@@ -197,8 +203,8 @@
 		c.cancel()
 		return nil
 	}
-	klog.InfoS("Cell taken", "cell", h.spec.ID, "epoch", t.epoch, "before", before)
-	o.record(recorder.Event{Kind: KindCellTaken, Cell: h.spec.ID, Epoch: t.epoch, Detail: before})
+	klog.InfoS("Cell taken", "cell", h.spec.ID, "epoch", t.epoch, "before", before.Holder)
+	o.record(recorder.Event{Kind: KindCellTaken, Cell: h.spec.ID, Epoch: t.epoch, Detail: before.Holder})
 	c.start()
 	return nil
 }
@@ -213,20 +219,38 @@
 	return commander.WithDrift(o.Outage + o.TaskLease)
 }
 
+// markSealed records that this epoch has sealed all segments. It comes before
+// the first act of the epoch.
+func (o *Owner) markSealed(ctx context.Context, spec Cell, epoch int64) error {
+	return o.changeOwner(ctx, spec, epoch, func(m ownerMessage) ownerMessage {
+		m.Sealed = epoch
+		return m
+	})
+}
+
 // release records that the cell has no owner.
 func (o *Owner) release(ctx context.Context, c *cell) error {
-	_, err := o.Keeper.Update(ctx, ownerKey(c.spec.ID), func(document keeper.Document) ([]byte, error) {
+	err := o.changeOwner(ctx, c.spec, c.tenure.epoch, func(m ownerMessage) ownerMessage {
+		m.Holder = ""
+		return m
+	})
+	if errors.Is(err, errChanged) {
+		return nil
+	}
+	return err
+}
+
+// changeOwner changes the record of a cell that this process owns.
+func (o *Owner) changeOwner(ctx context.Context, spec Cell, epoch int64, change func(ownerMessage) ownerMessage) error {
+	_, err := o.Keeper.Update(ctx, ownerKey(spec.ID), func(document keeper.Document) ([]byte, error) {
 		current, err := decodeOwner(document)
 		if err != nil {
 			return nil, err
 		}
-		if current.Holder != o.Process || current.Epoch != c.tenure.epoch {
+		if current.Holder != o.Process || current.Epoch != epoch {
 			return nil, errChanged
 		}
-		return json.Marshal(ownerMessage{Format: ownerFormat, Epoch: current.Epoch})
+		return json.Marshal(change(current))
 	})
-	if errors.Is(err, errChanged) {
-		return nil
-	}
 	return err
 }
--- a/owner/journal.go
+++ b/owner/journal.go
@@ -39,6 +39,9 @@
 	keeper *keeper.Keeper
 	cell   string
 	epoch  int64
+	// sealed is the last epoch whose owner sealed all segments before it acted.
+	// A segment of an earlier one was written after that, and does not count.
+	sealed int64
 
 	sequence int64
 	floor    int64
@@ -61,9 +64,9 @@
 	bytes   int
 }
 
-func newJournal(k *keeper.Keeper, cell string, epoch int64) *journal {
+func newJournal(k *keeper.Keeper, cell string, epoch, sealed int64) *journal {
 	return &journal{
-		keeper: k, cell: cell, epoch: epoch,
+		keeper: k, cell: cell, epoch: epoch, sealed: sealed,
 		current: map[string]storedEntry{}, segments: map[int]*storedSegment{},
 	}
 }
@@ -73,7 +76,8 @@
 func (j *journal) key(number int) string { return j.prefix() + strconv.Itoa(number) }
 
 // load reads the segments and seals each for the epoch, so that an earlier
-// owner can change none of them.
+// owner can change none of them. What an earlier owner adds later is told by
+// its epoch, once the store holds that this epoch has sealed all.
 func (j *journal) load(ctx context.Context) error {
 	listing, err := j.keeper.Store.List(ctx, j.prefix())
 	if err != nil {
@@ -93,6 +97,7 @@
 
 func (j *journal) seal(ctx context.Context, number int) error {
 	var sealed segment
+	late := false
 	_, err := j.keeper.Update(ctx, j.key(number), func(current keeper.Document) ([]byte, error) {
 		var err error
 		sealed, err = decodeSegment(current)
@@ -102,9 +107,13 @@
 		if sealed.epoch > j.epoch {
 			return nil, &FencedError{Cell: j.cell, Epoch: sealed.epoch}
 		}
+		late = sealed.epoch < j.sealed
+		if late {
+			return nil, nil
+		}
 		return reencode(j.epoch, sealed)
 	})
-	if err != nil {
+	if err != nil || late {
 		return err
 	}
 	sealed.number = number
--- /dev/null
+++ b/owner/journal_test.go
@@ -0,0 +1,265 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"zinniashore.example/keeper"
+	"zinniashore.example/placer"
+)
+
+// memoryStore is the part of a store that a journal uses.
+type memoryStore struct {
+	keeper.Store
+	entries  map[string]keeper.Entry
+	revision int64
+	// lose is the number of coming swaps that take effect and give no answer.
+	lose int
+	// refuse is the number of coming swaps that take no effect.
+	refuse  int
+	largest int
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (keeper.Entry, error) {
+	entry := s.entries[key]
+	entry.Key = key
+	return entry, nil
+}
+
+func (s *memoryStore) List(_ context.Context, prefix string) (keeper.Listing, error) {
+	listing := keeper.Listing{Revision: s.revision}
+	for key, entry := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	sort.Slice(listing.Entries, func(i, j int) bool { return listing.Entries[i].Key < listing.Entries[j].Key })
+	return listing, nil
+}
+
+func (s *memoryStore) Swap(_ context.Context, key string, expected int64, value []byte, _ keeper.LeaseID) (int64, error) {
+	if s.refuse > 0 {
+		s.refuse--
+		return 0, &keeper.UnavailableError{Operation: "swap", Err: errors.New("refused")}
+	}
+	current := s.entries[key]
+	if current.Version != expected {
+		current.Key = key
+		return 0, &keeper.ConflictError{Current: current, Expected: expected}
+	}
+	s.revision++
+	s.largest = max(s.largest, len(value))
+	if value == nil {
+		delete(s.entries, key)
+	} else {
+		s.entries[key] = keeper.Entry{Key: key, Value: value, Version: s.revision}
+	}
+	if s.lose > 0 {
+		s.lose--
+		return 0, &keeper.UnclearError{Operation: "swap", Err: errors.New("lost")}
+	}
+	return s.revision, nil
+}
+
+// impatientClock ends each wait at once.
+type impatientClock struct{ clockwork.Clock }
+
+// After implements clockwork.Clock.
+func (c impatientClock) After(time.Duration) <-chan time.Time { return c.Clock.After(0) }
+
+// journalModel drives journals of successive owners of a cell against what
+// was made durable.
+type journalModel struct {
+	store   *memoryStore
+	journal *journal
+	zombies []*journal
+	durable map[string]int64
+	writers int
+	sealed  int64
+}
+
+func newJournalModel() *journalModel {
+	return &journalModel{
+		store:   &memoryStore{entries: map[string]keeper.Entry{}},
+		durable: map[string]int64{},
+	}
+}
+
+func (m *journalModel) takeOver(t *rapid.T) {
+	if m.journal != nil {
+		m.zombies = append(m.zombies, m.journal)
+	}
+	m.store.refuse = 0
+	m.writers++
+	k := &keeper.Keeper{Store: m.store, Clock: impatientClock{clockwork.NewRealClock()}, Writer: fmt.Sprintf("p%d", m.writers)}
+	m.journal = newJournal(k, "c", int64(m.writers), m.sealed)
+	if err := m.journal.load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	m.sealed = m.journal.epoch
+	m.compare(t)
+}
+
+// compare fails the test unless the journal holds what is durable.
+func (m *journalModel) compare(t *rapid.T) {
+	held := map[string]int64{}
+	for key, stored := range m.journal.current {
+		if stored.entry.task != nil {
+			held[key] = stored.entry.task.attempt
+		}
+	}
+	if !maps.Equal(held, m.durable) {
+		t.Fatalf("epoch %d holds %v, durable is %v", m.journal.epoch, held, m.durable)
+	}
+}
+
+// commit writes changes through a journal; only those of the present owner are
+// part of what is durable.
+func (m *journalModel) commit(t *rapid.T, j *journal, entries []entry) {
+	if j.deleting != 0 {
+		if j.discard(t.Context(), j.deleting) == nil {
+			j.discarded(j.deleting)
+		}
+	}
+	for len(entries) > 0 {
+		prepared, rest, err := j.prepare(entries)
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = j.write(t.Context(), prepared)
+		if j == m.journal && err != nil && m.store.refuse == 0 && !isUnavailable(err) {
+			t.Fatalf("the owner's write failed: %v", err)
+		}
+		if err != nil {
+			return
+		}
+		j.applied(prepared)
+		if j == m.journal {
+			m.take(entries[:len(entries)-len(rest)])
+		}
+		entries = rest
+	}
+}
+
+func isUnavailable(err error) bool {
+	var unavailable *keeper.UnavailableError
+	return errors.As(err, &unavailable)
+}
+
+func (m *journalModel) take(entries []entry) {
+	for _, e := range entries {
+		delete(m.durable, e.key)
+		if e.task != nil {
+			m.durable[e.key] = e.task.attempt
+		}
+	}
+}
+
+func drawEntries(t *rapid.T) []entry {
+	var entries []entry
+	used := map[string]bool{}
+	for range rapid.IntRange(1, 10).Draw(t, "changes") {
+		key := fmt.Sprintf("moka/job/%d", rapid.IntRange(0, 60).Draw(t, "task"))
+		if used[key] {
+			continue
+		}
+		used[key] = true
+		e := entry{key: key}
+		if rapid.IntRange(0, 2).Draw(t, "kind") > 0 {
+			e.task = &record{
+				id: key, organisation: "moka", template: "sorting", class: placer.ClassBatch, state: recordPlaced,
+				attempt: rapid.Int64Range(1, 1000).Draw(t, "attempt"), workers: []string{strings.Repeat("w", 600)}, addresses: []string{"10.0.0.1:7000"},
+			}
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// TestJournalKeepsWhatIsDurable checks journals under lost answers, refused
+// writes, takeovers and writes of earlier owners that come late.
+func TestJournalKeepsWhatIsDurable(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		m := newJournalModel()
+		m.takeOver(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"commit": func(t *rapid.T) { m.commit(t, m.journal, drawEntries(t)) },
+			"lose":   func(*rapid.T) { m.store.lose = 1 },
+			"refuse": func(*rapid.T) { m.store.refuse = 1 },
+			"take":   func(t *rapid.T) { m.takeOver(t) },
+			"zombie": func(t *rapid.T) {
+				if len(m.zombies) > 0 {
+					m.commit(t, m.zombies[len(m.zombies)-1], drawEntries(t))
+				}
+			},
+			"": func(t *rapid.T) { m.checkBounds(t) },
+		})
+		m.takeOver(t)
+	})
+}
+
+// checkBounds fails the test if a value or the number of values grows large.
+func (m *journalModel) checkBounds(t *rapid.T) {
+	if m.store.largest > 4*commitBytes {
+		t.Fatalf("a value of %d bytes", m.store.largest)
+	}
+	if got, limit := len(m.store.entries), m.journal.allowed()+2*len(m.zombies)+8; got > limit {
+		t.Fatalf("%d segments, limit %d", got, limit)
+	}
+}
+
+// fakeSession is a session whose validity tests set.
+type fakeSession struct {
+	clock clockwork.Clock
+	until time.Time
+}
+
+// Valid implements Session.
+func (s *fakeSession) Valid() bool { return s.clock.Now().Before(s.until) }
+
+// ValidUntil implements Session.
+func (s *fakeSession) ValidUntil() time.Time { return s.until }
+
+// TestTenureEndsWithAGap tells unbroken sessions from those that were granted
+// anew: in a gap another process may have taken the cell.
+func TestTenureEndsWithAGap(t *testing.T) {
+	t.Parallel()
+	type step struct {
+		pass  time.Duration
+		renew time.Duration
+		want  bool
+	}
+	tests := map[string][]step{
+		"renewed in time":           {{pass: 3, renew: 5, want: true}, {pass: 4, renew: 5, want: true}},
+		"lapsed":                    {{pass: 6, want: false}},
+		"granted anew after a gap":  {{pass: 6, renew: 5, want: false}, {renew: 5, want: false}},
+		"renewed unseen, then late": {{pass: 2, renew: 5, want: true}, {pass: 6, renew: 5, want: false}},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			session := &fakeSession{clock: clock, until: clock.Now().Add(5)}
+			o := &Owner{Clock: clock, Session: session}
+			tenure := &tenure{owner: o, until: session.until}
+			for i, s := range steps {
+				clock.Advance(s.pass)
+				if s.renew > 0 {
+					session.until = clock.Now().Add(s.renew)
+				}
+				if got := tenure.valid(); got != s.want {
+					t.Errorf("step %d: valid is %t, want %t", i, got, s.want)
+				}
+			}
+		})
+	}
+}
