--- a/owner/journal.go
+++ b/owner/journal.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// segmentBytes is the size from which a new segment is begun.
+	// segmentBytes is the default limit of a segment.
 	segmentBytes = 16 << 10
 	// commitBytes bounds the entries of one commit; the rest goes into the next.
 	commitBytes = 48 << 10
@@ -42,6 +42,8 @@
 	// sealed is the last epoch whose owner sealed all segments before it acted.
 	// A segment of an earlier one was written after that, and does not count.
 	sealed int64
+	// limit is the size in bytes from which a new segment is begun.
+	limit int
 
 	sequence int64
 	floor    int64
@@ -66,7 +68,7 @@
 
 func newJournal(k *keeper.Keeper, cell string, epoch, sealed int64) *journal {
 	return &journal{
-		keeper: k, cell: cell, epoch: epoch, sealed: sealed,
+		keeper: k, cell: cell, epoch: epoch, sealed: sealed, limit: segmentBytes,
 		current: map[string]storedEntry{}, segments: map[int]*storedSegment{},
 	}
 }
@@ -232,7 +234,7 @@
 			live += stored.bytes
 		}
 	}
-	return spareSegments + 2*live/segmentBytes
+	return spareSegments + 2*live/j.limit
 }
 
 // target returns the segment to write: the newest while it has room.
@@ -242,7 +244,7 @@
 		return 1
 	}
 	newest := numbers[len(numbers)-1]
-	if j.segments[newest].bytes+size > segmentBytes {
+	if j.segments[newest].bytes+size > j.limit {
 		return newest + 1
 	}
 	return newest
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -209,7 +209,8 @@
 	TaskLease time.Duration
 	// Renewal is the period of renewals and reports of a worker.
 	Renewal time.Duration
-	// Period is the period of decisions and commits.
+	// Period is the period of decisions and commits. It is well below the length
+	// of the session: an owner that looks later takes the session for broken.
 	Period time.Duration
 	// Outage is how long leases of tasks are renewed without a valid session.
 	// A successor waits as long for a worker that it cannot reach.
