Check histories of the configuration with porcupine

Cause: acceptance that never reverts has to be shown on histories of concurrent runs, not by examples. Change: TestHistory runs operators that race, readers, and faults (cut off, frozen, slow, restarted, restarted without the store, store outage, lost answers, skipped watch) on four entry VMs in two failure domains, and checks a register for each organisation: a commit needs the newest value as its base, and no ready process reads an older value after an acceptance.

--- /dev/null
+++ b/configurer/history_test.go
@@ -0,0 +1,425 @@
+package configurer_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"zinniashore.example/configurer"
+	"zinniashore.example/standin"
+)
+
+var historySeed = flag.Uint64("history-seed", 1, "seed of the schedule of TestHistory")
+
+const (
+	historyChanges   = 20
+	historyOperators = 4
+	historyReaders   = 3
+)
+
+// step is one operation on the register of an organisation.
+type step struct {
+	kind         stepKind
+	organisation string
+	base         int
+	value        int
+}
+
+type stepKind string
+
+const (
+	// stepCommit makes value durable over base.
+	stepCommit stepKind = "commit"
+	// stepUnclear may have made value durable over base.
+	stepUnclear stepKind = "unclear"
+	// stepConflict was refused because base is not the newest.
+	stepConflict stepKind = "conflict"
+	// stepAccept tells an operator that value is accepted.
+	stepAccept stepKind = "accept"
+	// stepRead sees value in force in a process that is ready.
+	stepRead stepKind = "read"
+)
+
+// register is what was committed, and the least position that may be in force.
+type register struct {
+	values []int
+	floor  int
+}
+
+// registerModel is a register for each organisation: a commit needs the newest
+// value as its base, and after an acceptance nobody reads an older value.
+var registerModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			organisation := o.Input.(step).organisation
+			parts[organisation] = append(parts[organisation], o)
+		}
+		var partition [][]porcupine.Operation
+		for _, part := range parts {
+			partition = append(partition, part)
+		}
+		return partition
+	},
+	Init: func() any { return register{values: []int{1}} },
+	Step: func(state, input, _ any) (bool, any) { return state.(register).after(input.(step)) },
+	Equal: func(a, b any) bool {
+		return a.(register).floor == b.(register).floor && slices.Equal(a.(register).values, b.(register).values)
+	},
+}
+
+func (r register) after(s step) (bool, register) {
+	newest := r.values[len(r.values)-1]
+	position := slices.Index(r.values, s.value)
+	switch s.kind {
+	case stepCommit:
+		if newest != s.base {
+			return false, r
+		}
+		return true, register{values: append(slices.Clone(r.values), s.value), floor: r.floor}
+	case stepUnclear:
+		if newest != s.base {
+			return true, r
+		}
+		return true, register{values: append(slices.Clone(r.values), s.value), floor: r.floor}
+	case stepConflict:
+		return newest != s.base, r
+	case stepAccept:
+		return position >= 0, register{values: r.values, floor: max(r.floor, position)}
+	}
+	return position >= r.floor, r
+}
+
+// history runs operators, readers and faults on a fleet.
+type history struct {
+	*fleet
+
+	vms    []string
+	locks  map[string]*sync.RWMutex
+	began  time.Time
+	mu     sync.Mutex
+	value  int
+	steps  []porcupine.Operation
+	counts map[string]int
+}
+
+func (h *history) now() int64 { return int64(time.Since(h.began)) }
+
+func (h *history) add(s step, call, end int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts[string(s.kind)]++
+	h.steps = append(h.steps, porcupine.Operation{Input: s, Call: call, Return: end})
+}
+
+func (h *history) next() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.value++
+	return h.value
+}
+
+var historyOrganisations = []string{"ash", "birch", "hazel"}
+
+func organisationFile(name string, instances int) configurer.File {
+	const text = `{"organisation": %q, "workloads": [{"name": "web", "template": "shop", "values": {"instances": %d}}]}`
+	return configurer.File{Name: name, Content: fmt.Appendf(nil, text, name, instances)}
+}
+
+func instancesIn(d configurer.Document, organisation string) int {
+	f, _ := d.Organisation(organisation)
+	_, text, _ := strings.Cut(string(f.Content), `"instances": `)
+	var instances int
+	_, _ = fmt.Sscanf(text, "%d", &instances)
+	return instances
+}
+
+// with runs act on the process that a VM has now; it is not killed meanwhile.
+func (h *history) with(vm string, act func(p *process)) {
+	h.locks[vm].RLock()
+	defer h.locks[vm].RUnlock()
+	act(h.process(vm))
+}
+
+func pick[T any](random *rand.Rand, choices []T) T { return choices[random.IntN(len(choices))] }
+
+// operate makes one change and repeats it with the same id while it is unclear.
+func (h *history) operate(random *rand.Rand) {
+	organisation := pick(random, historyOrganisations)
+	s := step{organisation: organisation, value: h.next()}
+	change := configurer.Change{ID: fmt.Sprint(s.value), Organisation: organisation, Files: []configurer.File{organisationFile(organisation, s.value)}}
+	h.with(pick(random, h.vms), func(p *process) {
+		d := p.Document()
+		s.base, change.ReadRevision = instancesIn(d, organisation), d.Revision
+	})
+	call := h.now()
+	var result configurer.Result
+	var err error
+	for range 4 {
+		h.with(pick(random, h.vms), func(p *process) {
+			ctx, cancel := context.WithTimeout(h.t.Context(), 400*time.Millisecond)
+			defer cancel()
+			result, err = p.Apply(ctx, change)
+		})
+		if err == nil {
+			break
+		}
+	}
+	h.conclude(random, s, call, result, err)
+}
+
+func (h *history) conclude(random *rand.Rand, s step, call int64, result configurer.Result, err error) {
+	end := h.now()
+	s.kind = stepCommit
+	switch {
+	case err != nil:
+		s.kind, end = stepUnclear, math.MaxInt64
+	case result.State == configurer.StateConflict:
+		s.kind = stepConflict
+	}
+	h.add(s, call, end)
+	s.kind = stepAccept
+	for range 5 {
+		if result.State == configurer.StateAccepted {
+			h.add(s, call, h.now())
+			return
+		}
+		if result.State != configurer.StatePending {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		call = h.now()
+		h.with(pick(random, h.vms), func(p *process) {
+			ctx, cancel := context.WithTimeout(h.t.Context(), 200*time.Millisecond)
+			defer cancel()
+			if latest, found, err := p.Outcome(ctx, fmt.Sprint(s.value)); err == nil && found {
+				result = latest
+			}
+		})
+	}
+}
+
+func (h *history) observe(random *rand.Rand) {
+	h.with(pick(random, h.vms), func(p *process) {
+		call := h.now()
+		if !p.Ready() {
+			return
+		}
+		current := p.Current()
+		end := h.now()
+		for _, organisation := range historyOrganisations {
+			service, _ := current.Service(organisation, "web")
+			h.add(step{kind: stepRead, organisation: organisation, value: service.Instances}, call, end)
+		}
+	})
+}
+
+// faults are what disturbs the fleet, one at a time.
+var faults = map[string]func(h *history, random *rand.Rand, vm string){
+	"cut": func(h *history, random *rand.Rand, vm string) {
+		h.during(random, vm, func(g *gate) { g.cut = true }, func(g *gate) { g.cut = false })
+	},
+	"frozen": func(h *history, random *rand.Rand, vm string) {
+		thaw := h.process(vm).gate.freeze()
+		h.rest(random)
+		thaw()
+	},
+	"watch skipped": func(h *history, random *rand.Rand, vm string) {
+		h.during(random, vm, func(g *gate) { g.skipWatch = true }, func(g *gate) { g.skipWatch = false })
+	},
+	"slow": func(h *history, random *rand.Rand, vm string) {
+		h.during(random, vm, func(g *gate) { g.slow = 60 * time.Millisecond }, func(g *gate) { g.slow = 0 })
+	},
+	"outage": func(h *history, random *rand.Rand, _ string) {
+		h.disturb(random, standin.StoreFaults{Outage: true})
+	},
+	"answers lost": func(h *history, random *rand.Rand, _ string) {
+		h.disturb(random, standin.StoreFaults{LoseEvery: 2, DelayMilliseconds: 5})
+	},
+	"restarted": func(h *history, _ *rand.Rand, vm string) { h.restart(vm, noPreparation) },
+	"restarted slow": func(h *history, _ *rand.Rand, vm string) {
+		h.restart(vm, func(g *gate) { g.slow = 60 * time.Millisecond })
+	},
+	"restarted and cut off": func(h *history, random *rand.Rand, vm string) { h.learn(random, vm) },
+	"restarted with sponsor": func(h *history, random *rand.Rand, vm string) {
+		h.learn(random, vm)
+		h.restart(h.peerOf(vm), noPreparation)
+	},
+}
+
+func (h *history) rest(random *rand.Rand) {
+	time.Sleep(time.Duration(50+random.IntN(250)) * time.Millisecond)
+}
+
+func (h *history) during(random *rand.Rand, vm string, begin, end func(g *gate)) {
+	g := h.process(vm).gate
+	g.set(begin)
+	h.rest(random)
+	g.set(end)
+}
+
+func (h *history) disturb(random *rand.Rand, faults standin.StoreFaults) {
+	h.store.SetFaults(faults)
+	h.rest(random)
+	h.store.SetFaults(standin.StoreFaults{})
+}
+
+func (h *history) restart(vm string, prepare func(g *gate)) {
+	h.locks[vm].Lock()
+	defer h.locks[vm].Unlock()
+	old := h.process(vm)
+	old.kill()
+	h.start(vm, old.FailureDomain, prepare)
+}
+
+// learn restarts a VM that reaches its peer, but not the store, for a while.
+func (h *history) learn(random *rand.Rand, vm string) {
+	h.restart(vm, func(g *gate) { g.cut = true })
+	h.rest(random)
+	h.rest(random)
+	h.rest(random)
+	if h.process(vm).Ready() {
+		h.mu.Lock()
+		h.counts["permitted"]++
+		h.mu.Unlock()
+	}
+	h.process(vm).gate.set(func(g *gate) { g.cut = false })
+}
+
+// peerOf returns the other VM of the failure domain.
+func (h *history) peerOf(vm string) string {
+	return vm[:1] + map[string]string{"1": "2", "2": "1"}[vm[1:]]
+}
+
+func newHistory(t *testing.T) *history {
+	h := &history{fleet: newFleet(t, fastClock(t, 10), "curepipe", "phoenix"), began: time.Now(), value: 1}
+	h.locks, h.counts = map[string]*sync.RWMutex{}, map[string]int{}
+	for _, vm := range []string{"c1", "c2", "p1", "p2"} {
+		domain := map[string]string{"c": "curepipe", "p": "phoenix"}[vm[:1]]
+		h.vms = append(h.vms, vm)
+		h.locks[vm] = &sync.RWMutex{}
+		h.start(vm, domain, noPreparation)
+	}
+	for _, vm := range h.vms {
+		eventually(t, vm+" ready", h.process(vm).Ready)
+	}
+	change := configurer.Change{ID: "first", Files: []configurer.File{file(t, "shop", `"max": 200`, `"max": 10000`)}}
+	for _, organisation := range historyOrganisations {
+		change.Files = append(change.Files, organisationFile(organisation, 1))
+	}
+	eventually(t, "first change accepted", func() bool { return h.apply("c1", change).State == configurer.StateAccepted })
+	return h
+}
+
+// run lets operators and readers loose until all changes are made, with one
+// fault after the other.
+func (h *history) run(random *rand.Rand) {
+	var operators, others sync.WaitGroup
+	stop := make(chan struct{})
+	repeat := func(act func()) {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				act()
+			}
+		}
+	}
+	for n := range historyOperators {
+		own := rand.New(rand.NewPCG(random.Uint64(), uint64(n)))
+		operators.Go(func() {
+			for range historyChanges {
+				h.operate(own)
+			}
+		})
+	}
+	for n := range historyReaders {
+		own := rand.New(rand.NewPCG(random.Uint64(), uint64(n)))
+		others.Go(func() {
+			repeat(func() { h.observe(own); time.Sleep(2 * time.Millisecond) })
+		})
+	}
+	others.Go(func() {
+		names := make([]string, 0, len(faults))
+		for name := range faults {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		repeat(func() {
+			h.rest(random)
+			faults[pick(random, names)](h, random, pick(random, h.vms))
+		})
+	})
+	operators.Wait()
+	close(stop)
+	others.Wait()
+}
+
+// TestHistory holds that changes are applied once over the revision that was
+// read, and that nobody serves an older value after an acceptance, whatever is
+// cut off, frozen, restarted, lost or skipped.
+func TestHistory(t *testing.T) {
+	h := newHistory(t)
+	random := rand.New(rand.NewPCG(*historySeed, 0))
+	h.run(random)
+	for _, vm := range h.vms {
+		h.process(vm).gate.set(func(g *gate) { g.slow = 0 })
+	}
+	last := configurer.Change{ID: "last", ReadRevision: math.MaxInt64, Files: []configurer.File{organisationFile("oak", 1)}}
+	eventually(t, "last change accepted", func() bool { return h.apply("p1", last).State == configurer.StateAccepted })
+	t.Logf("seed %d: %v", *historySeed, h.counts)
+	for _, kind := range []stepKind{stepCommit, stepAccept, stepRead} {
+		if h.counts[string(kind)] == 0 {
+			t.Errorf("the history has no %s", kind)
+		}
+	}
+	const checkLimit = 30 * time.Second
+	if verdict := porcupine.CheckOperationsTimeout(registerModel, h.steps, checkLimit); verdict != porcupine.Ok {
+		t.Errorf("the history is %s", verdict)
+		h.explain()
+	}
+}
+
+// explain logs reads that are older than a value accepted before they began.
+func (h *history) explain() {
+	for _, o := range h.steps {
+		read := o.Input.(step)
+		if read.kind != stepRead {
+			continue
+		}
+		for _, other := range h.steps {
+			accept := other.Input.(step)
+			if accept.kind == stepAccept && accept.organisation == read.organisation && other.Return < o.Call && h.older(read, accept) {
+				h.t.Logf("%s reads %d from %d to %d, after %d was accepted at %d", read.organisation, read.value, o.Call, o.Return, accept.value, other.Return)
+				break
+			}
+		}
+	}
+}
+
+// older reports whether a value was committed before another.
+func (h *history) older(a, b step) bool {
+	for value := a.value; ; {
+		at := slices.IndexFunc(h.steps, func(o porcupine.Operation) bool {
+			s := o.Input.(step)
+			return s.kind == stepCommit && s.organisation == a.organisation && s.base == value
+		})
+		if at < 0 {
+			return false
+		}
+		value = h.steps[at].Input.(step).value
+		if value == b.value {
+			return true
+		}
+	}
+}
