--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // tenant is a task that may run on a worker.
 type tenant struct {
@@ -42,8 +46,8 @@
 	templates map[string]int
 	names     []string
 	pairs     map[[2]int]float64
-	largest   map[string]Size
 	evictions int
+	changes   int
 }
 
 func newLedger(snapshot *Snapshot) *ledger {
@@ -58,7 +62,6 @@
 		quiet:     map[int]float64{},
 		templates: map[string]int{},
 		pairs:     map[[2]int]float64{},
-		largest:   map[string]Size{},
 	}
 	for i := range snapshot.Workers {
 		l.addWorker(&snapshot.Workers[i])
@@ -117,6 +120,7 @@
 		service.excess += l.pair(service.template, t.template)
 	}
 	t.excess = l.excessBeside(t, r)
+	l.changes++
 	r.free = r.free.Minus(held)
 	r.tenants = append(r.tenants, t)
 	if t.leaving {
@@ -154,6 +158,7 @@
 
 // hold keeps room for a task that waits for evictions.
 func (l *ledger) hold(r *room, size Size) {
+	l.changes++
 	r.free = r.free.Minus(size)
 }
 
@@ -206,32 +211,50 @@
 	return l.snapshot.Estimates.Measured(t.task.ID)
 }
 
-// sizeFor is the size to reserve for a new attempt of a task: what was learned,
-// at most the largest worker of its failure domains unless more is declared.
+// sizeFor is the size to reserve for a new attempt of a task: what was learned, cut
+// down to the largest worker that could carry what is declared, or the declared size
+// if there is none.
 func (l *ledger) sizeFor(task *Task) Size {
 	if l.snapshot.Estimates == nil {
 		return task.Declared
 	}
 	learned := l.snapshot.Estimates.Size(task.Template, task.Declared)
 	learned.Accelerators = task.Declared.Accelerators
-	return learned.Min(l.largestFor(task).Max(task.Declared))
+	if l.carries(task, learned) {
+		return learned
+	}
+	largest, found := l.largestFor(task)
+	if !found {
+		return task.Declared
+	}
+	return learned.Min(largest)
 }
 
-// largestFor is the largest capacity among the workers of a task's failure
-// domains.
-func (l *ledger) largestFor(task *Task) Size {
-	place := placeName(task)
-	largest, known := l.largest[place]
-	if known {
-		return largest
-	}
+// carries reports whether a worker of a task's failure domains could carry a size
+// when empty.
+func (l *ledger) carries(task *Task, size Size) bool {
+	return slices.ContainsFunc(l.rooms, func(r *room) bool {
+		return size.Within(r.worker.Capacity) && inDomains(task, r.worker)
+	})
+}
+
+// largestFor is the largest capacity, by memory first, among the workers that could
+// carry the declared size of a task, and whether there is one.
+func (l *ledger) largestFor(task *Task) (Size, bool) {
+	var largest Size
+	found := false
 	for _, r := range l.rooms {
-		if inDomains(task, r.worker) {
-			largest = largest.Max(r.worker.Capacity)
+		capacity := r.worker.Capacity
+		if !inDomains(task, r.worker) || !task.Declared.Within(capacity) {
+			continue
+		}
+		larger := cmp.Or(cmp.Compare(capacity.Memory, largest.Memory), cmp.Compare(capacity.Processors, largest.Processors))
+		if larger > 0 {
+			largest = capacity
 		}
+		found = true
 	}
-	l.largest[place] = largest
-	return largest
+	return largest, found
 }
 
 // remaining is the run time that a task may still need.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -109,6 +109,13 @@
 	domains  string
 }
 
+// failure is why a task found no room, after a number of changes to the ledger.
+type failure struct {
+	code    ReasonCode
+	detail  string
+	changes int
+}
+
 // placeAll starts, makes room for or explains each waiting task.
 func (p *Placer) placeAll(l *ledger, plan *Plan) {
 	s := &search{
@@ -116,7 +123,7 @@
 		ledger:  l,
 		filters: sorted(p.Filters),
 		scorers: sorted(p.Scorers),
-		failed:  map[shape]ReasonCode{},
+		failed:  map[shape]failure{},
 	}
 	for _, w := range p.queue(l) {
 		if waiting, waits := s.place(plan, w); waits {
@@ -131,7 +138,7 @@
 	ledger  *ledger
 	filters []Filter
 	scorers []Scorer
-	failed  map[shape]ReasonCode
+	failed  map[shape]failure
 }
 
 func (s *search) place(plan *Plan, w *Waiter) (Waiting, bool) {
@@ -142,7 +149,7 @@
 		detail := "its window begins at " + w.Task.NotBefore.UTC().Format(time.RFC3339)
 		return Waiting{Task: w.Task.ID, Code: ReasonWindow, Detail: detail}, true
 	}
-	r, code := s.find(w)
+	r, why := s.find(w)
 	if r != nil {
 		s.start(plan, w, r)
 		return Waiting{}, false
@@ -150,7 +157,7 @@
 	if detail, coming := s.placer.claimRoom(s.ledger, plan, w); coming {
 		return Waiting{Task: w.Task.ID, Code: ReasonCapacity, Detail: detail}, true
 	}
-	return s.explain(w, code), true
+	return s.explain(w, why), true
 }
 
 func (s *search) start(plan *Plan, w *Waiter, r *room) {
@@ -166,30 +173,38 @@
 	})
 }
 
-func (s *search) explain(w *Waiter, code ReasonCode) Waiting {
-	detail := waitingDetail(s.ledger, w.Task, w.Size, code)
-	if w.Borrowing {
-		code = ReasonQuota
-		limit := s.ledger.quotas[w.Task.Organisation]
-		detail = fmt.Sprintf("%s exceeds its quota of %s and borrows only free room: %s",
-			w.Task.Organisation, describe(limit), detail)
+func (s *search) explain(w *Waiter, why failure) Waiting {
+	if !w.Borrowing {
+		return Waiting{Task: w.Task.ID, Code: why.code, Detail: why.detail}
 	}
-	return Waiting{Task: w.Task.ID, Code: code, Detail: detail}
+	limit := s.ledger.quotas[w.Task.Organisation]
+	detail := fmt.Sprintf("%s exceeds its quota of %s and borrows only free room: %s",
+		w.Task.Organisation, describe(limit), why.detail)
+	return Waiting{Task: w.Task.ID, Code: ReasonQuota, Detail: detail}
 }
 
 // find returns the best room for a waiter, or the reason for which there is
 // none. Rooms only fill up while a plan is made, so that a shape that found no
 // room is not tried again.
-func (s *search) find(w *Waiter) (*room, ReasonCode) {
+func (s *search) find(w *Waiter) (*room, failure) {
 	key := shape{size: w.Size, class: w.Task.Class, template: w.Task.Template, domains: placeName(w.Task)}
-	if code, known := s.failed[key]; known {
-		return nil, code
+	why, known := s.failed[key]
+	if known && why.changes == s.ledger.changes {
+		return nil, why
 	}
-	best, code := s.scan(w)
-	if best == nil && len(w.Task.Excluded) == 0 {
-		s.failed[key] = code
+	if !known {
+		best, code := s.scan(w)
+		if best != nil {
+			return best, failure{}
+		}
+		why.code = code
 	}
-	return best, code
+	why.changes = s.ledger.changes
+	why.detail = waitingDetail(s.ledger, w.Task, w.Size, why.code)
+	if len(w.Task.Excluded) == 0 {
+		s.failed[key] = why
+	}
+	return nil, why
 }
 
 func (s *search) scan(w *Waiter) (*room, ReasonCode) {
--- /dev/null
+++ b/placer/property_test.go
@@ -0,0 +1,273 @@
+package placer_test
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"zinniashore.example/placer"
+)
+
+// guesses are Estimates with fixed answers by template.
+type guesses struct {
+	factor   map[string]int64
+	excess   map[string]float64
+	measured map[string]float64
+}
+
+func (g guesses) Size(template string, declared placer.Size) placer.Size {
+	quarters := g.factor[template]
+	return placer.Size{Processors: declared.Processors * quarters / 4, Memory: declared.Memory * quarters / 4}
+}
+
+func (g guesses) Slowdown(_ string, neighbours []string) float64 {
+	slowdown := 1.0
+	for _, n := range neighbours {
+		slowdown += g.excess[n]
+	}
+	return slowdown
+}
+
+func (g guesses) Measured(task string) float64 {
+	return max(1, g.measured[task])
+}
+
+var domains = []string{"graz-a", "graz-b"}
+
+func drawWorkers(t *rapid.T) []placer.Worker {
+	var workers []placer.Worker
+	states := []placer.WorkerState{placer.WorkerReady, placer.WorkerReady, placer.WorkerReady,
+		placer.WorkerLeaving, placer.WorkerUnreachable, placer.WorkerQuarantined}
+	for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+		capacity := size(int64(rapid.SampledFrom([]int{8, 16, 64}).Draw(t, "capacity")), 64)
+		capacity.Accelerators = int64(rapid.SampledFrom([]int{0, 0, 4}).Draw(t, "accelerators"))
+		workers = append(workers, placer.Worker{
+			ID:            fmt.Sprintf("w%d", i),
+			FailureDomain: domains[i%2],
+			Rack:          fmt.Sprintf("r%d", i/2),
+			Capacity:      capacity,
+			State:         rapid.SampledFrom(states).Draw(t, "state"),
+		})
+	}
+	return workers
+}
+
+func drawTask(t *rapid.T, i int) placer.Task {
+	task := waitingTask(fmt.Sprintf("t%d", i), size(
+		int64(rapid.SampledFrom([]int{1, 2, 4, 8, 12, 96}).Draw(t, "processors")),
+		int64(rapid.SampledFrom([]int{1, 4, 16, 32}).Draw(t, "memory"))))
+	task.Template = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "template")
+	task.Organisation = rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "organisation")
+	task.Priority = rapid.IntRange(0, 3).Draw(t, "priority")
+	task.Evictions = rapid.IntRange(0, 4).Draw(t, "evictions")
+	task.Work = time.Duration(rapid.IntRange(1, 300).Draw(t, "work")) * time.Minute
+	task.Since = noon.Add(-time.Duration(rapid.IntRange(0, 600).Draw(t, "since")) * time.Second)
+	if rapid.Bool().Draw(t, "service") {
+		task.Class, task.Group = placer.ClassService, task.Template
+		return task
+	}
+	task.Urgent = rapid.IntRange(0, 5).Draw(t, "urgent") == 0
+	task.Declared.Accelerators = int64(rapid.SampledFrom([]int{0, 0, 0, 1, 4}).Draw(t, "accelerators"))
+	if rapid.Bool().Draw(t, "window") {
+		task.NotBefore = noon.Add(time.Duration(rapid.IntRange(-60, 30).Draw(t, "begin")) * time.Minute)
+		task.Deadline = task.NotBefore.Add(3 * time.Hour)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "bound") == 0 {
+		task.FailureDomains = domains[:1]
+		task.Excluded = []string{"w0"}
+	}
+	return task
+}
+
+// drawSnapshot places tasks only where they fit, on one or two workers, as a record
+// whose start is not resolved may have it.
+func drawSnapshot(t *rapid.T) placer.Snapshot {
+	s := placer.Snapshot{Now: noon, Workers: drawWorkers(t)}
+	free := map[string]placer.Size{}
+	for _, w := range s.Workers {
+		free[w.ID] = w.Capacity
+	}
+	for i := range rapid.IntRange(0, 30).Draw(t, "tasks") {
+		task := drawTask(t, i)
+		w := s.Workers[rapid.IntRange(0, len(s.Workers)-1).Draw(t, "worker")].ID
+		if rapid.Bool().Draw(t, "placed") && task.Declared.Within(free[w]) {
+			free[w] = free[w].Minus(task.Declared)
+			task.State, task.Workers, task.Reserved = placer.TaskPlaced, []string{w}, task.Declared
+			task.Throttle = rapid.SampledFrom([]float64{1, 0.5, 0.25}).Draw(t, "throttle")
+			if rapid.IntRange(0, 4).Draw(t, "evicting") == 0 {
+				task.State = placer.TaskEvicting
+			}
+		}
+		s.Tasks = append(s.Tasks, task)
+	}
+	if rapid.Bool().Draw(t, "quotas") {
+		s.Quotas = []placer.Quota{{Organisation: "x", Limit: size(8, 32)}, {Organisation: "y", Limit: size(0, 0)}}
+	}
+	if rapid.Bool().Draw(t, "estimates") {
+		s.Estimates = drawGuesses(t, s.Tasks)
+	}
+	return s
+}
+
+func drawGuesses(t *rapid.T, tasks []placer.Task) guesses {
+	g := guesses{factor: map[string]int64{}, excess: map[string]float64{}, measured: map[string]float64{}}
+	for _, template := range []string{"a", "b", "c"} {
+		g.factor[template] = int64(rapid.IntRange(1, 12).Draw(t, "factor"))
+		g.excess[template] = rapid.SampledFrom([]float64{0, 0.02, 0.06, 0.3}).Draw(t, "excess")
+	}
+	for _, task := range tasks {
+		g.measured[task.ID] = rapid.SampledFrom([]float64{1, 1.05, 1.3}).Draw(t, "measured")
+	}
+	return g
+}
+
+// TestPlansKeepTheRules checks every rule that a plan must keep on snapshots drawn at
+// random.
+func TestPlansKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		p := placer.Placer{Seed: 1}
+		plan := p.Decide(s)
+		checkPure(t, p, s, plan)
+		checkCapacity(t, s, plan)
+		checkStarts(t, s, plan)
+		checkWaiting(t, s, plan)
+		checkEvictions(t, s, plan)
+	})
+}
+
+// checkPure: the same snapshot gives the same plan, and is not changed.
+func checkPure(t *rapid.T, p placer.Placer, s placer.Snapshot, plan placer.Plan) {
+	before := s
+	before.Workers = slices.Clone(s.Workers)
+	before.Tasks = slices.Clone(s.Tasks)
+	if again := p.Decide(s); !reflect.DeepEqual(plan, again) {
+		t.Fatalf("the plan differs on the same snapshot:\n%v\n%v", plan, again)
+	}
+	if !reflect.DeepEqual(before, s) {
+		t.Fatal("the snapshot was changed")
+	}
+}
+
+// checkCapacity: on no worker does the sum of everything that may run exceed its
+// capacity, with the larger of two reservations while one is changed.
+func checkCapacity(t *rapid.T, s placer.Snapshot, plan placer.Plan) {
+	held := map[string]placer.Size{}
+	tasks := map[string]placer.Task{}
+	for _, task := range s.Tasks {
+		tasks[task.ID] = task
+		for _, w := range task.Workers {
+			held[w] = held[w].Plus(task.Reserved)
+		}
+	}
+	for _, a := range plan.Actions {
+		switch a.Kind {
+		case placer.ActionStart:
+			held[a.Worker] = held[a.Worker].Plus(a.Reserved)
+		case placer.ActionResize:
+			grown := a.Reserved.Max(tasks[a.Task].Reserved).Minus(tasks[a.Task].Reserved)
+			held[a.Worker] = held[a.Worker].Plus(grown)
+		}
+	}
+	for _, w := range s.Workers {
+		if !held[w.ID].Within(w.Capacity) {
+			t.Fatalf("%s may carry %v of %v: %v", w.ID, held[w.ID], w.Capacity, plan.Actions)
+		}
+	}
+}
+
+// checkStarts: only waiting tasks start, once, in their window, on a ready worker
+// that is not ruled out for them.
+func checkStarts(t *rapid.T, s placer.Snapshot, plan placer.Plan) {
+	workers := map[string]placer.Worker{}
+	for _, w := range s.Workers {
+		workers[w.ID] = w
+	}
+	acted := map[string]int{}
+	for _, a := range plan.Actions {
+		task := taskOf(s, a.Task)
+		acted[a.Task]++
+		if a.Kind != placer.ActionStart {
+			continue
+		}
+		w := workers[a.Worker]
+		inDomain := len(task.FailureDomains) == 0 || slices.Contains(task.FailureDomains, w.FailureDomain)
+		open := w.State == placer.WorkerReady && inDomain && !slices.Contains(task.Excluded, w.ID)
+		if !open || task.State != placer.TaskWaiting || task.NotBefore.After(s.Now) || acted[a.Task] > 1 {
+			t.Fatalf("%v must not be done to %+v on %+v", a, task, w)
+		}
+	}
+}
+
+// checkWaiting: each waiting task either starts or is told why not, and never is said
+// exactly of what no empty worker could run.
+func checkWaiting(t *rapid.T, s placer.Snapshot, plan placer.Plan) {
+	answers := map[string]int{}
+	for _, a := range plan.Actions {
+		if a.Kind == placer.ActionStart {
+			answers[a.Task]++
+		}
+	}
+	never := map[string]bool{}
+	for _, w := range plan.Waiting {
+		answers[w.Task]++
+		never[w.Task] = w.Code == placer.ReasonNever
+		if w.Detail == "" {
+			t.Fatalf("no reason is given for %v", w)
+		}
+	}
+	for _, task := range s.Tasks {
+		want := 0
+		if task.State == placer.TaskWaiting {
+			want = 1
+		}
+		if answers[task.ID] != want {
+			t.Fatalf("%s has %d answers, want %d", task.ID, answers[task.ID], want)
+		}
+		if want == 1 && never[task.ID] == everFits(s, task) {
+			t.Fatalf("%+v: never is %t", task, never[task.ID])
+		}
+	}
+}
+
+func everFits(s placer.Snapshot, task placer.Task) bool {
+	return slices.ContainsFunc(s.Workers, func(w placer.Worker) bool {
+		inDomain := len(task.FailureDomains) == 0 || slices.Contains(task.FailureDomains, w.FailureDomain)
+		learned := task.Declared
+		if s.Estimates != nil {
+			learned = s.Estimates.Size(task.Template, task.Declared)
+			learned.Accelerators = task.Declared.Accelerators
+		}
+		return inDomain && (task.Declared.Within(w.Capacity) || learned.Within(w.Capacity))
+	})
+}
+
+// checkEvictions: only placed tasks are evicted, urgent ones only from leaving
+// workers, and services and quotas evict within the budget.
+func checkEvictions(t *rapid.T, s placer.Snapshot, plan placer.Plan) {
+	for _, a := range plan.Actions {
+		if a.Kind == placer.ActionStart {
+			continue
+		}
+		task := taskOf(s, a.Task)
+		if task.State != placer.TaskPlaced {
+			t.Fatalf("%v is done to a task that is %s", a, task.State)
+		}
+		if a.Kind == placer.ActionEvict && a.Reason == "" {
+			t.Fatalf("%v gives no reason", a)
+		}
+	}
+}
+
+func taskOf(s placer.Snapshot, id string) placer.Task {
+	for _, task := range s.Tasks {
+		if task.ID == id {
+			return task
+		}
+	}
+	return placer.Task{}
+}
