--- a/placer/property_test.go
+++ b/placer/property_test.go
@@ -101,6 +101,11 @@
 			if rapid.IntRange(0, 4).Draw(t, "evicting") == 0 {
 				task.State = placer.TaskEvicting
 			}
+			other := s.Workers[0].ID
+			if w != other && rapid.Bool().Draw(t, "unresolved") && task.Declared.Within(free[other]) {
+				free[other] = free[other].Minus(task.Declared)
+				task.Workers = append(task.Workers, other)
+			}
 		}
 		s.Tasks = append(s.Tasks, task)
 	}
--- /dev/null
+++ b/placer/reaction_test.go
@@ -0,0 +1,203 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"zinniashore.example/placer"
+)
+
+// protectCases have a service and a batch task beside it that was throttled last ago.
+var protectCases = map[string]struct {
+	measured float64
+	throttle float64
+	last     time.Duration
+	evicted  int
+	want     string
+}{
+	"slow: first a throttle":                   {1.2, 1, time.Hour, 0, "[throttle b w1 0.5]"},
+	"slow: then a stronger one":                {1.2, 0.5, time.Hour, 0, "[throttle b w1 0.25]"},
+	"slow: then an eviction":                   {1.2, 0.25, time.Hour, 0, "[evict b w1 0]"},
+	"slow, but reports still lag":              {1.2, 0.5, 10 * time.Second, 0, "[]"},
+	"slow, but the eviction budget is used up": {1.2, 0.25, time.Hour, placer.DefaultEvictionBudget, "[]"},
+	"between the limits nothing changes":       {1.11, 0.5, time.Hour, 0, "[]"},
+	"well: a throttle is lifted by a step":     {1.01, 0.25, time.Hour, 0, "[throttle b w1 0.5]"},
+	"well, but not for long enough":            {1.01, 0.25, 40 * time.Second, 0, "[]"},
+	"well, but lifting would not stay so":      {1.06, 0.25, time.Hour, 0, "[]"},
+	"well and not throttled":                   {1.01, 1, time.Hour, 0, "[]"},
+}
+
+func TestProtectingServicesInSteps(t *testing.T) {
+	for name, c := range protectCases {
+		t.Run(name, func(t *testing.T) {
+			s := placer.Snapshot{
+				Now:     noon,
+				Workers: []placer.Worker{worker("w1", size(16, 64))},
+				Tasks: []placer.Task{
+					with(placedTask("s", "w1", size(4, 8)), func(t *placer.Task) {
+						t.Class, t.Template = placer.ClassService, "shop"
+					}),
+					with(placedTask("b", "w1", size(4, 8)), func(t *placer.Task) {
+						t.Throttle, t.ThrottledAt = c.throttle, noon.Add(-c.last)
+					}),
+				},
+				Estimates: guesses{
+					factor:   map[string]int64{"shop": 4, "sort": 4},
+					excess:   map[string]float64{"sort": 0.2},
+					measured: map[string]float64{"s": c.measured},
+				},
+			}
+			for i := range c.evicted {
+				s.Tasks = append(s.Tasks, with(waitingTask(fmt.Sprint("e", i), size(1000, 1)), func(t *placer.Task) {
+					t.Evictions, t.Since = 1, noon.Add(-time.Second)
+				}))
+			}
+			p := placer.Placer{Seed: 1}
+			got := []string{}
+			for _, a := range p.Decide(s).Actions {
+				got = append(got, fmt.Sprint(a.Kind, " ", a.Task, " ", a.Worker, " ", a.Throttle))
+			}
+			if fmt.Sprint(got) != c.want {
+				t.Errorf("actions are %v, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// TestInstancesSpread places a service over three failure domains and seven racks.
+func TestInstancesSpread(t *testing.T) {
+	var s placer.Snapshot
+	for i := range 56 {
+		w := worker(fmt.Sprintf("w%d", i), size(64, 250))
+		w.FailureDomain, w.Rack = fmt.Sprintf("d%d", i/8%3), fmt.Sprintf("r%d", i/8)
+		s.Workers = append(s.Workers, w)
+	}
+	for i := range 50 {
+		s.Tasks = append(s.Tasks, with(waitingTask(fmt.Sprintf("s%d", i), size(4, 8)), func(t *placer.Task) {
+			t.Class, t.Group = placer.ClassService, "shop"
+		}))
+	}
+	p := placer.Placer{Seed: 1}
+	count := map[string]int{}
+	for _, a := range p.Decide(s).Actions {
+		for _, w := range s.Workers {
+			if w.ID == a.Worker {
+				count[w.FailureDomain]++
+				count[w.Rack]++
+				count[w.ID]++
+			}
+		}
+	}
+	limits := map[string]int{"d0": 17, "d1": 17, "d2": 17}
+	for _, w := range s.Workers {
+		limits[w.ID] = 50 / 12
+		limits[w.Rack] = 9
+	}
+	for place, limit := range limits {
+		if count[place] > limit {
+			t.Errorf("%s runs %d of 50 instances, more than %d", place, count[place], limit)
+		}
+	}
+}
+
+// TestAcceleratorsStayUsable fills workers with work of both kinds in turn.
+func TestAcceleratorsStayUsable(t *testing.T) {
+	cases := map[string]struct {
+		plain int
+		small int
+		large int
+		want  int
+	}{
+		"work without accelerators does not block them": {plain: 100, large: 4, want: 4},
+		"small requests share one worker":               {small: 4, large: 3, want: 7},
+		"all at once":                                   {plain: 100, small: 4, large: 3, want: 7},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var s placer.Snapshot
+			for i := range 4 {
+				capacity := size(64, 256)
+				capacity.Accelerators = 4
+				s.Workers = append(s.Workers, worker(fmt.Sprintf("w%d", i), capacity))
+			}
+			s.Tasks = append(s.Tasks, accelerated("small", c.small, 1, 8)...)
+			p := placer.Placer{Seed: 1}
+			s = carriedOut(s, p.Decide(s))
+			s.Tasks = append(s.Tasks, accelerated("plain", c.plain, 0, 8)...)
+			s = carriedOut(s, p.Decide(s))
+			s.Tasks = append(s.Tasks, accelerated("large", c.large, 4, 32)...)
+			s = carriedOut(s, p.Decide(s))
+			got := 0
+			for _, task := range s.Tasks {
+				if task.State == placer.TaskPlaced && task.Declared.Accelerators > 0 {
+					got++
+				}
+			}
+			if got != c.want {
+				t.Errorf("%d tasks with accelerators run, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+func accelerated(name string, count int, accelerators, processors int64) []placer.Task {
+	var tasks []placer.Task
+	for i := range count {
+		task := waitingTask(fmt.Sprintf("%s%d", name, i), size(processors, 4*processors))
+		task.Declared.Accelerators = accelerators
+		tasks = append(tasks, task)
+	}
+	return tasks
+}
+
+// carriedOut returns the snapshot after the starts of a plan, as if all evictions had
+// ended.
+func carriedOut(s placer.Snapshot, plan placer.Plan) placer.Snapshot {
+	next := s
+	next.Tasks = append([]placer.Task(nil), s.Tasks...)
+	for _, a := range plan.Actions {
+		for i := range next.Tasks {
+			task := &next.Tasks[i]
+			if task.ID != a.Task {
+				continue
+			}
+			switch a.Kind {
+			case placer.ActionStart:
+				task.State, task.Workers, task.Reserved, task.Since = placer.TaskPlaced, []string{a.Worker}, a.Reserved, s.Now
+			case placer.ActionEvict:
+				task.State, task.Workers, task.Since = placer.TaskWaiting, nil, s.Now
+				task.Evictions++
+			}
+		}
+	}
+	return next
+}
+
+// TestNothingStarves keeps one worker busy with ever new work of a higher priority.
+func TestNothingStarves(t *testing.T) {
+	p := placer.Placer{Seed: 1}
+	s := placer.Snapshot{Now: noon, Workers: []placer.Worker{worker("w1", size(8, 8))}}
+	s.Tasks = []placer.Task{with(waitingTask("old", size(8, 8)), func(t *placer.Task) { t.Since = noon })}
+	const rounds = 200
+	for round := range rounds {
+		s.Now = noon.Add(time.Duration(round) * 10 * time.Minute)
+		kept := s.Tasks[:0:0]
+		for _, task := range s.Tasks {
+			if task.State == placer.TaskWaiting {
+				kept = append(kept, task)
+			}
+		}
+		s.Tasks = kept
+		for i := range 2 {
+			s.Tasks = append(s.Tasks, with(waitingTask(fmt.Sprintf("n%d-%d", round, i), size(8, 8)), func(t *placer.Task) {
+				t.Priority, t.Since = 5, s.Now
+			}))
+		}
+		s = carriedOut(s, p.Decide(s))
+		if taskOf(s, "old").State == placer.TaskPlaced {
+			return
+		}
+	}
+	t.Errorf("the task of low priority did not start in %d rounds", rounds)
+}
