--- a/cmd/zinniashore/main.go
+++ b/cmd/zinniashore/main.go
@@ -32,6 +32,8 @@
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of the platform; for trials and tests only"`
 	Load    *loadCommand    `arg:"subcommand:load" help:"put a bounded load on entry VMs of this machine"`
 
+	Measure *measureCommand `arg:"subcommand:measure" help:"measure the policy on this machine"`
+
 	Apply    *operator.ApplyCommand    `arg:"subcommand:apply" help:"change templates or parameter values"`
 	Get      *operator.GetCommand      `arg:"subcommand:get" help:"show templates and parameter values in force"`
 	Submit   *operator.SubmitCommand   `arg:"subcommand:submit" help:"submit a batch job"`
@@ -68,6 +70,7 @@
 		{a.Trial != nil, a.Trial},
 		{a.Standin != nil, a.Standin},
 		{a.Load != nil, a.Load},
+		{a.Measure != nil, a.Measure},
 		{a.Apply != nil, a.Apply},
 		{a.Get != nil, a.Get},
 		{a.Submit != nil, a.Submit},
