--- a/seater/balance.go
+++ b/seater/balance.go
@@ -67,10 +67,22 @@
 // ago that nothing of it is in flight on them.
 func (c *cohort) release(r Roster, now time.Time) Roster {
 	for number, g := range c.grants {
-		drained := g.stopped.Add(c.limits.longestRequest)
+		drained := g.stopped.Add(c.limits.settling())
 		if !g.stopped.IsZero() && !now.Before(drained) && r.Seats[number].Epoch == g.epoch {
 			r = r.WithRelease(number, c.self.VM)
 		}
 	}
 	return r
 }
+
+// depart returns r without this process, with nothing of it in flight. A seat on
+// which something of an earlier holder may be in flight is not clean.
+func (c *cohort) depart(r Roster, now time.Time) Roster {
+	return r.WithoutMember(c.self.VM, true).withSeats(func(seat Seat) Seat {
+		g, held := c.grants[seat.Number]
+		if held && g.epoch == seat.Epoch && now.Before(g.usable) {
+			seat.Clean = false
+		}
+		return seat
+	})
+}
--- a/seater/cohort.go
+++ b/seater/cohort.go
@@ -21,6 +21,9 @@
 	pairGuard      Guard
 }
 
+// settling is how long nothing new is to start before nothing can be in flight.
+func (l limits) settling() time.Duration { return l.longestRequest + l.driftMargin }
+
 // lease is what a process knows of its own store session.
 type lease struct {
 	id    keeper.LeaseID
@@ -126,7 +129,7 @@
 	}
 	g := grant{epoch: seat.Epoch, since: now, usable: now}
 	if !seat.Clean {
-		g.usable = now.Add(c.limits.longestRequest)
+		g.usable = now.Add(c.limits.settling())
 	}
 	return g
 }
@@ -277,8 +280,29 @@
 	return false
 }
 
-// next returns what r should become by the hand of this process. A target that
-// may be expelled is named in lapsed once its lease was read as ended.
+// propose returns what this process writes over r. From then on the process
+// relies on GuardRelease only if it proposed it and learns that it was written.
+func (c *cohort) propose(r Roster, l lease, v view) (Roster, error) {
+	after, err := c.next(r, l, v)
+	if err != nil {
+		return r, err
+	}
+	if me, _ := after.Member(c.self.VM); me.Guard != GuardRelease {
+		c.strict = true
+	}
+	return after, nil
+}
+
+// confirm takes in a roster that this process wrote.
+func (c *cohort) confirm(r Roster, now time.Time) {
+	c.install(r, now)
+	me, found := r.Member(c.self.VM)
+	if found && me.Incarnation == c.self.Incarnation && me.Guard == GuardRelease {
+		c.strict = false
+	}
+}
+
+// next returns what r should become by the hand of this process.
 func (c *cohort) next(r Roster, l lease, v view) (Roster, error) {
 	joined, err := c.join(r, l.id)
 	if err != nil {
--- a/seater/expulsion.go
+++ b/seater/expulsion.go
@@ -79,7 +79,11 @@
 // every other member has withdrawn, and every promise given before has run out.
 func (c *cohort) ripe(now time.Time) []Entrant {
 	var targets []Entrant
-	for _, e := range c.expulsions {
+	for _, m := range c.known.Members {
+		e, pursued := c.expulsions[m.identity()]
+		if !pursued {
+			continue
+		}
 		last, complete := c.lastWithdrawal(e)
 		end := last.Add(c.limits.promiseLength + c.limits.driftMargin)
 		if complete && now.After(end) {
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -252,18 +252,23 @@
 			continue
 		}
 		left.Go(func() error {
-			return s.update(ctx, domain, func(r Roster) (Roster, error) {
-				me, found := r.Member(s.VM)
-				if !found || me.Incarnation != s.Incarnation {
-					return r, nil
-				}
-				return r.WithoutMember(s.VM, true), nil
-			})
+			return s.update(ctx, domain, func(r Roster) (Roster, error) { return s.depart(domain, r), nil })
 		})
 	}
 	return left.Wait()
 }
 
+func (s *Seater) depart(domain string, r Roster) Roster {
+	s.install(r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	me, found := r.Member(s.VM)
+	if !found || me.Incarnation != s.Incarnation {
+		return r
+	}
+	return s.cohorts[domain].depart(r, s.Clock.Now())
+}
+
 func (s *Seater) beginLeaving(domain string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -412,15 +417,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.now = s.Clock.Now()
-	after, err := c.next(r, l, v)
-	if err != nil {
-		return r, err
-	}
-	me, _ := after.Member(s.VM)
-	if me.Guard != GuardRelease {
-		c.strict = true
-	}
-	return after, nil
+	return c.propose(r, l, v)
 }
 
 // view reads what the roster decisions depend on. The sessions of members that
@@ -473,20 +470,13 @@
 	if err != nil {
 		return err
 	}
-	s.confirm(written)
-	return nil
-}
-
-// confirm takes in a roster that this process wrote.
-func (s *Seater) confirm(r Roster) {
-	s.install(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.cohorts[r.FailureDomain]
-	me, found := r.Member(s.VM)
-	if found && me.Incarnation == s.Incarnation && me.Guard == GuardRelease {
-		c.strict = false
-	}
+	c := s.cohorts[domain]
+	before := c.grants
+	c.confirm(written, s.Clock.Now())
+	s.recordGrants(c, before)
+	return nil
 }
 
 func sameRoster(a, b Roster) bool {
