--- a/placer/property_test.go
+++ b/placer/property_test.go
@@ -59,7 +59,7 @@
 func drawTask(t *rapid.T, i int) placer.Task {
 	task := waitingTask(fmt.Sprintf("t%d", i), size(
 		int64(rapid.SampledFrom([]int{1, 2, 4, 8, 12, 96}).Draw(t, "processors")),
-		int64(rapid.SampledFrom([]int{1, 4, 16, 32}).Draw(t, "memory"))))
+		int64(rapid.SampledFrom([]int{2, 8, 16, 32}).Draw(t, "memory"))))
 	task.Template = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "template")
 	task.Organisation = rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "organisation")
 	task.Priority = rapid.IntRange(0, 3).Draw(t, "priority")
@@ -91,7 +91,7 @@
 	for _, w := range s.Workers {
 		free[w.ID] = w.Capacity
 	}
-	for i := range rapid.IntRange(0, 30).Draw(t, "tasks") {
+	for i := range rapid.IntRange(0, 40).Draw(t, "tasks") {
 		task := drawTask(t, i)
 		w := s.Workers[rapid.IntRange(0, len(s.Workers)-1).Draw(t, "worker")].ID
 		if rapid.Bool().Draw(t, "placed") && task.Declared.Within(free[w]) {
@@ -112,7 +112,7 @@
 	if rapid.Bool().Draw(t, "quotas") {
 		s.Quotas = []placer.Quota{{Organisation: "x", Limit: size(8, 32)}, {Organisation: "y", Limit: size(0, 0)}}
 	}
-	if rapid.Bool().Draw(t, "estimates") {
+	if rapid.IntRange(0, 3).Draw(t, "estimates") > 0 {
 		s.Estimates = drawGuesses(t, s.Tasks)
 	}
 	return s
--- a/placer/reaction_test.go
+++ b/placer/reaction_test.go
@@ -104,14 +104,16 @@
 // TestAcceleratorsStayUsable fills workers with work of both kinds in turn.
 func TestAcceleratorsStayUsable(t *testing.T) {
 	cases := map[string]struct {
-		plain int
-		small int
-		large int
-		want  int
+		without int
+		plain   int
+		small   int
+		large   []placer.Task
+		want    int
 	}{
-		"work without accelerators does not block them": {plain: 100, large: 4, want: 4},
-		"small requests share one worker":               {small: 4, large: 3, want: 7},
-		"all at once":                                   {plain: 100, small: 4, large: 3, want: 7},
+		"work without accelerators does not block them": {plain: 100, large: accelerated("large", 4, 4, 32), want: 4},
+		"small requests share one worker":               {small: 4, large: accelerated("large", 3, 4, 32), want: 7},
+		"all at once":                                   {plain: 100, small: 4, large: accelerated("large", 3, 4, 32), want: 7},
+		"other workers are taken first":                 {without: 1, plain: 4, small: 1, large: accelerated("large", 4, 3, 56), want: 5},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -121,12 +123,15 @@
 				capacity.Accelerators = 4
 				s.Workers = append(s.Workers, worker(fmt.Sprintf("w%d", i), capacity))
 			}
+			for i := range c.without {
+				s.Workers = append(s.Workers, worker(fmt.Sprintf("v%d", i), size(64, 256)))
+			}
 			s.Tasks = append(s.Tasks, accelerated("small", c.small, 1, 8)...)
 			p := placer.Placer{Seed: 1}
 			s = carriedOut(s, p.Decide(s))
 			s.Tasks = append(s.Tasks, accelerated("plain", c.plain, 0, 8)...)
 			s = carriedOut(s, p.Decide(s))
-			s.Tasks = append(s.Tasks, accelerated("large", c.large, 4, 32)...)
+			s.Tasks = append(s.Tasks, c.large...)
 			s = carriedOut(s, p.Decide(s))
 			got := 0
 			for _, task := range s.Tasks {
--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"testing"
 
+	"github.com/sebdah/goldie/v2"
+
 	"zinniashore.example/replayer"
 )
 
@@ -63,3 +67,31 @@
 	}
 	return report
 }
+
+// TestGoldenOutcomes replays small traces of other seeds through all policies.
+func TestGoldenOutcomes(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		name := replayer.TraceUrgent
+		report, err := replayer.Compare(context.Background(), replayer.Options{
+			Traces: []replayer.TraceName{name},
+			Seed:   seed,
+			Fresh:  true,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		goldie.New(t).Assert(t, fmt.Sprintf("%s_%d", name, seed), []byte(report.String()))
+	}
+}
+
+// TestLoadErrors: what is no trace is refused with a typed error.
+func TestLoadErrors(t *testing.T) {
+	var unknown *replayer.UnknownTraceError
+	if _, err := replayer.Load("nowhere"); !errors.As(err, &unknown) || unknown.Name != "nowhere" {
+		t.Errorf("Load returned %v", err)
+	}
+	var format *replayer.FormatError
+	if _, err := replayer.Decode([]byte(`{"format": 7}`)); !errors.As(err, &format) || format.Format != 7 {
+		t.Errorf("Decode returned %v", err)
+	}
+}
