Resize only by estimates that tell what they have learned

Cause: with estimates that do not implement Confidence, as usageLearner in main, and tasks without Reserved, as owner fills them, cautious guesses of four times the declared memory counted as learned, and batch work was evicted for lack of memory. Change: no resizing without Confidence or without a reservation on record. Seen failing: TestDecide, case of a guess, before the change (evicts a task).

--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -280,10 +280,11 @@
 	return task.Deadline.Sub(l.snapshot.Now) - l.remaining(task), true
 }
 
-// learned reports whether sizes of a template are more than cautious guesses.
+// learned reports whether sizes of a template are more than cautious guesses, as far
+// as the estimates tell.
 func (l *ledger) learned(template string) bool {
 	confidence, tells := l.snapshot.Estimates.(Confidence)
-	return !tells || confidence.Learned(template)
+	return tells && confidence.Learned(template)
 }
 
 // reclaimable reports whether an organisation exceeds its quota.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -101,6 +101,14 @@
 		},
 		want: []string{"evict c w2", "a waits: capacity: waits until 1 evicted tasks have left w2"},
 	},
+	"a guess resizes nothing and evicts nobody": {
+		snapshot: placer.Snapshot{
+			Now:       noon,
+			Workers:   []placer.Worker{worker("w1", size(16, 16))},
+			Tasks:     []placer.Task{placedTask("b", "w1", size(8, 8)), placedTask("c", "w1", size(8, 8))},
+			Estimates: cautious{},
+		},
+	},
 	"quota is reclaimed from who borrows": {
 		snapshot: placer.Snapshot{
 			Now:     noon,
@@ -134,6 +142,17 @@
 	}
 }
 
+// cautious are Estimates that have learned nothing.
+type cautious struct{}
+
+func (cautious) Size(_ string, declared placer.Size) placer.Size {
+	return placer.Size{Processors: declared.Processors, Memory: 4 * declared.Memory}
+}
+
+func (cautious) Slowdown(string, []string) float64 { return 1 }
+
+func (cautious) Measured(string) float64 { return 1 }
+
 func with(task placer.Task, change func(*placer.Task)) placer.Task {
 	change(&task)
 	return task
--- a/placer/property_test.go
+++ b/placer/property_test.go
@@ -32,6 +32,10 @@
 	return slowdown
 }
 
+func (g guesses) Learned(template string) bool {
+	return g.factor[template] > 0
+}
+
 func (g guesses) Measured(task string) float64 {
 	return max(1, g.measured[task])
 }
--- a/placer/reaction.go
+++ b/placer/reaction.go
@@ -170,10 +170,12 @@
 	}
 }
 
-// resizable reports whether a tenant runs in one place and its size is learned.
+// resizable reports whether a tenant runs in one place with a reservation on record,
+// and its size is learned.
 func resizable(l *ledger, t *tenant) bool {
 	single := t.task.State == TaskPlaced && len(t.task.Workers) == 1
-	return single && !t.leaving && l.learned(t.task.Template)
+	recorded := t.task.Reserved != Size{}
+	return single && recorded && !t.leaving && l.learned(t.task.Template)
 }
 
 func differs(a, b Size) bool {
