Give the policy what it needs of tasks and usage (owner, wiring)

Cause: the owner filled neither Reserved, ThrottledAt nor Evictions, reserved by a rule of its own (what was learned, at least what is declared) other than the plan's, and reported use relative to what is reserved instead of declared, without age or throttle: nothing would ever be learned, and what is reserved would shrink with each attempt. Left out: ActionResize, which needs a command of workers, Action.Within, Task.Ran and Estimator.ObserveEnd. Seen failing: TestSnapshotsCarryWhatThePolicyNeeds with the time of the throttle kept from the attempt before.

--- a/owner/link.go
+++ b/owner/link.go
@@ -506,6 +506,7 @@
 		}
 		usage = append(usage, UsageReport{
 			Task: t.record.id, Template: t.record.template, Class: t.record.class, Worker: l.vm.ID,
+			Age: c.now().Sub(t.since), Throttle: t.throttled, Declared: t.demand.declared,
 			Reserved: t.record.reserved, Used: report.Usage, Slowdown: report.Slowdown,
 			Neighbours: c.neighbours(l, t.record.id),
 		})
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -110,6 +110,12 @@
 	Class placer.Class
 	// Worker is the worker where it runs.
 	Worker string
+	// Age is the time since it started.
+	Age time.Duration
+	// Throttle is the share of its processors that it may use.
+	Throttle float64
+	// Declared is the size that its template declares.
+	Declared placer.Size
 	// Reserved is what is reserved for it.
 	Reserved placer.Size
 	// Used is its measured use.
--- a/owner/plan.go
+++ b/owner/plan.go
@@ -20,7 +20,7 @@
 		case placer.ActionEvict:
 			c.evict(action)
 		case placer.ActionThrottle:
-			c.throttle(action)
+			c.throttle(action, now)
 		}
 	}
 	c.explain(plan.Waiting)
@@ -104,7 +104,10 @@
 	if (t == nil && !candidate) || (t != nil && t.phase != phaseWaiting) || !c.allows(d) || (t != nil && contains(t.record.failedOn, action.Worker)) {
 		return
 	}
-	reserved := c.reservation(d)
+	reserved := action.Reserved
+	if reserved == (placer.Size{}) {
+		reserved = c.reservation(d)
+	}
 	total := used[action.Worker].Plus(reserved)
 	if !total.Within(l.vm.Capacity) {
 		return
@@ -136,6 +139,7 @@
 	t.record.template = t.demand.template
 	t.record.settings = t.demand.settings
 	t.record = t.record.withPlace(attempt, l.vm.ID, l.vm.Address, reserved)
+	t.throttle, t.throttled, t.throttledAt = 1, 1, time.Time{}
 	t.move(phaseRecording, now)
 	c.blamer.started(t.record.id, l.vm.ID)
 	c.mark(t.record.id)
@@ -146,14 +150,16 @@
 	t := c.tasks[action.Task]
 	if t != nil && t.phase == phaseRunning {
 		c.owner.Metrics.Counter("evictions").Inc(1)
+		t.evictions++
 		c.requestStop(t, stopEvict)
 	}
 }
 
-func (c *cell) throttle(action placer.Action) {
+func (c *cell) throttle(action placer.Action, now time.Time) {
 	t := c.tasks[action.Task]
 	if t != nil && t.phase == phaseRunning && action.Throttle > 0 && action.Throttle <= 1 {
 		t.throttle = action.Throttle
+		t.throttledAt = now
 	}
 }
 
--- a/owner/task.go
+++ b/owner/task.go
@@ -50,6 +50,10 @@
 	address   string
 	throttle  float64
 	throttled float64
+	// throttledAt is when throttle changed last, zero if never.
+	throttledAt time.Time
+	// evictions is how often this owner evicted it.
+	evictions int
 	// drained is when the endpoint is known to be leaving, zero before.
 	drained time.Time
 	// retryAt is when it may be placed again after a failure.
@@ -112,6 +116,8 @@
 	p.Excluded = t.record.failedOn
 	p.Since = t.since
 	p.Throttle = t.throttle
+	p.ThrottledAt = t.throttledAt
+	p.Evictions = t.evictions
 	switch t.phase {
 	case phaseWaiting:
 		p.State = placer.TaskWaiting
@@ -122,6 +128,7 @@
 	}
 	if t.holds() {
 		p.Workers = t.record.workers
+		p.Reserved = t.record.reserved
 	}
 	return p
 }
--- a/tasks.go
+++ b/tasks.go
@@ -111,6 +111,11 @@
 // Learned implements placer.Confidence.
 func (u *usageLearner) Learned(template string) bool { return u.view.Load().Learned(template) }
 
+// Remaining implements placer.RunTimes.
+func (u *usageLearner) Remaining(template string, declared, ran time.Duration) time.Duration {
+	return u.view.Load().Remaining(template, declared, ran)
+}
+
 // Observe implements owner.Learner.
 func (u *usageLearner) Observe(now time.Time, reports []owner.UsageReport) {
 	byWorker := map[string]estimator.Report{}
@@ -132,7 +137,9 @@
 		Task:     r.Task,
 		Template: r.Template,
 		Class:    r.Class,
-		Declared: r.Reserved,
+		Age:      r.Age,
+		Throttle: r.Throttle,
+		Declared: r.Declared,
 		Usage:    r.Used,
 		Slowdown: r.Slowdown,
 	}
