--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -1,5 +1,11 @@
 package placer
 
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
 // tenant is a task that may run on a worker.
 type tenant struct {
 	task     *Task
@@ -40,8 +46,8 @@
 	templates map[string]int
 	names     []string
 	pairs     map[[2]int]float64
-	largest   map[string]Size
 	evictions int
+	changes   int
 }
 
 func newLedger(snapshot *Snapshot) *ledger {
@@ -56,7 +62,6 @@
 		quiet:     map[int]float64{},
 		templates: map[string]int{},
 		pairs:     map[[2]int]float64{},
-		largest:   map[string]Size{},
 	}
 	for i := range snapshot.Workers {
 		l.addWorker(&snapshot.Workers[i])
@@ -115,6 +120,7 @@
 		service.excess += l.pair(service.template, t.template)
 	}
 	t.excess = l.excessBeside(t, r)
+	l.changes++
 	r.free = r.free.Minus(held)
 	r.tenants = append(r.tenants, t)
 	if t.leaving {
@@ -152,6 +158,7 @@
 
 // hold keeps room for a task that waits for evictions.
 func (l *ledger) hold(r *room, size Size) {
+	l.changes++
 	r.free = r.free.Minus(size)
 }
 
@@ -204,38 +211,80 @@
 	return l.snapshot.Estimates.Measured(t.task.ID)
 }
 
-// sizeFor is the size to reserve for a new attempt of a task: what was learned,
-// at most the largest worker of its failure domains unless more is declared.
+// sizeFor is the size to reserve for a new attempt of a task: what was learned, cut
+// down to the largest worker that could carry what is declared, or the declared size
+// if there is none.
 func (l *ledger) sizeFor(task *Task) Size {
 	if l.snapshot.Estimates == nil {
 		return task.Declared
 	}
 	learned := l.snapshot.Estimates.Size(task.Template, task.Declared)
 	learned.Accelerators = task.Declared.Accelerators
-	return learned.Min(l.largestFor(task).Max(task.Declared))
+	if l.carries(task, learned) {
+		return learned
+	}
+	largest, found := l.largestFor(task)
+	if !found {
+		return task.Declared
+	}
+	return learned.Min(largest)
 }
 
-// largestFor is the largest capacity among the workers of a task's failure
-// domains.
-func (l *ledger) largestFor(task *Task) Size {
-	place := placeName(task)
-	largest, known := l.largest[place]
-	if known {
-		return largest
-	}
+// carries reports whether a worker of a task's failure domains could carry a size
+// when empty.
+func (l *ledger) carries(task *Task, size Size) bool {
+	return slices.ContainsFunc(l.rooms, func(r *room) bool {
+		return size.Within(r.worker.Capacity) && inDomains(task, r.worker)
+	})
+}
+
+// largestFor is the largest capacity, by memory first, among the workers that could
+// carry the declared size of a task, and whether there is one.
+func (l *ledger) largestFor(task *Task) (Size, bool) {
+	var largest Size
+	found := false
 	for _, r := range l.rooms {
-		if inDomains(task, r.worker) {
-			largest = largest.Max(r.worker.Capacity)
+		capacity := r.worker.Capacity
+		if !inDomains(task, r.worker) || !task.Declared.Within(capacity) {
+			continue
 		}
+		larger := cmp.Or(cmp.Compare(capacity.Memory, largest.Memory), cmp.Compare(capacity.Processors, largest.Processors))
+		if larger > 0 {
+			largest = capacity
+		}
+		found = true
+	}
+	return largest, found
+}
+
+// remaining is the run time that a task may still need.
+func (l *ledger) remaining(task *Task) time.Duration {
+	ran := task.Ran
+	if task.State == TaskPlaced && !task.Since.IsZero() {
+		ran += time.Duration(throttleOf(task) * float64(l.snapshot.Now.Sub(task.Since)))
+	}
+	declared := task.Work + task.Ran
+	times, learns := l.snapshot.Estimates.(RunTimes)
+	if !learns {
+		return max(0, declared-ran)
+	}
+	return times.Remaining(task.Template, declared, ran)
+}
+
+// slack is the time that a task can still wait and end by its deadline, and
+// whether it has one.
+func (l *ledger) slack(task *Task) (time.Duration, bool) {
+	if task.Deadline.IsZero() {
+		return 0, false
 	}
-	l.largest[place] = largest
-	return largest
+	return task.Deadline.Sub(l.snapshot.Now) - l.remaining(task), true
 }
 
-// learned reports whether sizes of a template are more than cautious guesses.
+// learned reports whether sizes of a template are more than cautious guesses, as far
+// as the estimates tell.
 func (l *ledger) learned(template string) bool {
 	confidence, tells := l.snapshot.Estimates.(Confidence)
-	return !tells || confidence.Learned(template)
+	return tells && confidence.Learned(template)
 }
 
 // reclaimable reports whether an organisation exceeds its quota.
