Hold that a skipped watch does not hold up a change

Cause: without the periodic read TestHistory passes, because a later change heals the skip. Change: TestSkippedWatch. Seen failing: with the document read at registration only ('pending with revision 0 in force, want accepted with 1').

--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -212,3 +212,19 @@
 		}
 	}
 }
+
+// TestSkippedWatch holds that a change that the watch never shows comes into
+// force all the same.
+func TestSkippedWatch(t *testing.T) {
+	f := twoDomains(t, fastClock(t, 10))
+	f.process("p1").gate.set(func(g *gate) { g.skipWatch = true })
+	state := configurer.StatePending
+	for range 20 {
+		if state != configurer.StateAccepted {
+			state = f.apply("c1", templatesChange(t)).State
+		}
+	}
+	if got := f.process("p1").Current().Revision; state != configurer.StateAccepted || got != 1 {
+		t.Errorf("%s with revision %d in force, want accepted with 1", state, got)
+	}
+}
