Resize what is reserved for running tasks

Cause: the policy corrects the reservation of placed tasks by what it learned; the owner had no such command, so the plan's resizes were passed over. Ruled out: a change of the owner's books alone, since the worker goes by what it was told; resizes before starts in a batch, which under lost answers starved the starts (TestResizesUnderLostAnswers did not end in 40 s). Change: commander.Resize; growth is recorded before the worker learns of it, and what shrinking frees counts once the worker has confirmed it; the record always holds the larger. The stand-in's true use no longer depends on the reservation. Before and after: TestShrinkingFreesNothingUnconfirmed fails with the reservation shrunk at once (worker at 10 of 4 processors), TestGrowthIsDurableBeforeItIsTold with the check of durability taken out; both pass, twice with -race.

--- a/commander/client.go
+++ b/commander/client.go
@@ -14,6 +14,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"zinniashore.example/placer"
 )
 
 const (
@@ -77,6 +79,13 @@
 	return c.call(ctx, address, "throttle", header.Cell, message)
 }
 
+// Resize implements Commander.
+func (c *Client) Resize(ctx context.Context, address string, header Header, task Ref, size placer.Size) (Answer, error) {
+	message := tasksMessage(header, []Ref{task})
+	message.Size = &SizeMessage{Processors: size.Processors, Memory: size.Memory, Accelerators: size.Accelerators}
+	return c.call(ctx, address, "resize", header.Cell, message)
+}
+
 // Forget implements Commander.
 func (c *Client) Forget(ctx context.Context, address string, header Header, tasks []Ref) (Answer, error) {
 	return c.call(ctx, address, "forget", header.Cell, tasksMessage(header, tasks))
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -26,6 +26,9 @@
 	Checkpoint(ctx context.Context, address string, header Header, tasks []Ref) (Answer, error)
 	// Throttle limits an attempt to a share of its processors, 1 being all.
 	Throttle(ctx context.Context, address string, header Header, task Ref, share float64) (Answer, error)
+	// Resize changes what is reserved for an attempt. The answer reports the
+	// attempt if it took effect.
+	Resize(ctx context.Context, address string, header Header, task Ref, size placer.Size) (Answer, error)
 	// Forget acknowledges ended attempts; the worker drops what it kept of them.
 	Forget(ctx context.Context, address string, header Header, tasks []Ref) (Answer, error)
 }
--- a/commander/message.go
+++ b/commander/message.go
@@ -38,11 +38,20 @@
 }
 
 // TasksMessage names the attempts that a command concerns. Throttle is the
-// share of the processors for a throttle command.
+// share of the processors for a throttle command, Size the reservation for a
+// resize command.
 type TasksMessage struct {
 	HeaderMessage
 	Tasks    []RefMessage `json:"tasks,omitempty"`
 	Throttle float64      `json:"throttle,omitempty"`
+	Size     *SizeMessage `json:"size,omitempty"`
+}
+
+// SizeMessage is the wire form of a placer.Size.
+type SizeMessage struct {
+	Processors   int64 `json:"processors_milli"`
+	Memory       int64 `json:"memory_bytes"`
+	Accelerators int64 `json:"accelerators,omitempty"`
 }
 
 // ReportMessage is the wire form of a TaskReport.
--- a/owner/cell.go
+++ b/owner/cell.go
@@ -103,7 +103,7 @@
 }
 
 func (c *cell) restoreTask(r record) {
-	t := &task{record: r, demand: r.demand(), phase: phaseWaiting, since: c.now(), throttle: 1, throttled: 1}
+	t := &task{record: r, demand: r.demand(), phase: phaseWaiting, since: c.now(), throttle: 1, throttled: 1, durable: r.reserved}
 	c.tasks[r.id] = t
 	if r.state == recordPlaced {
 		t.phase = phaseResolving
@@ -302,6 +302,9 @@
 
 // recorded lets a task whose place is durable be started.
 func (c *cell) recorded(t *task, durable record, now time.Time) {
+	if durable.state == recordPlaced && durable.attempt == t.record.attempt {
+		t.durable = durable.reserved
+	}
 	if t.phase != phaseRecording || durable.state != recordPlaced || durable.attempt != t.record.attempt {
 		return
 	}
--- a/owner/link.go
+++ b/owner/link.go
@@ -143,6 +143,7 @@
 	stops     []commander.Ref
 	evictions []commander.Ref
 	throttles []throttling
+	resizes   []resizing
 	ended     []commander.Ref
 }
 
@@ -152,7 +153,7 @@
 }
 
 func (b batch) empty() bool {
-	return !b.renew && len(b.starts)+len(b.stops)+len(b.evictions)+len(b.throttles)+len(b.ended) == 0
+	return !b.renew && len(b.starts)+len(b.stops)+len(b.evictions)+len(b.throttles)+len(b.resizes)+len(b.ended) == 0
 }
 
 func (c *cell) dispatchTo(l *link, tasks []*task, now time.Time) {
@@ -192,6 +193,8 @@
 			b.stops = append(b.stops, ref)
 		case t.phase == phaseRunning && t.throttle != t.throttled:
 			b.throttles = append(b.throttles, throttling{ref: ref, share: t.throttle})
+		case t.phase == phaseRunning && t.resizeDue():
+			b.resizes = append(b.resizes, resizing{ref: ref, size: t.target})
 		}
 	}
 }
@@ -256,7 +259,10 @@
 		}
 		c.post(func() { c.throttled(th) })
 	}
-	return c.executeStarts(l, b, take)
+	if err := c.executeStarts(l, b, take); err != nil {
+		return err
+	}
+	return c.executeResizes(b, take)
 }
 
 // executeStarts sends the starts of a batch, each only if the session was
--- a/owner/plan.go
+++ b/owner/plan.go
@@ -21,6 +21,8 @@
 			c.evict(action)
 		case placer.ActionThrottle:
 			c.throttle(action, now)
+		case placer.ActionResize:
+			c.resize(action, used)
 		}
 	}
 	c.explain(plan.Waiting)
@@ -140,6 +142,7 @@
 	t.record.settings = t.demand.settings
 	t.record = t.record.withPlace(attempt, l.vm.ID, l.vm.Address, reserved)
 	t.throttle, t.throttled, t.throttledAt = 1, 1, time.Time{}
+	t.durable, t.target = placer.Size{}, placer.Size{}
 	t.move(phaseRecording, now)
 	c.blamer.started(t.record.id, l.vm.ID)
 	c.mark(t.record.id)
--- a/owner/record.go
+++ b/owner/record.go
@@ -57,6 +57,12 @@
 	return r
 }
 
+// withReserved returns r with another reservation.
+func (r record) withReserved(size placer.Size) record {
+	r.reserved = size
+	return r
+}
+
 // withoutPlace returns r waiting, to resume at the checkpoint.
 func (r record) withoutPlace(checkpoint string) record {
 	r.state = recordWaiting
--- a/owner/task.go
+++ b/owner/task.go
@@ -52,6 +52,11 @@
 	throttled float64
 	// throttledAt is when throttle changed last, zero if never.
 	throttledAt time.Time
+	// durable is what the store says is reserved for the attempt at least.
+	durable placer.Size
+	// target is what is to be reserved, zero if that is not to change. The
+	// record reserves enough for it and for what the worker may know.
+	target placer.Size
 	// evictions is how often this owner evicted it.
 	evictions int
 	// drained is when the endpoint is known to be leaving, zero before.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -79,6 +79,7 @@
 	settled     time.Time
 	answers     int
 	calls       map[string]int64
+	sizes       map[string]placer.Size
 	bytes       int64
 	cells       map[string]*workerCell
 }
@@ -98,7 +99,9 @@
 }
 
 type workerTask struct {
-	message    commander.StartMessage
+	message commander.StartMessage
+	// size is what the task really uses before its Behaviour's UseFactor.
+	size       placer.Size
 	run        *Run
 	state      commander.TaskState
 	progress   float64
@@ -107,7 +110,7 @@
 	address    string
 	reason     string
 	reported   time.Time
-	usage      int64
+	usage      placer.Size
 	slowdown   float64
 	close      context.CancelFunc
 }
@@ -123,6 +126,7 @@
 	close(w.thawed)
 	w.cells = map[string]*workerCell{}
 	w.calls = map[string]int64{}
+	w.sizes = map[string]placer.Size{}
 	if w.Ledger == nil {
 		w.Ledger = &Ledger{}
 	}
@@ -262,6 +266,8 @@
 		return w.stop(cell, tasks.Tasks, until, operation == "checkpoint"), ""
 	case "throttle":
 		return cell.throttle(tasks), ""
+	case "resize":
+		return w.resize(cell, tasks), ""
 	case "forget":
 		cell.forget(tasks.Tasks, until)
 		return nil, ""
@@ -294,7 +300,7 @@
 	from, _ := strconv.ParseInt(start.Checkpoint, 10, 64)
 	service := start.Class == string(placer.ClassService)
 	task := &workerTask{
-		message: start, state: commander.TaskRunning, progress: float64(from), throttle: 1,
+		message: start, size: w.trueSize(start), state: commander.TaskRunning, progress: float64(from), throttle: 1,
 		reported: now, slowdown: 0, checkpoint: "",
 		run: &Run{
 			Task: start.Task, Attempt: start.Attempt, Worker: w.ID, Cell: start.Cell, Epoch: start.Epoch,
@@ -329,7 +335,42 @@
 	task.address = address
 }
 
-func (w *Worker) checkCapacity(cause string) {
+// trueSize returns what a task uses whatever is reserved for it: what was
+// reserved for the first task of its template.
+func (w *Worker) trueSize(start commander.StartMessage) placer.Size {
+	size, known := w.sizes[start.Template]
+	if !known {
+		size = placer.Size{Processors: start.Processors, Memory: start.Memory, Accelerators: start.Accelerators}
+		w.sizes[start.Template] = size
+	}
+	return size
+}
+
+// resize changes what is reserved for an attempt that runs.
+func (w *Worker) resize(cell *workerCell, tasks commander.TasksMessage) []commander.ReportMessage {
+	var reports []commander.ReportMessage
+	for _, ref := range tasks.Tasks {
+		task := cell.tasks[ref.Task]
+		if task == nil || tasks.Size == nil || task.message.Attempt != ref.Attempt || task.state.Ended() {
+			continue
+		}
+		task.message.Processors = tasks.Size.Processors
+		task.message.Memory = tasks.Size.Memory
+		task.message.Accelerators = tasks.Size.Accelerators
+		w.checkCapacity("the resize of " + ref.Task)
+		reports = append(reports, task.report())
+	}
+	return reports
+}
+
+// Reserved returns what the tasks that run were given.
+func (w *Worker) Reserved() placer.Size {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reserved()
+}
+
+func (w *Worker) reserved() placer.Size {
 	var used placer.Size
 	for _, cell := range w.cells {
 		for _, task := range cell.tasks {
@@ -338,7 +379,11 @@
 			}
 		}
 	}
-	if !used.Within(w.Capacity) {
+	return used
+}
+
+func (w *Worker) checkCapacity(cause string) {
+	if used := w.reserved(); !used.Within(w.Capacity) {
 		w.Ledger.overrun(fmt.Sprintf("%s: %+v is past %+v with %s", w.ID, used, w.Capacity, cause))
 	}
 }
@@ -513,9 +558,9 @@
 		return
 	}
 	task.reported = now
-	task.usage = task.message.Processors
+	task.usage = task.size
 	if behaviour.UseFactor > 0 {
-		task.usage = int64(float64(task.usage) * behaviour.UseFactor)
+		task.usage.Processors = int64(float64(task.size.Processors) * behaviour.UseFactor)
 	}
 	if task.run.Service {
 		task.slowdown = slowdown
@@ -575,8 +620,8 @@
 func (t *workerTask) report() commander.ReportMessage {
 	return commander.ReportMessage{
 		Task: t.message.Task, Attempt: t.message.Attempt, State: string(t.state),
-		Address: t.address, Checkpoint: t.checkpoint, Processors: t.usage,
-		Memory: t.message.Memory, Accelerators: t.message.Accelerators,
+		Address: t.address, Checkpoint: t.checkpoint, Processors: t.usage.Processors,
+		Memory: t.usage.Memory, Accelerators: t.usage.Accelerators,
 		Slowdown: t.slowdown, Reason: t.reason,
 	}
 }
