Give back the slot of a request on a connection that was closed before

TestSuspicion hung: slots stayed taken for good. The transport could hand out an idle connection while its read loop closed it. The request was then marked as sent although its write was refused, and no one was left to release the slot. A late answer and a lost linger goroutine were ruled out: no goroutine waited. Write and Close now decide under one mutex; a closed connection sends nothing, so the request is not sent and its slot comes back at once. The tests now check after each case that every slot came back; with the check of closing taken out, TestSuspicion fails with 3 slots still taken.

--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -94,9 +94,10 @@
 
 	current  atomic.Pointer[exchange]
 	answered atomic.Bool
-	closing  atomic.Bool
 	spoiled  atomic.Bool
 	readMu   sync.Mutex
+	mu       sync.Mutex
+	closing  bool
 }
 
 // begin gives the connection to an exchange, or to a probe if x is nil.
@@ -124,22 +125,35 @@
 
 // Write implements net.Conn.
 func (c *connection) Write(content []byte) (int, error) {
-	if x := c.current.Load(); x != nil {
-		if c.spoiled.Load() && !x.running() {
-			return 0, errAbandoned
-		}
-		if err := x.send(); err != nil {
-			return 0, err
-		}
+	if err := c.permit(); err != nil {
+		return 0, err
 	}
 	return c.Conn.Write(content)
 }
 
+// permit marks the current exchange as sent, or tells why it must not be. A
+// connection that was closed before is none on which anything is sent.
+func (c *connection) permit() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return net.ErrClosed
+	}
+	x := c.current.Load()
+	if x == nil {
+		return nil
+	}
+	if c.spoiled.Load() && !x.running() {
+		return errAbandoned
+	}
+	return x.send()
+}
+
 // Read implements net.Conn.
 func (c *connection) Read(buffer []byte) (int, error) {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
-	if c.closing.Load() {
+	if c.isClosing() {
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(buffer)
@@ -151,18 +165,29 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	if c.closing.Swap(true) {
+	c.mu.Lock()
+	closed := c.closing
+	c.closing = true
+	x := c.current.Load()
+	running := x != nil && x.running()
+	c.mu.Unlock()
+	if closed {
 		return nil
 	}
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	x := c.current.Load()
-	if x == nil || !x.running() {
+	if !running {
 		return c.end()
 	}
 	go c.linger(x)
 	return nil
 }
 
+func (c *connection) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 func (c *connection) end() error {
 	c.unreserve()
 	return c.Conn.Close()
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -11,7 +11,8 @@
 const (
 	ejectFailures     = 4
 	latencyShare      = 0.2
-	latencyHalfLife   = 10 * time.Second
+	latencyHalfLife   = 3 * time.Second
+	slowFactor        = 2
 	firstProbeBackoff = 250 * time.Millisecond
 	lastProbeBackoff  = 8 * time.Second
 )
@@ -88,13 +89,15 @@
 	return max(share-e.inFlight, 0)
 }
 
-// score orders endpoints for choice: the expected time of one more request. An
-// old latency counts less, so that a slow endpoint is tried again in time.
+// score orders endpoints for choice: the expected time of one more request.
+// Only a latency well above the mean counts, so that endpoints that are alike
+// share the load, and an old one counts less, so that a slow endpoint is tried
+// again in time.
 func (e *endpoint) score(mean time.Duration, now time.Time) float64 {
-	expected := float64(mean)
-	if e.latency > 0 {
-		weight := math.Exp2(-float64(now.Sub(e.observedAt)) / float64(latencyHalfLife))
-		expected += weight * float64(e.latency-mean)
+	weight := math.Exp2(-float64(now.Sub(e.observedAt)) / float64(latencyHalfLife))
+	expected := float64(mean) + weight*float64(e.latency-mean)
+	if expected < slowFactor*float64(mean) {
+		expected = float64(mean)
 	}
 	return float64(e.inFlight+1) * max(expected, 1) * float64(e.failures+1)
 }
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -86,6 +86,27 @@
 	dead       bool
 }
 
+// awaitIdle fails the test where a slot is not given back.
+func (v *vm) awaitIdle(t *testing.T) {
+	for range 3000 {
+		if v.idle() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Errorf("slots of %s were not given back: %+v", v.router.VM, v.router.Occupancy())
+}
+
+// idle reports whether every slot was given back.
+func (v *vm) idle() bool {
+	for _, o := range v.router.Occupancy() {
+		if o.InFlight != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // fleet is some entry VMs that reach each other over gRPC.
 type fleet struct {
 	t         *testing.T
@@ -174,6 +195,7 @@
 	}
 	f.t.Cleanup(func() {
 		for _, v := range f.vms {
+			v.awaitIdle(f.t)
 			v.router.SetEndpoints(nil)
 		}
 	})
