Tell what became of a write by the version that it replaced

Cause: the marks in a document named the last sequence of up to 32 writers. With a lost answer and more than 32 writers in between a write that had taken effect was taken for 'not mine' and done again; a deletion by another counted as one's own; the version returned after a lost answer could be that of a later write, with the body of ours; a creation sent again after a deletion took effect twice; a 4xx was an unclear answer. Ruled out: more marks (only moves the bound); a key a write (twice the calls). Change: a mark holds writer, sequence and replaced version, which no two writes share: its presence, another one at the same version, or neither is applied, none or forgotten; forgotten is an UnclearError. A deletion writes a tombstone before the key goes; a creation is read back, never sent again. 4xx is RefusedError, 429 and 503 unavailable. Turns stay: they save conflicts.

--- a/keeper/client.go
+++ b/keeper/client.go
@@ -164,11 +164,8 @@
 	if err != nil {
 		return &UnclearError{Operation: operation, Err: err}
 	}
-	if response.StatusCode == http.StatusServiceUnavailable {
-		return &UnavailableError{Operation: operation, Err: errors.New(response.Status)}
-	}
-	if response.StatusCode != http.StatusOK {
-		return &UnclearError{Operation: operation, Err: errors.New(response.Status)}
+	if err := statusError(operation, response); err != nil {
+		return err
 	}
 	if err := json.Unmarshal(content, answer); err != nil {
 		return &UnclearError{Operation: operation, Err: err}
@@ -176,6 +173,21 @@
 	return nil
 }
 
+// statusError returns what a status says about the effect of a call.
+func statusError(operation string, response *http.Response) error {
+	status := response.StatusCode
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return &UnavailableError{Operation: operation, Err: errors.New(response.Status)}
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout:
+		return &RefusedError{Operation: operation, Status: status}
+	default:
+		return &UnclearError{Operation: operation, Err: errors.New(response.Status)}
+	}
+}
+
 func callError(operation string, err error) error {
 	var dialError *net.OpError
 	if errors.As(err, &dialError) && dialError.Op == "dial" {
--- a/keeper/document.go
+++ b/keeper/document.go
@@ -1,42 +1,54 @@
 package keeper
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 )
 
 const (
 	documentFormat = 1
-	maxWriters     = 32
+	// maxMarks is the number of writes that a document remembers.
+	maxMarks = 32
 )
 
-// Document is a stored value with the writers that made it. It is immutable.
+// tombstonePrefix begins the stored form of a deleted document.
+var tombstonePrefix = []byte(`{"format":1,"deleted":true`)
+
+// Document is a stored value with the last writes that made it. It is immutable.
 type Document struct {
 	// Key is the key of the document.
 	Key string
-	// Version is the store revision of its last write, or zero if absent.
+	// Version is the store revision of its last write, or zero if absent. A
+	// document that is being deleted has a version and no body.
 	Version int64
 	// Body is the content, or nil if absent.
 	Body []byte
 
-	writers []writerMark
+	marks []mark
 }
 
-// writerMark is the last sequence number that a writer applied to a document.
-type writerMark struct {
+// mark tells which write replaced which version of a document. No two writes
+// replace the same version.
+type mark struct {
 	writer   string
 	sequence int64
+	base     int64
 }
 
-type writerMessage struct {
+type markMessage struct {
 	Writer   string `json:"writer"`
 	Sequence int64  `json:"sequence"`
+	Base     int64  `json:"base"`
 }
 
+// documentMessage is the stored form. Its first fields make up tombstonePrefix.
 type documentMessage struct {
 	Format  int             `json:"format"`
-	Writers []writerMessage `json:"writers"`
-	Body    json.RawMessage `json:"body"`
+	Deleted bool            `json:"deleted,omitempty"`
+	Writers []markMessage   `json:"writers"`
+	Body    json.RawMessage `json:"body,omitempty"`
 }
 
 // FormatError reports a stored value that this version cannot read. Such a
@@ -67,33 +79,59 @@
 	if message.Format != documentFormat {
 		return Document{}, &FormatError{Key: entry.Key, Err: fmt.Errorf("format %d is not %d", message.Format, documentFormat)}
 	}
+	if message.Deleted != (len(message.Body) == 0) {
+		return Document{}, &FormatError{Key: entry.Key, Err: errors.New("neither body nor deletion, or both")}
+	}
 	document.Body = message.Body
 	for _, m := range message.Writers {
-		document.writers = append(document.writers, writerMark{writer: m.Writer, sequence: m.Sequence})
+		document.marks = append(document.marks, mark{writer: m.Writer, sequence: m.Sequence, base: m.Base})
 	}
 	return document, nil
 }
 
-// hasWrite reports whether a write of the writer with this sequence number is
-// part of the document's history.
-func (d Document) hasWrite(writer string, sequence int64) bool {
-	for _, mark := range d.writers {
-		if mark.writer == writer {
-			return mark.sequence >= sequence
+// effect tells what a document's history says about a write.
+type effect string
+
+const (
+	effectApplied   effect = "applied"
+	effectNone      effect = "none"
+	effectForgotten effect = "forgotten"
+)
+
+// effectOf returns what became of a write, and the version that it made. It is
+// forgotten where the history reaches back less far than the version that the
+// write was to replace, and for a creation where another write created the
+// document: an earlier life of the document may have ended in between.
+func (d Document) effectOf(write mark) (effect, int64) {
+	version := d.Version
+	for _, m := range d.marks {
+		if m == write {
+			return effectApplied, version
 		}
+		if m.base == write.base && write.base != 0 {
+			return effectNone, 0
+		}
+		version = m.base
 	}
-	return false
+	return effectForgotten, 0
 }
 
-// encode returns the stored form of body written over d by the writer.
-func (d Document) encode(writer string, sequence int64, body []byte) ([]byte, error) {
-	message := documentMessage{Format: documentFormat, Body: body}
-	message.Writers = append(message.Writers, writerMessage{Writer: writer, Sequence: sequence})
-	for _, mark := range d.writers {
-		if mark.writer == writer || len(message.Writers) == maxWriters {
-			continue
-		}
-		message.Writers = append(message.Writers, writerMessage{Writer: mark.writer, Sequence: mark.sequence})
+// with returns d after a write. A nil body deletes the document.
+func (d Document) with(write mark, body []byte) Document {
+	marks := append([]mark{write}, d.marks...)
+	d.marks = marks[:min(len(marks), maxMarks)]
+	d.Body = body
+	return d
+}
+
+// encode returns the stored form.
+func (d Document) encode() ([]byte, error) {
+	message := documentMessage{Format: documentFormat, Deleted: d.Body == nil, Body: d.Body}
+	for _, m := range d.marks {
+		message.Writers = append(message.Writers, markMessage{Writer: m.writer, Sequence: m.sequence, Base: m.base})
 	}
 	return json.Marshal(message)
 }
+
+// isTombstone reports whether a stored value is that of a deleted document.
+func isTombstone(value []byte) bool { return bytes.HasPrefix(value, tombstonePrefix) }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -7,11 +7,15 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"k8s.io/klog/v2"
 )
 
 // retryPause is the pause between attempts to resolve an unclear write.
 const retryPause = 50 * time.Millisecond
 
+// errForgotten tells that a document's history does not reach back far enough.
+var errForgotten = errors.New("the history of the document no longer tells")
+
 // Keeper reads and changes documents of the store. It resolves writes whose
 // answer was lost by the writer marks that each document carries. It is safe
 // for concurrent use.
@@ -42,8 +46,9 @@
 
 // Update changes a document by compare-and-swap, calling change again after
 // each conflict. The document that change returned last is durable when Update
-// returns nil. It returns an *UnclearError only where ctx ended before the
-// outcome of a write could be resolved.
+// returns nil. It returns an *UnclearError where the answer to a write was lost
+// and its outcome could not be resolved: ctx ended, or the history of the
+// document no longer tells.
 func (k *Keeper) Update(ctx context.Context, key string, change ChangeFunc) (Document, error) {
 	return k.update(ctx, key, 0, change)
 }
@@ -78,50 +83,59 @@
 
 func (k *Keeper) swap(ctx context.Context, current Document, lease LeaseID, change ChangeFunc) (Document, error) {
 	body, err := change(current)
-	if err != nil {
+	if err != nil || (body == nil && current.Version == 0) {
 		return current, err
 	}
-	write := pendingWrite{document: current, body: body, lease: lease, sequence: k.sequence.Add(1)}
-	if body != nil {
-		write.value, err = current.encode(k.Writer, write.sequence, body)
-		if err != nil {
-			return current, &FormatError{Key: current.Key, Err: err}
-		}
+	write := pendingWrite{
+		mark:  mark{writer: k.Writer, sequence: k.sequence.Add(1), base: current.Version},
+		lease: lease,
+	}
+	write.document = current.with(write.mark, body)
+	write.value, err = write.document.encode()
+	if err != nil {
+		return current, &FormatError{Key: current.Key, Err: err}
+	}
+	written, err := k.apply(ctx, write)
+	if err == nil && body == nil {
+		k.bury(ctx, written)
+	}
+	return written, err
+}
+
+// bury removes the tombstone of a deleted document. Its outcome does not matter:
+// a tombstone that stays is read as absent.
+func (k *Keeper) bury(ctx context.Context, tombstone Document) {
+	if _, err := k.Store.Swap(ctx, tombstone.Key, tombstone.Version, nil, 0); err != nil {
+		klog.V(1).InfoS("Tombstone not removed", "key", tombstone.Key, "err", err)
 	}
-	return k.apply(ctx, write)
 }
 
 // pendingWrite is one compare-and-swap whose outcome may still be unclear.
 type pendingWrite struct {
+	mark     mark
 	document Document
-	body     []byte
 	value    []byte
 	lease    LeaseID
-	sequence int64
 }
 
-func (w pendingWrite) written(version int64, writer string) Document {
-	marks := []writerMark{{writer: writer, sequence: w.sequence}}
-	for _, mark := range w.document.writers {
-		if mark.writer != writer {
-			marks = append(marks, mark)
-		}
-	}
-	return Document{Key: w.document.Key, Version: version, Body: w.body, writers: marks}
+func (w pendingWrite) written(version int64) Document {
+	document := w.document
+	document.Version = version
+	return document
 }
 
 // apply repeats the same swap until its outcome is known. Repeating it is safe
-// because the expected version lets it take effect at most once.
+// because the version that it replaces lets it take effect at most once.
 func (k *Keeper) apply(ctx context.Context, write pendingWrite) (Document, error) {
 	unclear := false
 	for {
-		version, err := k.Store.Swap(ctx, write.document.Key, write.document.Version, write.value, write.lease)
+		version, err := k.Store.Swap(ctx, write.document.Key, write.mark.base, write.value, write.lease)
 		if err == nil {
-			return write.written(version, k.Writer), nil
+			return write.written(version), nil
 		}
 		var conflict *ConflictError
-		if errors.As(err, &conflict) {
-			return k.resolve(write, conflict, unclear)
+		if errors.As(err, &conflict) && unclear {
+			return resolve(write, conflict)
 		}
 		var lost *UnclearError
 		if errors.As(err, &lost) {
@@ -132,24 +146,42 @@
 		if !k.pause(ctx) {
 			return Document{}, &UnclearError{Operation: "swap", Err: err}
 		}
+		if write.mark.base == 0 {
+			return k.resolveCreation(ctx, write)
+		}
 	}
 }
 
-func (k *Keeper) resolve(write pendingWrite, conflict *ConflictError, unclear bool) (Document, error) {
-	if !unclear {
-		return Document{}, conflict
-	}
-	if write.value == nil && conflict.Current.Version == 0 {
-		return Document{Key: write.document.Key}, nil
+// resolveCreation reads back a creation whose answer was lost. It is not sent
+// again, because a deletion in between would let it take effect twice.
+func (k *Keeper) resolveCreation(ctx context.Context, write pendingWrite) (Document, error) {
+	for {
+		entry, err := k.Store.Get(ctx, write.document.Key)
+		if err == nil {
+			return resolve(write, &ConflictError{Current: entry})
+		}
+		if !k.pause(ctx) {
+			return Document{}, &UnclearError{Operation: "swap", Err: err}
+		}
 	}
+}
+
+// resolve tells from a conflicting document what became of a write whose answer
+// was lost.
+func resolve(write pendingWrite, conflict *ConflictError) (Document, error) {
 	current, err := DecodeDocument(conflict.Current)
 	if err != nil {
-		return Document{}, err
+		return Document{}, &UnclearError{Operation: "swap", Err: err}
 	}
-	if current.hasWrite(k.Writer, write.sequence) {
-		return write.written(current.Version, k.Writer), nil
+	became, version := current.effectOf(write.mark)
+	switch became {
+	case effectApplied:
+		return write.written(version), nil
+	case effectNone:
+		return Document{}, conflict
+	default:
+		return Document{}, &UnclearError{Operation: "swap", Err: errForgotten}
 	}
-	return Document{}, conflict
 }
 
 func (k *Keeper) pause(ctx context.Context) bool {
--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -112,7 +112,9 @@
 	}
 	entries := make(map[string]Entry, len(listing.Entries))
 	for _, entry := range listing.Entries {
-		entries[entry.Key] = entry
+		if !isTombstone(entry.Value) {
+			entries[entry.Key] = entry
+		}
 	}
 	m.mu.Lock()
 	m.entries = entries
@@ -143,7 +145,7 @@
 }
 
 func (m *Mirror) apply(change Change) {
-	if change.Deleted {
+	if change.Deleted || isTombstone(change.Entry.Value) {
 		delete(m.entries, change.Entry.Key)
 		return
 	}
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -52,8 +52,8 @@
 }
 
 // Store is the platform's key-value service. Every method returns an
-// *UnavailableError where the call certainly took no effect, and an
-// *UnclearError where it may have taken effect.
+// *UnavailableError or a *RefusedError where the call certainly took no effect,
+// and an *UnclearError where it may have taken effect.
 type Store interface {
 	// Get reads one key. An absent key is an Entry of version zero.
 	Get(ctx context.Context, key string) (Entry, error)
@@ -121,6 +121,20 @@
 // Unwrap returns the cause.
 func (e *UnclearError) Unwrap() error { return e.Err }
 
+// RefusedError reports a call that the store refused for good, such as a value
+// that is too large. It took no effect.
+type RefusedError struct {
+	// Operation is the store call.
+	Operation string
+	// Status is the HTTP status.
+	Status int
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("store: %s refused with status %d", e.Operation, e.Status)
+}
+
 // LapsedError reports a lease that has ended.
 type LapsedError struct {
 	// Lease is the lease.
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -5,9 +5,8 @@
 	"sync"
 )
 
-// turns lets updates of the same document take turns. The writer mark of a
-// document names only the last write of a writer, so that a writer must not
-// begin a write before the outcome of its earlier one is known.
+// turns lets updates of the same document by one process take turns: they would
+// only conflict at the store.
 type turns struct {
 	mu    sync.Mutex
 	turns map[string]*turn
