--- a/deduper/deduper.go
+++ b/deduper/deduper.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -40,6 +41,13 @@
 // EventKeyDecided reports a decision about an attempt.
 const EventKeyDecided recorder.Kind = "key_decided"
 
+const (
+	// DefaultSkew is the Skew of a Deduper that sets none.
+	DefaultSkew = 2 * time.Second
+	// DefaultAnswerBytes is the AnswerBytes of a Deduper that sets none.
+	DefaultAnswerBytes = 6 << 20
+)
+
 // sweepPeriod is the least time between two sweeps for keys past the window.
 const sweepPeriod = time.Second
 
@@ -90,6 +98,8 @@
 	bytes   int
 	latest  time.Time
 	swept   time.Time
+	// waiting counts the duplicates that have begun to wait.
+	waiting atomic.Int64
 }
 
 // entry is what is remembered of a key.
@@ -112,6 +122,7 @@
 	}
 	running, verdict := d.decide(key, attempt, minted)
 	if running != nil {
+		d.waiting.Add(1)
 		verdict = d.await(ctx, running)
 	}
 	d.note(key, attempt, verdict)
@@ -149,6 +160,12 @@
 		if d.Metrics == nil {
 			d.Metrics = tally.NoopScope
 		}
+		if d.Skew == 0 {
+			d.Skew = DefaultSkew
+		}
+		if d.AnswerBytes == 0 {
+			d.AnswerBytes = DefaultAnswerBytes
+		}
 	})
 }
 
