--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -22,7 +22,8 @@
 const WatchedPrefix = "watched/"
 
 // Mirror follows the keys under a prefix with one watch and keeps them in
-// memory. During an outage of the store it keeps what it last knew.
+// memory. During an outage of the store it keeps what it last knew. It never
+// goes back to an older revision.
 type Mirror struct {
 	// Store is the platform's key-value service.
 	Store Store
@@ -116,12 +117,23 @@
 			entries[entry.Key] = entry
 		}
 	}
+	if err := m.replace(entries, listing.Revision); err != nil {
+		return err
+	}
+	m.publish(func(string) bool { return true })
+	return nil
+}
+
+// replace takes in a listing unless it is older than what the mirror has.
+func (m *Mirror) replace(entries map[string]Entry, revision int64) error {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision < m.revision {
+		return &StaleError{Revision: revision, Known: m.revision}
+	}
 	m.entries = entries
-	m.revision = listing.Revision
+	m.revision = revision
 	m.lastContact = m.Clock.Now()
-	m.mu.Unlock()
-	m.publish(func(string) bool { return true })
 	return nil
 }
 
@@ -134,10 +146,13 @@
 	touched := make(map[string]bool, len(changes.Items))
 	m.mu.Lock()
 	for _, change := range changes.Items {
+		if change.Entry.Version <= after {
+			continue
+		}
 		m.apply(change)
 		touched[change.Entry.Key] = true
 	}
-	m.revision = changes.Revision
+	m.revision = max(after, changes.Revision)
 	m.lastContact = m.Clock.Now()
 	m.mu.Unlock()
 	m.publish(func(prefix string) bool { return anyHasPrefix(touched, prefix) })
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -156,3 +156,16 @@
 func (e *CompactedError) Error() string {
 	return fmt.Sprintf("store: changes after revision %d are forgotten, oldest is %d", e.After, e.Oldest)
 }
+
+// StaleError reports a listing that is older than what was read before.
+type StaleError struct {
+	// Revision is that of the listing.
+	Revision int64
+	// Known is the newest revision read before.
+	Known int64
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("store: listing of revision %d is older than %d", e.Revision, e.Known)
+}
