--- a/keeper/store.go
+++ b/keeper/store.go
@@ -52,8 +52,8 @@
 }
 
 // Store is the platform's key-value service. Every method returns an
-// *UnavailableError where the call certainly took no effect, and an
-// *UnclearError where it may have taken effect.
+// *UnavailableError or a *RefusedError where the call certainly took no effect,
+// and an *UnclearError where it may have taken effect.
 type Store interface {
 	// Get reads one key. An absent key is an Entry of version zero.
 	Get(ctx context.Context, key string) (Entry, error)
@@ -121,6 +121,20 @@
 // Unwrap returns the cause.
 func (e *UnclearError) Unwrap() error { return e.Err }
 
+// RefusedError reports a call that the store refused for good, such as a value
+// that is too large. It took no effect.
+type RefusedError struct {
+	// Operation is the store call.
+	Operation string
+	// Status is the HTTP status.
+	Status int
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("store: %s refused with status %d", e.Operation, e.Status)
+}
+
 // LapsedError reports a lease that has ended.
 type LapsedError struct {
 	// Lease is the lease.
@@ -142,3 +156,16 @@
 func (e *CompactedError) Error() string {
 	return fmt.Sprintf("store: changes after revision %d are forgotten, oldest is %d", e.After, e.Oldest)
 }
+
+// StaleError reports a listing that is older than what was read before.
+type StaleError struct {
+	// Revision is that of the listing.
+	Revision int64
+	// Known is the newest revision read before.
+	Known int64
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("store: listing of revision %d is older than %d", e.Revision, e.Known)
+}
