--- a/placer/reaction_test.go
+++ b/placer/reaction_test.go
@@ -206,3 +206,47 @@
 	}
 	t.Errorf("the task of low priority did not start in %d rounds", rounds)
 }
+
+// TestQuotaIsReclaimed lets one organisation borrow the whole cell, and another come
+// back for its quota: it gets all of it, within the budget of evictions, and no more
+// is evicted than it needs.
+func TestQuotaIsReclaimed(t *testing.T) {
+	s := placer.Snapshot{Now: noon, Quotas: []placer.Quota{
+		{Organisation: "x", Limit: size(64, 256)},
+		{Organisation: "y", Limit: size(64, 256)},
+	}}
+	for i := range 8 {
+		s.Workers = append(s.Workers, worker(fmt.Sprintf("w%d", i), size(16, 64)))
+	}
+	add := func(organisation string, count int) {
+		for i := range count {
+			s.Tasks = append(s.Tasks, with(waitingTask(fmt.Sprint(organisation, i), size(4, 4)), func(t *placer.Task) {
+				t.Organisation, t.Since = organisation, s.Now
+			}))
+		}
+	}
+	p := placer.Placer{Seed: 1, EvictionBudget: 4}
+	add("y", 40)
+	s = carriedOut(s, p.Decide(s))
+	add("x", 20)
+	running := map[string]int{}
+	evictions := 0
+	for round := range 12 {
+		s.Now = noon.Add(time.Duration(round+1) * 30 * time.Second)
+		plan := p.Decide(s)
+		for _, a := range plan.Actions {
+			if a.Kind == placer.ActionEvict {
+				evictions++
+			}
+		}
+		s = carriedOut(s, plan)
+	}
+	for _, task := range s.Tasks {
+		if task.State == placer.TaskPlaced {
+			running[task.Organisation]++
+		}
+	}
+	if running["x"] != 16 || running["y"] != 16 || evictions != 16 {
+		t.Errorf("x runs %d, y runs %d after %d evictions, want 16 each after 16", running["x"], running["y"], evictions)
+	}
+}
