Trust declared run times that have always been right

Change: the condition asks for a variance of the run times. Seen failing: TestRunTimes, case declared exactly, before the change (2h39m instead of 3h).

--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -150,13 +150,15 @@
 func TestRunTimes(t *testing.T) {
 	cases := map[string]struct {
 		declared float64
-		took     float64
-		ask      time.Duration
-		ran      time.Duration
-		low      time.Duration
-		high     time.Duration
+		// took is the run time in hours, zero for very different ones.
+		took float64
+		ask  time.Duration
+		ran  time.Duration
+		low  time.Duration
+		high time.Duration
 	}{
 		"nothing learned: as declared":         {ask: time.Hour, low: time.Hour, high: time.Hour},
+		"declared exactly: as declared":        {1, 0, 3 * time.Hour, 0, 175 * time.Minute, 185 * time.Minute},
 		"declared a quarter of the truth":      {0.25, 1, 15 * time.Minute, 0, 55 * time.Minute, 80 * time.Minute},
 		"declared four times the truth":        {4, 1, 4 * time.Hour, 0, 55 * time.Minute, 80 * time.Minute},
 		"what it ran is taken off":             {1, 1, time.Hour, 30 * time.Minute, 25 * time.Minute, 50 * time.Minute},
@@ -168,6 +170,9 @@
 			random := rand.New(rand.NewPCG(1, 2))
 			for range 50 {
 				took := c.took * math.Exp(0.1*random.NormFloat64())
+				if c.took == 0 && c.declared > 0 {
+					took = math.Exp(random.NormFloat64())
+				}
 				e.ObserveEnd(estimator.Ending{
 					Template: "sort",
 					Declared: time.Duration(c.declared * took * float64(time.Hour)),
--- a/estimator/runtimes.go
+++ b/estimator/runtimes.go
@@ -71,7 +71,7 @@
 		return declared
 	}
 	mean, variance := t.took.mean, t.took.variance
-	if declared > 0 && t.error.count >= runTimeSamples && t.error.variance > 0 {
+	if declared > 0 && t.error.count >= runTimeSamples && variance > 0 {
 		corrected := math.Log(declared.Seconds()) - t.error.mean
 		weight := variance / (variance + t.error.variance)
 		mean += weight * (corrected - mean)
