Reclaim no more than is borrowed

Cause: all tasks of an organisation over its quota yielded together, also those that brought it below its quota. Change: tenants yield in the order of their cost, each judged after those before it. Seen failing: TestDecide, case no more is reclaimed than is borrowed, before the change (evicts two tasks).

--- a/placer/claim.go
+++ b/placer/claim.go
@@ -245,20 +245,35 @@
 	return chosen, true
 }
 
+// yieldingTenants returns the tenants of a room that have to yield together,
+// cheapest first. An organisation yields no more than it exceeds its quota by.
 func yieldingTenants(l *ledger, w *Waiter, claim Claim, r *room) []*tenant {
 	var yielding []*tenant
-	for _, t := range r.tenants {
+	taken := map[string]Size{}
+	for _, t := range byEvictionCost(l, r) {
+		if claim.Budgeted() && t.task.Evictions >= maxEvictions {
+			continue
+		}
+		organisation := t.task.Organisation
 		slack, _ := l.slack(t.task)
-		placed := Placed{Task: t.task, Over: l.borrows(t.task.Organisation, Size{}), Slack: slack}
-		spared := claim.Budgeted() && t.task.Evictions >= maxEvictions
-		if !spared && !t.leaving && t.task.State == TaskPlaced && claim.Yields(w, placed) {
+		over := l.borrows(organisation, Size{}.Minus(taken[organisation]))
+		if claim.Yields(w, Placed{Task: t.task, Over: over, Slack: slack}) {
 			yielding = append(yielding, t)
+			taken[organisation] = taken[organisation].Plus(t.held)
 		}
 	}
-	slices.SortStableFunc(yielding, func(a, b *tenant) int {
+	return yielding
+}
+
+// byEvictionCost returns the placed tenants of a room, cheapest to evict first.
+func byEvictionCost(l *ledger, r *room) []*tenant {
+	placed := slices.DeleteFunc(slices.Clone(r.tenants), func(t *tenant) bool {
+		return t.leaving || t.task.State != TaskPlaced
+	})
+	slices.SortStableFunc(placed, func(a, b *tenant) int {
 		return cmp.Compare(evictionCost(l, a), evictionCost(l, b))
 	})
-	return yielding
+	return placed
 }
 
 // Weights of the cost of an eviction.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -103,12 +103,28 @@
 	},
 	"a guess resizes nothing and evicts nobody": {
 		snapshot: placer.Snapshot{
-			Now:       noon,
-			Workers:   []placer.Worker{worker("w1", size(16, 16))},
-			Tasks:     []placer.Task{placedTask("b", "w1", size(8, 8)), placedTask("c", "w1", size(8, 8))},
+			Now:     noon,
+			Workers: []placer.Worker{worker("w1", size(16, 16))},
+			Tasks: []placer.Task{
+				with(placedTask("b", "w1", size(8, 8)), func(t *placer.Task) { t.Reserved = t.Declared }),
+				with(placedTask("c", "w1", size(8, 8)), func(t *placer.Task) { t.Reserved = t.Declared }),
+			},
 			Estimates: cautious{},
 		},
 	},
+	"no more is reclaimed than is borrowed": {
+		snapshot: placer.Snapshot{
+			Now:     noon,
+			Workers: []placer.Worker{worker("w1", size(16, 64))},
+			Quotas:  []placer.Quota{{Organisation: "x", Limit: size(16, 64)}, {Organisation: "y", Limit: size(8, 64)}},
+			Tasks: []placer.Task{
+				with(placedTask("b", "w1", size(8, 8)), func(t *placer.Task) { t.Organisation = "y" }),
+				with(placedTask("c", "w1", size(8, 8)), func(t *placer.Task) { t.Organisation = "y" }),
+				with(waitingTask("a", size(16, 8)), func(t *placer.Task) { t.Organisation = "x" }),
+			},
+		},
+		want: []string{"a waits: capacity: needs 16 processors, 8 GiB; the most that is free on a worker of the cell is 0 processors, 48 GiB"},
+	},
 	"quota is reclaimed from who borrows": {
 		snapshot: placer.Snapshot{
 			Now:     noon,
