--- a/owner/cell.go
+++ b/owner/cell.go
@@ -54,10 +54,10 @@
 }
 
 // load reads the records of a cell that was taken.
-func (o *Owner) load(ctx context.Context, spec Cell, t *tenure, bound time.Time) (*cell, error) {
+func (o *Owner) load(ctx context.Context, spec Cell, t *tenure, bound time.Time, sealed int64) (*cell, error) {
 	c := &cell{
 		owner: o, spec: spec, tenure: t, bound: bound,
-		journal: newJournal(o.Keeper, spec.ID, t.epoch),
+		journal: newJournal(o.Keeper, spec.ID, t.epoch, sealed),
 		inbox:   make(chan func()),
 		tasks:   map[string]*task{}, links: map[string]*link{}, jobs: map[string]*jobView{},
 		seen: map[string]int64{}, stagedKeys: map[string]bool{},
@@ -103,7 +103,7 @@
 }
 
 func (c *cell) restoreTask(r record) {
-	t := &task{record: r, demand: r.demand(), phase: phaseWaiting, since: c.now(), throttle: 1, throttled: 1}
+	t := &task{record: r, demand: r.demand(), phase: phaseWaiting, since: c.now(), throttle: 1, throttled: 1, durable: r.reserved}
 	c.tasks[r.id] = t
 	if r.state == recordPlaced {
 		t.phase = phaseResolving
@@ -302,6 +302,9 @@
 
 // recorded lets a task whose place is durable be started.
 func (c *cell) recorded(t *task, durable record, now time.Time) {
+	if durable.state == recordPlaced && durable.attempt == t.record.attempt {
+		t.durable = durable.reserved
+	}
 	if t.phase != phaseRecording || durable.state != recordPlaced || durable.attempt != t.record.attempt {
 		return
 	}
