Carry the clock of the time line on calls between entry VMs

Cause: the server side of the interceptor pair was installed, the client side was not; a call did not carry the hybrid logical clock, so that the merged time line was ordered by wall clocks. Change: the smallest in package seater, which dials the peers: one dial option. Seen failing: TestDialCarriesClock without it ('clock after the call is 20s behind that of the peer'). Conclusion: the time line is causal over processes.

--- a/seater/heartbeat.go
+++ b/seater/heartbeat.go
@@ -142,6 +142,7 @@
 		grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		grpc.WithUnaryInterceptor(s.Recorder.UnaryClientInterceptor()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: s.Heartbeat, Multiplier: 1, MaxDelay: s.Heartbeat},
 			MinConnectTimeout: s.Heartbeat,
