Stop the last service too, and none while the configuration is unknown

Cause: the owner takes nil for 'not known yet'. The wiring returned nil also where a configuration without services was in force, so that the last service was never stopped, and read the configuration without asking whether it may be used. Change: the smallest in the wiring (tasks.go): nil unless the configurer is ready, else never nil. Seen failing: TestServicesKnown ('services [] of an empty configuration in force, want none but not nil').

--- a/tasks.go
+++ b/tasks.go
@@ -42,9 +42,13 @@
 	cells      []loader.Cell
 }
 
-// Services implements owner.Workloads.
+// Services implements owner.Workloads. It returns nil while no configuration is
+// known, and an empty list where there is no service.
 func (w workloads) Services() []owner.Service {
-	var services []owner.Service
+	if !w.configurer.Ready() {
+		return nil
+	}
+	services := []owner.Service{}
 	for _, s := range w.configurer.Current().Services {
 		services = append(services, owner.Service{
 			Organisation:   s.Organisation,
