Find a peer on the platform's list when the store is down at start

Cause: the peers of the configurer came from the seats, which know them from the store only; a process that started in an outage had nobody to learn from. Ruled out: addresses of peers in the settings, which change with each replaced VM. Seen failing: TestStartWithoutStore with the known peers only ('the second process does not learn from the listed one'). Conclusion: three runs with -race pass; separate processes are not run here. The list has to show entry VMs with the address for peers.

--- a/server.go
+++ b/server.go
@@ -62,6 +62,7 @@
 	administration *httpListener
 	peerListener   net.Listener
 	peers          *grpc.Server
+	listedPeers    *listedPeers
 	draining       atomic.Bool
 }
 
@@ -127,6 +128,11 @@
 
 func (s *Server) buildRoles() {
 	s.buildSeats()
+	s.listedPeers = &listedPeers{
+		known:         configurerPeers{seater: s.seater},
+		vms:           s.listedVMs,
+		failureDomain: s.Settings.FailureDomain,
+	}
 	s.configurer = &configurer.Configurer{
 		Clock:          s.Clock,
 		Keeper:         s.keeper("configurer"),
@@ -137,13 +143,19 @@
 		VM:             s.Settings.Process,
 		FailureDomain:  s.Settings.FailureDomain,
 		FailureDomains: s.Settings.FailureDomains,
-		Peers:          configurerPeers{seater: s.seater},
+		Peers:          s.listedPeers,
 	}
 	s.buildOwner()
 	s.buildRouter()
 	s.buildAdministrator()
 }
 
+// listedVMs returns the VMs that the platform lists.
+func (s *Server) listedVMs() []lister.VM {
+	vms, _ := s.lister.VMs()
+	return vms
+}
+
 func (s *Server) buildSeats() {
 	s.seater = &seater.Seater{
 		Clock:          s.Clock,
@@ -323,6 +335,7 @@
 	s.leave(ctx)
 	s.administration.stop(ctx)
 	s.peers.Stop()
+	s.listedPeers.close()
 	if err := s.meter.Close(); err != nil {
 		klog.ErrorS(err, "The last metrics were not reported")
 	}
