Give the wave of cancellations a lease longer than its renewal

Settings of that kind are refused by the loader. Ruled out: counting lapses as stops, which would not show that the stops were sent. Conclusion: the bound on calls is what the test shows, not the lease.

--- a/owner/fault_test.go
+++ b/owner/fault_test.go
@@ -388,7 +388,7 @@
 func TestCancellationWave(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 4)
-	w.process("a", func(o *owner.Owner) { o.Renewal = time.Second })
+	w.process("a", func(o *owner.Owner) { o.Renewal, o.TaskLease = time.Second, 20*time.Second })
 	w.submit(submitter.Job{Name: "wave", Tasks: 4000, Work: time.Hour})
 	w.eventually("workers are full", func() bool { return len(w.ledger.Runs()) == 16 })
 	w.workers["w0"].SetFaults(standin.WorkerFaults{Frozen: true})
