--- a/seater/expulsion.go
+++ b/seater/expulsion.go
@@ -15,6 +15,7 @@
 
 // demand is a request to a member to withdraw its promises to a target.
 type demand struct {
+	roster         string
 	target, member Entrant
 	version        int64
 }
@@ -58,7 +59,7 @@
 	for _, m := range c.known.Members {
 		_, done := e.withdrawn[m.identity()]
 		if m.VM != e.target.VM && !done {
-			demands = append(demands, demand{target: e.target, member: m, version: c.known.Version})
+			demands = append(demands, demand{roster: c.known.FailureDomain, target: e.target, member: m, version: c.known.Version})
 		}
 	}
 	return demands
--- a/seater/heartbeat.go
+++ b/seater/heartbeat.go
@@ -174,7 +174,7 @@
 func (s *Seater) beat(ctx context.Context, p *peer) {
 	s.mu.Lock()
 	connection := p.connection
-	request := &seaterpb.BeatRequest{Vm: s.VM, Incarnation: s.Incarnation, Rosters: []string{s.FailureDomain}}
+	request := &seaterpb.BeatRequest{Vm: s.VM, Incarnation: s.Incarnation, Rosters: s.rosters()}
 	expected := p.entrant.identity()
 	s.mu.Unlock()
 	if connection == nil {
@@ -224,17 +224,33 @@
 	}
 }
 
+// rosters returns the failure domains in whose rosters this process is; the
+// caller holds mu.
+func (s *Seater) rosters() []string {
+	var rosters []string
+	for _, domain := range s.FailureDomains {
+		if s.cohorts[domain].recorded() {
+			rosters = append(rosters, domain)
+		}
+	}
+	return rosters
+}
+
 func (s *Seater) demands() []demand {
 	alive := s.alive()
 	valid := s.Session.Valid()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.cohorts[s.FailureDomain]
-	if !valid {
-		c.expulsions = map[identity]*expulsion{}
-		return nil
+	var demands []demand
+	for _, domain := range s.FailureDomains {
+		c := s.cohorts[domain]
+		if !valid {
+			c.expulsions = map[identity]*expulsion{}
+			continue
+		}
+		demands = append(demands, c.pursue(alive, s.Clock.Now())...)
 	}
-	return c.pursue(alive, s.Clock.Now())
+	return demands
 }
 
 // demand asks a member to withdraw its promises to a target.
@@ -251,7 +267,7 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, s.Heartbeat)
 	defer cancel()
 	answer, err := seaterpb.NewSeaterClient(connection).Withdraw(ctx, &seaterpb.WithdrawRequest{
-		Roster: s.FailureDomain, RosterVersion: d.version,
+		Roster: d.roster, RosterVersion: d.version,
 		Vm: d.target.VM, Incarnation: d.target.Incarnation, Session: int64(d.target.Session),
 	})
 	if err != nil || !answer.GetWithdrawn() || answer.GetIncarnation() != d.member.Incarnation || answer.GetVm() != d.member.VM {
@@ -259,5 +275,5 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cohorts[s.FailureDomain].noteWithdrawal(d, s.Clock.Now())
+	s.cohorts[d.roster].noteWithdrawal(d, s.Clock.Now())
 }
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -388,22 +388,42 @@
 	if !s.Session.Valid() {
 		return
 	}
-	v := s.view(ctx)
+	for _, domain := range s.FailureDomains {
+		if s.belongs(domain) {
+			s.stepRoster(ctx, domain)
+		}
+	}
+}
+
+// belongs reports whether this process is or has to be in a roster: in that of
+// its failure domain, and as a witness where it is recorded or appointed.
+func (s *Seater) belongs(domain string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.cohorts[domain]
+	if c.leaving {
+		return false
+	}
+	return domain == s.FailureDomain || c.recorded() || !c.draining && s.appointed(domain)
+}
+
+func (s *Seater) stepRoster(ctx context.Context, domain string) {
+	v := s.view(ctx, domain)
 	s.mu.Lock()
-	c := s.cohorts[s.FailureDomain]
+	c := s.cohorts[domain]
 	c.share(v.alive, v.now)
 	after, err := c.next(c.known, s.lease(), v)
 	wanted := err == nil && !sameRoster(c.known, after)
 	s.mu.Unlock()
 	if err != nil {
-		klog.ErrorS(err, "Roster not joined", "vm", s.VM)
+		klog.ErrorS(err, "Roster not joined", "vm", s.VM, "failureDomain", domain)
 	}
 	if !wanted {
 		return
 	}
-	err = s.update(ctx, s.FailureDomain, func(r Roster) (Roster, error) { return s.advance(c, r, v) })
+	err = s.update(ctx, domain, func(r Roster) (Roster, error) { return s.advance(c, r, v) })
 	if err != nil {
-		klog.V(1).InfoS("Roster not written", "failureDomain", s.FailureDomain, "err", err)
+		klog.V(1).InfoS("Roster not written", "failureDomain", domain, "err", err)
 	}
 }
 
@@ -422,10 +442,10 @@
 
 // view reads what the roster decisions depend on. The sessions of members that
 // could be expelled are read from the store itself.
-func (s *Seater) view(ctx context.Context) view {
+func (s *Seater) view(ctx context.Context, domain string) view {
 	v := view{now: s.Clock.Now(), alive: s.alive(), lapsed: map[string]keeper.LeaseID{}}
 	s.mu.Lock()
-	targets := s.cohorts[s.FailureDomain].ripe(v.now)
+	targets := s.cohorts[domain].ripe(v.now)
 	s.mu.Unlock()
 	for _, target := range targets {
 		ended, err := s.ended(ctx, target)
