Confirm and accept without reading first

Ruled out: committing from the mirror's document; a change could then be rejected for a template that another entry VM has just accepted. Change: confirmations start from the record as last written, acceptances from the listing that showed them.

--- a/configurer/applier.go
+++ b/configurer/applier.go
@@ -172,15 +172,15 @@
 		return pending, nil
 	}
 	if revision > view.accepted {
-		if err := c.accept(ctx, revision); err != nil {
+		if err := c.accept(ctx, view.acceptance, revision); err != nil {
 			return pending, err
 		}
 	}
 	return Result{State: StateAccepted, Revision: revision}, nil
 }
 
-func (c *Configurer) accept(ctx context.Context, revision int64) error {
-	_, err := c.Keeper.Update(ctx, acceptanceKey, func(d keeper.Document) ([]byte, error) {
+func (c *Configurer) accept(ctx context.Context, known keeper.Document, revision int64) error {
+	_, err := c.Keeper.UpdateFrom(ctx, known, func(d keeper.Document) ([]byte, error) {
 		accepted, err := decodeAcceptance(d)
 		if err != nil {
 			return nil, err
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -95,8 +95,10 @@
 	permitted    time.Time
 	learners     map[string]learner
 
-	// succeeds tells that another process had the record, and reread when the
-	// document was last read. Only Run uses them.
+	// own is the record as this process last wrote it, succeeds tells that another
+	// process had it before, and reread when the configuration was last read. Only
+	// Run uses them.
+	own      keeper.Document
 	succeeds bool
 	reread   time.Time
 }
@@ -314,7 +316,7 @@
 // reads which one. A later acceptance therefore finds the record, and an earlier
 // one is part of what is read.
 func (c *Configurer) register(ctx context.Context) error {
-	_, err := c.Keeper.Update(ctx, memberKey(c.FailureDomain, c.VM), func(d keeper.Document) ([]byte, error) {
+	written, err := c.Keeper.Update(ctx, memberKey(c.FailureDomain, c.VM), func(d keeper.Document) ([]byte, error) {
 		previous, found, err := decodeMember(d)
 		if err != nil {
 			return nil, err
@@ -326,6 +328,7 @@
 	if err != nil {
 		return err
 	}
+	c.own = written
 	if err := c.read(ctx); err != nil {
 		return err
 	}
@@ -348,7 +351,7 @@
 	if !due {
 		return nil
 	}
-	_, err := c.Keeper.Update(ctx, memberKey(c.FailureDomain, c.VM), func(d keeper.Document) ([]byte, error) {
+	written, err := c.Keeper.UpdateFrom(ctx, c.own, func(d keeper.Document) ([]byte, error) {
 		member, found, err := decodeMember(d)
 		switch {
 		case err != nil:
@@ -368,6 +371,7 @@
 	if err != nil {
 		return err
 	}
+	c.own = written
 	c.mu.Lock()
 	c.confirmed = revision
 	c.mu.Unlock()
--- a/configurer/member.go
+++ b/configurer/member.go
@@ -111,16 +111,19 @@
 type membership struct {
 	members  []Member
 	accepted int64
+	// acceptance is the document that holds accepted.
+	acceptance keeper.Document
 }
 
 func decodeMembership(listing keeper.Listing) (membership, error) {
-	var m membership
+	m := membership{acceptance: keeper.Document{Key: acceptanceKey}}
 	for _, entry := range listing.Entries {
 		d, err := keeper.DecodeDocument(entry)
 		if err != nil {
 			return membership{}, err
 		}
 		if entry.Key == acceptanceKey {
+			m.acceptance = d
 			m.accepted, err = decodeAcceptance(d)
 		} else {
 			var member Member
