--- a/cmd/zinniashore/capacity_test.go
+++ b/cmd/zinniashore/capacity_test.go
@@ -42,7 +42,7 @@
 }
 
 func measureCapacity(b *testing.B, workers int) {
-	s := &system{platform: launch(b, "standin", "platform", "--store", "127.0.0.1:0", "--list", "127.0.0.1:0", "--lag", "100ms")}
+	s := newPlatform(b)
 	s.workers = append(s.workers, launch(b, "standin", "worker", "--id", "w", "--count", strconv.Itoa(workers),
 		"--failure-domain", "graz-a", "--list", s.platform.address("list"), "--processors", "64", "--memory", "250"))
 	settings := s.settings(b, "graz-a-0", "graz-a", map[string]int{"graz-a": 1})
--- a/cmd/zinniashore/e2e_test.go
+++ b/cmd/zinniashore/e2e_test.go
@@ -98,13 +98,31 @@
 	platform *process
 	workers  []*process
 	entries  []*process
+	// stores are the addresses of the store for failure domains that have
+	// their own.
+	stores map[string]string
+}
+
+// newPlatform starts the stand-ins of the store and of the list of VMs.
+func newPlatform(t testing.TB) *system {
+	t.Helper()
+	return &system{
+		platform: launch(t, "standin", "platform", "--store", "127.0.0.1:0", "--list", "127.0.0.1:0", "--lag", "100ms"),
+		stores:   map[string]string{},
+	}
 }
 
 // newSystem starts entry VMs in the given failure domains, with two workers in
 // each.
 func newSystem(t testing.TB, entries ...string) *system {
 	t.Helper()
-	s := &system{platform: launch(t, "standin", "platform", "--store", "127.0.0.1:0", "--list", "127.0.0.1:0", "--lag", "100ms")}
+	s := newPlatform(t)
+	s.start(t, entries...)
+	return s
+}
+
+func (s *system) start(t testing.TB, entries ...string) {
+	t.Helper()
 	seats := map[string]int{}
 	for _, failureDomain := range entries {
 		seats[failureDomain]++
@@ -120,7 +138,14 @@
 		s.entries = append(s.entries, launch(t, "serve", "--settings", settings))
 	}
 	s.awaitReady(t)
-	return s
+}
+
+// store returns the address at which a failure domain reaches the store.
+func (s *system) store(failureDomain string) string {
+	if address, found := s.stores[failureDomain]; found {
+		return address
+	}
+	return s.platform.address("store")
 }
 
 func (s *system) settings(t testing.TB, name, failureDomain string, seats map[string]int) string {
@@ -146,7 +171,7 @@
 	"requests": {"longest": "2s"},
 	"tasks": {"lease": "3s", "renewal": "200ms", "period": "250ms", "drain": "1s"},
 	"tokens": [{"role": "operator", "secret": %q}],
-}`, name, failureDomain, list, s.platform.address("store"), s.platform.address("list"), token)
+}`, name, failureDomain, list, s.store(failureDomain), s.platform.address("list"), token)
 	path := filepath.Join(t.TempDir(), name+".jsonc")
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
--- a/cmd/zinniashore/kill_test.go
+++ b/cmd/zinniashore/kill_test.go
@@ -44,9 +44,14 @@
 
 // load sends requests to all entry VMs and acts in the middle of it.
 func (s *system) load(t *testing.T, act func()) loadReport {
+	t.Helper()
+	return s.loadTo(t, s.entries, act)
+}
+
+func (s *system) loadTo(t *testing.T, entries []*process, act func()) loadReport {
 	t.Helper()
 	var targets []string
-	for _, entry := range s.entries {
+	for _, entry := range entries {
 		targets = append(targets, entry.address("callers"))
 	}
 	command := exec.Command(binary, "load", "--targets", strings.Join(targets, ","), "--organisation", "stockwerk",
@@ -113,6 +118,16 @@
 			time.Sleep(3 * time.Second)
 			_ = s.entries[2].command.Process.Signal(syscall.SIGCONT)
 		},
+		"all entry VMs replaced one after the other": func(t *testing.T, s *system) {
+			for i, entry := range s.entries {
+				_ = entry.command.Process.Signal(syscall.SIGTERM)
+				if err := entry.command.Wait(); err != nil {
+					t.Errorf("a planned stop ended with %v", err)
+				}
+				s.entries[i] = launch(t, entry.command.Args[1:]...)
+				s.awaitReady(t)
+			}
+		},
 		"store down and entry VM killed": func(_ *testing.T, s *system) {
 			s.setStore(`{"outage": true}`)
 			_ = s.entries[2].command.Process.Kill()
