Ask endpoints for the state of requests that get no answer

The slots of the silent exchanges stayed taken for the longest request time, as they must while nobody knows whether the endpoint runs them. Releasing at the end of the connection was ruled out: an endpoint may go on running then (TestReleaseFollowsEndpoint), and so was the caller's deadline, which the endpoint does not know.

Now an endpoint that keeps states is asked by id over a fresh connection. What it never got it promises never to run: such a request is not sent, is tried again elsewhere outside the retry budget, and its slot is free. A process that was started after the request was sent is not believed. Endpoints that keep no states cost the old wait. TestNeverResent counts requests by their path, since the question is a request of its own.

A slow endpoint's part of the slots no longer takes in time for which a slot was only held, and where most endpoints are slow none is told apart.

--- a/exchanger/error.go
+++ b/exchanger/error.go
@@ -26,6 +26,8 @@
 	CauseTimeout Cause = "timeout"
 	// CauseCanceled is a caller that gave up.
 	CauseCanceled Cause = "canceled"
+	// CauseSilent is a connection that lost the request.
+	CauseSilent Cause = "silent"
 	// CauseConnection is a connection that ended in the exchange.
 	CauseConnection Cause = "connection"
 	// CauseLength is an answer without a length or of another length.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,6 +30,27 @@
 	HeaderDraining = "Zinnia-Draining"
 	// HeaderRefused marks a refusal of an endpoint whose slots are taken.
 	HeaderRefused = "Zinnia-Refused"
+	// HeaderState carries the State of a request in the answer to a DELETE of
+	// its id below the path of probes.
+	HeaderState = "Zinnia-State"
+	// HeaderUptime carries how long the process of the endpoint has been up, in
+	// milliseconds. A process knows nothing of requests to the one before it.
+	HeaderUptime = "Zinnia-Uptime-Milliseconds"
+)
+
+// State is what an endpoint says of a request by its id.
+type State string
+
+// States of requests. An endpoint that knows no states gives none.
+const (
+	// StateUnknown is no answer to the question.
+	StateUnknown State = ""
+	// StateRunning is a request that runs.
+	StateRunning State = "running"
+	// StateDone is a request that ran or was refused.
+	StateDone State = "done"
+	// StateNever is a request that has not come, and will not run if it does.
+	StateNever State = "never"
 )
 
 const (
@@ -42,6 +64,8 @@
 	serviceName       = "endpoint"
 	probePath         = "/healthz"
 	dialTimeout       = time.Second
+	askTimeout        = 200 * time.Millisecond
+	askPeriod         = 50 * time.Millisecond
 	idleLimit         = 30 * time.Second
 	maxHeaderBytes    = 64 << 10
 	maxIdleToEndpoint = 8
@@ -62,6 +86,9 @@
 	Body []byte
 	// Deadline is when the exchange is abandoned at the latest.
 	Deadline time.Time
+	// Patience is how long no answer is taken for silence, after which the
+	// endpoint is asked for the state of the request. Zero never asks.
+	Patience time.Duration
 }
 
 // Answer is the whole answer of the endpoint.
@@ -113,31 +140,41 @@
 	once      sync.Once
 	transport *http.Transport
 	service   httpc.Service
+	fresh     httpc.Service
 	mu        sync.Mutex
 	open      int
 }
 
 // Exchange sends the request and returns its whole answer. It calls release
 // once, when the endpoint no longer runs the request; that can be after it
-// returned an *Error. An error is always an *Error.
-func (e *Exchanger) Exchange(ctx context.Context, request Request, release func()) (Answer, error) {
+// returned an *Error. Release is told whether an answer showed it, if only a
+// late one. An error is always an *Error.
+func (e *Exchanger) Exchange(ctx context.Context, request Request, release func(answered bool)) (Answer, error) {
 	e.once.Do(e.build)
-	x := &exchange{id: uuid.NewString(), progress: progressFresh, held: e.Held, clock: e.Clock, release: sync.OnceFunc(release)}
+	x := &exchange{id: uuid.NewString(), progress: progressFresh, exchanger: e, release: once(release)}
 	deadline := e.Clock.Now().Add(e.longestRequest())
 	if request.Deadline.Before(deadline) {
 		deadline = request.Deadline
 	}
 	ctx, cancel := clockwork.WithDeadline(ctx, e.Clock, deadline)
 	defer cancel()
+	if request.Patience > 0 {
+		go e.watch(ctx, x, request.Patience, cancel)
+	}
 	answer, cause, err := e.exchange(ctx, x, request)
 	if err == nil {
-		x.finish()
+		x.finish(true)
 		return answer, nil
 	}
 	cancel()
 	return Answer{}, x.fail(cause, err)
 }
 
+func once(release func(answered bool)) func(answered bool) {
+	var once sync.Once
+	return func(answered bool) { once.Do(func() { release(answered) }) }
+}
+
 func (e *Exchanger) exchange(ctx context.Context, x *exchange, request Request) (Answer, Cause, error) {
 	message, err := e.message(ctx, x, request)
 	if err != nil {
@@ -225,14 +262,16 @@
 // over a fresh one if fresh is set. Silence ends it with ctx.
 func (e *Exchanger) Probe(ctx context.Context, fresh bool) Health {
 	e.once.Do(e.build)
+	service := e.service
 	if fresh {
 		e.CloseIdle()
+		service = e.fresh
 	}
 	message, err := http.NewRequestWithContext(traced(ctx, nil), http.MethodGet, "http://"+e.Address+probePath, nil)
 	if err != nil {
 		return HealthBad
 	}
-	response, err := e.service.DoRequest(message)
+	response, err := service.DoRequest(message)
 	if err != nil {
 		return HealthSilent
 	}
@@ -249,6 +288,56 @@
 	return HealthGood
 }
 
+// watch asks for the state of an exchange that takes long. If the endpoint
+// never got it, its connection is silent: the exchange ends as not sent.
+func (e *Exchanger) watch(ctx context.Context, x *exchange, patience time.Duration, cancel context.CancelFunc) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.Clock.After(patience):
+		}
+		if !x.running() {
+			continue
+		}
+		state, uptime, knows := e.ask(ctx, x.id)
+		if state == StateNever && uptime > e.Clock.Since(x.sendTime()) {
+			x.revoke()
+			cancel()
+			e.CloseIdle()
+			return
+		}
+		if !knows {
+			return
+		}
+	}
+}
+
+// ask returns what the endpoint says of a request over a fresh connection, and
+// how long its process has been up. It reports false where the endpoint answers,
+// but knows no states.
+func (e *Exchanger) ask(ctx context.Context, id string) (State, time.Duration, bool) {
+	ctx, cancel := clockwork.WithTimeout(ctx, e.Clock, askTimeout)
+	defer cancel()
+	url := "http://" + e.Address + probePath + "/" + id
+	message, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
+	if err != nil {
+		return StateUnknown, 0, false
+	}
+	response, err := e.fresh.DoRequest(message)
+	if err != nil {
+		return StateUnknown, 0, true
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
+	state := State(response.Header.Get(HeaderState))
+	milliseconds, err := strconv.ParseInt(response.Header.Get(HeaderUptime), 10, 64)
+	if err != nil {
+		return StateUnknown, 0, false
+	}
+	return state, time.Duration(milliseconds) * time.Millisecond, state != StateUnknown
+}
+
 // CloseIdle closes the connections that no exchange uses, so that the next
 // exchange dials.
 func (e *Exchanger) CloseIdle() {
@@ -265,15 +354,25 @@
 
 func (e *Exchanger) build() {
 	breaker.NoBreakerFor(serviceName)
-	e.transport = &http.Transport{
+	e.transport = e.newTransport(false)
+	e.service = newService(e.transport)
+	e.fresh = newService(e.newTransport(true))
+}
+
+func (e *Exchanger) newTransport(fresh bool) *http.Transport {
+	return &http.Transport{
 		DialContext:            e.dial,
 		DisableCompression:     true,
+		DisableKeepAlives:      fresh,
 		MaxIdleConnsPerHost:    maxIdleToEndpoint,
 		IdleConnTimeout:        idleLimit,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	client := &http.Client{Transport: e.transport, CheckRedirect: keepRedirect}
-	e.service = httpc.NewServiceWithClient(serviceName, client)
+}
+
+func newService(transport *http.Transport) httpc.Service {
+	client := &http.Client{Transport: transport, CheckRedirect: keepRedirect}
+	return httpc.NewServiceWithClient(serviceName, client)
 }
 
 // keepRedirect hands redirects to the caller: following one sends again.
@@ -291,7 +390,7 @@
 		e.unreserve()
 		return nil, err
 	}
-	return &connection{Conn: inner, longest: e.longestRequest(), unreserve: sync.OnceFunc(e.unreserve)}, nil
+	return &connection{Conn: inner, unreserve: sync.OnceFunc(e.unreserve)}, nil
 }
 
 func (e *Exchanger) reserve() bool {
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -11,7 +11,7 @@
 const (
 	ejectFailures     = 4
 	latencyShare      = 0.2
-	latencyHalfLife   = 3 * time.Second
+	latencyHalfLife   = time.Second
 	slowFactor        = 2
 	firstProbeBackoff = 250 * time.Millisecond
 	lastProbeBackoff  = 8 * time.Second
@@ -84,18 +84,23 @@
 // room returns how many more requests it takes of a share of its slots. A slow
 // endpoint takes a part that is in proportion to its speed. If that is none, it
 // is tried with one request once its latency is old.
-func (e *endpoint) room(share int, mean time.Duration, now time.Time) int {
+func (e *endpoint) room(share int, v view) int {
+	return max(e.allowed(share, v)-e.inFlight, 0)
+}
+
+func (e *endpoint) allowed(share int, v view) int {
 	if share == 0 {
 		return 0
 	}
 	allowed := max(share>>min(e.failures, ejectFailures), 1)
-	if e.slow(mean) {
-		allowed = allowed * int(mean/time.Microsecond) / int(e.latency/time.Microsecond)
-		if allowed == 0 && e.expected(mean, now) < slowFactor*mean {
-			allowed = 1
-		}
+	if v.mostSlow || !e.slow(v.mean) {
+		return allowed
+	}
+	allowed = allowed * int(v.mean/time.Microsecond) / int(e.latency/time.Microsecond)
+	if allowed == 0 && e.expected(v.mean, v.now) < slowFactor*v.mean {
+		return 1
 	}
-	return max(allowed-e.inFlight, 0)
+	return allowed
 }
 
 // slow reports whether its latency is well above the mean of the service.
--- a/router/executor.go
+++ b/router/executor.go
@@ -24,6 +24,10 @@
 	smallestProgressLimit = 250 * time.Millisecond
 	progressLimitFactor   = 8
 
+	smallestPatience = 100 * time.Millisecond
+	patienceFactor   = 3
+	unknownPatience  = time.Second
+
 	// slowestFactor bounds the latency of a slow endpoint in means, and with it
 	// how long it stays out of use.
 	slowestFactor = 16
@@ -34,6 +38,8 @@
 	response Response
 	// again tells that another try may fare better at once.
 	again bool
+	// free tells that the try cost its endpoint nothing.
+	free bool
 }
 
 // execute has a request run by an endpoint of this entry VM, or passes it on if
@@ -46,7 +52,7 @@
 	p.budget.Deposit()
 	for retry := 1; ; retry++ {
 		tried := r.try(ctx, p, request, forward)
-		if !tried.again || !r.mayRetry(ctx, p, request, tried.response) {
+		if !tried.again || !r.mayRetry(ctx, p, request, tried) {
 			return tried.response
 		}
 		if !r.pause(ctx, retrier.Backoff(retry, nil)) {
@@ -62,14 +68,14 @@
 	return r.poolOf(name)
 }
 
-func (r *Router) mayRetry(ctx context.Context, p *pool, request Request, response Response) bool {
+func (r *Router) mayRetry(ctx context.Context, p *pool, request Request, tried result) bool {
 	if ctx.Err() != nil || !r.Clock.Now().Before(request.Deadline) {
 		return false
 	}
-	if response.Outcome != OutcomeNotRun && !request.Idempotent {
+	if tried.response.Outcome != OutcomeNotRun && !request.Idempotent {
 		return false
 	}
-	return p.budget.Withdraw()
+	return tried.free || p.budget.Withdraw()
 }
 
 func (r *Router) pause(ctx context.Context, pause time.Duration) bool {
@@ -143,7 +149,7 @@
 func (r *Router) queue(p *pool, request Request) (*limiter.Waiter, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	load := p.load(r.Shares)
+	load := p.load(r.Shares, r.Clock.Now())
 	if load.Slots == 0 {
 		return nil, &limiter.RefusedError{Reason: limiter.ReasonFull, RetryAfter: busyRetryAfter}
 	}
@@ -230,8 +236,8 @@
 	answer, err := e.exchanger.Exchange(ctx, exchanger.Request{
 		Method: request.Method, Path: request.Path, Key: request.Key,
 		Header: request.Header, Body: request.Body,
-		Deadline: r.progressDeadline(p, request, sent),
-	}, func() { r.releaseRun(ctx, p, e, sent) })
+		Deadline: r.progressDeadline(p, request, sent), Patience: r.patience(p),
+	}, func(answered bool) { r.releaseRun(ctx, p, e, sent, answered) })
 	latency := r.Clock.Since(sent)
 	if err != nil {
 		return r.failed(ctx, p, e, request, err, latency)
@@ -241,9 +247,9 @@
 
 // releaseRun gives a slot back. A request that was abandoned still shows how
 // long the endpoint ran it.
-func (r *Router) releaseRun(ctx context.Context, p *pool, e *endpoint, sent time.Time) {
-	held := r.Clock.Since(sent)
-	if ctx.Err() != nil && held < r.longestRequest() {
+func (r *Router) releaseRun(ctx context.Context, p *pool, e *endpoint, sent time.Time, answered bool) {
+	if answered && ctx.Err() != nil {
+		held := r.Clock.Since(sent)
 		r.mu.Lock()
 		e.observe(min(held, slowestFactor*p.latencies.Mean()), r.Clock.Now())
 		r.mu.Unlock()
@@ -251,6 +257,15 @@
 	r.release(p, e)
 }
 
+// patience is how long no answer is taken for silence.
+func (r *Router) patience(p *pool) time.Duration {
+	tail, known := p.latencies.HedgeAfter()
+	if !known {
+		return unknownPatience
+	}
+	return max(patienceFactor*tail, smallestPatience)
+}
+
 // progressDeadline is when an answer is overdue. An idempotent request is then
 // tried elsewhere; another one waits, since it may be running.
 func (r *Router) progressDeadline(p *pool, request Request, now time.Time) time.Time {
@@ -305,7 +320,8 @@
 	}
 	r.judge(p, e, failure, latency)
 	if !failure.Sent {
-		return result{response: request.notRun(string(failure.Cause), busyRetryAfter), again: true}
+		return result{response: request.notRun(string(failure.Cause), busyRetryAfter), again: true,
+			free: failure.Cause == exchanger.CauseSilent}
 	}
 	if ctx.Err() == nil || !request.Idempotent {
 		r.recordRequest(KindRequestUnknown, request, e.VM, string(failure.Cause))
@@ -320,7 +336,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch failure.Cause {
-	case exchanger.CauseCanceled, exchanger.CauseLapsed, exchanger.CauseRequest:
+	case exchanger.CauseCanceled, exchanger.CauseLapsed, exchanger.CauseRequest, exchanger.CauseSilent:
 	case exchanger.CauseConnections:
 		e.exchanger.CloseIdle()
 	case exchanger.CauseDial:
--- a/router/forward.go
+++ b/router/forward.go
@@ -22,6 +22,8 @@
 
 	// roomLifetime is how long a report of room is believed.
 	roomLifetime = 3 * time.Second
+	// answerMargin is the time for the answer of a forward to come back.
+	answerMargin = 10 * time.Millisecond
 	// seenLength is how many ids of forwards are remembered.
 	seenLength = 4096
 )
@@ -83,7 +85,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	load := p.load(r.Shares)
+	load := p.load(r.Shares, r.Clock.Now())
 	var best Peer
 	var found bool
 	most := 0
@@ -151,7 +153,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	message := encodeRequest(request, mode, remaining)
+	// The peer answers in time for its answer to come back.
+	message := encodeRequest(request, mode, remaining-min(remaining/10, answerMargin))
 	message.Id = uuid.NewString()
 	message.From = r.VM
 	message.Time = r.timestamp()
--- a/router/pool.go
+++ b/router/pool.go
@@ -29,27 +29,40 @@
 	latencies retrier.Latencies
 }
 
-// panicking reports whether suspicion leaves less than half of the endpoints
-// that did not say themselves that they are leaving.
-func (p *pool) panicking() bool {
-	usable, total := 0, 0
+// view is how the endpoints of a pool compare at one time. Where suspicion or
+// slowness would leave less than half of them, it is itself doubted.
+type view struct {
+	now       time.Time
+	mean      time.Duration
+	panicking bool
+	mostSlow  bool
+}
+
+func (p *pool) view(now time.Time) view {
+	v := view{now: now, mean: p.latencies.Mean()}
+	usable, fast, total := 0, 0, 0
 	for _, e := range p.endpoints {
 		if e.condition() == ConditionDrained {
 			continue
 		}
 		total++
-		if e.usable(false) {
-			usable++
+		if !e.usable(false) {
+			continue
+		}
+		usable++
+		if !e.slow(v.mean) {
+			fast++
 		}
 	}
-	return 2*usable < total
+	v.panicking = 2*usable < total
+	v.mostSlow = 2*fast < total
+	return v
 }
 
 // choose returns the best of a few endpoints with room other than the excluded
 // one, or nil if none has room.
 func (p *pool) choose(shares Shares, now time.Time, exclude *endpoint) *endpoint {
-	panicking := p.panicking()
-	mean := p.latencies.Mean()
+	v := p.view(now)
 	var best *endpoint
 	compared := 0
 	count := len(p.endpoints)
@@ -59,11 +72,11 @@
 	first, step := rand.IntN(count), coprimeStep(count)
 	for i := 0; i < count && compared < choices; i++ {
 		e := p.endpoints[(first+i*step)%count]
-		if e == exclude || !e.usable(panicking) || e.room(shares.Share(e.Slots), mean, now) == 0 {
+		if e == exclude || !e.usable(v.panicking) || e.room(shares.Share(e.Slots), v) == 0 {
 			continue
 		}
 		compared++
-		if best == nil || e.score(mean, now) < best.score(mean, now) {
+		if best == nil || e.score(v.mean, now) < best.score(v.mean, now) {
 			best = e
 		}
 	}
@@ -88,25 +101,24 @@
 }
 
 // load returns how busy the slots of the pool are.
-func (p *pool) load(shares Shares) limiter.Load {
+func (p *pool) load(shares Shares, now time.Time) limiter.Load {
+	v := p.view(now)
 	slots := 0
-	panicking := p.panicking()
 	for _, e := range p.endpoints {
-		if e.usable(panicking) {
-			slots += shares.Share(e.Slots)
+		if e.usable(v.panicking) {
+			slots += e.allowed(shares.Share(e.Slots), v)
 		}
 	}
-	return limiter.Load{Slots: slots, ServiceTime: p.latencies.Mean()}
+	return limiter.Load{Slots: slots, ServiceTime: v.mean}
 }
 
 // room returns how many more requests the pool takes at once.
 func (p *pool) room(shares Shares, now time.Time) int {
+	v := p.view(now)
 	room := 0
-	mean := p.latencies.Mean()
-	panicking := p.panicking()
 	for _, e := range p.endpoints {
-		if e.usable(panicking) {
-			room += e.room(shares.Share(e.Slots), mean, now)
+		if e.usable(v.panicking) {
+			room += e.room(shares.Share(e.Slots), v)
 		}
 	}
 	return room
@@ -249,7 +261,7 @@
 		if e == nil {
 			return
 		}
-		w := r.limiter.Pop(p.name.queue(), p.load(r.Shares))
+		w := r.limiter.Pop(p.name.queue(), p.load(r.Shares, r.Clock.Now()))
 		if w == nil {
 			return
 		}
