--- a/seater/cohort_test.go
+++ b/seater/cohort_test.go
@@ -354,6 +354,7 @@
 }
 
 func TestSeatNeverInTwoPlaces(t *testing.T) {
+	t.Parallel()
 	expelled := 0
 	rapid.Check(t, func(t *rapid.T) {
 		vms := rapid.IntRange(2, 4).Draw(t, "vms")
--- a/seater/seater_test.go
+++ b/seater/seater_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -105,6 +106,7 @@
 }
 
 func TestSeatsSpreadAndFollowTheLiving(t *testing.T) {
+	t.Parallel()
 	store, address := startStore(t)
 	domains := []string{"graz-a", "graz-b"}
 	var nodes []*node
@@ -152,6 +154,7 @@
 // survivor goes on when the other dies during an outage, and takes its seats
 // over afterwards without an operator.
 func TestPairGoesOnByItsWitness(t *testing.T) {
+	t.Parallel()
 	store, address := startStore(t)
 	domains := []string{"curepipe", "vacoas"}
 	survivor := startNode(t, address, "vm-0", "curepipe", domains)
@@ -172,6 +175,34 @@
 	eventually(t, "all seats at the survivor", func() bool { return survivor.Share(testSlots) == testSlots })
 }
 
+// TestOperatorReleasesADeadVM holds that the seats of a dead VM that nobody can
+// tell from one cut off wait for the operator, whose word is refused while its
+// session stands.
+func TestOperatorReleasesADeadVM(t *testing.T) {
+	t.Parallel()
+	_, address := startStore(t)
+	domains := []string{"graz-a"}
+	survivor := startNode(t, address, "vm-0", "graz-a", domains)
+	dead := startNode(t, address, "vm-1", "graz-a", domains)
+	eventually(t, "seats of both", func() bool { return survivor.Share(testSlots)+dead.Share(testSlots) == testSlots })
+	eventually(t, "guards by release", func() bool {
+		members := survivor.Status().Rosters[0].Members
+		return len(members) == 2 && members[0].Guard == GuardRelease && members[1].Guard == GuardRelease
+	})
+	var alive *AliveError
+	if err := survivor.Release(t.Context(), "vm-1"); !errors.As(err, &alive) {
+		t.Errorf("release of a living VM: %v", err)
+	}
+	dead.stop()
+	share := survivor.Share(testSlots)
+	time.Sleep(2 * (testTTL + testPromise + testLongest))
+	if got := survivor.Share(testSlots); got > share {
+		t.Errorf("took over without a word: %d slots, had %d", got, share)
+	}
+	eventually(t, "release", func() bool { return survivor.Release(t.Context(), "vm-1") == nil })
+	eventually(t, "all seats at the survivor", func() bool { return survivor.Share(testSlots) == testSlots })
+}
+
 // silencer passes connections on until those that are open go silent.
 type silencer struct {
 	listener net.Listener
@@ -229,6 +260,7 @@
 // TestSilentConnectionIsReplaced holds that a member whose open connections all
 // went silent is reached by a new one and keeps its place.
 func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
 	_, address := startStore(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
