Leave documents that are being deleted out of listings

Cause: submitter.List and the configurer's membership read the store's listing themselves; a tombstone, left for good where the removal of its key failed, made the first fail and gave the second an empty member. Change: Client.List leaves tombstones out, as the mirror does. Proof: TestDeletedDocumentIsAbsent, seen failing without the filter.

--- a/keeper/client.go
+++ b/keeper/client.go
@@ -58,7 +58,7 @@
 	return answer.entry(), nil
 }
 
-// List implements Store.
+// List implements Store. It leaves out documents that are being deleted.
 func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
 	var answer ListingMessage
 	if err := c.call(ctx, "list", KeyMessage{Key: prefix}, &answer); err != nil {
@@ -66,7 +66,9 @@
 	}
 	listing := Listing{Revision: answer.Revision}
 	for _, m := range answer.Entries {
-		listing.Entries = append(listing.Entries, m.entry())
+		if !isTombstone(m.Value) {
+			listing.Entries = append(listing.Entries, m.entry())
+		}
 	}
 	return listing, nil
 }
--- a/keeper/keeper_concurrent_test.go
+++ b/keeper/keeper_concurrent_test.go
@@ -1,6 +1,7 @@
 package keeper_test
 
 import (
+	"context"
 	"encoding/json"
 	"sync"
 	"testing"
@@ -52,3 +53,42 @@
 		t.Errorf("%d updates took effect, %v, want %d", count, err, updaters*updates)
 	}
 }
+
+// unburying is a store on which no key is ever removed.
+type unburying struct{ keeper.Store }
+
+func (u unburying) Swap(ctx context.Context, key string, expected int64, value []byte, lease keeper.LeaseID) (int64, error) {
+	if value == nil {
+		return 0, &keeper.UnavailableError{Operation: "swap"}
+	}
+	return u.Store.Swap(ctx, key, expected, value, lease)
+}
+
+// TestDeletedDocumentIsAbsent holds that a deleted document is absent to all
+// readers though the removal of its key failed, and can be created again.
+func TestDeletedDocumentIsAbsent(t *testing.T) {
+	address, err := standin.Listen(t.Context(), "127.0.0.1:0", &standin.Store{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := keeper.NewClient(address)
+	k := &keeper.Keeper{Store: unburying{Store: client}, Clock: clockwork.NewRealClock(), Writer: "w"}
+	for i, body := range []string{`1`, ``, `2`, ``} {
+		written, err := k.Update(t.Context(), "key", func(current keeper.Document) ([]byte, error) {
+			if (current.Body == nil) != (i%2 == 0) {
+				t.Errorf("update %d saw body %q", i, current.Body)
+			}
+			if body == "" {
+				return nil, nil
+			}
+			return []byte(body), nil
+		})
+		if err != nil || string(written.Body) != body {
+			t.Fatalf("update %d: %q, %v", i, written.Body, err)
+		}
+		listing, err := client.List(t.Context(), "")
+		if err != nil || len(listing.Entries) != 1-i%2 {
+			t.Errorf("update %d: listed %v, %v", i, listing.Entries, err)
+		}
+	}
+}
