Work out slack once, and sort only the tasks that yield

Cause: half of the time of a decision with many hurried tasks went into sorting all tenants of each worker by what their eviction costs. Change: tenants that do not yield are left out before the sort; slack is kept.

--- a/placer/claim.go
+++ b/placer/claim.go
@@ -250,14 +250,9 @@
 func yieldingTenants(l *ledger, w *Waiter, claim Claim, r *room) []*tenant {
 	var yielding []*tenant
 	taken := map[string]Size{}
-	for _, t := range byEvictionCost(l, r) {
-		if claim.Budgeted() && t.task.Evictions >= maxEvictions {
-			continue
-		}
+	for _, t := range byEvictionCost(l, eachYields(l, w, claim, r)) {
 		organisation := t.task.Organisation
-		slack, _ := l.slack(t.task)
-		over := l.borrows(organisation, Size{}.Minus(taken[organisation]))
-		if claim.Yields(w, Placed{Task: t.task, Over: over, Slack: slack}) {
+		if claim.Yields(w, l.placed(t, taken[organisation])) {
 			yielding = append(yielding, t)
 			taken[organisation] = taken[organisation].Plus(t.held)
 		}
@@ -265,15 +260,35 @@
 	return yielding
 }
 
-// byEvictionCost returns the placed tenants of a room, cheapest to evict first.
-func byEvictionCost(l *ledger, r *room) []*tenant {
-	placed := slices.DeleteFunc(slices.Clone(r.tenants), func(t *tenant) bool {
-		return t.leaving || t.task.State != TaskPlaced
-	})
-	slices.SortStableFunc(placed, func(a, b *tenant) int {
+// eachYields returns the tenants of a room that would have to yield alone.
+func eachYields(l *ledger, w *Waiter, claim Claim, r *room) []*tenant {
+	var yielding []*tenant
+	for _, t := range r.tenants {
+		spared := claim.Budgeted() && t.task.Evictions >= maxEvictions
+		if spared || t.leaving || t.task.State != TaskPlaced {
+			continue
+		}
+		if claim.Yields(w, l.placed(t, Size{})) {
+			yielding = append(yielding, t)
+		}
+	}
+	return yielding
+}
+
+// placed returns a tenant as the claims see it, after a size has been taken from
+// its organisation.
+func (l *ledger) placed(t *tenant, taken Size) Placed {
+	slack, _ := l.tenantSlack(t)
+	over := l.borrows(t.task.Organisation, Size{}.Minus(taken))
+	return Placed{Task: t.task, Over: over, Slack: slack}
+}
+
+// byEvictionCost sorts tenants, cheapest to evict first.
+func byEvictionCost(l *ledger, tenants []*tenant) []*tenant {
+	slices.SortStableFunc(tenants, func(a, b *tenant) int {
 		return cmp.Compare(evictionCost(l, a), evictionCost(l, b))
 	})
-	return placed
+	return tenants
 }
 
 // Weights of the cost of an eviction.
@@ -298,7 +313,7 @@
 	if !l.borrows(t.task.Organisation, Size{}) {
 		cost += quotaCost
 	}
-	if left, limited := l.slack(t.task); limited && left < 2*criticalSlack {
+	if left, limited := l.tenantSlack(t); limited && left < 2*criticalSlack {
 		cost += hurryCost
 	}
 	if !t.task.Since.IsZero() {
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -15,6 +15,9 @@
 	template int
 	// excess is the expected slowdown above 1 that the neighbours cause.
 	excess float64
+	// timed tells that slack is known.
+	timed bool
+	slack time.Duration
 }
 
 // room is what the decision knows of one worker.
@@ -280,6 +283,15 @@
 	return task.Deadline.Sub(l.snapshot.Now) - l.remaining(task), true
 }
 
+// tenantSlack is the slack of the task of a tenant, which is worked out once.
+func (l *ledger) tenantSlack(t *tenant) (time.Duration, bool) {
+	if !t.timed {
+		t.slack, _ = l.slack(t.task)
+		t.timed = true
+	}
+	return t.slack, !t.task.Deadline.IsZero()
+}
+
 // learned reports whether sizes of a template are more than cautious guesses, as far
 // as the estimates tell.
 func (l *ledger) learned(template string) bool {
--- a/placer/reaction.go
+++ b/placer/reaction.go
@@ -317,8 +317,8 @@
 
 // waitsBetter reports whether a has more time to spare than b.
 func (l *ledger) waitsBetter(a, b *tenant) bool {
-	slackA, limitedA := l.slack(a.task)
-	slackB, limitedB := l.slack(b.task)
+	slackA, limitedA := l.tenantSlack(a)
+	slackB, limitedB := l.tenantSlack(b)
 	if limitedA != limitedB {
 		return limitedB
 	}
