Bound each file of the configuration

Change: a template or organisation is at most 16 KB. Seen failing: TestApplyStates 'file too long' before the change. Conclusion: rejected with the length and the limit.

--- a/configurer/change.go
+++ b/configurer/change.go
@@ -206,6 +206,9 @@
 		if err := e.touchTemplate(name); err != nil {
 			return err
 		}
+		if err := e.bound(file); err != nil {
+			return err
+		}
 		e.document.Templates = withFile(e.document.Templates, file)
 		return nil
 	}
@@ -216,10 +219,21 @@
 	if err := e.touchOrganisation(file.Name); err != nil {
 		return err
 	}
+	if err := e.bound(file); err != nil {
+		return err
+	}
 	e.document.Organisations = withFile(e.document.Organisations, file)
 	return nil
 }
 
+// bound rejects a file that takes too much of the document.
+func (e *edit) bound(file File) error {
+	if len(file.Content) <= maxFileBytes {
+		return nil
+	}
+	return e.change.reject("files", file.Name, fmt.Sprintf("is %d bytes long", len(file.Content)), fmt.Sprintf("at most %d bytes", maxFileBytes))
+}
+
 func (e *edit) touchTemplate(name string) error {
 	if e.change.Organisation != "" {
 		return e.change.reject("files", name, "is a template", "the organisation "+e.change.Organisation)
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -66,6 +67,7 @@
 		"another organisation":              {change: configurer.Change{ID: "b", Organisation: "stockwerk", ReadRevision: 2, Files: mokaFiles(t)}, want: configurer.StateRejected},
 		"template by an organisation":       {change: configurer.Change{ID: "c", Organisation: "moka", ReadRevision: 2, Files: []configurer.File{file(t, "shop")}}, want: configurer.StateRejected},
 		"template still in use":             {change: configurer.Change{ID: "d", ReadRevision: 2, RemovedTemplates: []string{"shop"}}, want: configurer.StateRejected},
+		"file too long":                     {change: configurer.Change{ID: "h", Organisation: "moka", ReadRevision: 2, Files: mokaFiles(t, "// Roll", "// "+strings.Repeat("x", 1<<14))}, want: configurer.StateRejected},
 		"one bad file of two":               {change: configurer.Change{ID: "e", ReadRevision: 2, Files: append(mokaFiles(t, "65", "66"), file(t, "shop", "service", "server"))}, want: configurer.StateRejected},
 		"assignment out of range":           {change: configurer.Change{ID: "f", Organisation: "moka", ReadRevision: 2, Assignments: []configurer.Assignment{{Workload: "finishing", Parameter: "priority", Value: "101"}}}, want: configurer.StateRejected},
 		"assignment to no workload":         {change: configurer.Change{ID: "g", Organisation: "moka", ReadRevision: 2, Assignments: []configurer.Assignment{{Workload: "no", Parameter: "priority", Value: "1"}}}, want: configurer.StateRejected},
--- a/configurer/document.go
+++ b/configurer/document.go
@@ -18,6 +18,10 @@
 	maxChangeIDs = 256
 
 	maxDocumentBytes = keeper.MaxValueBytes * 3 / 4
+
+	// maxFileBytes bounds one file, so that no organisation can fill the document
+	// that all of them share.
+	maxFileBytes = 16 << 10
 )
 
 // File is one template or the parameter values of one organisation, in JSON
