--- a/cmd/zinniashore/measure.go
+++ b/cmd/zinniashore/measure.go
@@ -4,14 +4,19 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 
+	"zinniashore.example/bencher"
 	"zinniashore.example/operator"
 	"zinniashore.example/replayer"
+	"zinniashore.example/surveyor"
 )
 
 // measureCommand measures the policy.
 type measureCommand struct {
-	Placement *placementCommand `arg:"subcommand:placement" help:"replay the committed traces through the decision code and its baselines"`
+	Placement     *placementCommand     `arg:"subcommand:placement" help:"replay the committed traces through the decision code and its baselines"`
+	Requests      *requestsCommand      `arg:"subcommand:requests" help:"load endpoints of this machine directly, through the router and through baselines"`
+	Configuration *configurationCommand `arg:"subcommand:configuration" help:"time changes by racing operators on a disturbed store"`
 }
 
 type placementCommand struct {
@@ -20,10 +25,15 @@
 
 // Run measures what is asked for.
 func (c *measureCommand) Run(ctx context.Context, out io.Writer) (operator.ExitStatus, error) {
-	if c.Placement != nil {
+	switch {
+	case c.Placement != nil:
 		return c.Placement.run(ctx, out)
+	case c.Requests != nil:
+		return c.Requests.run(ctx, out)
+	case c.Configuration != nil:
+		return c.Configuration.run(ctx, out)
 	}
-	return operator.ExitUsage, &operator.UsageError{Problem: "name a measurement: placement"}
+	return operator.ExitUsage, &operator.UsageError{Problem: "name a measurement: placement, requests or configuration"}
 }
 
 func (c *placementCommand) run(ctx context.Context, out io.Writer) (operator.ExitStatus, error) {
@@ -34,3 +44,31 @@
 	_, err = fmt.Fprintln(out, report)
 	return operator.ExitDone, err
 }
+
+type requestsCommand struct {
+	Duration time.Duration `arg:"--duration" default:"5s" help:"how long each load lasts"`
+}
+
+func (c *requestsCommand) run(ctx context.Context, out io.Writer) (operator.ExitStatus, error) {
+	report, err := bencher.Requests(ctx, bencher.Options{Duration: c.Duration})
+	if err != nil {
+		return operator.ExitFailed, err
+	}
+	_, err = fmt.Fprintln(out, report)
+	return operator.ExitDone, err
+}
+
+type configurationCommand struct {
+	Changes int `arg:"--changes" default:"200" help:"number of changes"`
+}
+
+func (c *configurationCommand) run(ctx context.Context, out io.Writer) (operator.ExitStatus, error) {
+	options := surveyor.DefaultOptions
+	options.Changes = c.Changes
+	report, err := surveyor.Configuration(ctx, options)
+	if err != nil {
+		return operator.ExitFailed, err
+	}
+	_, err = fmt.Fprintln(out, report)
+	return operator.ExitDone, err
+}
--- a/cmd/zinniashore/serve.go
+++ b/cmd/zinniashore/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime/debug"
 
 	"github.com/jonboulle/clockwork"
 
@@ -12,6 +13,14 @@
 	"zinniashore.example/operator"
 )
 
+const (
+	// garbagePercent trades processor time for memory: the live heap of an
+	// entry VM is small beside what its calls leave behind.
+	garbagePercent = 40
+	// memoryLimit is where the collector works harder, in bytes.
+	memoryLimit = 24 << 20
+)
+
 // serveCommand runs the process of an entry VM.
 type serveCommand struct {
 	Settings string `arg:"--settings,required" help:"settings file, JSON with comments"`
@@ -22,6 +31,8 @@
 	if err != nil {
 		return operator.ExitUsage, err
 	}
+	debug.SetGCPercent(garbagePercent)
+	debug.SetMemoryLimit(memoryLimit)
 	server := &zinniashore.Server{Settings: settings, Clock: clockwork.NewRealClock()}
 	if err := server.Listen(); err != nil {
 		return operator.ExitFailed, err
