--- a/seater/heartbeat.go
+++ b/seater/heartbeat.go
@@ -153,11 +153,18 @@
 	return connection
 }
 
-// retire closes a connection once no request can be in flight on it.
+// retire closes a connection once no request can be in flight on it; the caller
+// holds mu.
 func (s *Seater) retire(connection *grpc.ClientConn) {
-	if connection != nil {
-		s.Clock.AfterFunc(s.LongestRequest, func() { _ = connection.Close() })
+	if connection == nil {
+		return
 	}
+	s.retired[connection] = s.Clock.AfterFunc(s.LongestRequest, func() {
+		s.mu.Lock()
+		delete(s.retired, connection)
+		s.mu.Unlock()
+		_ = connection.Close()
+	})
 }
 
 func (s *Seater) closePeers() {
@@ -168,6 +175,11 @@
 			_ = p.connection.Close()
 		}
 	}
+	for connection, timer := range s.retired {
+		if timer.Stop() {
+			_ = connection.Close()
+		}
+	}
 	s.peers = map[identity]*peer{}
 }
 
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -73,6 +73,8 @@
 	mu      sync.Mutex
 	cohorts map[string]*cohort
 	peers   map[identity]*peer
+	// retired are replaced connections that may still have requests in flight.
+	retired map[*grpc.ClientConn]clockwork.Timer
 }
 
 // Register serves the heartbeats of the other entry VMs. It is called before
@@ -115,6 +117,7 @@
 			s.PairGuard = GuardRelease
 		}
 		s.peers = map[identity]*peer{}
+		s.retired = map[*grpc.ClientConn]clockwork.Timer{}
 		s.cohorts = map[string]*cohort{}
 		for _, domain := range s.FailureDomains {
 			s.cohorts[domain] = newCohort(s.entrant(), NewRoster(domain, s.Seats), s.limits())
