--- /dev/null
+++ b/replayer/report.go
@@ -0,0 +1,53 @@
+package replayer
+
+import (
+	"time"
+
+	"zinniashore.example/estimator"
+	"zinniashore.example/placer"
+)
+
+// lateReport is a report on its way.
+type lateReport struct {
+	due    time.Time
+	report estimator.Report
+}
+
+// report measures all workers when it is time and delivers what is due.
+func (w *world) report() {
+	if w.now.Sub(w.reported) >= reportPeriod {
+		w.reported = w.now
+		for _, n := range w.order {
+			if !n.failed && len(n.jobs) > 0 {
+				w.reports = append(w.reports, lateReport{due: w.now.Add(reportLag), report: w.measure(n)})
+			}
+		}
+	}
+	due := 0
+	for due < len(w.reports) && !w.reports[due].due.After(w.now) {
+		w.estimates.Observe(w.reports[due].report)
+		due++
+	}
+	w.reports = w.reports[due:]
+}
+
+func (w *world) measure(n *node) estimator.Report {
+	crowding := w.crowding(n)
+	report := estimator.Report{Worker: n.worker.ID, Time: w.now}
+	for _, j := range n.jobs {
+		measured := estimator.TaskReport{
+			Task:     j.task.ID,
+			Template: j.template.Name,
+			Class:    j.task.Class,
+			Age:      w.now.Sub(j.started),
+			Declared: j.task.Declared,
+			Usage:    w.usage(j),
+			Throttle: j.task.Throttle,
+		}
+		if j.task.Class == placer.ClassService {
+			measured.Slowdown = w.slowdown(n, j, crowding)
+		}
+		report.Tasks = append(report.Tasks, measured)
+	}
+	return report
+}
--- a/replayer/world.go
+++ b/replayer/world.go
@@ -1,7 +1,6 @@
 package replayer
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -59,12 +58,6 @@
 	blamed   map[string]bool
 }
 
-// lateReport is a report on its way.
-type lateReport struct {
-	due    time.Time
-	report estimator.Report
-}
-
 // world is the state of a replay.
 type world struct {
 	trace     Trace
@@ -282,58 +275,6 @@
 	return j.begin()+j.work <= j.template.Deadline
 }
 
-// usage is the true use of a task now.
-func (w *world) usage(j *job) placer.Size {
-	load := w.load[j.template.Name] * j.factor * j.task.Throttle
-	ramp := math.Min(1, float64(w.now.Sub(j.started))/float64(rampTime))
-	return placer.Size{
-		Processors:   int64(float64(j.task.Declared.Processors) * j.template.Processors * load),
-		Memory:       int64(float64(j.task.Declared.Memory) * j.template.Memory * j.factor * ramp),
-		Accelerators: j.task.Declared.Accelerators,
-	}
-}
-
-// crowding is the demand for processors relative to what the worker has, at
-// least 1.
-func (w *world) crowding(n *node) float64 {
-	demand := int64(0)
-	for _, j := range n.jobs {
-		demand += w.usage(j).Processors
-	}
-	return math.Max(1, float64(demand)/float64(n.worker.Capacity.Processors))
-}
-
-// slowdown is the true slowdown of a service now.
-func (w *world) slowdown(n *node, service *job, crowding float64) float64 {
-	excess := 0.0
-	for _, j := range n.jobs {
-		if j != service {
-			excess += w.disturbance(j, service.template.Name)
-		}
-	}
-	step := uint64(w.now.Sub(w.start) / w.trace.Step)
-	noise := -noiseMean * math.Log(uniform(service.hash+step))
-	return (1 + noise) * (1 + excess) * crowding
-}
-
-func (w *world) disturbance(j *job, service string) float64 {
-	for _, d := range j.template.Disturbances {
-		if d.Service == service {
-			return d.Excess * w.load[j.template.Name] * j.task.Throttle
-		}
-	}
-	return 0
-}
-
-// uniform returns a number above 0 and up to 1 by hashing.
-func uniform(value uint64) float64 {
-	value += 0x9e3779b97f4a7c15
-	value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9
-	value = (value ^ (value >> 27)) * 0x94d049bb133111eb
-	value ^= value >> 31
-	return (float64(value>>11) + 1) / (1 << 53)
-}
-
 // check counts a worker that carries more than it can.
 func (w *world) check(n *node) {
 	var reserved, used placer.Size
@@ -349,45 +290,6 @@
 	}
 }
 
-// report measures all workers when it is time and delivers what is due.
-func (w *world) report() {
-	if w.now.Sub(w.reported) >= reportPeriod {
-		w.reported = w.now
-		for _, n := range w.order {
-			if !n.failed && len(n.jobs) > 0 {
-				w.reports = append(w.reports, lateReport{due: w.now.Add(reportLag), report: w.measure(n)})
-			}
-		}
-	}
-	due := 0
-	for due < len(w.reports) && !w.reports[due].due.After(w.now) {
-		w.estimates.Observe(w.reports[due].report)
-		due++
-	}
-	w.reports = w.reports[due:]
-}
-
-func (w *world) measure(n *node) estimator.Report {
-	crowding := w.crowding(n)
-	report := estimator.Report{Worker: n.worker.ID, Time: w.now}
-	for _, j := range n.jobs {
-		measured := estimator.TaskReport{
-			Task:     j.task.ID,
-			Template: j.template.Name,
-			Class:    j.task.Class,
-			Age:      w.now.Sub(j.started),
-			Declared: j.task.Declared,
-			Usage:    w.usage(j),
-			Throttle: j.task.Throttle,
-		}
-		if j.task.Class == placer.ClassService {
-			measured.Slowdown = w.slowdown(n, j, crowding)
-		}
-		report.Tasks = append(report.Tasks, measured)
-	}
-	return report
-}
-
 // snapshot returns what the placer sees.
 func (w *world) snapshot() placer.Snapshot {
 	s := placer.Snapshot{
