Register no more once the process leaves

Cause: read as a newcomer, step looks whether the process leaves and registers afterwards; a Leave in between was undone, and the record would have held up every acceptance until the VM's next start. Change: the registration looks again in the change itself; updates of one record take turns, so that Leave withdraws whatever was written before. Seen failing: TestRegisterAfterLeave before the change ('register after Leave succeeds', one member left). Conclusion: all tests of the package pass with -race.

--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -209,6 +209,12 @@
 	c.stopped = true
 }
 
+func (c *Configurer) isStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
 func (c *Configurer) waker() chan struct{} {
 	c.once.Do(func() { c.wake = make(chan struct{}, 1) })
 	return c.wake
@@ -321,6 +327,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if c.isStopped() {
+			return nil, errStopped
+		}
 		c.succeeds = c.succeeds || found && previous.Process != c.Process
 		own := Member{VM: c.VM, FailureDomain: c.FailureDomain, Process: c.Process, Revision: previous.Revision}
 		return own.encode()
--- a/configurer/member.go
+++ b/configurer/member.go
@@ -72,6 +72,9 @@
 // errReleased marks a record that an operator has removed.
 var errReleased = errors.New("released by an operator")
 
+// errStopped marks a process that leaves.
+var errStopped = errors.New("the process leaves")
+
 type memberMessage struct {
 	Format   int    `json:"format"`
 	Process  string `json:"process"`
