--- a/tasks_test.go
+++ b/tasks_test.go
@@ -2,14 +2,7 @@
 
 import (
 	"testing"
-	"time"
 
-	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
-
-	"zinniashore.example/configurer"
-	"zinniashore.example/keeper"
-	"zinniashore.example/recorder"
 	"zinniashore.example/standin"
 )
 
@@ -20,23 +13,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	clock, client := clockwork.NewRealClock(), keeper.NewClient(address)
-	c := &configurer.Configurer{
-		Clock: clock, Keeper: &keeper.Keeper{Store: client, Clock: clock, Writer: "p"},
-		Recorder: &recorder.Recorder{Clock: clock}, Metrics: tally.NoopScope,
-		Process: "p", VM: "vm", FailureDomain: "graz-a", FailureDomains: []string{"graz-a"},
-	}
+	c := testConfigurer("vm", address, nil)
 	w := workloads{configurer: c}
 	if services := w.Services(); services != nil {
 		t.Errorf("services %v before a configuration is known, want nil", services)
 	}
 	ctx := t.Context()
 	go func() { _ = c.Run(ctx) }()
-	for range 1000 {
-		if c.Ready() {
-			break
-		}
-		time.Sleep(5 * time.Millisecond)
+	if !becomesReady(c) {
+		t.Fatal("the process is not ready")
 	}
 	if services := w.Services(); services == nil || len(services) > 0 {
 		t.Errorf("services %v of an empty configuration in force, want none but not nil", services)
