Test drains without a race, and let no failure shorten a backoff

It now drains once without time, which must name all four requests, and once to the end, when nothing may run at the endpoint; a drain that does not wait was seen failing it (4 requests at the endpoint, want none).

Each failure of an ejected endpoint asked for a probe at once, which doubled the backoff to its bound within a second, so that a service whose endpoints had all failed came back after up to 8 s. A failure no longer shortens a backoff, whose bound is 4 s.

--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -14,7 +14,7 @@
 	latencyHalfLife   = time.Second
 	slowFactor        = 2
 	firstProbeBackoff = 250 * time.Millisecond
-	lastProbeBackoff  = 8 * time.Second
+	lastProbeBackoff  = 4 * time.Second
 )
 
 // Condition tells whether an endpoint takes new requests.
@@ -143,7 +143,9 @@
 
 func (e *endpoint) fail(weight int, now time.Time) {
 	e.failures = min(e.failures+weight, ejectFailures)
-	e.probeAt = now
+	if e.probeDelay == 0 {
+		e.probeAt = now
+	}
 }
 
 // probed takes in what a probe found.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -119,16 +119,17 @@
 	for e.Counts().InFlight < cap(responses) {
 		time.Sleep(time.Millisecond)
 	}
-	drained := make(chan error, 1)
-	go func() { drained <- f.vms[0].router.Drain(t.Context()) }()
-	refused := f.vms[0].router.Handle(t.Context(), order("new", 1, longest))
-	for refused.Outcome == router.OutcomeOK {
-		refused = f.vms[0].router.Handle(t.Context(), order("new", 1, longest))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	var left *router.DrainError
+	if err := f.vms[0].router.Drain(ended); !errors.As(err, &left) || len(left.Left) != cap(responses) {
+		t.Fatalf("Drain() without time = %v, want %d requests left", err, cap(responses))
 	}
+	refused := f.vms[0].router.Handle(t.Context(), order("new", 1, longest))
 	if refused.Outcome != router.OutcomeNotRun || !refused.RetrySafe {
 		t.Errorf("new request in a drain = %+v, want not_run and safe", refused)
 	}
-	if err := <-drained; err != nil || e.Counts().InFlight != 0 {
+	if err := f.vms[0].router.Drain(t.Context()); err != nil || e.Counts().InFlight != 0 {
 		t.Fatalf("Drain() = %v with %d requests at the endpoint, want none", err, e.Counts().InFlight)
 	}
 	for range cap(responses) {
