--- a/placer/claim.go
+++ b/placer/claim.go
@@ -245,20 +245,50 @@
 	return chosen, true
 }
 
+// yieldingTenants returns the tenants of a room that have to yield together,
+// cheapest first. An organisation yields no more than it exceeds its quota by.
 func yieldingTenants(l *ledger, w *Waiter, claim Claim, r *room) []*tenant {
+	var yielding []*tenant
+	taken := map[string]Size{}
+	for _, t := range byEvictionCost(l, eachYields(l, w, claim, r)) {
+		organisation := t.task.Organisation
+		if claim.Yields(w, l.placed(t, taken[organisation])) {
+			yielding = append(yielding, t)
+			taken[organisation] = taken[organisation].Plus(t.held)
+		}
+	}
+	return yielding
+}
+
+// eachYields returns the tenants of a room that would have to yield alone.
+func eachYields(l *ledger, w *Waiter, claim Claim, r *room) []*tenant {
 	var yielding []*tenant
 	for _, t := range r.tenants {
-		slack, _ := l.slack(t.task)
-		placed := Placed{Task: t.task, Over: l.borrows(t.task.Organisation, Size{}), Slack: slack}
 		spared := claim.Budgeted() && t.task.Evictions >= maxEvictions
-		if !spared && !t.leaving && t.task.State == TaskPlaced && claim.Yields(w, placed) {
+		if spared || t.leaving || t.task.State != TaskPlaced {
+			continue
+		}
+		if claim.Yields(w, l.placed(t, Size{})) {
 			yielding = append(yielding, t)
 		}
 	}
-	slices.SortStableFunc(yielding, func(a, b *tenant) int {
+	return yielding
+}
+
+// placed returns a tenant as the claims see it, after a size has been taken from
+// its organisation.
+func (l *ledger) placed(t *tenant, taken Size) Placed {
+	slack, _ := l.tenantSlack(t)
+	over := l.borrows(t.task.Organisation, Size{}.Minus(taken))
+	return Placed{Task: t.task, Over: over, Slack: slack}
+}
+
+// byEvictionCost sorts tenants, cheapest to evict first.
+func byEvictionCost(l *ledger, tenants []*tenant) []*tenant {
+	slices.SortStableFunc(tenants, func(a, b *tenant) int {
 		return cmp.Compare(evictionCost(l, a), evictionCost(l, b))
 	})
-	return yielding
+	return tenants
 }
 
 // Weights of the cost of an eviction.
@@ -283,7 +313,7 @@
 	if !l.borrows(t.task.Organisation, Size{}) {
 		cost += quotaCost
 	}
-	if left, limited := l.slack(t.task); limited && left < 2*criticalSlack {
+	if left, limited := l.tenantSlack(t); limited && left < 2*criticalSlack {
 		cost += hurryCost
 	}
 	if !t.task.Since.IsZero() {
