--- a/seater/seater.go
+++ b/seater/seater.go
@@ -4,12 +4,7 @@
 package seater
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,7 +12,6 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"k8s.io/klog/v2"
 
 	"zinniashore.example/keeper"
 	"zinniashore.example/recorder"
@@ -79,11 +73,10 @@
 	mu      sync.Mutex
 	cohorts map[string]*cohort
 	peers   map[identity]*peer
+	// retired are replaced connections that may still have requests in flight.
+	retired map[*grpc.ClientConn]clockwork.Timer
 }
 
-// errUnchanged ends an update that has nothing to write.
-var errUnchanged = errors.New("roster unchanged")
-
 // Register serves the heartbeats of the other entry VMs. It is called before
 // Run and before the Run of the Mirror.
 func (s *Seater) Register(registrar grpc.ServiceRegistrar) {
@@ -124,6 +117,7 @@
 			s.PairGuard = GuardRelease
 		}
 		s.peers = map[identity]*peer{}
+		s.retired = map[*grpc.ClientConn]clockwork.Timer{}
 		s.cohorts = map[string]*cohort{}
 		for _, domain := range s.FailureDomains {
 			s.cohorts[domain] = newCohort(s.entrant(), NewRoster(domain, s.Seats), s.limits())
@@ -230,277 +224,3 @@
 	}
 	return status
 }
-
-// Drain makes this process known as taking no more seats and no new work.
-func (s *Seater) Drain() {
-	s.init()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.cohorts {
-		c.draining = true
-	}
-}
-
-// Leave gives the seats back and takes this process out of the rosters. It is
-// called once nothing is in flight on its seats; they are not used from the
-// call on.
-func (s *Seater) Leave(ctx context.Context) error {
-	s.Drain()
-	var left errgroup.Group
-	for _, domain := range s.FailureDomains {
-		if !s.beginLeaving(domain) {
-			continue
-		}
-		left.Go(func() error {
-			return s.update(ctx, domain, func(r Roster) (Roster, error) { return s.depart(domain, r), nil })
-		})
-	}
-	return left.Wait()
-}
-
-func (s *Seater) depart(domain string, r Roster) Roster {
-	s.install(r)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	me, found := r.Member(s.VM)
-	if !found || me.Incarnation != s.Incarnation {
-		return r
-	}
-	return s.cohorts[domain].depart(r, s.Clock.Now())
-}
-
-func (s *Seater) beginLeaving(domain string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.cohorts[domain]
-	c.leaving = true
-	return c.recorded() || domain == s.FailureDomain
-}
-
-// Release removes a VM of this failure domain from the roster on the word of
-// the operator, who vouches that it runs no more. It refuses with an
-// *AliveError while the store session of the VM stands.
-func (s *Seater) Release(ctx context.Context, vm string) error {
-	s.init()
-	document, err := s.Keeper.Read(ctx, RosterPrefix+s.FailureDomain)
-	if err != nil {
-		return err
-	}
-	known, err := DecodeRoster(document, s.FailureDomain, s.Seats)
-	if err != nil {
-		return err
-	}
-	target, found := known.Member(vm)
-	if !found {
-		return nil
-	}
-	ended, err := s.ended(ctx, target)
-	if err != nil {
-		return err
-	}
-	if !ended {
-		return &AliveError{VM: vm}
-	}
-	return s.update(ctx, s.FailureDomain, func(r Roster) (Roster, error) {
-		if m, found := r.Member(vm); found && m.Session != target.Session {
-			return r, &AliveError{VM: vm}
-		}
-		return r.WithoutMember(vm, false), nil
-	})
-}
-
-// AliveError reports that a VM can't be released because its store session
-// stands.
-type AliveError struct {
-	// VM is the entry VM.
-	VM string
-}
-
-// Error implements error.
-func (e *AliveError) Error() string {
-	return fmt.Sprintf("seater: VM %q still holds its store session", e.VM)
-}
-
-// ended reads from the store whether the session of a member has ended.
-func (s *Seater) ended(ctx context.Context, m Entrant) (bool, error) {
-	entry, err := s.Keeper.Store.Get(ctx, keeper.AlivePrefix+m.Process)
-	if err != nil {
-		return false, err
-	}
-	return entry.Lease != m.Session, nil
-}
-
-// installEntries takes in rosters from the mirror.
-func (s *Seater) installEntries(entries []keeper.Entry) {
-	for _, entry := range entries {
-		domain := strings.TrimPrefix(entry.Key, RosterPrefix)
-		document, err := keeper.DecodeDocument(entry)
-		if err != nil {
-			klog.ErrorS(err, "Roster not readable", "key", entry.Key)
-			continue
-		}
-		roster, err := DecodeRoster(document, domain, s.Seats)
-		if err != nil {
-			klog.ErrorS(err, "Roster not readable", "key", entry.Key)
-			continue
-		}
-		s.install(roster)
-	}
-}
-
-func (s *Seater) install(r Roster) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c, found := s.cohorts[r.FailureDomain]
-	if !found {
-		return
-	}
-	before := c.grants
-	c.install(r, s.Clock.Now())
-	s.recordGrants(c, before)
-}
-
-// recordGrants puts changes of this process's seats on the time line; the caller
-// holds mu.
-func (s *Seater) recordGrants(c *cohort, before map[int]grant) {
-	for number, g := range c.grants {
-		if before[number].epoch != g.epoch {
-			s.recordSeat(EventSeatGranted, c, number, g.epoch)
-		}
-	}
-	for number, g := range before {
-		if _, held := c.grants[number]; !held {
-			s.recordSeat(EventSeatLost, c, number, g.epoch)
-		}
-	}
-	s.Metrics.Gauge("seats_held").Update(float64(len(c.grants)))
-}
-
-func (s *Seater) recordSeat(kind recorder.Kind, c *cohort, number int, epoch int64) {
-	detail := fmt.Sprintf("%s seat %d", c.known.FailureDomain, number)
-	s.Recorder.Record(recorder.Event{Kind: kind, VM: s.VM, Epoch: epoch, Detail: detail})
-	klog.InfoS("Seat changed", "kind", kind, "failureDomain", c.known.FailureDomain, "seat", number, "epoch", epoch)
-}
-
-// stepRosters brings the rosters that this process belongs to up to date.
-func (s *Seater) stepRosters(ctx context.Context) {
-	s.installEntries(s.Mirror.Entries(RosterPrefix))
-	if !s.Session.Valid() {
-		return
-	}
-	for _, domain := range s.FailureDomains {
-		if s.belongs(domain) {
-			s.stepRoster(ctx, domain)
-		}
-	}
-}
-
-// belongs reports whether this process is or has to be in a roster: in that of
-// its failure domain, and as a witness where it is recorded or appointed.
-func (s *Seater) belongs(domain string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.cohorts[domain]
-	if c.leaving {
-		return false
-	}
-	return domain == s.FailureDomain || c.recorded() || !c.draining && s.appointed(domain)
-}
-
-func (s *Seater) stepRoster(ctx context.Context, domain string) {
-	v := s.view(ctx, domain)
-	s.mu.Lock()
-	c := s.cohorts[domain]
-	c.share(v.alive, v.now)
-	after, err := c.next(c.known, s.lease(), v)
-	wanted := err == nil && !sameRoster(c.known, after)
-	s.mu.Unlock()
-	if err != nil {
-		klog.ErrorS(err, "Roster not joined", "vm", s.VM, "failureDomain", domain)
-	}
-	if !wanted {
-		return
-	}
-	err = s.update(ctx, domain, func(r Roster) (Roster, error) { return s.advance(c, r, v) })
-	if err != nil {
-		klog.V(1).InfoS("Roster not written", "failureDomain", domain, "err", err)
-	}
-}
-
-// advance decides on the roster as it stands at the store.
-func (s *Seater) advance(c *cohort, r Roster, v view) (Roster, error) {
-	l := s.lease()
-	if !l.valid {
-		return r, errUnchanged
-	}
-	s.install(r)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	v.now = s.Clock.Now()
-	return c.propose(r, l, v)
-}
-
-// view reads what the roster decisions depend on. The sessions of members that
-// could be expelled are read from the store itself.
-func (s *Seater) view(ctx context.Context, domain string) view {
-	v := view{now: s.Clock.Now(), alive: s.alive(), lapsed: map[string]keeper.LeaseID{}}
-	s.mu.Lock()
-	targets := s.cohorts[domain].ripe(v.now)
-	s.mu.Unlock()
-	for _, target := range targets {
-		ended, err := s.ended(ctx, target)
-		if err == nil && ended {
-			v.lapsed[target.Process] = target.Session
-		}
-	}
-	return v
-}
-
-func (s *Seater) alive() map[string]keeper.LeaseID {
-	alive := map[string]keeper.LeaseID{}
-	for _, entry := range s.Mirror.Entries(keeper.AlivePrefix) {
-		alive[strings.TrimPrefix(entry.Key, keeper.AlivePrefix)] = entry.Lease
-	}
-	return alive
-}
-
-// update changes a roster by compare-and-swap and installs what was written.
-func (s *Seater) update(ctx context.Context, domain string, change func(Roster) (Roster, error)) error {
-	document, err := s.Keeper.Update(ctx, RosterPrefix+domain, func(d keeper.Document) ([]byte, error) {
-		r, err := DecodeRoster(d, domain, s.Seats)
-		if err != nil {
-			return nil, err
-		}
-		after, err := change(r)
-		if err != nil {
-			return nil, err
-		}
-		if sameRoster(r, after) {
-			return nil, errUnchanged
-		}
-		return EncodeRoster(after)
-	})
-	if errors.Is(err, errUnchanged) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	written, err := DecodeRoster(document, domain, s.Seats)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.cohorts[domain]
-	before := c.grants
-	c.confirm(written, s.Clock.Now())
-	s.recordGrants(c, before)
-	return nil
-}
-
-func sameRoster(a, b Roster) bool {
-	first, errA := EncodeRoster(a)
-	second, errB := EncodeRoster(b)
-	return errA == nil && errB == nil && bytes.Equal(first, second) && json.Valid(first)
-}
