--- a/cmd/zinniashore/bench.go
+++ b/cmd/zinniashore/bench.go
@@ -40,6 +40,7 @@
 // trialBench is a platform of stand-ins with entry VMs in two failure domains.
 type trialBench struct {
 	store   string
+	list    *standin.List
 	ledger  *standin.Ledger
 	servers []*trialServer
 }
@@ -52,6 +53,7 @@
 	}
 	bench.store = store
 	list := &standin.List{}
+	bench.list = list
 	listAddress, err := standin.Listen(ctx, loopback, list)
 	if err != nil {
 		return nil, err
@@ -118,6 +120,13 @@
 	if err := server.Listen(); err != nil {
 		return err
 	}
+	b.list.Put(standin.VM{
+		ID:            settings.Process,
+		Role:          "entry",
+		Address:       server.Addresses().Peers,
+		FailureDomain: settings.FailureDomain,
+		State:         standin.VMLive,
+	})
 	ctx, cancel := context.WithCancel(ctx)
 	started := &trialServer{server: server, cancel: cancel, ended: make(chan error, 1)}
 	go func() { started.ended <- server.Run(ctx) }()
--- a/reports.go
+++ b/reports.go
@@ -121,7 +121,15 @@
 
 // Release implements administrator.Configurer.
 func (r releasingConfigurer) Release(ctx context.Context, vm, operator string) error {
-	return errors.Join(r.seater.Release(ctx, vm), r.Configurer.Release(ctx, vm, operator))
+	err := r.seater.Release(ctx, vm)
+	var alive *seater.AliveError
+	if errors.As(err, &alive) {
+		return &configurer.AliveError{VM: alive.VM}
+	}
+	if err != nil {
+		return err
+	}
+	return r.Configurer.Release(ctx, vm, operator)
 }
 
 // administratorPeers lists the members of the seats as peers of the
