--- a/seater/expulsion.go
+++ b/seater/expulsion.go
@@ -15,6 +15,7 @@
 
 // demand is a request to a member to withdraw its promises to a target.
 type demand struct {
+	roster         string
 	target, member Entrant
 	version        int64
 }
@@ -58,7 +59,7 @@
 	for _, m := range c.known.Members {
 		_, done := e.withdrawn[m.identity()]
 		if m.VM != e.target.VM && !done {
-			demands = append(demands, demand{target: e.target, member: m, version: c.known.Version})
+			demands = append(demands, demand{roster: c.known.FailureDomain, target: e.target, member: m, version: c.known.Version})
 		}
 	}
 	return demands
@@ -79,7 +80,11 @@
 // every other member has withdrawn, and every promise given before has run out.
 func (c *cohort) ripe(now time.Time) []Entrant {
 	var targets []Entrant
-	for _, e := range c.expulsions {
+	for _, m := range c.known.Members {
+		e, pursued := c.expulsions[m.identity()]
+		if !pursued {
+			continue
+		}
 		last, complete := c.lastWithdrawal(e)
 		end := last.Add(c.limits.promiseLength + c.limits.driftMargin)
 		if complete && now.After(end) {
