--- a/owner/fault_test.go
+++ b/owner/fault_test.go
@@ -550,3 +550,28 @@
 	}
 	return document.Body.Epoch
 }
+
+// TestLeaveHandsOver stops an owner as planned while tasks run: another takes
+// the cell under a valid session of the first, and no task is disturbed.
+func TestLeaveHandsOver(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	first := w.process("a", func(o *owner.Owner) { o.TaskLease = time.Minute })
+	w.submit(submitter.Job{Name: "night", Tasks: 8, Work: 500 * time.Millisecond})
+	w.eventually("all tasks run", func() bool { return len(w.ledger.Runs()) == 8 })
+	second := w.process("b", func(o *owner.Owner) { o.TaskLease = time.Minute })
+	if err := first.owner.Leave(w.ctx); err != nil {
+		t.Fatal(err)
+	}
+	w.eventually("the second owns the cell", second.owns)
+	if !first.session.Valid() {
+		t.Error("the session of the first lapsed before the cell was taken")
+	}
+	if job := w.ended("night"); job.DoneTasks != 8 {
+		t.Errorf("job ended %q with %d done", job.State, job.DoneTasks)
+	}
+	if got := len(w.ledger.Runs()); got != 8 {
+		t.Errorf("%d attempts, want one of each of 8 tasks", got)
+	}
+	w.check()
+}
