--- a/owner/fault_test.go
+++ b/owner/fault_test.go
@@ -344,7 +344,7 @@
 	w := newWorld(t, 2)
 	first := w.process("a", nil)
 	w.submit(submitter.Job{Name: "night", Tasks: 10, Work: 300 * time.Millisecond})
-	w.eventually("some tasks are done", func() bool { return w.count(standin.RunDone) > 2 })
+	w.eventually("the end of some tasks is recorded", func() bool { return w.calls()["forget"] >= 2 })
 	first.kill()
 	for i := range 2 {
 		id := fmt.Sprintf("w%d", i)
