Confirm the home of a key right before each send

Cause: the home decided on a key and sent later; deduper.Confirm was written for the moment between, but nobody asked it. A malformed key was answered 'unknown'. Ruled out: Held alone, which is true again once a thawed entry VM has another seat. Change: the verdict carries Confirm, asked at the first write of the exchange and before a forward; a malformed key is refused as not_run with status 400. Conclusion: the window left is a pause between this check and the write itself.

--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -35,6 +35,7 @@
 	progress   progress
 	sentAt     time.Time
 	connection *connection
+	confirm    func() bool
 }
 
 // send permits the first write of the exchange, or tells why it must not be.
@@ -47,7 +48,7 @@
 	case progressAbandoned, progressFinished, progressRevoked:
 		return errAbandoned
 	}
-	if !x.exchanger.Held() {
+	if !x.exchanger.Held() || (x.confirm != nil && !x.confirm()) {
 		return errLapsed
 	}
 	x.progress = progressSent
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -89,6 +89,9 @@
 	// Patience is how long no answer is taken for silence, after which the
 	// endpoint is asked for the state of the request. Zero never asks.
 	Patience time.Duration
+	// Confirm reports whether the request may still be sent. It is asked
+	// immediately before the first write; nil always confirms.
+	Confirm func() bool
 }
 
 // Answer is the whole answer of the endpoint.
@@ -151,7 +154,7 @@
 // late one. An error is always an *Error.
 func (e *Exchanger) Exchange(ctx context.Context, request Request, release func(answered bool)) (Answer, error) {
 	e.once.Do(e.build)
-	x := &exchange{id: uuid.NewString(), progress: progressFresh, exchanger: e, release: once(release)}
+	x := &exchange{id: uuid.NewString(), progress: progressFresh, exchanger: e, release: once(release), confirm: request.Confirm}
 	deadline := e.Clock.Now().Add(e.longestRequest())
 	if request.Deadline.Before(deadline) {
 		deadline = request.Deadline
--- a/requests.go
+++ b/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"errors"
 
 	"k8s.io/klog/v2"
 
@@ -52,10 +53,18 @@
 // Begin implements router.Keys.
 func (r requestKeys) Begin(ctx context.Context, key string, attempt int) (router.KeyVerdict, error) {
 	verdict, err := r.deduper.Begin(ctx, key, attempt)
+	var malformed *deduper.KeyError
+	if errors.As(err, &malformed) {
+		return router.KeyVerdict{Verdict: router.VerdictInvalid}, nil
+	}
 	if err != nil {
 		return router.KeyVerdict{}, err
 	}
-	return router.KeyVerdict{Verdict: router.Verdict(verdict.Decision), Answer: verdict.Answer}, nil
+	return router.KeyVerdict{
+		Verdict: router.Verdict(verdict.Decision),
+		Answer:  verdict.Answer,
+		Confirm: func() bool { return r.deduper.Confirm(key, verdict.Epoch) },
+	}, nil
 }
 
 // Finish implements router.Keys.
--- a/router/forward.go
+++ b/router/forward.go
@@ -137,7 +137,7 @@
 
 // forwardExecute has a peer run the request in its own slots.
 func (r *Router) forwardExecute(ctx context.Context, peer Peer, request Request) result {
-	if !request.Idempotent && request.Key != "" && !r.Shares.Held() {
+	if !request.Idempotent && request.Key != "" && !(r.Shares.Held() && request.confirmed()) {
 		return result{response: request.notRun("may no longer send", busyRetryAfter)}
 	}
 	response := r.forward(ctx, peer, request, modeExecute)
--- a/router/message.go
+++ b/router/message.go
@@ -47,6 +47,9 @@
 	Header http.Header
 	// Body is passed on to the endpoint.
 	Body []byte
+
+	// confirm is the KeyVerdict.Confirm of the attempt.
+	confirm func() bool
 }
 
 func (q Request) service() serviceName {
@@ -123,6 +126,8 @@
 	VerdictUnknown Verdict = "unknown"
 	// VerdictNotRun answers that it did not run.
 	VerdictNotRun Verdict = "not_run"
+	// VerdictInvalid refuses a malformed key, under which nothing ever runs.
+	VerdictInvalid Verdict = "invalid"
 )
 
 // KeyVerdict is a Verdict with the stored answer, if any.
@@ -131,6 +136,9 @@
 	Verdict Verdict
 	// Answer is what Finish was given, where the verdict is VerdictAnswered.
 	Answer []byte
+	// Confirm reports whether the attempt may still be sent. It is asked
+	// immediately before each send; nil always confirms.
+	Confirm func() bool
 }
 
 // Keys decides on idempotency keys.
--- a/router/router.go
+++ b/router/router.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -187,13 +188,15 @@
 	}
 	switch verdict.Verdict {
 	case VerdictRun:
-		response := r.execute(ctx, request.withAttempt(1), true)
+		response := r.execute(ctx, request.withAttempt(1).withConfirm(verdict.Confirm), true)
 		r.Keys.Finish(request.Key, string(response.Outcome), sealAnswer(request, response))
 		return response
 	case VerdictAnswered:
 		return openAnswer(request, verdict.Answer)
 	case VerdictNotRun:
 		return Response{Outcome: OutcomeNotRun, RetrySafe: true, RetryAfter: busyRetryAfter, Detail: "not decided in time"}
+	case VerdictInvalid:
+		return Response{Outcome: OutcomeNotRun, RetrySafe: true, Status: http.StatusBadRequest, Detail: "the idempotency key is not a UUID of version 7"}
 	default:
 		return request.unknown("the home of the key cannot vouch for it")
 	}
@@ -205,6 +208,15 @@
 	return q
 }
 
+// withConfirm returns the request with what is asked before each send.
+func (q Request) withConfirm(confirm func() bool) Request {
+	q.confirm = confirm
+	return q
+}
+
+// confirmed reports whether the attempt may still be sent.
+func (q Request) confirmed() bool { return q.confirm == nil || q.confirm() }
+
 func (r *Router) withDefaults(request Request) Request {
 	latest := r.Clock.Now().Add(r.longestRequest())
 	if request.Deadline.IsZero() || request.Deadline.After(latest) {
