Run the replays of the tests side by side

Cause: the tests of the replayer took 31.7 s with the race detector at load 12. Change: the three replays run in parallel; nothing else.

--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -14,6 +14,7 @@
 // TestStatedTargets replays the committed day of Stockwerk against the targets
 // that stand in its trace.
 func TestStatedTargets(t *testing.T) {
+	t.Parallel()
 	name := replayer.TraceStockwerk
 	report := compare(t, name, replayer.PolicyAlone, replayer.PolicyDefault)
 	trace, err := replayer.Load(name)
@@ -36,6 +37,7 @@
 
 // TestUrgentWorkStartsInAFullCell replays urgent work that arrives at full workers.
 func TestUrgentWorkStartsInAFullCell(t *testing.T) {
+	t.Parallel()
 	name := replayer.TraceUrgent
 	report := compare(t, name, replayer.PolicyDefault)
 	trace, err := replayer.Load(name)
@@ -70,6 +72,7 @@
 
 // TestGoldenOutcomes replays small traces of other seeds through all policies.
 func TestGoldenOutcomes(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2} {
 		name := replayer.TraceUrgent
 		report, err := replayer.Compare(context.Background(), replayer.Options{
