Learn run times from tasks that were done in one attempt

Cause: the policy orders by expected remaining run time, but nobody told the estimator how long tasks took. Ruled out: attempts that were throttled, evicted or taken over, whose time on the clock isn't their work. Change: owner.Learner.ObserveEnd, called when a whole attempt is done. Conclusion: Task.Ran (progress of a checkpoint) and Action.Within (limit of a checkpoint) are still not filled by the owner.

--- a/owner/link.go
+++ b/owner/link.go
@@ -450,6 +450,7 @@
 
 func (c *cell) done(t *task) {
 	c.blamer.sound(t.worker())
+	c.learnEnd(t)
 	if view := c.jobs[t.demand.group]; view != nil {
 		view.progress = view.progress.withDone(t.demand.index)
 		c.mark(view.key())
@@ -499,6 +500,16 @@
 	return count
 }
 
+// learnEnd passes the run time of a task on, if its one attempt ran from the
+// beginning, unthrottled, under this owner.
+func (c *cell) learnEnd(t *task) {
+	whole := t.phase == phaseRunning && t.sent && t.record.checkpoint == "" && t.throttledAt.IsZero()
+	if c.owner.Learner == nil || !whole || t.demand.work == 0 {
+		return
+	}
+	c.owner.Learner.ObserveEnd(t.record.template, t.demand.work, c.now().Sub(t.since))
+}
+
 // learn passes the measured use of the tasks of a worker on.
 func (c *cell) learn(l *link, reports []commander.TaskReport) {
 	if c.owner.Learner == nil {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -131,6 +131,9 @@
 	placer.Estimates
 	// Observe takes in the reports of one worker.
 	Observe(now time.Time, reports []UsageReport)
+	// ObserveEnd takes in the true run time of a batch task that was done in one
+	// attempt.
+	ObserveEnd(template string, declared, ran time.Duration)
 }
 
 // WorkerVM is one row of the platform's list of workers.
--- a/tasks.go
+++ b/tasks.go
@@ -136,6 +136,11 @@
 	u.view.Store(u.estimator.View(now))
 }
 
+// ObserveEnd implements owner.Learner.
+func (u *usageLearner) ObserveEnd(template string, declared, ran time.Duration) {
+	u.estimator.ObserveEnd(estimator.Ending{Template: template, Declared: declared, Took: ran})
+}
+
 func taskReport(r owner.UsageReport) estimator.TaskReport {
 	return estimator.TaskReport{
 		Task:     r.Task,
