--- a/router/forward.go
+++ b/router/forward.go
@@ -137,7 +137,7 @@
 
 // forwardExecute has a peer run the request in its own slots.
 func (r *Router) forwardExecute(ctx context.Context, peer Peer, request Request) result {
-	if !request.Idempotent && request.Key != "" && !r.Shares.Held() {
+	if !request.Idempotent && request.Key != "" && !(r.Shares.Held() && request.confirmed()) {
 		return result{response: request.notRun("may no longer send", busyRetryAfter)}
 	}
 	response := r.forward(ctx, peer, request, modeExecute)
@@ -293,11 +293,11 @@
 	return answer, nil
 }
 
-// askPeers asks each peer for its room.
-func (r *Router) askPeers(ctx context.Context) {
+// askPeers asks the peers of the own failure domain, or all, for their room.
+func (r *Router) askPeers(ctx context.Context, all bool) {
 	var group sync.WaitGroup
 	for _, peer := range r.peers() {
-		if peer.ready() {
+		if peer.ready() && (all || peer.FailureDomain == r.FailureDomain) {
 			group.Go(func() { r.askPeer(ctx, peer) })
 		}
 	}
