--- a/router/monitor.go
+++ b/router/monitor.go
@@ -35,7 +35,7 @@
 		if now.Sub(asked) >= reportPeriod {
 			asked = now
 			reports++
-			go r.askPeers(ctx, reports%farReports == 0)
+			go r.askPeers(ctx, reports%farReports == 1)
 		}
 		select {
 		case <-ctx.Done():
--- a/seater/heartbeat.go
+++ b/seater/heartbeat.go
@@ -109,7 +109,7 @@
 	var wait sync.WaitGroup
 	s.rounds++
 	for _, p := range s.refreshPeers() {
-		if s.rounds%farRounds == 0 || s.isNear(p) {
+		if s.rounds%farRounds == 1 || s.isNear(p) {
 			wait.Go(func() { s.beat(ctx, p) })
 		}
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -82,6 +82,7 @@
 	calls       map[string]int64
 	sizes       map[string]placer.Size
 	endpoints   []*Endpoint
+	dead        bool
 	bytes       int64
 	cells       map[string]*workerCell
 }
@@ -239,6 +240,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.dead {
+		return http.StatusServiceUnavailable, commander.AnswerMessage{}
+	}
 	w.settle()
 	answer := commander.AnswerMessage{Incarnation: w.incarnation, ClockMicroseconds: w.clock().Microseconds()}
 	header := tasks.HeaderMessage
@@ -467,7 +471,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			w.kill()
+			w.Kill()
 			return
 		case <-ticker.C:
 			w.mu.Lock()
@@ -477,9 +481,14 @@
 	}
 }
 
-func (w *Worker) kill() {
+// Kill ends the worker with its tasks at once. No command takes effect afterwards.
+func (w *Worker) Kill() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.dead {
+		return
+	}
+	w.dead = true
 	for _, cell := range w.cells {
 		for _, task := range cell.tasks {
 			if !task.state.Ended() {
