--- a/cmd/zinniashore/bench.go
+++ b/cmd/zinniashore/bench.go
@@ -199,11 +199,7 @@
 	}
 	var endpoints []publisher.Endpoint
 	for _, entry := range listing.Entries {
-		document, err := keeper.DecodeDocument(entry)
-		if err != nil {
-			return nil, err
-		}
-		listed, err := publisher.DecodeList(document.Body)
+		listed, err := publisher.DecodeEntry(entry)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/cmd/zinniashore/check.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"zinniashore.example/configurer"
+	"zinniashore.example/decoder"
+	"zinniashore.example/loader"
+	"zinniashore.example/operator"
+)
+
+// checkCommand checks settings, templates and parameter values, and starts
+// nothing.
+type checkCommand struct {
+	Settings string   `arg:"--settings,required" help:"settings file, JSON with comments"`
+	Files    []string `arg:"positional" placeholder:"FILE" help:"files with one template or the parameter values of one organisation each"`
+}
+
+// Run checks the files and prints each fault.
+func (c *checkCommand) Run(_ context.Context, out io.Writer) (operator.ExitStatus, error) {
+	settings, err := loader.Load(c.Settings)
+	if err != nil {
+		return operator.ExitFailed, err
+	}
+	templates, organisations, err := readFiles(c.Files)
+	if err != nil {
+		return operator.ExitFailed, err
+	}
+	configuration, faults := configurer.Expand(templates, organisations, settings.FailureDomains)
+	for _, fault := range faults {
+		fmt.Fprintln(out, fault)
+	}
+	if len(faults) > 0 {
+		return operator.ExitFailed, nil
+	}
+	fmt.Fprintf(out, "settings of %s are well formed, with %d services and %d kinds of batch jobs\n",
+		settings.Process, len(configuration.Services), len(configuration.Batches))
+	return operator.ExitDone, nil
+}
+
+// readFiles reads templates and the parameter values of organisations.
+func readFiles(names []string) (templates, organisations []configurer.File, err error) {
+	for _, name := range names {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			return nil, nil, err
+		}
+		document, err := decoder.Parse(name, content)
+		if err != nil {
+			return nil, nil, err
+		}
+		file := configurer.File{Name: name, Content: content}
+		if document.Has("template") {
+			templates = append(templates, file)
+			continue
+		}
+		organisations = append(organisations, file)
+	}
+	return templates, organisations, nil
+}
--- a/cmd/zinniashore/cut_test.go
+++ b/cmd/zinniashore/cut_test.go
@@ -77,6 +77,9 @@
 	s.stores["graz-b"] = link.listener.Addr().String()
 	s.start(t, "graz-a", "graz-b")
 	s.startShop(t)
+	if status := s.operate(t, "status"); strings.Contains(status, "quota of stockwerk: 0 of") {
+		t.Errorf("running instances use nothing of the quota:\n%s", status)
+	}
 	link.setCut(true)
 	var racing sync.WaitGroup
 	outputs := make([]string, 2)
--- a/cmd/zinniashore/kill_test.go
+++ b/cmd/zinniashore/kill_test.go
@@ -14,9 +14,13 @@
 )
 
 type loadReport struct {
-	Requests int `json:"requests"`
-	OK       int `json:"ok"`
-	Lost     int `json:"lost"`
+	Requests int    `json:"requests"`
+	OK       int    `json:"ok"`
+	NotRun   int    `json:"not_run"`
+	Unknown  int    `json:"unknown"`
+	Lost     int    `json:"lost"`
+	P50      string `json:"p50"`
+	P99      string `json:"p99"`
 	Orders   []struct {
 		Keys    []string `json:"keys"`
 		Outcome string   `json:"outcome"`
@@ -76,6 +80,8 @@
 // check holds what callers were told against what the endpoints ran.
 func (s *system) check(t *testing.T, report loadReport) {
 	t.Helper()
+	t.Logf("requests %d ok %d not_run %d unknown %d lost %d p50 %s p99 %s", report.Requests, report.OK,
+		report.NotRun, report.Unknown, report.Lost, report.P50, report.P99)
 	runs, most := s.runs(t)
 	if most > 8 {
 		t.Errorf("an endpoint had %d requests in flight, more than its 8 slots", most)
--- a/cmd/zinniashore/measure.go
+++ b/cmd/zinniashore/measure.go
@@ -54,8 +54,11 @@
 	if err != nil {
 		return operator.ExitFailed, err
 	}
-	_, err = fmt.Fprintln(out, report)
-	return operator.ExitDone, err
+	fmt.Fprintln(out, report.Conditions)
+	for _, row := range report.Rows {
+		fmt.Fprintln(out, row)
+	}
+	return operator.ExitDone, nil
 }
 
 type configurationCommand struct {
--- a/configurer/organisation.go
+++ b/configurer/organisation.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"fmt"
 	"strings"
 
 	"zinniashore.example/decoder"
@@ -51,6 +52,22 @@
 	Field string
 }
 
+// String returns the fault in one line.
+func (f Fault) String() string {
+	text := fmt.Sprintf("%s:%d:%d: %s: ", f.File, f.Line, f.Column, f.Field)
+	if f.Organisation != "" {
+		text += fmt.Sprintf("%s of %s: ", f.Parameter, f.Organisation)
+	}
+	if f.Value != "" {
+		text += f.Value + " "
+	}
+	text += f.Problem
+	if f.Allowed != "" {
+		text += "; allowed: " + f.Allowed
+	}
+	return text
+}
+
 // ParseOrganisation reads the parameter values of an organisation against the
 // templates. It returns a *decoder.DocumentError.
 func ParseOrganisation(file string, content []byte, templates []Template) (Organisation, error) {
--- a/decoder/object.go
+++ b/decoder/object.go
@@ -1,6 +1,7 @@
 package decoder
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -180,46 +181,59 @@
 
 // Duration reads a duration.
 func (o *Object) Duration(name string, limits Duration) time.Duration {
-	allowed := fmt.Sprintf("a string from %q to %q", limits.Min, limits.Max)
-	value, found := o.value(name, limits.Required)
-	if !found {
-		return limits.Default
-	}
-	text, ok := o.text(name, value)
-	if !ok {
-		return limits.Default
-	}
-	duration, err := time.ParseDuration(text)
-	if err != nil {
-		o.reject(name, value, "is not a duration with a unit", allowed)
-		return limits.Default
-	}
-	if duration < limits.Min || duration > limits.Max {
-		o.reject(name, value, "is out of range", allowed)
-		return limits.Default
-	}
-	return duration
+	return quantity[time.Duration]{
+		required:  limits.Required,
+		missing:   limits.Default,
+		least:     limits.Min,
+		most:      limits.Max,
+		parse:     time.ParseDuration,
+		malformed: "is not a duration with a unit",
+		allowed:   fmt.Sprintf("a string from %q to %q", limits.Min, limits.Max),
+	}.read(o, name)
 }
 
 // Bytes reads an amount of bytes.
 func (o *Object) Bytes(name string, limits Bytes) int64 {
-	allowed := fmt.Sprintf("a string from %q to %q", FormatBytes(limits.Min), FormatBytes(limits.Max))
-	value, found := o.value(name, limits.Required)
+	return quantity[int64]{
+		required:  limits.Required,
+		missing:   limits.Default,
+		least:     limits.Min,
+		most:      limits.Max,
+		parse:     ParseBytes,
+		malformed: "is not a whole amount with a unit of bytes",
+		allowed:   fmt.Sprintf("a string from %q to %q", FormatBytes(limits.Min), FormatBytes(limits.Max)),
+	}.read(o, name)
+}
+
+// quantity is an amount that a document writes as a string with a unit.
+type quantity[N cmp.Ordered] struct {
+	required  bool
+	missing   N
+	least     N
+	most      N
+	parse     func(text string) (N, error)
+	malformed string
+	allowed   string
+}
+
+// read returns the amount, or the one that stands for a missing or faulty field.
+func (q quantity[N]) read(o *Object, name string) N {
+	value, found := o.value(name, q.required)
 	if !found {
-		return limits.Default
+		return q.missing
 	}
 	text, ok := o.text(name, value)
 	if !ok {
-		return limits.Default
+		return q.missing
 	}
-	amount, err := ParseBytes(text)
+	amount, err := q.parse(text)
 	if err != nil {
-		o.reject(name, value, "is not a whole amount with a unit of bytes", allowed)
-		return limits.Default
+		o.reject(name, value, q.malformed, q.allowed)
+		return q.missing
 	}
-	if amount < limits.Min || amount > limits.Max {
-		o.reject(name, value, "is out of range", allowed)
-		return limits.Default
+	if amount < q.least || amount > q.most {
+		o.reject(name, value, "is out of range", q.allowed)
+		return q.missing
 	}
 	return amount
 }
--- a/owner/blamer.go
+++ b/owner/blamer.go
@@ -30,11 +30,21 @@
 type suspect struct {
 	tasks       map[string]bool
 	quarantined bool
+	began       time.Time
 	wait        time.Duration
 	probeAt     time.Time
 	probe       string
 }
 
+// since returns when the quarantine of a worker began, zero without one.
+func (b *blamer) since(worker string) time.Time {
+	s := b.workers[worker]
+	if s == nil || !s.quarantined {
+		return time.Time{}
+	}
+	return s.began
+}
+
 func newBlamer(firstWait time.Duration) *blamer {
 	return &blamer{firstWait: firstWait, workers: map[string]*suspect{}}
 }
@@ -60,6 +70,7 @@
 		return false
 	}
 	s.quarantined = true
+	s.began = now
 	s.probeAt = now.Add(s.wait)
 	return true
 }
--- a/owner/status.go
+++ b/owner/status.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
 	"zinniashore.example/placer"
 )
@@ -41,6 +42,8 @@
 	State placer.WorkerState
 	// Reserved is what everything that may run there reserves.
 	Reserved placer.Size
+	// Quarantined is when its quarantine began, zero without one.
+	Quarantined time.Time
 	// Capacity is what it can carry.
 	Capacity placer.Size
 }
@@ -55,6 +58,8 @@
 	Worker string
 	// Attempt is the number of its last attempt.
 	Attempt int64
+	// Reserved is what it takes of its worker, zero if it has none.
+	Reserved placer.Size
 	// Code and Reason tell why it waits.
 	Code placer.ReasonCode
 	// Reason is the exact reason.
@@ -98,13 +103,16 @@
 		if c.blamer.isQuarantined(l.vm.ID) {
 			state = placer.WorkerQuarantined
 		}
-		s.Workers = append(s.Workers, WorkerStatus{Worker: l.vm.ID, State: state, Reserved: used[l.vm.ID], Capacity: l.vm.Capacity})
+		s.Workers = append(s.Workers, WorkerStatus{
+			Worker: l.vm.ID, State: state, Reserved: used[l.vm.ID], Capacity: l.vm.Capacity,
+			Quarantined: c.blamer.since(l.vm.ID),
+		})
 	}
 	for _, t := range c.sortedTasks() {
 		w := c.waiting[t.record.id]
 		s.Tasks = append(s.Tasks, TaskStatus{
 			Task: t.record.id, State: string(t.phase), Worker: t.worker(), Attempt: t.record.attempt,
-			Code: w.Code, Reason: w.Detail,
+			Reserved: t.held(), Code: w.Code, Reason: w.Detail,
 		})
 	}
 	seen := c.statusOfWaiting(&s)
--- a/owner/task.go
+++ b/owner/task.go
@@ -103,6 +103,14 @@
 // holds reports whether the task may take room on a worker.
 func (t *task) holds() bool { return t.phase != phaseWaiting }
 
+// held returns what the task takes of its worker.
+func (t *task) held() placer.Size {
+	if !t.holds() {
+		return placer.Size{}
+	}
+	return t.record.reserved
+}
+
 func (t *task) move(p phase, now time.Time) {
 	t.phase = p
 	t.since = now
--- a/publisher/endpoint.go
+++ b/publisher/endpoint.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"zinniashore.example/keeper"
 )
 
 // Prefix is the key prefix of the endpoint lists, one key a cell.
@@ -99,3 +101,13 @@
 	}
 	return endpoints, nil
 }
+
+// DecodeEntry reads the endpoints of a cell from an entry of the store. It
+// returns a *keeper.FormatError for a document that it can't read.
+func DecodeEntry(entry keeper.Entry) ([]Endpoint, error) {
+	document, err := keeper.DecodeDocument(entry)
+	if err != nil || document.Body == nil {
+		return nil, err
+	}
+	return DecodeList(document.Body)
+}
--- a/reports.go
+++ b/reports.go
@@ -45,11 +45,13 @@
 }
 
 func (r *reporter) addTasks(report *administrator.Report, cell owner.CellStatus, organisation string) {
+	used := map[string]placer.Size{}
 	for _, task := range cell.Tasks {
 		taskOrganisation, _, _ := strings.Cut(task.Task, "/")
 		if organisation != "" && organisation != taskOrganisation {
 			continue
 		}
+		used[taskOrganisation] = used[taskOrganisation].Plus(task.Reserved)
 		id := strings.TrimPrefix(task.Task, taskOrganisation+"/")
 		if task.Worker == "" {
 			report.Waiting = append(report.Waiting, administrator.Waiting{
@@ -69,6 +71,9 @@
 			State:         task.State,
 		})
 	}
+	for user, size := range used {
+		report.Uses = append(report.Uses, administrator.Use{Organisation: user, Used: size})
+	}
 }
 
 func (r *reporter) addWorkers(report *administrator.Report, cell owner.CellStatus) {
@@ -77,6 +82,8 @@
 			report.Quarantined = append(report.Quarantined, administrator.Quarantine{
 				Worker:        worker.Worker,
 				FailureDomain: r.failureDomain,
+				Since:         worker.Quarantined,
+				Reason:        "several distinct tasks failed there",
 			})
 		}
 	}
--- a/requests.go
+++ b/requests.go
@@ -147,7 +147,7 @@
 func decodeEndpoints(entries []keeper.Entry) []publisher.Endpoint {
 	var endpoints []publisher.Endpoint
 	for _, entry := range entries {
-		listed, err := decodeEndpointList(entry)
+		listed, err := publisher.DecodeEntry(entry)
 		if err != nil {
 			klog.ErrorS(err, "A list of endpoints is not readable", "key", entry.Key)
 			continue
@@ -156,11 +156,3 @@
 	}
 	return endpoints
 }
-
-func decodeEndpointList(entry keeper.Entry) ([]publisher.Endpoint, error) {
-	document, err := keeper.DecodeDocument(entry)
-	if err != nil || document.Body == nil {
-		return nil, err
-	}
-	return publisher.DecodeList(document.Body)
-}
