--- a/logger/logger.go
+++ b/logger/logger.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/zeromicro/go-zero/core/logx"
 	"k8s.io/klog/v2"
@@ -12,6 +13,9 @@
 	callDepth  = 1
 	debugLevel = 4
 	infoLevel  = 2
+
+	// clientPrefix begins the lines of the HTTP client's log.
+	clientPrefix = "[HTTP]"
 )
 
 // Writer is a logx.Writer that writes structured lines by klog.
@@ -38,7 +42,16 @@
 func (Writer) Debug(v any, fields ...logx.LogField) { logInfo(debugLevel, v, fields) }
 
 // Error implements logx.Writer.
-func (Writer) Error(v any, fields ...logx.LogField) { logError("error", v, fields...) }
+//
+// Failed calls of the HTTP client are the callers' to report; they are logged
+// at the level of information only.
+func (Writer) Error(v any, fields ...logx.LogField) {
+	if strings.HasPrefix(fmt.Sprint(v), clientPrefix) {
+		logInfo(infoLevel, v, fields)
+		return
+	}
+	logError("error", v, fields...)
+}
 
 // Info implements logx.Writer.
 func (Writer) Info(v any, fields ...logx.LogField) { logInfo(infoLevel, v, fields) }
