--- a/cmd/zinniashore/trial.go
+++ b/cmd/zinniashore/trial.go
@@ -78,7 +78,7 @@
 }
 
 func (c *trialCommand) perform(ctx context.Context, bench *trialBench) (trialMessage, error) {
-	var summary trialMessage
+	summary := trialMessage{Problems: []string{}}
 	if err := bench.awaitReady(ctx); err != nil {
 		return summary, err
 	}
--- a/server.go
+++ b/server.go
@@ -204,15 +204,18 @@
 func (s *Server) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
-	steps := map[string]func(context.Context) error{
-		"cells":         s.owner.Leave,
-		"seats":         s.seater.Leave,
-		"configuration": s.configurer.Leave,
-		"session":       s.session.Revoke,
+	steps := []struct {
+		role  string
+		leave func(context.Context) error
+	}{
+		{role: "cells", leave: s.owner.Leave},
+		{role: "seats", leave: s.seater.Leave},
+		{role: "configuration", leave: s.configurer.Leave},
+		{role: "session", leave: s.session.Revoke},
 	}
-	for _, name := range []string{"cells", "seats", "configuration", "session"} {
-		if err := steps[name](ctx); err != nil {
-			klog.ErrorS(err, "Leaving was not finished", "role", name)
+	for _, step := range steps {
+		if err := step.leave(ctx); err != nil {
+			klog.ErrorS(err, "Leaving was not finished", "role", step.role)
 		}
 	}
 }
