Take the estimator's view once a decision; drop what stood twice or unused

Cause: read over the whole change: each report of a worker rebuilt the view of all that was learned, and listed the neighbours of each of its tasks by a pass over all tasks of the cell, which nobody read; the owner had a rule of its own for a reservation that the plan's contract already states (zero is the declared size); the rest middlewares and the workers of a cell were stated twice; UpdateWithLease, decoder's Names and Position and the client's Succeeded had no caller. Ruled out: one adapter for the four lists of peers, whose types differ by slice. Change: owner.Learner gives a View for each decision; UsageReport.Neighbours and reservation are gone; listening calls router.Middlewares, cells.go owner.Cell.Contains; the unused functions are removed. Conclusion: behaviour as it was but for a decider that names no reservation while a learner is set: it now gets the declared size, as the plan says.

--- a/administrator/client.go
+++ b/administrator/client.go
@@ -15,7 +15,6 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"zinniashore.example/configurer"
 	"zinniashore.example/recorder"
 )
 
@@ -199,8 +198,3 @@
 	}
 	return nil
 }
-
-// Succeeded reports whether a change is durable: pending or accepted.
-func (m ResultMessage) Succeeded() bool {
-	return m.State == configurer.StateAccepted || m.State == configurer.StatePending
-}
--- a/cells.go
+++ b/cells.go
@@ -7,8 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/keeper"
-	"zinniashore.example/lister"
-	"zinniashore.example/loader"
+	"zinniashore.example/owner"
 	"zinniashore.example/placer"
 	"zinniashore.example/submitter"
 )
@@ -26,22 +25,23 @@
 
 // cellChooser gives a job to the cell with the least backlog for its capacity.
 type cellChooser struct {
-	cells  []loader.Cell
-	lister *lister.Lister
-	mirror *keeper.Mirror
+	cells   []owner.Cell
+	workers workerList
+	mirror  *keeper.Mirror
 }
 
 // Choose implements administrator.Cells. A job that no worker could run goes to
 // the first of its cells, whose owner tells why it never runs.
 func (c *cellChooser) Choose(job submitter.Job) (string, error) {
 	backlogs := c.backlogs()
+	workers := c.workers.list()
 	var chosen string
 	least := 0.0
 	for _, cell := range c.cells {
 		if len(job.FailureDomains) > 0 && !slices.Contains(job.FailureDomains, cell.FailureDomain) {
 			continue
 		}
-		load := cellLoad(backlogs[cell.ID], c.capacity(cell, job.Size))
+		load := cellLoad(backlogs[cell.ID], capacity(workers, cell, job.Size))
 		if chosen == "" || load < least {
 			chosen, least = cell.ID, load
 		}
@@ -63,17 +63,10 @@
 
 // capacity returns the thousandths of processors on the workers of a cell that
 // could run a task of that size.
-func (c *cellChooser) capacity(cell loader.Cell, size placer.Size) int64 {
-	vms, _ := c.lister.VMs()
+func capacity(workers []owner.WorkerVM, cell owner.Cell, size placer.Size) int64 {
 	var total int64
-	for _, vm := range vms {
-		if vm.Role != lister.RoleWorker || vm.FailureDomain != cell.FailureDomain {
-			continue
-		}
-		if len(cell.Racks) > 0 && !slices.Contains(cell.Racks, vm.Rack) {
-			continue
-		}
-		if size.Within(vm.Capacity) {
+	for _, vm := range workers {
+		if cell.Contains(vm) && size.Within(vm.Capacity) {
 			total += vm.Capacity.Processors
 		}
 	}
--- a/decoder/object.go
+++ b/decoder/object.go
@@ -109,15 +109,6 @@
 	return value.Value.(hujson.Literal).String()
 }
 
-// Names returns the names of the fields in the order of the document.
-func (o *Object) Names() []string {
-	names := make([]string, len(o.names))
-	for i, member := range o.names {
-		names[i] = member.name
-	}
-	return names
-}
-
 // Text reads a string.
 func (o *Object) Text(name string, limits Text) string {
 	value, found := o.value(name, limits.Required)
@@ -302,12 +293,6 @@
 	}
 }
 
-// Position returns the line and the column of the object, counted from 1.
-func (o *Object) Position() (line, column int) {
-	before := string(o.document.content[:o.offset])
-	return 1 + strings.Count(before, "\n"), len(before) - strings.LastIndexByte(before, '\n')
-}
-
 // Finish reports fields that nobody read in any object of the document as
 // unknown. It returns a *DocumentError with all faults, or nil. It is called
 // once, after everything was read.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -50,15 +50,6 @@
 // and its outcome could not be resolved: ctx ended, or the history of the
 // document no longer tells.
 func (k *Keeper) Update(ctx context.Context, key string, change ChangeFunc) (Document, error) {
-	return k.update(ctx, key, 0, change)
-}
-
-// UpdateWithLease is Update for a document that ends with the lease.
-func (k *Keeper) UpdateWithLease(ctx context.Context, key string, lease LeaseID, change ChangeFunc) (Document, error) {
-	return k.update(ctx, key, lease, change)
-}
-
-func (k *Keeper) update(ctx context.Context, key string, lease LeaseID, change ChangeFunc) (Document, error) {
 	end, err := k.turns.take(ctx, key)
 	if err != nil {
 		return Document{}, &UnavailableError{Operation: "update", Err: err}
@@ -68,7 +59,7 @@
 	if err != nil {
 		return Document{}, err
 	}
-	return k.swapFrom(ctx, current, lease, change)
+	return k.swapFrom(ctx, current, change)
 }
 
 // UpdateFrom is Update for a document that the caller knows already. It saves the
@@ -80,12 +71,12 @@
 		return Document{}, &UnavailableError{Operation: "update", Err: err}
 	}
 	defer end()
-	return k.swapFrom(ctx, known, 0, change)
+	return k.swapFrom(ctx, known, change)
 }
 
-func (k *Keeper) swapFrom(ctx context.Context, current Document, lease LeaseID, change ChangeFunc) (Document, error) {
+func (k *Keeper) swapFrom(ctx context.Context, current Document, change ChangeFunc) (Document, error) {
 	for {
-		written, err := k.swap(ctx, current, lease, change)
+		written, err := k.swap(ctx, current, change)
 		var conflict *ConflictError
 		if !errors.As(err, &conflict) {
 			return written, err
@@ -97,14 +88,13 @@
 	}
 }
 
-func (k *Keeper) swap(ctx context.Context, current Document, lease LeaseID, change ChangeFunc) (Document, error) {
+func (k *Keeper) swap(ctx context.Context, current Document, change ChangeFunc) (Document, error) {
 	body, err := change(current)
 	if err != nil || (body == nil && current.Version == 0) {
 		return current, err
 	}
 	write := pendingWrite{
-		mark:  mark{writer: k.Writer, sequence: k.sequence.Add(1), base: current.Version},
-		lease: lease,
+		mark: mark{writer: k.Writer, sequence: k.sequence.Add(1), base: current.Version},
 	}
 	write.document = current.with(write.mark, body)
 	write.value, err = write.document.encode()
@@ -131,7 +121,6 @@
 	mark     mark
 	document Document
 	value    []byte
-	lease    LeaseID
 }
 
 func (w pendingWrite) written(version int64) Document {
@@ -145,7 +134,7 @@
 func (k *Keeper) apply(ctx context.Context, write pendingWrite) (Document, error) {
 	unclear := false
 	for {
-		version, err := k.Store.Swap(ctx, write.document.Key, write.mark.base, write.value, write.lease)
+		version, err := k.Store.Swap(ctx, write.document.Key, write.mark.base, write.value, 0)
 		if err == nil {
 			return write.written(version), nil
 		}
--- a/listening.go
+++ b/listening.go
@@ -11,6 +11,8 @@
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 	"k8s.io/klog/v2"
+
+	"zinniashore.example/router"
 )
 
 const (
@@ -57,7 +59,7 @@
 			Mode:     service.ProMode,
 			Shutdown: proc.ShutdownConf{WaitTime: forcedQuit},
 		},
-		Middlewares: rest.MiddlewaresConf{Recover: true},
+		Middlewares: router.Middlewares(),
 	}
 	server, err := rest.NewServer(configuration)
 	if err != nil {
--- a/owner/learn_test.go
+++ b/owner/learn_test.go
@@ -16,6 +16,7 @@
 	ends map[string]int
 }
 
+func (l *endLearner) View(time.Time) placer.Estimates               { return l }
 func (*endLearner) Size(_ string, declared placer.Size) placer.Size { return declared }
 func (*endLearner) Slowdown(string, []string) float64               { return 1 }
 func (*endLearner) Measured(string) float64                         { return 1 }
--- a/owner/learner.go
+++ b/owner/learner.go
@@ -1,8 +1,6 @@
 package owner
 
 import (
-	"sort"
-
 	"zinniashore.example/commander"
 )
 
@@ -31,19 +29,7 @@
 			Task: t.record.id, Template: t.record.template, Class: t.record.class, Worker: l.vm.ID,
 			Age: c.now().Sub(t.since), Throttle: t.throttled, Declared: t.demand.declared,
 			Reserved: t.record.reserved, Used: report.Usage, Slowdown: report.Slowdown,
-			Neighbours: c.neighbours(l, t.record.id),
 		})
 	}
 	c.owner.Learner.Observe(c.now(), usage)
 }
-
-func (c *cell) neighbours(l *link, id string) []string {
-	var templates []string
-	for _, t := range c.tasks {
-		if t.worker() == l.vm.ID && t.record.id != id && t.holds() {
-			templates = append(templates, t.record.template)
-		}
-	}
-	sort.Strings(templates)
-	return templates
-}
--- a/owner/link.go
+++ b/owner/link.go
@@ -51,7 +51,7 @@
 		l.listed = false
 	}
 	for _, vm := range c.owner.listed() {
-		if c.spec.contains(vm) {
+		if c.spec.Contains(vm) {
 			l := c.link(vm.ID, vm.Address, now)
 			l.vm = vm
 			l.listed = true
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -122,13 +122,13 @@
 	Used placer.Size
 	// Slowdown is its measured slowdown, zero if unknown.
 	Slowdown float64
-	// Neighbours are the templates of the other tasks on the worker.
-	Neighbours []string
 }
 
 // Learner learns from usage reports.
 type Learner interface {
-	placer.Estimates
+	// View returns what was learned up to now, which later reports do not
+	// change.
+	View(now time.Time) placer.Estimates
 	// Observe takes in the reports of one worker.
 	Observe(now time.Time, reports []UsageReport)
 	// ObserveEnd takes in the true run time of a batch task that was done in one
@@ -168,7 +168,8 @@
 	Racks []string
 }
 
-func (c Cell) contains(vm WorkerVM) bool {
+// Contains reports whether the worker is in one of the racks of the cell.
+func (c Cell) Contains(vm WorkerVM) bool {
 	if vm.FailureDomain != c.FailureDomain {
 		return false
 	}
--- a/owner/plan.go
+++ b/owner/plan.go
@@ -51,7 +51,7 @@
 		s.Quotas = c.owner.Workloads.Quotas()
 	}
 	if c.owner.Learner != nil {
-		s.Estimates = c.owner.Learner
+		s.Estimates = c.owner.Learner.View(now)
 	}
 	return s
 }
@@ -79,18 +79,6 @@
 	return used
 }
 
-// reservation returns what to reserve for a task. Memory is never reserved
-// below what is declared.
-func (c *cell) reservation(d demand) placer.Size {
-	if c.owner.Learner == nil {
-		return d.declared
-	}
-	size := c.owner.Learner.Size(d.template, d.declared)
-	size.Memory = max(size.Memory, d.declared.Memory)
-	size.Accelerators = max(size.Accelerators, d.declared.Accelerators)
-	return size
-}
-
 // place stages the start of a waiting task, if its worker can carry it
 // together with everything else that may run there.
 func (c *cell) place(action placer.Action, candidates map[string]demand, used map[string]placer.Size, now time.Time) {
@@ -108,7 +96,7 @@
 	}
 	reserved := action.Reserved
 	if reserved == (placer.Size{}) {
-		reserved = c.reservation(d)
+		reserved = d.declared
 	}
 	total := used[action.Worker].Plus(reserved)
 	if !total.Within(l.vm.Capacity) {
--- a/roles.go
+++ b/roles.go
@@ -4,6 +4,7 @@
 	"zinniashore.example/administrator"
 	"zinniashore.example/configurer"
 	"zinniashore.example/deduper"
+	"zinniashore.example/estimator"
 	"zinniashore.example/keeper"
 	"zinniashore.example/lister"
 	"zinniashore.example/owner"
@@ -108,7 +109,7 @@
 		Workers:       workerList{lister: s.lister},
 		Workloads:     workloads{configurer: s.configurer, cells: s.Settings.Cells},
 		Decider:       &placer.Placer{},
-		Learner:       newUsageLearner(),
+		Learner:       usageLearner{estimator: &estimator.Estimator{}},
 		TaskLease:     s.Settings.Tasks.Lease,
 		Renewal:       s.Settings.Tasks.Renewal,
 		Period:        s.Settings.Tasks.Period,
@@ -139,7 +140,7 @@
 		Clock:      s.Clock,
 		Configurer: releasingConfigurer{Configurer: s.configurer, seater: s.seater},
 		Submitter:  &submitter.Submitter{Keeper: s.keeper("submitter"), Clock: s.Clock},
-		Cells:      &cellChooser{cells: s.Settings.Cells, lister: s.lister, mirror: s.mirror},
+		Cells:      &cellChooser{cells: ownerCells(s.Settings.Cells), workers: workerList{lister: s.lister}, mirror: s.mirror},
 		Status: &reporter{
 			clock:         s.Clock,
 			process:       s.Settings.Process,
--- a/tasks.go
+++ b/tasks.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"zinniashore.example/configurer"
@@ -17,7 +16,9 @@
 type workerList struct{ lister *lister.Lister }
 
 // Workers implements owner.WorkerList.
-func (w workerList) Workers(context.Context) ([]owner.WorkerVM, error) {
+func (w workerList) Workers(context.Context) ([]owner.WorkerVM, error) { return w.list(), nil }
+
+func (w workerList) list() []owner.WorkerVM {
 	vms, _ := w.lister.VMs()
 	var workers []owner.WorkerVM
 	for _, vm := range vms {
@@ -33,7 +34,7 @@
 			Leaving:       vm.State == lister.StateLeaving,
 		})
 	}
-	return workers, nil
+	return workers
 }
 
 // workloads gives the owner what the configuration in force wants.
@@ -86,42 +87,14 @@
 	return converted
 }
 
-// usageLearner feeds the reports of workers to the estimator and answers with
-// its latest view.
-type usageLearner struct {
-	estimator *estimator.Estimator
-	view      atomic.Pointer[estimator.View]
-}
-
-func newUsageLearner() *usageLearner {
-	u := &usageLearner{estimator: &estimator.Estimator{}}
-	u.view.Store(u.estimator.View(time.Time{}))
-	return u
-}
-
-// Size implements placer.Estimates.
-func (u *usageLearner) Size(template string, declared placer.Size) placer.Size {
-	return u.view.Load().Size(template, declared)
-}
+// usageLearner feeds the reports of workers to the estimator.
+type usageLearner struct{ estimator *estimator.Estimator }
 
-// Slowdown implements placer.Estimates.
-func (u *usageLearner) Slowdown(template string, neighbours []string) float64 {
-	return u.view.Load().Slowdown(template, neighbours)
-}
-
-// Measured implements placer.Estimates.
-func (u *usageLearner) Measured(task string) float64 { return u.view.Load().Measured(task) }
-
-// Learned implements placer.Confidence.
-func (u *usageLearner) Learned(template string) bool { return u.view.Load().Learned(template) }
-
-// Remaining implements placer.RunTimes.
-func (u *usageLearner) Remaining(template string, declared, ran time.Duration) time.Duration {
-	return u.view.Load().Remaining(template, declared, ran)
-}
+// View implements owner.Learner.
+func (u usageLearner) View(now time.Time) placer.Estimates { return u.estimator.View(now) }
 
 // Observe implements owner.Learner.
-func (u *usageLearner) Observe(now time.Time, reports []owner.UsageReport) {
+func (u usageLearner) Observe(now time.Time, reports []owner.UsageReport) {
 	byWorker := map[string]estimator.Report{}
 	for _, r := range reports {
 		report := byWorker[r.Worker]
@@ -133,11 +106,10 @@
 	for _, report := range byWorker {
 		u.estimator.Observe(report)
 	}
-	u.view.Store(u.estimator.View(now))
 }
 
 // ObserveEnd implements owner.Learner.
-func (u *usageLearner) ObserveEnd(template string, declared, ran time.Duration) {
+func (u usageLearner) ObserveEnd(template string, declared, ran time.Duration) {
 	u.estimator.ObserveEnd(estimator.Ending{Template: template, Declared: declared, Took: ran})
 }
 
