Learn headrooms of lasting tasks: linear in the load, one load for a job

A logged trial showed what the model missed: tail latencies follow 1/(1-utilisation), not the exponential of a sum; all tasks of a job share their own load, which swings within 10 to 14 s, where the model had a constant by image and a slow offset by run; and reported use of the fillers explains what they take. Ruled out, by replaying the same logged reports through each model: the logarithm with a load by job (same misses, effects not separated), smoothed paces instead of reported use (no difference), one model for all cells (no difference). Change: headroom = target / latency; a Kalman filter of the job's own headroom (drifting) and of what each image pair takes of it. Pairs fall into two groups, about 0 and about 10 of headroom a whole worker.

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -15,7 +15,7 @@
 		}
 		score := scoreWorker(w, t)
 		if t.step.step.Filler {
-			pressure := c.pressure(now, w, t.step.step)
+			pressure := c.pressure(w, t.step.step)
 			if math.IsInf(pressure, 1) {
 				if !t.starved(now) {
 					continue
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -86,8 +86,8 @@
 	activeAt time.Time
 	fencedBy bool
 	stops    []*run
-	// pairs is what is known of the neighbours of lasting tasks, by image.
-	pairs map[string]*estimator.Pairs
+	// headrooms is what is known of lasting tasks and their neighbours.
+	headrooms *estimator.Headrooms
 	// part is being handed over to another cell.
 	part *Part
 	// storing says that a batch is on its way to the store.
@@ -97,15 +97,15 @@
 // NewCell returns an empty Cell.
 func NewCell(name string, epoch int64, limits Limits, events Recorder) *Cell {
 	return &Cell{
-		Name:     name,
-		Epoch:    epoch,
-		Limits:   limits,
-		Recorder: events,
-		jobs:     map[string]*jobState{},
-		workers:  map[string]*worker{},
-		dirty:    map[string]bool{},
-		timed:    map[string]*jobState{},
-		pairs:    map[string]*estimator.Pairs{},
+		Name:      name,
+		Epoch:     epoch,
+		Limits:    limits,
+		Recorder:  events,
+		jobs:      map[string]*jobState{},
+		workers:   map[string]*worker{},
+		dirty:     map[string]bool{},
+		timed:     map[string]*jobState{},
+		headrooms: estimator.NewHeadrooms(),
 	}
 }
 
@@ -255,6 +255,7 @@
 	j.finalAt = now
 	c.dirty[j.job.ID] = true
 	delete(c.timed, j.job.ID)
+	c.headrooms.Forget(j.job.ID)
 	c.record(recorder.Event{Kind: KindJobFinal, Key: j.job.ID, Detail: string(state)})
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/dispatcher/interference.go
+++ b/dispatcher/interference.go
@@ -8,27 +8,9 @@
 	"zinniashore.example/estimator"
 )
 
-// tailPrior is the prior of the logarithm of a tail latency in milliseconds; the
-// load of a neighbour is its share of the worker's processors.
-var tailPrior = estimator.Prior{
-	Mean:               2,
-	Deviation:          4,
-	ReplicaMean:        2,
-	ReplicaDeviation:   4,
-	BaseDeviation:      3,
-	ReportDeviation:    0.4,
-	LeastDeviation:     0.3,
-	LeastBaseDeviation: 0.02,
-	HalfLife:           30 * time.Second,
-}
-
 const (
-	// tailLag is the span that a reported tail latency covers.
-	tailLag = 500 * time.Millisecond
-	// offsetWeight is the weight of a report in what a task's own load adds.
-	offsetWeight = 0.3
-	// tailMargin is kept below the logarithm of the target.
-	tailMargin = 0.25
+	// headroomMargin is the headroom that is kept above the one at the target.
+	headroomMargin = 0.3
 	// leastPaceChange is the change of a pace that is worth an order, in percent.
 	leastPaceChange = 15
 	paceInterval    = 300 * time.Millisecond
@@ -42,13 +24,6 @@
 	movedPause = 3 * time.Second
 )
 
-// exposure is the load that an image puts on a worker, as a share of its
-// processors, smoothed as the reports are.
-type exposure struct {
-	image    string
-	smoothed float64
-}
-
 // share returns the part of the worker's processors that a size takes.
 func (w *worker) share(size Size) float64 {
 	return float64(size.MilliProcessors) / float64(max(w.registration.Capacity.MilliProcessors, 1))
@@ -66,50 +41,41 @@
 	return loads
 }
 
-// smooth moves the exposures towards the present loads.
-func (w *worker) smooth(now time.Time) {
-	kept := math.Exp(-float64(now.Sub(w.smoothedAt)) / float64(tailLag))
-	w.smoothedAt = now
-	loads := w.loads()
-	w.exposures = slices.DeleteFunc(w.exposures, func(e exposure) bool {
-		return e.smoothed < leastExposure && loads[e.image] == 0
-	})
-	for i := range w.exposures {
-		e := &w.exposures[i]
-		e.smoothed = kept*e.smoothed + (1-kept)*loads[e.image]
-		delete(loads, e.image)
-	}
-	for image, load := range loads {
-		w.exposures = append(w.exposures, exposure{image: image, smoothed: (1 - kept) * load})
+// neighbours returns the loads of the filler images on the worker by the
+// processors that they were last reported to use.
+func (w *worker) neighbours() []estimator.Influence {
+	var neighbours []estimator.Influence
+	for _, r := range w.sortedRuns() {
+		step := r.task.step.step
+		if !step.Filler || r.usage <= 0 {
+			continue
+		}
+		load := w.share(Size{MilliProcessors: r.usage})
+		i := slices.IndexFunc(neighbours, func(n estimator.Influence) bool { return n.Name == step.Image })
+		if i >= 0 {
+			neighbours[i].Load += load
+		} else {
+			neighbours = append(neighbours, estimator.Influence{Name: step.Image, Load: load})
+		}
 	}
+	return neighbours
 }
 
-// leastExposure is forgotten.
-const leastExposure = 0.002
-
 // learnTails learns from the tail latencies that a look at a worker reported.
 func (c *Cell) learnTails(now time.Time, w *worker) {
 	if w.servers == 0 {
 		return
 	}
-	w.smooth(now)
-	influences := make([]estimator.Influence, len(w.exposures))
-	for i, e := range w.exposures {
-		influences[i] = estimator.Influence{Name: e.image, Load: e.smoothed}
-	}
-	for _, r := range w.runs {
+	neighbours := w.neighbours()
+	for _, r := range w.sortedRuns() {
 		step := r.task.step.step
 		if step.TailTarget == 0 || r.percent < wholePace || r.usage <= 0 {
 			continue
 		}
-		pairs := c.pairsOf(step.Image)
-		measure := math.Log(float64(r.usage))
-		expected := pairs.Base()
-		for _, n := range influences {
-			expected += n.Load * pairs.Mean(n.Name, now)
-		}
-		r.offset += offsetWeight * (measure - expected - r.offset)
-		pairs.Observe(now, measure, influences)
+		c.headrooms.Observe(now, estimator.TailReport{
+			Job: r.task.id.Job, Image: step.Image,
+			Tail: time.Duration(r.usage) * time.Millisecond, Target: step.TailTarget, Neighbours: neighbours,
+		})
 		r.noteTail(now)
 	}
 }
@@ -123,31 +89,19 @@
 	}
 }
 
-// pairsOf returns what is known of the neighbours of an image.
-func (c *Cell) pairsOf(image string) *estimator.Pairs {
-	pairs, known := c.pairs[image]
-	if !known {
-		pairs = estimator.NewPairs(image, tailPrior)
-		c.pairs[image] = pairs
-	}
-	return pairs
-}
-
-// room returns how much more a lasting task's logarithm of the tail latency may
-// take beside what loads a worker.
-func (c *Cell) room(now time.Time, r *run, loads map[string]float64) float64 {
-	step := r.task.step.step
-	pairs := c.pairsOf(step.Image)
-	expected := pairs.Base() + r.offset
+// room returns how much of a lasting task's headroom may still be taken beside
+// what loads a worker.
+func (c *Cell) room(r *run, loads map[string]float64) float64 {
+	left := c.headrooms.Own(r.task.id.Job) - 1 - headroomMargin
 	for image, load := range loads {
-		expected += load * pairs.Mean(image, now)
+		left -= load * c.headrooms.Effect(r.task.step.step.Image, image)
 	}
-	return math.Log(float64(step.TailTarget.Milliseconds())) - tailMargin - expected
+	return left
 }
 
 // pressure returns the greatest part of the room of the worker's lasting tasks
 // that a filler would take; above 1 it takes too much.
-func (c *Cell) pressure(now time.Time, w *worker, step *Step) float64 {
+func (c *Cell) pressure(w *worker, step *Step) float64 {
 	if w.servers == 0 {
 		return 0
 	}
@@ -157,9 +111,9 @@
 		if r.task.step.step.TailTarget == 0 {
 			continue
 		}
-		pairs := c.pairsOf(r.task.step.step.Image)
-		effect := w.share(step.Size) * (pairs.Mean(step.Image, now) + pairs.Bound(step.Image, now)) / 2
-		room := c.room(now, r, loads)
+		image := r.task.step.step.Image
+		effect := w.share(step.Size) * (c.headrooms.Effect(image, step.Image) + c.headrooms.EffectBound(image, step.Image)) / 2
+		room := c.room(r, loads)
 		if effect > leastEffect && effect >= room {
 			return math.Inf(1)
 		}
@@ -170,8 +124,8 @@
 	return greatest
 }
 
-// leastEffect on the logarithm of a tail latency doesn't count.
-const leastEffect = 0.03
+// leastEffect is a part of the headroom that doesn't count.
+const leastEffect = 0.05
 
 // planPaces slows the fillers that press lasting tasks over their targets, and
 // lets them go on as soon as there is room.
@@ -258,23 +212,22 @@
 			}
 			return wanted
 		}
-		c.relieve(now, server, wanted, loads)
+		c.relieve(server, wanted, loads)
 	}
 	return wanted
 }
 
 // relieve lowers paces until a lasting task is expected to keep its target, those
 // that press it hardest first.
-func (c *Cell) relieve(now time.Time, server *run, wanted map[*run]int, loads map[string]float64) {
-	excess := -c.room(now, server, loads)
+func (c *Cell) relieve(server *run, wanted map[*run]int, loads map[string]float64) {
+	excess := -c.room(server, loads)
 	if excess <= 0 {
 		return
 	}
-	pairs := c.pairsOf(server.task.step.step.Image)
-	w := server.worker
+	image, w := server.task.step.step.Image, server.worker
 	effect := func(r *run) float64 {
 		step := r.task.step.step
-		return w.share(step.Size) * pairs.Mean(step.Image, now)
+		return w.share(step.Size) * c.headrooms.Effect(image, step.Image)
 	}
 	fillers := make([]*run, 0, len(wanted))
 	for r := range wanted {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -44,9 +44,6 @@
 	pace      int
 	paceTaken bool
 	slowSince time.Time
-	// offset is what a lasting task's own load adds to the logarithm of its tail
-	// latency.
-	offset float64
 }
 
 // task is a task of an occurrence.
@@ -180,11 +177,8 @@
 	// strays are runs that nobody needs, by when their stop was last sent.
 	strays map[runKey]time.Time
 	// leftAt is when a lasting task was last stopped because the worker leaves.
-	leftAt time.Time
-	// exposures are the smoothed loads of fillers.
-	exposures  []exposure
-	smoothedAt time.Time
-	pacedAt    time.Time
+	leftAt  time.Time
+	pacedAt time.Time
 }
 
 type runKey struct {
