Let quick tasks without room hide no filler

Cause: a plan skips tasks no smaller than one that found no place, to save time. It did so for fillers too, which need no room of processors: while one quick task waited, all larger fillers of the cell waited with it. Ruled out: pressure on lasting tasks (places were free of it), memory, quarantine. Change: sizes cover only tasks that take room; the other tasks of a step without a place are skipped, which bounds the work of a plan for all kinds. Test: TestCell 'a quick task without room hides no filler', seen red on the code before.

--- a/dispatcher/cell_test.go
+++ b/dispatcher/cell_test.go
@@ -261,6 +261,21 @@
 			t.Error("the lasting task found no room beside quick ones")
 		}
 	}},
+	"a quick task without room hides no filler": {workers: 1, run: func(t *testing.T, w *world) {
+		w.submit(lastingJob(otherID, 2, 1900))
+		w.runFor(100 * time.Millisecond)
+		quick := plainJob(jobID, 1, time.Second, 1)
+		quick.Steps[0].Size.MilliProcessors = 500
+		w.submit(quick)
+		filler := plainJob("00000000000000a3", 1, time.Second, 1)
+		filler.Steps[0].Filler, filler.Steps[0].Image = true, "sorter"
+		filler.Steps[0].Size.MilliProcessors = 600
+		w.submit(filler)
+		w.runFor(200 * time.Millisecond)
+		if w.running[dispatcher.TaskID{Job: filler.ID}] != 1 {
+			t.Error("the filler doesn't run beside lasting tasks that use half of what they declare")
+		}
+	}},
 	"a task handed over stays handed over": {workers: 1, run: func(t *testing.T, w *world) {
 		w.submit(lastingJob(jobID, 2, 3000))
 		w.runFor(time.Second)
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -144,20 +144,17 @@
 		w.reserved = nil
 	}
 	var orders []StartOrder
-	var unplaced []Size
+	var without unplaced
 	for _, t := range c.ready {
-		if t.notBefore.After(now) || len(t.runs) > 0 || c.held(now, t.job()) {
-			continue
-		}
-		if hopeless(t, unplaced) {
+		if t.notBefore.After(now) || len(t.runs) > 0 || c.held(now, t.job()) || without.covers(t) {
 			continue
 		}
 		placed := c.place(now, t)
-		if len(placed) == 0 && t.step.step.Lasting {
-			c.reserve(t)
-		}
-		if len(placed) == 0 && t.step.step.plain() {
-			unplaced = append(unplaced, t.step.step.Size)
+		if len(placed) == 0 {
+			without.add(t)
+			if t.step.step.Lasting {
+				c.reserve(t)
+			}
 		}
 		orders = append(orders, placed...)
 	}
@@ -210,19 +207,37 @@
 	return w.free().Plus(passing).Holds(step.Size)
 }
 
-// plain reports whether any worker of the service may run the step.
-func (s *Step) plain() bool {
-	return s.Label == "" && s.WorkerLimit == 0 && !s.Gang && !s.Filler && s.TailTarget == 0
+// unplaced are the tasks that have found no place in a plan.
+type unplaced struct {
+	// sizes are those of tasks that any worker of the service may run.
+	sizes []Size
+	steps []*stepState
 }
 
-// hopeless reports whether a task is no smaller than one that found no place.
-func hopeless(t *task, unplaced []Size) bool {
-	for _, size := range unplaced {
-		if t.step.step.Size.Holds(size) {
-			return true
-		}
+func (u *unplaced) add(t *task) {
+	if t.movedFrom == "" {
+		u.steps = append(u.steps, t.step)
+	}
+	if t.step.step.plain() {
+		u.sizes = append(u.sizes, t.step.step.Size)
 	}
-	return false
+}
+
+// covers reports whether a task is alike one without a place, or no smaller. A
+// filler is only covered by its like: it takes no room of processors.
+func (u *unplaced) covers(t *task) bool {
+	if t.step.step.Lasting {
+		return false
+	}
+	if slices.Contains(u.steps, t.step) {
+		return true
+	}
+	return !t.step.step.Filler && slices.ContainsFunc(u.sizes, t.step.step.Size.Holds)
+}
+
+// plain reports whether any worker of the service may run the step.
+func (s *Step) plain() bool {
+	return s.Label == "" && s.WorkerLimit == 0 && !s.Gang && !s.Filler && s.TailTarget == 0
 }
 
 // compareTasks orders by priority, then lasting tasks first, then the tasks whose
