Choose the cell of a new job by places for its first tasks; reserve one worker at a time

And each waiting lasting task reserved a worker, so that up to all of a cell's workers with quick tasks took no others. Change: the home cell takes a job if its first tasks fit; else all are asked and the one with places for most of them takes it. A lasting task reserves after 0.5 s, one worker of the cell.

--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -145,6 +145,7 @@
 	}
 	var orders []StartOrder
 	var without unplaced
+	reserved := false
 	for _, t := range c.ready {
 		if t.notBefore.After(now) || len(t.runs) > 0 || c.held(now, t.job()) || without.covers(t) {
 			continue
@@ -152,8 +153,8 @@
 		placed := c.place(now, t)
 		if len(placed) == 0 {
 			without.add(t)
-			if t.step.step.Lasting {
-				c.reserve(t)
+			if t.step.step.Lasting && !reserved && now.Sub(t.readyAt) > reserveLimit {
+				reserved = c.reserve(t)
 			}
 		}
 		orders = append(orders, placed...)
@@ -168,9 +169,12 @@
 	return orders
 }
 
+// reserveLimit is how long a lasting task waits before a worker is reserved for it.
+const reserveLimit = 500 * time.Millisecond
+
 // reserve keeps the worker that will soonest have room for a lasting task free of
-// other starts that take room.
-func (c *Cell) reserve(t *task) {
+// other starts that take room. It reports whether there is one.
+func (c *Cell) reserve(t *task) bool {
 	var best *worker
 	var most int64
 	for _, w := range c.workers {
@@ -184,6 +188,7 @@
 	if best != nil {
 		best.reserved = t
 	}
+	return best != nil
 }
 
 // mayHold reports whether the worker has room for a task once its passing runs
--- a/rooms.go
+++ b/rooms.go
@@ -16,9 +16,6 @@
 const (
 	// roomTimeout bounds the question for room to a cell.
 	roomTimeout = 150 * time.Millisecond
-	// loadAge is how old the load of another cell may be when a job's cell is
-	// chosen by it.
-	loadAge = 400 * time.Millisecond
 	// homeAdvantage is how much more load the home cell may have than another
 	// one that takes its job.
 	homeAdvantage = 0.15
@@ -30,11 +27,6 @@
 	claimer *claimer.Claimer
 	holding *holding
 	peers   *relayer.Client
-
-	mu     sync.Mutex
-	loads  map[string]float64
-	asked  time.Time
-	asking bool
 }
 
 // ask returns the room of all cells that answer.
@@ -83,41 +75,57 @@
 }
 
 // cellFor returns the cell that a new job goes to: a lasting one goes where its
-// tasks fit and most is left, any other home unless another cell has much less
-// to do.
+// tasks fit and most is left, any other home if its first tasks fit there, and
+// else where most of them do.
 func (r *rooms) cellFor(ctx context.Context, job *dispatcher.Job) string {
-	for _, step := range job.Steps {
-		if step.Lasting {
-			return r.cellForLasting(ctx, job.Queue.Service, step)
-		}
+	step := firstStep(job)
+	if step.Lasting {
+		return r.cellForLasting(ctx, job.Queue.Service, step)
 	}
-	loads := r.freshLoads(job)
-	home, known := loads[r.home]
-	if !known {
-		return r.heldCell(loads)
+	if r.fitsHome(ctx, job.Queue.Service, step) {
+		return r.home
 	}
-	best, least := r.home, home-homeAdvantage
-	for cell, load := range loads {
-		if load < least {
-			best, least = cell, load
+	found := r.ask(ctx, job.Queue.Service, step)
+	best, known := r.home, found[r.home]
+	_, answered := found[r.home]
+	for cell, room := range found {
+		if !answered || betterRoom(room, known, step.Count) {
+			best, known, answered = cell, room, true
 		}
 	}
 	return best
 }
 
-// heldCell returns the home cell, or the least loaded one while nobody holds the
-// home cell.
-func (r *rooms) heldCell(loads map[string]float64) string {
-	if r.claimer.Named(r.home) || len(loads) == 0 {
-		return r.home
-	}
-	best := ""
-	for cell, load := range loads {
-		if best == "" || load < loads[best] {
-			best = cell
+// firstStep returns the largest step of a job that waits for no other.
+func firstStep(job *dispatcher.Job) dispatcher.Step {
+	first := job.Steps[0]
+	for _, step := range job.Steps {
+		if len(step.After) == 0 && step.Count > first.Count {
+			first = step
 		}
 	}
-	return best
+	return first
+}
+
+// fitsHome reports whether the home cell has a place for each task of a step.
+func (r *rooms) fitsHome(ctx context.Context, service string, step dispatcher.Step) bool {
+	holder, named := r.claimer.Holder(r.home)
+	if !named {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, roomTimeout)
+	defer cancel()
+	room, err := r.askOne(ctx, r.home, holder, service, step)
+	return err == nil && room.Places >= step.Count
+}
+
+// betterRoom reports whether a room takes more of a step's tasks than another
+// one, or as many beside much less load.
+func betterRoom(room, than dispatcher.Room, count int) bool {
+	if taken, before := min(room.Places, count), min(than.Places, count); taken != before {
+		return taken > before
+	}
+	return room.Load < than.Load-homeAdvantage
 }
 
 // cellForLasting draws a cell by the places that it has: jobs that come together
@@ -149,28 +157,3 @@
 	}
 	return room.Places
 }
-
-// freshLoads returns the loads of the cells as last heard, and has them asked
-// again if they are old.
-func (r *rooms) freshLoads(job *dispatcher.Job) map[string]float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.holding.clock.Now()
-	if now.Sub(r.asked) > loadAge && !r.asking {
-		r.asking = true
-		go r.askLoads(job.Queue.Service, job.Steps[0])
-	}
-	return r.loads
-}
-
-func (r *rooms) askLoads(service string, step dispatcher.Step) {
-	loads := map[string]float64{}
-	for cell, room := range r.ask(context.Background(), service, step) {
-		loads[cell] = room.Load
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.loads = loads
-	r.asked = r.holding.clock.Now()
-	r.asking = false
-}
