Take forgotten workers off the stored list

Cause: a cell stores the workers that its tasks may be on, and a new holder holds restored jobs back until each of them has answered or 7.7 s have passed. A worker that was forgotten stayed on that list until another one was added. Ruled out: slow loading (done within 0.3 s), workers that answer late. Change: the list is stored again when a worker that is on it is forgotten. Test: TestCell 'a worker that was forgotten holds nothing back after a change of the holder', seen red first.

--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -21,6 +21,8 @@
 	Workers []Registration
 
 	acknowledgements map[string]acknowledgement
+	// forgotten counts the workers that Workers leaves out for the first time.
+	forgotten int
 }
 
 // BatchJob is a job that has changed.
@@ -96,11 +98,12 @@
 	}
 	if c.unstoredWorkers() {
 		b.Workers = c.usedWorkers()
+		b.forgotten = c.forgotten
 	}
 	if len(b.Jobs) == 0 {
 		b.Expired = c.expired(now, limit)
 	}
-	if len(b.Jobs)+len(b.Expired)+len(b.Workers) == 0 {
+	if len(b.Jobs)+len(b.Expired) == 0 && b.Workers == nil {
 		return nil
 	}
 	c.storing = true
@@ -150,6 +153,7 @@
 	if b.Part != nil {
 		c.part = nil
 	}
+	c.forgotten -= b.forgotten
 	for _, registration := range b.Workers {
 		if w := c.workers[registration.ID]; w != nil && w.registration.Address == registration.Address {
 			w.stored = true
@@ -171,8 +175,11 @@
 }
 
 // unstoredWorkers reports whether the store doesn't know yet of a worker that is
-// ready for use.
+// ready for use, or lists one that is gone.
 func (c *Cell) unstoredWorkers() bool {
+	if c.forgotten > 0 {
+		return true
+	}
 	for _, w := range c.workers {
 		if w.listed && !w.stored {
 			return true
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -76,8 +76,10 @@
 
 	jobs    map[string]*jobState
 	workers map[string]*worker
-	ready   []*task
-	dirty   map[string]bool
+	// forgotten counts the workers that the store lists although they are gone.
+	forgotten int
+	ready     []*task
+	dirty     map[string]bool
 	// timed are the jobs that have occurrences to come.
 	timed map[string]*jobState
 	runs  int64
--- a/dispatcher/cell_test.go
+++ b/dispatcher/cell_test.go
@@ -261,6 +261,16 @@
 			t.Error("the lasting task found no room beside quick ones")
 		}
 	}},
+	"a worker that was forgotten holds nothing back after a change of the holder": {workers: 3, run: func(t *testing.T, w *world) {
+		gone := w.workers[0]
+		gone.reachable = false
+		w.cell.RemoveWorker(gone.registration.ID)
+		w.runFor(9 * time.Second)
+		w.submit(plainJob(jobID, 2, 300*time.Millisecond, 1))
+		w.take(w.workers[1], w.workers[2])
+		w.runFor(time.Second)
+		requireState(t, w, jobID, dispatcher.StateCompleted)
+	}},
 	"a quick task without room hides no filler": {workers: 1, run: func(t *testing.T, w *world) {
 		w.submit(lastingJob(otherID, 2, 1900))
 		w.runFor(100 * time.Millisecond)
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -59,6 +59,9 @@
 		}
 		if c.gone(now, w) {
 			delete(c.workers, id)
+			if w.stored {
+				c.forgotten++
+			}
 			c.record(recorder.Event{Kind: KindWorker, VM: id, Detail: "forgotten"})
 		}
 	}
