Leave a cell to its last holder while that has its workers

Cause: in a cut of a failure domain the holder's name lapses. When the cut heals, whichever process finds out first names itself; another one loses all that the holder knows, and holds restored jobs back until each worker has answered or 7.7 s have passed. Ruled out: a longer store lease (others would wait as long for a holder that is gone). Change: a candidate asks the last holder. If it says that most workers take its orders, it gets 1.5 s from when the cell got free or the store came back to this process; then the cell is claimed anyway, as the store may refuse the holder alone. Test: TestHolderReturns, seen red without the question.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -37,6 +37,11 @@
 	claimPoll = 250 * time.Millisecond
 	// claimRetry is the least pause after a claim that failed.
 	claimRetry = 200 * time.Millisecond
+	// returnLimit is how long a cell whose holder still has its workers is left to
+	// it, to name itself again. A holder that the store refuses has to let go.
+	returnLimit = 1500 * time.Millisecond
+	// holdsTimeout bounds the question to the last holder.
+	holdsTimeout = 150 * time.Millisecond
 	// giveUpLimit bounds the last calls of a process that leaves.
 	giveUpLimit = time.Second
 )
@@ -81,6 +86,9 @@
 	Hold func(ctx context.Context, cell string, epoch int64) error
 	// Eligible reports whether this process may hold a cell now.
 	Eligible func() bool
+	// Holds asks another process whether it holds a cell by the word of its
+	// workers.
+	Holds func(ctx context.Context, holder Holder, cell string) bool
 
 	mu      sync.Mutex
 	holders map[string]claim
@@ -88,6 +96,11 @@
 	last map[string]Holder
 	// freeSince is when the candidate cell was seen without a holder.
 	freeSince time.Time
+	// patientSince is when the last holder was first given time to return, or when
+	// the store last came back.
+	patientSince time.Time
+	// troubled says that the store has failed this process since then.
+	troubled bool
 	// heldLast says that this process held the cell before it got free.
 	heldLast bool
 	changed  chan struct{}
@@ -160,6 +173,7 @@
 		c.heldLast = holder.Incarnation == c.Self.Incarnation
 	case c.freeSince.IsZero():
 		c.freeSince = c.Clock.Now()
+		c.patientSince = c.freeSince
 	}
 	if c.changed != nil {
 		close(c.changed)
@@ -205,7 +219,7 @@
 	}()
 	for ctx.Err() == nil {
 		expected, free := c.free()
-		if free && !c.claim(ctx, expected) {
+		if free && !c.returns(ctx) && !c.claim(ctx, expected) {
 			c.pause(ctx)
 			continue
 		}
@@ -265,6 +279,22 @@
 	return holder.revision, c.Clock.Now().Sub(c.freeSince) >= pause
 }
 
+// returns reports whether the candidate cell is left to its last holder, whose
+// name has lapsed while it kept its workers.
+func (c *Claimer) returns(ctx context.Context) bool {
+	c.mu.Lock()
+	last, named := c.last[c.Candidate]
+	_, held := c.holders[c.Candidate]
+	patient := c.Clock.Now().Sub(c.patientSince) < returnLimit
+	c.mu.Unlock()
+	if held || !named || !patient || last.Process == c.Self.Process {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdsTimeout)
+	defer cancel()
+	return c.Holds(ctx, last, c.Candidate)
+}
+
 // rank returns how long this process lets others go first.
 func (c *Claimer) rank() time.Duration {
 	if c.heldLast {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -18,6 +18,10 @@
 type holds struct {
 	began chan hold
 	ended chan hold
+	// alive are the processes that say that they still hold the cell.
+	alive map[string]bool
+	// slowStore returns the store of a process, if set.
+	slowStore func(process string) claimer.Store
 }
 
 type hold struct {
@@ -28,8 +32,12 @@
 func (h *holds) start(t *testing.T, process, address string) context.CancelFunc {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
+	var store claimer.Store = platform.NewStore(address)
+	if h.slowStore != nil {
+		store = h.slowStore(process)
+	}
 	c := &claimer.Claimer{
-		Store: platform.NewStore(address), Clock: clockwork.NewRealClock(),
+		Store: store, Clock: clockwork.NewRealClock(),
 		Prefix: "holders/", TermPrefix: "terms/", Candidate: "graz-a",
 		Self: claimer.Holder{Process: process, Address: "127.0.0.1:1", Incarnation: process + "/" + time.Now().String()},
 		Hold: func(ctx context.Context, _ string, epoch int64) error {
@@ -39,6 +47,7 @@
 			return nil
 		},
 		Eligible: func() bool { return true },
+		Holds:    func(_ context.Context, holder claimer.Holder, _ string) bool { return h.alive[holder.Process] },
 	}
 	done := make(chan struct{})
 	go func() {
@@ -94,6 +103,7 @@
 
 func TestHolderOutlivesItsLease(t *testing.T) {
 	h, store, address := newHolds(t)
+	h.alive = map[string]bool{"edge-1": true}
 	h.start(t, "edge-1", address)
 	first := next(t, h.began)
 	store.SetFaults(standin.PlatformFaults{Refuse: true})
@@ -108,3 +118,73 @@
 	case <-time.After(2 * time.Second):
 	}
 }
+
+// TestHolderReturns: after an outage in which the holder's name lapsed, the cell
+// stays with a holder that still has its workers, however late it finds out.
+func TestHolderReturns(t *testing.T) {
+	tests := map[string]struct {
+		alive       bool
+		late        time.Duration
+		wantAnother bool
+	}{
+		"it has its workers": {alive: true, late: 500 * time.Millisecond},
+		"it doesn't answer":  {late: 5 * time.Second, wantAnother: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, store, address := newHolds(t)
+			h.alive = map[string]bool{"edge-1": test.alive}
+			slow := make(chan struct{})
+			h.slowStore = func(process string) claimer.Store {
+				real := platform.NewStore(address)
+				if process == "edge-1" {
+					return lateStore{Store: real, late: test.late, held: slow}
+				}
+				return real
+			}
+			h.start(t, "edge-1", address)
+			first := next(t, h.began)
+			h.start(t, "edge-2", address)
+			store.SetFaults(standin.PlatformFaults{Refuse: true})
+			time.Sleep(3500 * time.Millisecond)
+			close(slow)
+			store.SetFaults(standin.PlatformFaults{})
+			select {
+			case began := <-h.began:
+				if !test.wantAnother {
+					t.Errorf("%+v began beside %+v", began, first)
+				}
+			case <-time.After(2500 * time.Millisecond):
+				if test.wantAnother {
+					t.Error("nobody has taken the cell of a holder that is gone")
+				}
+			}
+		})
+	}
+}
+
+// lateStore answers calls of leases late once held is closed, as a connection does
+// that has to find out that the store is back.
+type lateStore struct {
+	claimer.Store
+	late time.Duration
+	held chan struct{}
+}
+
+func (s lateStore) Grant(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
+	s.wait()
+	return s.Store.Grant(ctx, ttl)
+}
+
+func (s lateStore) Renew(ctx context.Context, lease int64) error {
+	s.wait()
+	return s.Store.Renew(ctx, lease)
+}
+
+func (s lateStore) wait() {
+	select {
+	case <-s.held:
+		time.Sleep(s.late)
+	default:
+	}
+}
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -18,6 +18,8 @@
 	term, err := c.Store.Get(ctx, c.TermPrefix+c.Candidate)
 	if err != nil {
 		klog.ErrorS(err, "Term of the cell not read", "cell", c.Candidate)
+	}
+	if back := c.noteStore(err); err != nil || back && c.returns(ctx) {
 		return false
 	}
 	lease, _, err := c.Store.Grant(ctx, leaseLength)
@@ -36,6 +38,19 @@
 	return true
 }
 
+// noteStore notes the outcome of a call of the store. It reports whether the store
+// is back: the last holder has the same time from now on to find that out.
+func (c *Claimer) noteStore(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	back := c.troubled && err == nil
+	if back {
+		c.patientSince = c.Clock.Now()
+	}
+	c.troubled = err != nil
+	return back
+}
+
 // begin stores this process as the holder under a new term and returns the
 // epoch. An answer that was lost is read back.
 func (c *Claimer) begin(ctx context.Context, lease, expected, term int64) (int64, error) {
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -304,6 +304,13 @@
 	}
 }
 
+// Confirmed reports whether most workers have lately taken the holder's orders.
+func (r *Runner) Confirmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Cell.Confirmed(r.Clock.Now())
+}
+
 // Room returns what the cell has left for a step of a service.
 func (r *Runner) Room(service string, step Step) Room {
 	r.mu.Lock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -125,6 +125,12 @@
 	return &relayerpb.RoomAnswer{Held: true, Places: int64(room.Places), Load: room.Load}, nil
 }
 
+// Holds implements relayerpb.RelayerServer.
+func (s *Server) Holds(_ context.Context, q *relayerpb.HoldsRequest) (*relayerpb.HoldsAnswer, error) {
+	runner := s.Cells.Runner(q.GetCell())
+	return &relayerpb.HoldsAnswer{Held: runner != nil && runner.Confirmed()}, nil
+}
+
 // Deliver implements relayerpb.RelayerServer.
 func (s *Server) Deliver(ctx context.Context, q *relayerpb.DeliverRequest) (*relayerpb.DeliverAnswer, error) {
 	runner := s.loaded(ctx, q.GetCell())
@@ -189,6 +195,12 @@
 	return dispatcher.Room{Places: int(answer.GetPlaces()), Load: answer.GetLoad()}, heldError(answer.GetHeld())
 }
 
+// Holds reports whether a peer holds a cell by the word of the cell's workers.
+func (c *Client) Holds(ctx context.Context, address, cell string) (bool, error) {
+	answer, err := call(ctx, c, address, relayerpb.RelayerClient.Holds, &relayerpb.HoldsRequest{Cell: cell})
+	return answer.GetHeld(), err
+}
+
 // Deliver hands jobs over in their stored form.
 func (c *Client) Deliver(ctx context.Context, address, cell string, jobs [][]byte) error {
 	answer, err := call(ctx, c, address, relayerpb.RelayerClient.Deliver, &relayerpb.DeliverRequest{Cell: cell, Jobs: jobs})
--- a/scheduler.go
+++ b/scheduler.go
@@ -105,13 +105,14 @@
 			Clock: s.Clock, Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Capacity: timeLineCapacity,
 		}},
 	}
+	s.peerClient = &relayer.Client{}
 	s.claimer = &claimer.Claimer{
 		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix, Candidate: s.Settings.FailureDomain,
 		Self:     claimer.Holder{Process: s.Settings.Process, Address: s.Settings.Peers, Incarnation: uuid.NewString()},
 		Hold:     s.holding.hold,
 		Eligible: func() bool { return !s.draining.Load() },
+		Holds:    s.asksHolder,
 	}
-	s.peerClient = &relayer.Client{}
 	rooms := &rooms{home: s.Settings.FailureDomain, claimer: s.claimer, holding: s.holding, peers: s.peerClient}
 	s.holding.rooms = rooms
 	s.intake = acceptor.NewIntake(s.Clock, archive)
@@ -124,6 +125,13 @@
 	}
 }
 
+// asksHolder asks another process whether it holds a cell.
+func (s *Scheduler) asksHolder(ctx context.Context, holder claimer.Holder, cell string) bool {
+	held, err := s.peerClient.Holds(ctx, holder.Address, cell)
+	klog.InfoS("Last holder asked", "cell", cell, "holder", holder.Process, "held", held, "err", err)
+	return held
+}
+
 // allPathsHandler returns a go-zero server as a handler that leaves every path
 // to next.
 func allPathsHandler(name string, next http.Handler) (http.Handler, error) {
