Lose the runs of workers that left at once; offer stuck tasks in turn; count no stale waiting jobs

Ruled out: draining or a closed address alone as proof that a worker has left (a cut may refuse connections, a registration may lapse): all three signs are needed, and the phase is stored with the workers for the next holder.

--- a/desk.go
+++ b/desk.go
@@ -18,8 +18,10 @@
 const (
 	// peerTimeout bounds a question to a peer.
 	peerTimeout = 700 * time.Millisecond
-	// pendingAge is how old a count of waiting jobs may be.
-	pendingAge = time.Second
+	// pendingAge is how old a count of waiting jobs may be, maxPendingAge how old if
+	// its cell can't be reached.
+	pendingAge    = time.Second
+	maxPendingAge = 1800 * time.Millisecond
 	// maxRemembered bounds the jobs whose cells are remembered.
 	maxRemembered = 20000
 )
@@ -160,22 +162,31 @@
 	return d.peers.Cancel(ctx, holder.Address, cell, id)
 }
 
-// Pending implements acceptor.Desk. A cell that can't be reached counts with its
-// last word.
+// Pending implements acceptor.Desk. It fails if a cell can't be reached and its
+// last word is too old.
 func (d *desk) Pending(ctx context.Context, queue string) (int, error) {
+	cells := d.claimer.Cells()
+	counts := make(chan pendingAnswer, len(cells))
+	for cell, holder := range cells {
+		go func() {
+			count, err := d.pendingOf(ctx, cell, holder, queue)
+			counts <- pendingAnswer{count, err}
+		}()
+	}
 	total := 0
 	var failures []error
-	for cell, holder := range d.claimer.Cells() {
-		count, err := d.pendingOf(ctx, cell, holder, queue)
-		if err != nil {
-			failures = append(failures, err)
-		}
-		total += count
+	for range cells {
+		answer := <-counts
+		total += answer.count
+		failures = append(failures, answer.err)
 	}
-	if len(failures) > 0 {
-		klog.InfoS("Waiting jobs counted with older words", "queue", queue, "err", errors.Join(failures...))
-	}
-	return total, nil
+	return total, errors.Join(failures...)
+}
+
+// pendingAnswer is a cell's count of waiting jobs.
+type pendingAnswer struct {
+	count int
+	err   error
 }
 
 func (d *desk) pendingOf(ctx context.Context, cell string, holder claimer.Holder, queue string) (int, error) {
@@ -193,8 +204,12 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	count, err := d.peers.Pending(ctx, holder.Address, cell, queue)
+	if err != nil && !last.at.IsZero() && now.Sub(last.at) < maxPendingAge {
+		klog.InfoS("Waiting jobs counted by an older word", "cell", cell, "queue", queue, "age", now.Sub(last.at), "err", err)
+		return last.count, nil
+	}
 	if err != nil {
-		return last.count, err
+		return 0, err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -155,7 +155,7 @@
 	}
 	c.forgotten -= b.forgotten
 	for _, registration := range b.Workers {
-		if w := c.workers[registration.ID]; w != nil && w.registration.Address == registration.Address {
+		if w := c.workers[registration.ID]; w != nil && w.registration.alike(registration) {
 			w.stored = true
 		}
 	}
--- a/dispatcher/cell_test.go
+++ b/dispatcher/cell_test.go
@@ -31,6 +31,23 @@
 	}
 }
 
+// leave starts two tasks on two workers, of which one drains and exits.
+func leave(w *world, length time.Duration) *fakeWorker {
+	job := plainJob(jobID, 2, length, 1)
+	job.Steps[0].WorkerLimit = 1
+	w.submit(job)
+	w.runFor(200 * time.Millisecond)
+	job.Steps[0].WorkerLimit = 0
+	left := w.workers[0]
+	left.registration.Phase = dispatcher.PhaseDraining
+	w.cell.SetWorker(w.now, left.registration)
+	w.runFor(100 * time.Millisecond)
+	left.reboot()
+	left.closed = true
+	w.runFor(50 * time.Millisecond)
+	return left
+}
+
 // cellTest is a case of TestCell with a number of workers.
 type cellTest struct {
 	workers int
@@ -271,6 +288,52 @@
 		w.runFor(time.Second)
 		requireState(t, w, jobID, dispatcher.StateCompleted)
 	}},
+	"a task that was never offered comes before one that was refused": {workers: 1, run: func(t *testing.T, w *world) {
+		for _, id := range []string{otherID, jobID, "00000000000000a3"} {
+			w.submit(lastingJob(id, 2, 3900))
+		}
+		w.runFor(time.Second)
+		offered := map[string]bool{}
+		for range 3 {
+			id, _, stuck := w.cell.Stuck(w.now)
+			if !stuck {
+				t.Fatal("no task is stuck")
+			}
+			offered[id.Job] = true
+			w.cell.Refused(w.now, id)
+			w.runFor(1600 * time.Millisecond)
+		}
+		if len(offered) != 3 {
+			t.Errorf("tasks of %d jobs were offered, want all 3", len(offered))
+		}
+	}},
+	"tasks of a worker that has left start elsewhere at once": {workers: 2, run: func(t *testing.T, w *world) {
+		left := leave(w, 2*time.Second)
+		w.cell.RemoveWorker(left.registration.ID)
+		w.runFor(500 * time.Millisecond)
+		if total := len(w.workers[0].running) + len(w.workers[1].running); total != 2 {
+			t.Errorf("%d tasks run half a second after one of two workers has left, want 2", total)
+		}
+	}},
+	"a registered worker whose address is closed may still run its tasks": {workers: 2, run: func(t *testing.T, w *world) {
+		leave(w, 2*time.Second)
+		w.runFor(500 * time.Millisecond)
+		if total := len(w.workers[0].running) + len(w.workers[1].running); total != 1 {
+			t.Errorf("%d tasks run, want 1: the other's lease hasn't ended", total)
+		}
+	}},
+	"restored tasks don't wait for a worker that has left": {workers: 2, run: func(t *testing.T, w *world) {
+		left := leave(w, 2*time.Second)
+		for _, f := range w.workers {
+			if f != left {
+				w.take(f)
+			}
+		}
+		w.runFor(500 * time.Millisecond)
+		if total := len(w.workers[0].running) + len(w.workers[1].running); total != 2 {
+			t.Errorf("%d tasks run under the new holder, want 2", total)
+		}
+	}},
 	"a quick task without room hides no filler": {workers: 1, run: func(t *testing.T, w *world) {
 		w.submit(lastingJob(otherID, 2, 1900))
 		w.runFor(100 * time.Millisecond)
--- a/dispatcher/listing.go
+++ b/dispatcher/listing.go
@@ -75,7 +75,7 @@
 
 // counts reports whether the worker is one of those of which most must agree:
 // it is registered, or an earlier holder may have used it.
-func (w *worker) counts() bool { return w.listed || w.restored }
+func (w *worker) counts() bool { return w.listed || w.restored && !w.left() }
 
 // held reports whether a task of a restored job may be at work on a worker that
 // hasn't answered this holder yet.
@@ -100,6 +100,7 @@
 	if answer == AnswerFenced {
 		c.fencedBy = true
 	}
+	w.closed = answer == AnswerClosed || w.closed && answer != AnswerTaken
 	if answer != AnswerTaken {
 		return
 	}
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -17,7 +17,7 @@
 	} else if w.registration.Phase != registration.Phase {
 		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: string(registration.Phase)})
 	}
-	if w.registration.Address != registration.Address {
+	if !w.registration.alike(registration) {
 		w.stored = false
 	}
 	w.registration = registration
@@ -36,7 +36,7 @@
 		w.registration = registration
 		c.workers[registration.ID] = w
 	}
-	w.stored = w.registration.Address == registration.Address
+	w.stored = w.registration.alike(registration)
 	w.restored = true
 }
 
--- a/dispatcher/part.go
+++ b/dispatcher/part.go
@@ -14,10 +14,13 @@
 // refusedPause is how long a task that found room in no cell isn't offered again.
 const refusedPause = 1500 * time.Millisecond
 
-// Refused notes that no other cell has room for a task.
+// Refused notes that no other cell has room for a task, and so for none of its
+// step.
 func (c *Cell) Refused(now time.Time, id TaskID) {
 	if t := c.task(now, id); t != nil {
-		t.refusedAt = now
+		for _, like := range t.step.tasks {
+			like.refusedAt = now
+		}
 	}
 }
 
@@ -56,21 +59,33 @@
 	return cells
 }
 
-// Stuck returns a lasting task that has long waited for room in the cell, and
-// may run in another one.
+// Stuck returns the lasting task that has waited longest for an offer to another
+// cell, of those that have long waited for room in this one.
 func (c *Cell) Stuck(now time.Time) (TaskID, Job, bool) {
 	if c.part != nil || !c.Confirmed(now) {
 		return TaskID{}, Job{}, false
 	}
+	var longest *task
 	for _, t := range c.ready {
-		j := t.job()
-		if !t.movable() || len(t.runs) > 0 || j.state.Final() ||
-			t.elsewhere || t.notBefore.After(now) || now.Sub(t.refusedAt) < refusedPause || now.Sub(t.readyAt) < stuckLimit || c.held(now, j) || c.choose(now, t) != nil {
-			continue
+		if (longest == nil || t.refusedAt.Before(longest.refusedAt)) && c.stuck(now, t) {
+			longest = t
 		}
-		return t.id, j.job, true
 	}
-	return TaskID{}, Job{}, false
+	if longest == nil {
+		return TaskID{}, Job{}, false
+	}
+	return longest.id, longest.job().job, true
+}
+
+// stuck reports whether a task that may run elsewhere finds no room here.
+func (c *Cell) stuck(now time.Time, t *task) bool {
+	switch {
+	case !t.movable() || t.elsewhere || len(t.runs) > 0 || t.job().state.Final():
+		return false
+	case t.notBefore.After(now) || now.Sub(t.refusedAt) < refusedPause || now.Sub(t.readyAt) < stuckLimit:
+		return false
+	}
+	return !c.held(now, t.job()) && c.choose(now, t) == nil
 }
 
 // Leaving returns a lasting task on a draining worker for which its own cell has
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -52,10 +52,11 @@
 // that are gone.
 func (c *Cell) lapse(now time.Time) {
 	for id, w := range c.workers {
-		if w.fenced && len(w.runs) > 0 && w.lapsed(now) {
-			for _, r := range w.sortedRuns() {
-				c.lose(now, r, "lease lapsed")
-			}
+		switch {
+		case w.left():
+			c.loseAll(now, w, "worker has left")
+		case w.fenced && w.lapsed(now):
+			c.loseAll(now, w, "lease lapsed")
 		}
 		if c.gone(now, w) {
 			delete(c.workers, id)
@@ -67,6 +68,12 @@
 	}
 }
 
+func (c *Cell) loseAll(now time.Time, w *worker, why string) {
+	for _, r := range w.sortedRuns() {
+		c.lose(now, r, why)
+	}
+}
+
 // leaveDraining stops the lasting tasks on workers that leave, one at a time, as
 // soon as another worker has room for them.
 func (c *Cell) leaveDraining(now time.Time) {
@@ -87,12 +94,16 @@
 // leaveInterval separates the stops of lasting tasks on a worker that leaves.
 const leaveInterval = 200 * time.Millisecond
 
-// gone reports whether nothing can run on a worker any more: it isn't
-// registered, hasn't answered for long, and the leases of its runs have ended.
+// gone reports whether nothing can run on a worker any more: it has left, or it
+// isn't registered, hasn't answered for long, and the leases of its runs have
+// ended.
 func (c *Cell) gone(now time.Time, w *worker) bool {
 	if w.listed || len(w.runs) > 0 || !c.active {
 		return false
 	}
+	if w.left() {
+		return true
+	}
 	silent := now.Sub(w.answeredAt)
 	if !w.fenced {
 		silent = now.Sub(c.activeAt) - c.Limits.Confirmation
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -289,6 +289,7 @@
 	Service       string   `json:"service"`
 	Labels        []string `json:"labels,omitempty"`
 	Boot          int64    `json:"boot,omitempty"`
+	Draining      bool     `json:"draining,omitempty"`
 }
 
 // EncodeWorkers returns the stored form of the workers that a cell uses.
@@ -297,13 +298,14 @@
 	for i, w := range workers {
 		messages[i] = workerMessage{
 			ID: w.ID, Address: w.Address, FailureDomain: w.FailureDomain, Service: w.Service, Labels: w.Labels, Boot: w.Boot,
+			Draining: w.Phase == PhaseDraining,
 		}
 	}
 	return json.Marshal(messages)
 }
 
 // DecodeWorkers reads the stored form of the workers that a cell uses. Their
-// phase and capacity aren't kept.
+// capacity isn't kept, and of their phase only that they drain.
 func DecodeWorkers(content []byte) ([]Registration, error) {
 	var messages []workerMessage
 	if err := json.Unmarshal(content, &messages); err != nil {
@@ -314,6 +316,9 @@
 		workers[i] = Registration{
 			ID: m.ID, Address: m.Address, FailureDomain: m.FailureDomain, Service: m.Service, Labels: m.Labels, Boot: m.Boot,
 		}
+		if m.Draining {
+			workers[i].Phase = PhaseDraining
+		}
 	}
 	return workers, nil
 }
--- a/dispatcher/room.go
+++ b/dispatcher/room.go
@@ -5,7 +5,8 @@
 // Room is what a cell has left for a step.
 type Room struct {
 	// Places is how many tasks of the step could start now, beside the tasks of
-	// its kind that wait.
+	// its kind that have just got ready. Those that have waited for longer found no
+	// place here.
 	Places int
 	// Load is the part of the cell's processors that running and waiting tasks
 	// take.
@@ -31,7 +32,7 @@
 			continue
 		}
 		taken += t.step.step.Size.MilliProcessors
-		if t.step.step.kind() == step.kind() {
+		if t.step.step.kind() == step.kind() && now.Sub(t.readyAt) < tickInterval {
 			room.Places--
 		}
 	}
--- a/dispatcher/room_test.go
+++ b/dispatcher/room_test.go
@@ -31,6 +31,10 @@
 		"tasks that wait come first": {
 			submit: []dispatcher.Job{plainJob(jobID, 10, time.Minute, 1)}, step: dispatcher.Step{Size: size(500)}, want: 0,
 		},
+		"a large lasting task that waits takes no small place": {
+			submit: []dispatcher.Job{lastingJob(jobID, 2, 3000), lastingJob(otherID, 1, 2000)},
+			step:   dispatcher.Step{Size: size(900), Lasting: true}, want: 2,
+		},
 		"tasks of another kind that wait don't count": {
 			submit: []dispatcher.Job{largeQuick}, step: dispatcher.Step{Size: size(500), Lasting: true}, want: 4,
 		},
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -20,9 +20,7 @@
 	// worker is looked at again.
 	maxUnstored = 250 * time.Millisecond
 	storeRetry  = 300 * time.Millisecond
-	// relieveInterval is how often a cell looks for tasks that find no room.
-	relieveInterval = 250 * time.Millisecond
-	lookRetry       = 200 * time.Millisecond
+	lookRetry   = 200 * time.Millisecond
 	// batchLimit is how many jobs one save holds: three rows of a transaction each.
 	batchLimit = 9
 )
@@ -274,36 +272,6 @@
 	}
 }
 
-// relieve hands lasting tasks that find no room to other cells, and stops those
-// that have to leave their worker for one.
-func (r *Runner) relieve(ctx context.Context) {
-	for r.sleep(ctx, relieveInterval) {
-		r.mu.Lock()
-		now := r.Clock.Now()
-		id, job, waits := r.Cell.Stuck(now)
-		leaves := false
-		if !waits {
-			id, job, leaves = r.Cell.Leaving(now)
-		}
-		r.mu.Unlock()
-		if !waits && !leaves {
-			continue
-		}
-		cell, found := r.Others.Roomiest(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step])
-		r.mu.Lock()
-		switch now = r.Clock.Now(); {
-		case !found:
-			r.Cell.Refused(now, id)
-		case waits:
-			r.Cell.HandOver(id, cell)
-		default:
-			r.Cell.StopToMove(now, id)
-		}
-		r.mu.Unlock()
-		signal(r.wake)
-	}
-}
-
 // Confirmed reports whether most workers have lately taken the holder's orders.
 func (r *Runner) Confirmed() bool {
 	r.mu.Lock()
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -151,6 +151,9 @@
 	fenced bool
 	// answeredAt is when the newest look that was answered was sent.
 	answeredAt time.Time
+	// closed says that nothing has listened at the worker's address since it last
+	// answered.
+	closed bool
 	// unknownSince is when an end of an unknown job was first listed.
 	unknownSince time.Time
 	// seen is the newest end that was noted, acknowledged the newest that the
@@ -196,7 +199,14 @@
 	return w.fenced && w.lowClock(now) > w.grant+lapseMargin
 }
 
-// rack returns the rack of the worker, by the label that is one.
+// left reports whether the worker has left: it was draining, the registry has it
+// no more, and nothing listens at its address. Either of these alone may have
+// other causes.
+func (w *worker) left() bool {
+	return w.closed && !w.listed && w.registration.Phase == PhaseDraining
+}
+
+// has reports whether the worker has a label, which may be none.
 func (w *worker) has(label string) bool { return label == "" || w.registration.HasLabel(label) }
 
 // occupy notes that a run of a step begins (sign 1) or ends (sign -1).
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -41,6 +41,12 @@
 	return false
 }
 
+// alike reports whether another registration says the same of where the worker is
+// and whether it drains.
+func (r Registration) alike(other Registration) bool {
+	return r.Address == other.Address && (r.Phase == PhaseDraining) == (other.Phase == PhaseDraining)
+}
+
 // Ending is how a run ended.
 type Ending string
 
@@ -119,6 +125,8 @@
 	AnswerUnclear StartAnswer = "unclear"
 	// AnswerUnsent says that the order never left this process.
 	AnswerUnsent StartAnswer = "unsent"
+	// AnswerClosed says that nothing listened at the worker's address.
+	AnswerClosed StartAnswer = "closed"
 )
 
 // StartOrder tells a worker to start a run.
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -125,6 +125,8 @@
 	ended        []dispatcher.EndedRow
 	count        int64
 	reachable    bool
+	// closed makes nothing listen at the worker's address.
+	closed bool
 	// fails makes each run fail.
 	fails bool
 }
@@ -279,6 +281,10 @@
 		if !known || !f.reachable {
 			continue
 		}
+		if f.closed {
+			w.cell.Looked(w.now, w.now, order, dispatcher.Listing{}, dispatcher.AnswerClosed)
+			continue
+		}
 		listing, answer := f.look(order)
 		w.cell.Looked(w.now, w.now, order, listing, answer)
 	}
