--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -50,6 +50,8 @@
 type Others interface {
 	// Roomiest returns another cell with a place for a step, or false.
 	Roomiest(ctx context.Context, cell, service string, step Step) (string, bool)
+	// Deliver tells a cell of a part that has been stored for it.
+	Deliver(ctx context.Context, part Part)
 }
 
 // Stored is a cell as the store holds it.
--- a/dispatcher/saver.go
+++ b/dispatcher/saver.go
@@ -81,6 +81,9 @@
 	}
 	close(r.stored)
 	r.stored = make(chan struct{})
+	if err == nil && batch.Part != nil {
+		r.goOn(func() { r.Others.Deliver(ctx, *batch.Part) })
+	}
 	return true, err
 }
 
--- a/rooms.go
+++ b/rooms.go
@@ -74,6 +74,29 @@
 	return best, found
 }
 
+// Deliver implements dispatcher.Others. A cell that can't be reached finds the part
+// in the store.
+func (r *rooms) Deliver(ctx context.Context, part dispatcher.Part) {
+	if runner := r.holding.Runner(part.Cell); runner != nil {
+		runner.Add(part.Job, true)
+		return
+	}
+	holder, named := r.claimer.Holder(part.Cell)
+	if !named {
+		return
+	}
+	record, err := dispatcher.EncodeJob(part.Job)
+	if err != nil {
+		klog.ErrorS(err, "Part not delivered; its cell finds it in the store", "job", part.Job.ID, "cell", part.Cell)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if err := r.peers.Deliver(ctx, holder.Address, part.Cell, [][]byte{record}); err != nil {
+		klog.InfoS("Part not delivered; its cell finds it in the store", "job", part.Job.ID, "cell", part.Cell, "err", err)
+	}
+}
+
 // cellFor returns the cell that a new job goes to: a lasting one goes where its
 // tasks fit and most is left, any other home if its first tasks fit there, and
 // else where most of them do.
