--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -35,7 +35,7 @@
 const (
 	// starvedLimit is how long a filler of a job without any run waits for a place
 	// where it presses nobody. Then it starts anywhere, and is paced there.
-	starvedLimit = 2 * time.Second
+	starvedLimit = 4 * time.Second
 	// starvedPressure is reckoned where a filler presses too much.
 	starvedPressure = 10.0
 	// idleShare is the part of its processors that a filler needs idle,
--- a/dispatcher/interference.go
+++ b/dispatcher/interference.go
@@ -99,8 +99,12 @@
 	return left
 }
 
+// pressureLimit is the part of a lasting task's room that one filler may take; the
+// room shrinks as the task's own load swings.
+const pressureLimit = 0.7
+
 // pressure returns the greatest part of the room of the worker's lasting tasks
-// that a filler would take; above 1 it takes too much.
+// that a filler would take; it is infinite where that is too much.
 func (c *Cell) pressure(w *worker, step *Step) float64 {
 	if w.servers == 0 {
 		return 0
@@ -114,7 +118,7 @@
 		image := r.task.step.step.Image
 		effect := w.share(step.Size) * (c.headrooms.Effect(image, step.Image) + c.headrooms.EffectBound(image, step.Image)) / 2
 		room := c.room(r, loads)
-		if effect > leastEffect && effect >= room {
+		if effect > leastEffect && effect >= pressureLimit*room {
 			return math.Inf(1)
 		}
 		if room > 0 {
