Refuse jobs at once while the store is out of reach; be unready where others do better

Processes that could store nothing stayed in the platform's rotation. Ruled out: a shorter time limit of the store (a slow store takes 0.24 to 0.4 s an answer). Change: a probe of the store each 0.5 s, by the cheapest read. While it fails, a submission is refused with 503 before anything is sent, and the process says that it isn't ready if a holder of another failure domain reaches the store or none answers. In an outage for all, processes stay ready for states, cancellations and counts.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -59,6 +59,9 @@
 	Desk   Desk
 	// Intake stores the jobs.
 	Intake *Intake
+	// StoreReached reports whether the store answers. While it doesn't, a job is
+	// refused before anything is sent that may be carried out later.
+	StoreReached func() bool
 
 	inFlight atomic.Int64
 }
@@ -88,6 +91,9 @@
 		a.pending(ctx, w, queue)
 	case !validID(rest):
 		http.Error(w, "the job's id must be 16 hexadecimal digits", http.StatusNotFound)
+	case q.Method == http.MethodPost && !a.StoreReached():
+		klog.InfoS("Job refused: the store can't be reached", "job", rest, "queue", queue.Name)
+		refuse(w, http.StatusServiceUnavailable)
 	case q.Method == http.MethodPost:
 		a.submit(ctx, w, q, queue, rest, configuration.MaxBodyBytes)
 	case q.Method == http.MethodGet:
--- /dev/null
+++ b/prober/prober_test.go
@@ -0,0 +1,59 @@
+package prober_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"zinniashore.example/prober"
+)
+
+type fakeStore struct{ err error }
+
+func (s fakeStore) Probe(context.Context) error { return s.err }
+
+type fakePeers struct{ answered, reaching int }
+
+func (p fakePeers) ReachStore(context.Context) (int, int) { return p.answered, p.reaching }
+
+func TestProber(t *testing.T) {
+	down := errors.New("no answer")
+	tests := map[string]struct {
+		store       error
+		peers       fakePeers
+		wantReached bool
+		wantAlone   bool
+	}{
+		"the store answers":              {peers: fakePeers{answered: 2, reaching: 2}, wantReached: true},
+		"the store refuses this process": {store: down, peers: fakePeers{answered: 2, reaching: 1}, wantAlone: true},
+		"this process is cut off":        {store: down, wantAlone: true},
+		"the store is down for all":      {store: down, peers: fakePeers{answered: 2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := &prober.Prober{Store: fakeStore{test.store}, Peers: test.peers, Clock: clock}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				if err := p.Run(ctx); err != nil {
+					t.Error(err)
+				}
+			}()
+			limited, stop := context.WithTimeout(ctx, 10*time.Second)
+			defer stop()
+			if err := clock.BlockUntilContext(limited, 1); err != nil {
+				t.Fatal(err)
+			}
+			if p.StoreReached() != test.wantReached || p.Alone() != test.wantAlone {
+				t.Errorf("reached %v, alone %v; want %v, %v", p.StoreReached(), p.Alone(), test.wantReached, test.wantAlone)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -48,6 +48,8 @@
 
 	// Cells are the cells that this process holds.
 	Cells Cells
+	// ReachesStore reports whether this process reaches the store.
+	ReachesStore func() bool
 }
 
 // NewGRPCServer returns a server of peers.
@@ -128,7 +130,7 @@
 // Holds implements relayerpb.RelayerServer.
 func (s *Server) Holds(_ context.Context, q *relayerpb.HoldsRequest) (*relayerpb.HoldsAnswer, error) {
 	runner := s.Cells.Runner(q.GetCell())
-	return &relayerpb.HoldsAnswer{Held: runner != nil && runner.Confirmed()}, nil
+	return &relayerpb.HoldsAnswer{Held: runner != nil && runner.Confirmed(), ReachesStore: s.ReachesStore()}, nil
 }
 
 // Deliver implements relayerpb.RelayerServer.
@@ -195,10 +197,18 @@
 	return dispatcher.Room{Places: int(answer.GetPlaces()), Load: answer.GetLoad()}, heldError(answer.GetHeld())
 }
 
-// Holds reports whether a peer holds a cell by the word of the cell's workers.
-func (c *Client) Holds(ctx context.Context, address, cell string) (bool, error) {
+// Standing is what a peer says of itself.
+type Standing struct {
+	// Holds says that the peer holds the cell by the word of the cell's workers.
+	Holds bool
+	// ReachesStore says that the peer reaches the store.
+	ReachesStore bool
+}
+
+// Standing asks a peer about a cell and the store.
+func (c *Client) Standing(ctx context.Context, address, cell string) (Standing, error) {
 	answer, err := call(ctx, c, address, relayerpb.RelayerClient.Holds, &relayerpb.HoldsRequest{Cell: cell})
-	return answer.GetHeld(), err
+	return Standing{Holds: answer.GetHeld(), ReachesStore: answer.GetReachesStore()}, err
 }
 
 // Deliver hands jobs over in their stored form.
--- a/scheduler.go
+++ b/scheduler.go
@@ -22,6 +22,7 @@
 	"zinniashore.example/claimer"
 	"zinniashore.example/meter"
 	"zinniashore.example/platform"
+	"zinniashore.example/prober"
 	"zinniashore.example/recorder"
 	"zinniashore.example/relayer"
 	"zinniashore.example/router"
@@ -54,6 +55,7 @@
 	holding        *holding
 	acceptor       *acceptor.Acceptor
 	intake         *acceptor.Intake
+	prober         *prober.Prober
 	peerClient     *relayer.Client
 	peerServer     *grpc.Server
 	peerListener   net.Listener
@@ -71,7 +73,7 @@
 		return err
 	}
 	s.peerListener = listener
-	s.peerServer = relayer.NewGRPCServer(&relayer.Server{Cells: s.holding})
+	s.peerServer = relayer.NewGRPCServer(&relayer.Server{Cells: s.holding, ReachesStore: s.prober.StoreReached})
 	callers, err := allPathsHandler("callers", s.acceptor)
 	if err != nil {
 		return err
@@ -115,9 +117,13 @@
 	}
 	rooms := &rooms{home: s.Settings.FailureDomain, claimer: s.claimer, holding: s.holding, peers: s.peerClient}
 	s.holding.rooms = rooms
+	s.prober = &prober.Prober{
+		Store: s.store, Clock: s.Clock,
+		Peers: &otherHolders{home: s.Settings.FailureDomain, claimer: s.claimer, peers: s.peerClient},
+	}
 	s.intake = acceptor.NewIntake(s.Clock, archive)
 	s.acceptor = &acceptor.Acceptor{
-		Clock: s.Clock, Queues: s.configurations, Intake: s.intake,
+		Clock: s.Clock, Queues: s.configurations, Intake: s.intake, StoreReached: s.prober.StoreReached,
 		Desk: &desk{
 			home: s.Settings.FailureDomain, self: s.Settings.Process, claimer: s.claimer, holding: s.holding,
 			archiver: archive, peers: s.peerClient, rooms: rooms,
@@ -127,9 +133,9 @@
 
 // asksHolder asks another process whether it holds a cell.
 func (s *Scheduler) asksHolder(ctx context.Context, holder claimer.Holder, cell string) bool {
-	held, err := s.peerClient.Holds(ctx, holder.Address, cell)
-	klog.InfoS("Last holder asked", "cell", cell, "holder", holder.Process, "held", held, "err", err)
-	return held
+	standing, err := s.peerClient.Standing(ctx, holder.Address, cell)
+	klog.InfoS("Last holder asked", "cell", cell, "holder", holder.Process, "held", standing.Holds, "err", err)
+	return standing.Holds
 }
 
 // allPathsHandler returns a go-zero server as a handler that leaves every path
@@ -157,7 +163,7 @@
 // Ready reports whether the process may take calls.
 func (s *Scheduler) Ready() bool {
 	_, known := s.configurations.Configuration()
-	return known && !s.draining.Load()
+	return known && !s.draining.Load() && !s.prober.Alone()
 }
 
 func (s *Scheduler) answerReadiness(w http.ResponseWriter, q *http.Request) {
@@ -180,7 +186,7 @@
 	configuration := watcher.Watcher{
 		Store: s.store, Clock: s.Clock, Prefix: platform.OperatorPrefix, Handler: s.configurations, Wait: configurationWait,
 	}
-	roles := []func(context.Context) error{configuration.Run, s.claimer.Run, s.intake.Run}
+	roles := []func(context.Context) error{configuration.Run, s.claimer.Run, s.intake.Run, s.prober.Run}
 	for _, run := range roles {
 		group.Go(func() error { return run(running) })
 	}
