Merge logs into the story of an id; check the platform's settings without a start

Cause: an on-call engineer had to grep several processes' logs and order the lines by hand; settings of the platform could only be checked by starting the process.

--- a/cmd/zinniashore/main.go
+++ b/cmd/zinniashore/main.go
@@ -28,6 +28,7 @@
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run the process of an entry VM"`
 	Schedule *scheduleCommand `arg:"subcommand:schedule" help:"run the process of an entry VM on the users' platform"`
+	Story    *storyCommand    `arg:"subcommand:story" help:"merge the lines of several logs that name an id"`
 	Check    *checkCommand    `arg:"subcommand:check" help:"check settings and templates, start nothing"`
 	Trial    *trialCommand    `arg:"subcommand:trial" help:"run the main job on embedded stand-ins and sum it up"`
 	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in of the platform; for trials and tests only"`
@@ -68,6 +69,7 @@
 	}{
 		{a.Serve != nil, a.Serve},
 		{a.Schedule != nil, a.Schedule},
+		{a.Story != nil, a.Story},
 		{a.Check != nil, a.Check},
 		{a.Trial != nil, a.Trial},
 		{a.Standin != nil, a.Standin},
--- a/cmd/zinniashore/schedule.go
+++ b/cmd/zinniashore/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -27,9 +28,10 @@
 // scheduleCommand runs the process of an entry VM on the users' platform.
 type scheduleCommand struct {
 	Settings string `arg:"--settings" help:"settings file of the platform; by default the one that its environment names"`
+	Check    bool   `arg:"--check" help:"check the settings file, start nothing"`
 }
 
-func (c *scheduleCommand) Run(ctx context.Context, _ io.Writer) (operator.ExitStatus, error) {
+func (c *scheduleCommand) Run(ctx context.Context, out io.Writer) (operator.ExitStatus, error) {
 	file := c.Settings
 	if file == "" {
 		file = os.Getenv(platform.SettingsVariable)
@@ -38,6 +40,10 @@
 	if err != nil {
 		return operator.ExitUsage, err
 	}
+	if c.Check {
+		_, err := fmt.Fprintf(out, "%s: %s of %s can start\n", file, settings.Process, settings.FailureDomain)
+		return operator.ExitDone, err
+	}
 	closeLog, err := logger.UseOutput(os.Stdout)
 	if err != nil {
 		return operator.ExitFailed, err
