--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -114,9 +114,6 @@
 // Superseded reports whether a worker has seen a newer epoch.
 func (c *Cell) Superseded() bool { return c.fencedBy }
 
-// Active reports whether the cell may start tasks at all.
-func (c *Cell) Active() bool { return c.active }
-
 // record adds an event to the time line.
 func (c *Cell) record(event recorder.Event) {
 	event.Cell = c.Name
@@ -188,7 +185,7 @@
 	o := &occurrenceState{job: j, number: number, open: len(j.job.Steps)}
 	for i := range j.job.Steps {
 		step := &j.job.Steps[i]
-		s := &stepState{step: step, number: i, occurrence: o, open: step.Count}
+		s := &stepState{step: step, occurrence: o, open: step.Count}
 		for index := range step.Count {
 			id := TaskID{Job: j.job.ID, Occurrence: number, Step: i, Index: index}
 			s.tasks = append(s.tasks, &task{id: id, step: s, elsewhere: !j.job.has(id)})
--- a/dispatcher/listing.go
+++ b/dispatcher/listing.go
@@ -37,42 +37,40 @@
 // Confirmed reports whether most workers have lately taken an order of this
 // epoch, so that no other holder can have begun.
 func (c *Cell) Confirmed(now time.Time) bool {
-	if !c.active {
-		return false
-	}
-	listed, recent := 0, 0
-	for _, w := range c.workers {
-		if w.counts() {
-			listed++
-		}
-		if w.fenced && now.Sub(w.answeredAt) < c.Limits.Confirmation {
-			recent++
-		}
-	}
-	return 2*recent > listed
+	return c.active && c.most(func(w *worker) bool {
+		return w.fenced && now.Sub(w.answeredAt) < c.Limits.Confirmation
+	})
 }
 
-// activate makes the cell active once most workers have taken its epoch.
+// activate makes the cell active once most workers have taken its epoch; a cell
+// that knows of no worker isn't.
 func (c *Cell) activate(now time.Time) {
-	if c.active {
-		return
-	}
-	listed, fenced := 0, 0
+	known := false
 	for _, w := range c.workers {
-		if w.counts() {
-			listed++
-		}
-		if w.fenced {
-			fenced++
-		}
+		known = known || w.counts()
 	}
-	if listed > 0 && 2*fenced > listed {
+	if !c.active && known && c.most(func(w *worker) bool { return w.fenced }) {
 		c.active = true
 		c.activeAt = now
 		c.record(recorder.Event{Kind: KindCell, Detail: "active"})
 	}
 }
 
+// most reports whether more workers meet a condition than half of those that
+// count.
+func (c *Cell) most(met func(*worker) bool) bool {
+	counting, meeting := 0, 0
+	for _, w := range c.workers {
+		if w.counts() {
+			counting++
+		}
+		if met(w) {
+			meeting++
+		}
+	}
+	return 2*meeting > counting
+}
+
 // counts reports whether the worker is one of those of which most must agree:
 // it is registered, or an earlier holder may have used it.
 func (w *worker) counts() bool { return w.listed || w.restored && !w.left() }
@@ -282,8 +280,6 @@
 		}
 		if r != nil {
 			delete(w.strays, key)
-		}
-		if r != nil {
 			r.note(now, row)
 		}
 	}
@@ -306,10 +302,7 @@
 		r.phase = phaseConfirmed
 		r.confirmedAt = now
 	}
-	if row.Percent != r.percent {
-		r.percent = row.Percent
-		r.percentAt = now
-	}
+	r.percent = row.Percent
 	r.usage = row.Usage
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -118,7 +118,7 @@
 
 // attach puts a run on a worker.
 func (c *Cell) attach(t *task, w *worker, number int64, phase runPhase, now time.Time) *run {
-	r := &run{task: t, number: number, worker: w, phase: phase, sentAt: now, confirmedAt: now, percentAt: now, pace: wholePace}
+	r := &run{task: t, number: number, worker: w, phase: phase, sentAt: now, confirmedAt: now, pace: wholePace}
 	w.runs[runKey{task: t.id, run: number}] = r
 	w.occupy(t.step.step, 1)
 	t.runs = append(t.runs, r)
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -8,18 +8,6 @@
 	"zinniashore.example/recorder"
 )
 
-const (
-	failurePause    = 50 * time.Millisecond
-	maxFailurePause = 2 * time.Second
-	// fullPause is how long a worker that had no room gets no starts.
-	fullPause = 100 * time.Millisecond
-	// unhealthyPause is how long a worker that refused as unhealthy gets none.
-	unhealthyPause = time.Second
-	// strikesToQuarantine is how many tasks may fail on a worker with none done between.
-	strikesToQuarantine = 3
-	quarantinePause     = 5 * time.Second
-)
-
 // Orders are what a Cell wants done.
 type Orders struct {
 	Starts []StartOrder
@@ -48,72 +36,6 @@
 	return orders
 }
 
-// lapse resolves the runs whose lease has surely ended, and forgets workers
-// that are gone.
-func (c *Cell) lapse(now time.Time) {
-	for id, w := range c.workers {
-		switch {
-		case w.left():
-			c.loseAll(now, w, "worker has left")
-		case w.fenced && w.lapsed(now):
-			c.loseAll(now, w, "lease lapsed")
-		}
-		if c.gone(now, w) {
-			delete(c.workers, id)
-			if w.stored {
-				c.forgotten++
-			}
-			c.record(recorder.Event{Kind: KindWorker, VM: id, Detail: "forgotten"})
-		}
-	}
-}
-
-func (c *Cell) loseAll(now time.Time, w *worker, why string) {
-	for _, r := range w.sortedRuns() {
-		c.lose(now, r, why)
-	}
-}
-
-// leaveDraining stops the lasting tasks on workers that leave, one at a time, as
-// soon as another worker has room for them.
-func (c *Cell) leaveDraining(now time.Time) {
-	for _, w := range c.workers {
-		if w.registration.Phase != PhaseDraining || now.Sub(w.leftAt) < leaveInterval {
-			continue
-		}
-		for _, r := range w.sortedRuns() {
-			if r.phase == phaseConfirmed && r.task.step.step.Lasting && !r.task.step.step.Gang && c.choose(now, r.task) != nil {
-				w.leftAt = now
-				c.stop(r)
-				break
-			}
-		}
-	}
-}
-
-// leaveInterval separates the stops of lasting tasks on a worker that leaves.
-const leaveInterval = 200 * time.Millisecond
-
-// gone reports whether nothing can run on a worker any more: it has left, or it
-// isn't registered, hasn't answered for long, and the leases of its runs have
-// ended.
-func (c *Cell) gone(now time.Time, w *worker) bool {
-	if w.listed || len(w.runs) > 0 || !c.active {
-		return false
-	}
-	if w.left() {
-		return true
-	}
-	silent := now.Sub(w.answeredAt)
-	if !w.fenced {
-		silent = now.Sub(c.activeAt) - c.Limits.Confirmation
-	}
-	return silent > c.Limits.Grant+goneMargin
-}
-
-// goneMargin is added to a lease before a worker is forgotten.
-const goneMargin = 2 * time.Second
-
 // planStops returns the stops that are due, those again that weren't taken.
 func (c *Cell) planStops(now time.Time) []StopOrder {
 	var orders []StopOrder
@@ -183,49 +105,6 @@
 	return orders
 }
 
-// reserveLimit is how long a lasting task waits before a worker is reserved for it.
-const reserveLimit = 500 * time.Millisecond
-
-// reserve keeps the worker that will soonest have room for a lasting task free of
-// other starts that take room. It reports whether there is one.
-func (c *Cell) reserve(t *task) bool {
-	var best *worker
-	var most int64
-	for _, w := range c.workers {
-		if w.reserved != nil || !w.listed || w.registration.Phase != PhaseReady || !w.mayHold(t) {
-			continue
-		}
-		if room := w.free().MilliProcessors; best == nil || room > most || room == most && w.registration.ID < best.registration.ID {
-			best, most = w, room
-		}
-	}
-	if best != nil {
-		best.reserved = t
-	}
-	return best != nil
-}
-
-// mayHold reports whether the worker has room for a task once its passing runs
-// have ended.
-func (w *worker) mayHold(t *task) bool {
-	step := t.step.step
-	if w.registration.Service != t.job().job.Queue.Service || !w.has(step.Label) ||
-		step.WorkerLimit > 0 && w.runsOf(t.step) >= step.WorkerLimit {
-		return false
-	}
-	passing := Size{}
-	for _, r := range w.runs {
-		if s := r.task.step.step; !s.Lasting {
-			size := s.Size
-			if s.Filler {
-				size.MilliProcessors = 0
-			}
-			passing = passing.Plus(size)
-		}
-	}
-	return w.free().Plus(passing).Holds(step.Size)
-}
-
 // unplaced are the tasks that have found no place in a plan.
 type unplaced struct {
 	// sizes are those of tasks that any worker of the service may run.
@@ -336,78 +215,3 @@
 		Epoch:      c.Epoch,
 	}
 }
-
-// Started takes the answer to a start.
-func (c *Cell) Started(now time.Time, order StartOrder, answer StartAnswer) {
-	w, known := c.workers[order.Worker.ID]
-	if !known {
-		return
-	}
-	r := w.runs[runKey{task: order.Task, run: order.Run}]
-	if r == nil {
-		return
-	}
-	if answer != AnswerTaken {
-		c.record(recorder.Event{Kind: KindStartFailed, VM: w.registration.ID, Task: order.Task.String(), Attempt: int(order.Run), Key: order.Task.Job, Detail: string(answer)})
-	}
-	switch answer {
-	case AnswerTaken:
-		r.known = true
-		if r.phase == phaseSent {
-			r.phase = phaseConfirmed
-		}
-		r.confirmedAt = now
-	case AnswerUnclear:
-		if r.phase == phaseSent {
-			r.phase = phaseUnclear
-		}
-	case AnswerFenced:
-		c.fencedBy = true
-		c.resolve(now, r)
-	default:
-		c.refused(now, r, answer)
-	}
-}
-
-// refused takes a start that the worker certainly didn't carry out.
-func (c *Cell) refused(now time.Time, r *run, answer StartAnswer) {
-	w := r.worker
-	switch answer {
-	case AnswerRoom:
-		w.fullUntil = now.Add(fullPause)
-	case AnswerUnhealthy, AnswerUnsent, AnswerReborn:
-		w.quarantinedUntil = now.Add(unhealthyPause)
-	case AnswerInvalid, AnswerTicket, AnswerLate, AnswerOld:
-		r.task.notBefore = now.Add(failurePause)
-	}
-	c.resolve(now, r)
-}
-
-// Stopped takes the answer to a stop.
-func (c *Cell) Stopped(now time.Time, order StopOrder, answer StartAnswer) {
-	w, known := c.workers[order.Worker.ID]
-	if !known {
-		return
-	}
-	if answer == AnswerFenced {
-		c.fencedBy = true
-	}
-	r := w.runs[runKey{task: order.Task, run: order.Run}]
-	if r != nil && answer == AnswerTaken {
-		r.stopTakenAt = now
-	}
-}
-
-// blame notes a failed run. A worker on which task after task fails for the
-// first time is quarantined; lasting tasks may fail at any time by themselves.
-func (c *Cell) blame(now time.Time, w *worker, t *task) {
-	if t.step.step.Lasting || len(t.failedRuns) > 1 {
-		return
-	}
-	w.strikes++
-	if w.strikes >= strikesToQuarantine {
-		w.quarantinedUntil = now.Add(quarantinePause)
-		w.strikes = 0
-		c.record(recorder.Event{Kind: KindWorker, VM: w.registration.ID, Detail: "quarantined after failures"})
-	}
-}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 )
 
@@ -33,7 +34,6 @@
 	stopSentAt, stopTakenAt time.Time
 	checkpoint              string
 	percent                 int
-	percentAt               time.Time
 	usage                   int64
 	// missing counts the looks in a row that didn't list a confirmed run.
 	missing int
@@ -78,18 +78,12 @@
 func (t *task) job() *jobState { return t.step.occurrence.job }
 
 func (t *task) avoids(worker string) bool {
-	for _, id := range t.avoided {
-		if id == worker {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(t.avoided, worker)
 }
 
 // stepState is a step of an occurrence.
 type stepState struct {
 	step       *Step
-	number     int
 	occurrence *occurrenceState
 	tasks      []*task
 	// open counts the tasks that aren't done.
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Phase is what a worker says of itself.
 type Phase string
@@ -33,12 +36,7 @@
 
 // HasLabel reports whether the worker has a label.
 func (r Registration) HasLabel(label string) bool {
-	for _, have := range r.Labels {
-		if have == label {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(r.Labels, label)
 }
 
 // alike reports whether another registration says the same of where the worker is
--- a/estimator/pairs.go
+++ b/estimator/pairs.go
@@ -118,19 +118,11 @@
 	}
 }
 
-// Base returns the measure that is expected without neighbours.
-func (p *Pairs) Base() float64 { return p.base.mean }
-
 // Bound returns the effect of a neighbour at a load of 1 to reckon with.
 func (p *Pairs) Bound(neighbour string, now time.Time) float64 {
 	return p.neighbour(neighbour, now).bound()
 }
 
-// Mean returns the expected effect of a neighbour at a load of 1.
-func (p *Pairs) Mean(neighbour string, now time.Time) float64 {
-	return math.Max(0, p.neighbour(neighbour, now).mean)
-}
-
 // learn moves a belief by its part in a surprise, which is relative to the
 // variance of the report.
 func (b belief) learn(at time.Time, surprise, variance, load, least float64) belief {
--- a/listening.go
+++ b/listening.go
@@ -33,7 +33,7 @@
 
 // listenHTTP listens on address and serves the routes once serve is called.
 func listenHTTP(name, address string, routes []rest.Route) (*httpListener, error) {
-	handler, err := routesHandler(name, routes)
+	handler, err := restHandler(name, func(server *rest.Server) { server.AddRoutes(routes) })
 	if err != nil {
 		return nil, err
 	}
@@ -49,10 +49,10 @@
 	return &httpListener{name: name, listener: listener, server: server}, nil
 }
 
-// routesHandler returns a go-zero server as a handler. Its timeouts, breaker,
-// shedding and connection limit are off, because they would answer for a
-// request that still runs.
-func routesHandler(name string, routes []rest.Route) (http.Handler, error) {
+// restHandler returns a go-zero server as a handler; add gives it its routes. Its
+// timeouts, breaker, shedding and connection limit are off, because they would
+// answer for a request that still runs.
+func restHandler(name string, add func(*rest.Server), options ...rest.RunOption) (http.Handler, error) {
 	configuration := rest.RestConf{
 		ServiceConf: service.ServiceConf{
 			Name:     name,
@@ -61,11 +61,11 @@
 		},
 		Middlewares: router.Middlewares(),
 	}
-	server, err := rest.NewServer(configuration)
+	server, err := rest.NewServer(configuration, options...)
 	if err != nil {
 		return nil, err
 	}
-	server.AddRoutes(routes)
+	add(server)
 	handler, err := rest.NewServerless(server)
 	if err != nil {
 		return nil, err
--- a/scheduler.go
+++ b/scheduler.go
@@ -10,8 +10,6 @@
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
-	"github.com/zeromicro/go-zero/core/proc"
-	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -25,7 +23,6 @@
 	"zinniashore.example/prober"
 	"zinniashore.example/recorder"
 	"zinniashore.example/relayer"
-	"zinniashore.example/router"
 	"zinniashore.example/watcher"
 )
 
@@ -74,7 +71,7 @@
 	}
 	s.peerListener = listener
 	s.peerServer = relayer.NewGRPCServer(&relayer.Server{Cells: s.holding, ReachesStore: s.prober.StoreReached})
-	callers, err := allPathsHandler("callers", s.acceptor)
+	callers, err := restHandler("callers", func(*rest.Server) {}, rest.WithNotFoundHandler(s.acceptor))
 	if err != nil {
 		return err
 	}
@@ -138,28 +135,6 @@
 	return standing.Holds
 }
 
-// allPathsHandler returns a go-zero server as a handler that leaves every path
-// to next.
-func allPathsHandler(name string, next http.Handler) (http.Handler, error) {
-	configuration := rest.RestConf{
-		ServiceConf: service.ServiceConf{
-			Name:     name,
-			Mode:     service.ProMode,
-			Shutdown: proc.ShutdownConf{WaitTime: forcedQuit},
-		},
-		Middlewares: router.Middlewares(),
-	}
-	server, err := rest.NewServer(configuration, rest.WithNotFoundHandler(next))
-	if err != nil {
-		return nil, err
-	}
-	handler, err := rest.NewServerless(server)
-	if err != nil {
-		return nil, err
-	}
-	return http.HandlerFunc(handler.Serve), nil
-}
-
 // Ready reports whether the process may take calls.
 func (s *Scheduler) Ready() bool {
 	_, known := s.configurations.Configuration()
