Make room for parts of other cells' jobs, which can't go on from here

Cause: a lasting task that was handed to another cell runs there or nowhere. Ruled out: handing parts on or back (records of two cells would have to agree about numbered hand-overs; a design of its own). Change: a cell whose part finds no room lets the smallest of its own lasting tasks, whose place suffices, go to a cell that has room for it; one at a time, none with a bound on unavailable tasks. Test: TestCell 'a part without room gets that of a task that another cell can take', red without the search.

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -63,18 +63,14 @@
 	switch {
 	case !c.sound(now, w) || now.Before(w.fullUntil):
 		return false
-	case w.registration.Service != t.job().job.Queue.Service || !w.has(step.Label):
-		return false
 	case t.movedFrom == w.registration.ID && now.Sub(t.movedAt) < movedPause:
 		return false
 	case w.reserved != nil && w.reserved != t:
 		return false
 	case !w.fits(step, t.idleShare(now)):
 		return false
-	case step.WorkerLimit > 0 && w.runsOf(t.step) >= step.WorkerLimit:
-		return false
 	}
-	return true
+	return w.suits(t)
 }
 
 // sound reports whether a worker takes starts at all.
--- a/dispatcher/cell_test.go
+++ b/dispatcher/cell_test.go
@@ -349,6 +349,29 @@
 			t.Error("the filler doesn't run beside lasting tasks that use half of what they declare")
 		}
 	}},
+	"a part without room gets that of a task that another cell can take": {workers: 1, run: func(t *testing.T, w *world) {
+		w.submit(lastingJob(jobID, 1, 3000))
+		w.runFor(500 * time.Millisecond)
+		part := lastingJob(otherID, 2, 2500)
+		part.Part = []dispatcher.TaskID{{Job: otherID, Index: 1}}
+		w.submit(part)
+		w.runFor(time.Second)
+		id, _, leaves := w.cell.Leaving(w.now)
+		if !leaves || id.Job != jobID {
+			t.Fatalf("%s leaves (%v), want the task of the cell's own job", id, leaves)
+		}
+		w.cell.StopToMove(w.now, id)
+		if second, _, leaves := w.cell.Leaving(w.now); leaves {
+			t.Errorf("%s leaves too", second)
+		}
+		w.runFor(time.Second)
+		if w.running[dispatcher.TaskID{Job: otherID, Index: 1}] != 1 {
+			t.Error("the part doesn't run")
+		}
+		if stuck, _, waits := w.cell.Stuck(w.now); !waits || stuck != id {
+			t.Errorf("%s waits for another cell (%v), want %s", stuck, waits, id)
+		}
+	}},
 	"a task handed over stays handed over": {workers: 1, run: func(t *testing.T, w *world) {
 		w.submit(lastingJob(jobID, 2, 3000))
 		w.runFor(time.Second)
--- a/dispatcher/part.go
+++ b/dispatcher/part.go
@@ -88,8 +88,9 @@
 	return !c.held(now, t.job()) && c.choose(now, t) == nil
 }
 
-// Leaving returns a lasting task on a draining worker for which its own cell has
-// no room.
+// Leaving returns a lasting task that has to run in another cell: one on a
+// draining worker for which its own cell has no room, or one that makes room for a
+// part of another cell's job, which can't go on from here.
 func (c *Cell) Leaving(now time.Time) (TaskID, Job, bool) {
 	if !c.Confirmed(now) {
 		return TaskID{}, Job{}, false
@@ -100,15 +101,72 @@
 			continue
 		}
 		for _, r := range w.sortedRuns() {
-			t := r.task
-			if r.phase == phaseConfirmed && t.movable() && now.Sub(t.refusedAt) >= refusedPause && c.choose(now, t) == nil {
-				return t.id, t.job().job, true
+			if c.mayLeave(now, r) && c.choose(now, r.task) == nil {
+				return r.task.id, r.task.job().job, true
 			}
 		}
 	}
+	for _, t := range c.ready {
+		if !c.strandedPart(now, t) {
+			continue
+		}
+		if r := c.makesRoom(now, t); r != nil {
+			return r.task.id, r.task.job().job, true
+		}
+	}
 	return TaskID{}, Job{}, false
 }
 
+// mayLeave reports whether a run could go on in another cell that hasn't just
+// refused it.
+func (c *Cell) mayLeave(now time.Time, r *run) bool {
+	return r.phase == phaseConfirmed && r.task.movable() && now.Sub(r.task.refusedAt) >= refusedPause
+}
+
+// strandedPart reports whether a task that another cell handed over finds no room.
+func (c *Cell) strandedPart(now time.Time, t *task) bool {
+	return t.job().job.Part != nil && t.step.step.Lasting && !t.elsewhere && len(t.runs) == 0 && !t.job().state.Final() &&
+		!t.notBefore.After(now) && now.Sub(t.readyAt) >= stuckLimit && !c.held(now, t.job()) &&
+		c.choose(now, t) == nil && !c.roomComes(t)
+}
+
+// roomComes reports whether a task fits into the room of runs that are being
+// stopped.
+func (c *Cell) roomComes(t *task) bool {
+	for _, w := range c.workers {
+		room, coming := w.free(), false
+		for _, r := range w.runs {
+			if step := r.task.step.step; r.phase == phaseStopping && step.Lasting {
+				room, coming = room.Plus(step.Size), true
+			}
+		}
+		if coming && w.suits(t) && room.Holds(t.step.step.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// makesRoom returns the smallest run that may leave and whose room a task fits
+// into, or nil.
+func (c *Cell) makesRoom(now time.Time, t *task) *run {
+	var best *run
+	for _, id := range c.Workers() {
+		w := c.workers[id]
+		if !c.sound(now, w) || !w.suits(t) {
+			continue
+		}
+		for _, r := range w.sortedRuns() {
+			step := r.task.step.step
+			if c.mayLeave(now, r) && step.MaxUnavailable == 0 && w.free().Plus(step.Size).Holds(t.step.step.Size) &&
+				(best == nil || step.Size.MilliProcessors < best.task.step.step.Size.MilliProcessors) {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
 // movable reports whether another cell could run the task.
 func (t *task) movable() bool {
 	job := &t.job().job
@@ -117,7 +175,8 @@
 
 // StopToMove stops the runs of a task, so that it can be handed over.
 func (c *Cell) StopToMove(now time.Time, id TaskID) {
-	if t := c.task(now, id); t != nil {
+	if t := c.task(now, id); t != nil && len(t.runs) > 0 {
+		t.movedFrom, t.movedAt = t.runs[0].worker.registration.ID, now
 		c.stopRuns(t)
 	}
 }
--- a/dispatcher/reservation.go
+++ b/dispatcher/reservation.go
@@ -28,8 +28,7 @@
 // have ended.
 func (w *worker) mayHold(t *task) bool {
 	step := t.step.step
-	if w.registration.Service != t.job().job.Queue.Service || !w.has(step.Label) ||
-		step.WorkerLimit > 0 && w.runsOf(t.step) >= step.WorkerLimit {
+	if !w.suits(t) {
 		return false
 	}
 	passing := Size{}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -203,6 +203,13 @@
 // has reports whether the worker has a label, which may be none.
 func (w *worker) has(label string) bool { return label == "" || w.registration.HasLabel(label) }
 
+// suits reports whether the worker may run a task at all, with room.
+func (w *worker) suits(t *task) bool {
+	step := t.step.step
+	return w.registration.Service == t.job().job.Queue.Service && w.has(step.Label) &&
+		(step.WorkerLimit == 0 || w.runsOf(t.step) < step.WorkerLimit)
+}
+
 // occupy notes that a run of a step begins (sign 1) or ends (sign -1).
 func (w *worker) occupy(step *Step, sign int) {
 	size := step.Size
