Count the last holder's time from the store's first answer

Traced by a line in returns(): the candidate counted the 1.5 s from when its own pending watch told that the name had lapsed, which may be during the outage; they were over 0.1 to 0.5 s after the store was back, while the holder needs up to 0.9 s. Failures of the watch weren't reckoned. Ruled out: that the candidate didn't know the holder (it did, named=true in each line). Change: the time runs from the first answer of the store to this candidate since the cell got free or the store was away.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -96,11 +96,10 @@
 	last map[string]Holder
 	// freeSince is when the candidate cell was seen without a holder.
 	freeSince time.Time
-	// patientSince is when the last holder was first given time to return, or when
-	// the store last came back.
+	// patientSince is since when the last holder is given time to return: the first
+	// answer of the store after the cell got free, or after the store was away. It
+	// is zero before.
 	patientSince time.Time
-	// troubled says that the store has failed this process since then.
-	troubled bool
 	// heldLast says that this process held the cell before it got free.
 	heldLast bool
 	changed  chan struct{}
@@ -173,7 +172,7 @@
 		c.heldLast = holder.Incarnation == c.Self.Incarnation
 	case c.freeSince.IsZero():
 		c.freeSince = c.Clock.Now()
-		c.patientSince = c.freeSince
+		c.patientSince = time.Time{}
 	}
 	if c.changed != nil {
 		close(c.changed)
@@ -285,7 +284,7 @@
 	c.mu.Lock()
 	last, named := c.last[c.Candidate]
 	_, held := c.holders[c.Candidate]
-	patient := c.Clock.Now().Sub(c.patientSince) < returnLimit
+	patient := !c.patientSince.IsZero() && c.Clock.Now().Sub(c.patientSince) < returnLimit
 	c.mu.Unlock()
 	if held || !named || !patient || last.Process == c.Self.Process {
 		return false
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
@@ -19,7 +20,7 @@
 	if err != nil {
 		klog.ErrorS(err, "Term of the cell not read", "cell", c.Candidate)
 	}
-	if back := c.noteStore(err); err != nil || back && c.returns(ctx) {
+	if first := c.noteStore(err); err != nil || first && c.returns(ctx) {
 		return false
 	}
 	lease, _, err := c.Store.Grant(ctx, leaseLength)
@@ -38,17 +39,21 @@
 	return true
 }
 
-// noteStore notes the outcome of a call of the store. It reports whether the store
-// is back: the last holder has the same time from now on to find that out.
+// noteStore notes the outcome of a call of the store. It reports whether this is
+// its first answer since the cell got free or the store was away: from now on the
+// last holder has time to return.
 func (c *Claimer) noteStore(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	back := c.troubled && err == nil
-	if back {
+	if err != nil {
+		c.patientSince = time.Time{}
+		return false
+	}
+	first := c.patientSince.IsZero()
+	if first {
 		c.patientSince = c.Clock.Now()
 	}
-	c.troubled = err != nil
-	return back
+	return first
 }
 
 // begin stores this process as the holder under a new term and returns the
