dispatcher: a test of ends that were not read before the lease expired

The simulated worker can now execute polls whose answers are lost, and the simulation knows which workers are registered. Existing cases use the same calls through register and unregister and check what they did.

--- a/dispatcher/cell_test.go
+++ b/dispatcher/cell_test.go
@@ -41,7 +41,7 @@
 	job.Steps[0].WorkerLimit = 0
 	exited := s.workers[0]
 	exited.registration.Phase = dispatcher.PhaseDraining
-	s.cell.SetWorker(s.now, exited.registration)
+	s.register(exited)
 	s.runFor(100 * time.Millisecond)
 	exited.reboot()
 	exited.closed = true
@@ -144,7 +144,7 @@
 		restarted := s.lateStarts[0].worker
 		restarted.reboot()
 		restarted.registration.Phase = dispatcher.PhaseDraining
-		s.cell.SetWorker(s.now, restarted.registration)
+		s.register(restarted)
 		s.runFor(9 * time.Second)
 		requireState(t, s, jobID, dispatcher.StateCompleted)
 	}},
@@ -165,7 +165,7 @@
 		for _, f := range s.workers {
 			if len(f.running) == 2 {
 				f.registration.Phase = dispatcher.PhaseDraining
-				s.cell.SetWorker(s.now, f.registration)
+				s.register(f)
 			}
 		}
 		s.runFor(2 * time.Second)
@@ -182,7 +182,7 @@
 			t.Errorf("%s moves from a worker that isn't draining", id)
 		}
 		s.workers[0].registration.Phase = dispatcher.PhaseDraining
-		s.cell.SetWorker(s.now, s.workers[0].registration)
+		s.register(s.workers[0])
 		id, _, moves := s.cell.NextToMove(s.now)
 		if !moves {
 			t.Fatal("no task moves from the draining worker")
@@ -282,7 +282,7 @@
 	"a removed worker delays no task after a change of the holder": {workers: 3, run: func(t *testing.T, s *simulation) {
 		removed := s.workers[0]
 		removed.reachable = false
-		s.cell.RemoveWorker(removed.registration.ID)
+		s.unregister(removed)
 		s.runFor(9 * time.Second)
 		s.submit(plainJob(jobID, 2, 300*time.Millisecond, 1))
 		s.changeHolder(s.workers[1], s.workers[2])
@@ -310,7 +310,7 @@
 	}},
 	"tasks of a worker that has left start elsewhere at once": {workers: 2, run: func(t *testing.T, s *simulation) {
 		exited := drainAndExit(s, 2*time.Second)
-		s.cell.RemoveWorker(exited.registration.ID)
+		s.unregister(exited)
 		s.runFor(500 * time.Millisecond)
 		if total := len(s.workers[0].running) + len(s.workers[1].running); total != 2 {
 			t.Errorf("%d tasks run 500 ms after one of two workers has left, want 2", total)
@@ -444,7 +444,7 @@
 		s.storeDown = false
 		for _, f := range s.workers {
 			f.reachable = true
-			s.cell.SetWorker(s.now, f.registration)
+			s.register(f)
 		}
 		s.runFor(60 * time.Second)
 		for _, problem := range s.violations {
--- a/dispatcher/fakeworker_test.go
+++ b/dispatcher/fakeworker_test.go
@@ -95,6 +95,13 @@
 	return listing, dispatcher.AnswerAccepted
 }
 
+// listsDone reports whether the worker lists an end of a task as done.
+func (w *fakeWorker) listsDone(task dispatcher.TaskID) bool {
+	return slices.ContainsFunc(w.ended, func(row dispatcher.EndedRow) bool {
+		return row.Task == task && row.Ending == dispatcher.EndingDone
+	})
+}
+
 // reboot restarts the worker under the same id.
 func (w *fakeWorker) reboot() {
 	for _, r := range w.running {
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -125,6 +125,8 @@
 	ended        []dispatcher.EndedRow
 	endCount     int64
 	reachable    bool
+	// answersLost makes the worker execute polls whose answers are lost.
+	answersLost bool
 	// closed makes the worker's address refuse connections.
 	closed bool
 	// fails makes each run fail.
@@ -153,11 +155,15 @@
 	acknowledgedDone map[dispatcher.TaskID]bool
 	failures         map[dispatcher.TaskID]int
 	violations       []string
+	// repeated are the starts of tasks that a registered worker lists as done.
+	repeated []string
 	// lateStarts are starts that got no answer and are executed later.
 	lateStarts []lateStart
 	// nextFate returns the fate of the next start.
 	nextFate  func() startFate
 	storeDown bool
+	// registered are the workers that the registry lists.
+	registered map[*fakeWorker]bool
 	// lateAfterRestart delivers late starts also to workers that have restarted since.
 	lateAfterRestart bool
 	// throttles are the throttle levels that were last sent to workers.
@@ -185,8 +191,9 @@
 		now: time.UnixMilli(1_000_000), archive: newArchive(), events: &events{},
 		jobs: map[string]dispatcher.Job{}, running: map[dispatcher.TaskID]int{}, done: map[dispatcher.TaskID]bool{},
 		acknowledgedDone: map[dispatcher.TaskID]bool{}, failures: map[dispatcher.TaskID]int{},
-		nextFate:  func() startFate { return fateAccepted },
-		throttles: map[dispatcher.TaskID]int{},
+		nextFate:   func() startFate { return fateAccepted },
+		registered: map[*fakeWorker]bool{},
+		throttles:  map[dispatcher.TaskID]int{},
 	}
 	for i := range workers {
 		f := &fakeWorker{
@@ -223,6 +230,11 @@
 	if s.acknowledgedDone[r.task] {
 		s.violation("%s starts again after its end was acknowledged", r.task)
 	}
+	for f := range s.registered {
+		if f.listsDone(r.task) {
+			s.repeated = append(s.repeated, fmt.Sprintf("%s starts again although %s, which is registered, lists that it is done", r.task, f.registration.ID))
+		}
+	}
 	if s.failures[r.task] >= job.Queue.Attempts && !job.Steps[r.task.Step].LongRunning {
 		s.violation("%s starts after %d failures, although its attempts are used up", r.task, s.failures[r.task])
 	}
@@ -259,11 +271,24 @@
 	s.archive.epoch++
 	s.cell = dispatcher.NewCell("graz-a", s.archive.epoch, limits, s.events)
 	s.archive.load(s.cell, s.now)
+	clear(s.registered)
 	for _, f := range listed {
-		s.cell.SetWorker(s.now, f.registration)
+		s.register(f)
 	}
 }
 
+// register applies the registration of a worker.
+func (s *simulation) register(f *fakeWorker) {
+	s.registered[f] = true
+	s.cell.SetWorker(s.now, f.registration)
+}
+
+// unregister removes a worker from the registry.
+func (s *simulation) unregister(f *fakeWorker) {
+	delete(s.registered, f)
+	s.cell.RemoveWorker(f.registration.ID)
+}
+
 // submit adds an accepted job.
 func (s *simulation) submit(job dispatcher.Job) {
 	job.Queue.Service = testService
@@ -286,6 +311,10 @@
 			continue
 		}
 		listing, answer := f.poll(order)
+		if f.answersLost {
+			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerUnknown)
+			continue
+		}
 		s.cell.HandlePollAnswer(s.now, s.now, order, listing, answer)
 	}
 }
--- /dev/null
+++ b/dispatcher/unreadend_test.go
@@ -0,0 +1,49 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniashore.example/dispatcher"
+)
+
+// unreadEndTests are the cases of TestUnreadEnds.
+var unreadEndTests = map[string]cellTest{
+	"the lease expired before the end was read": {workers: 3, run: func(_ *testing.T, s *simulation) {
+		s.workers[0].answersLost = true
+		s.runFor(8 * time.Second)
+	}},
+	"a new holder has not read the end": {workers: 3, run: func(_ *testing.T, s *simulation) {
+		s.workers[0].answersLost = true
+		s.changeHolder(s.workers...)
+		s.runFor(12 * time.Second)
+	}},
+}
+
+// TestUnreadEnds guards against the second run of a task of which a run was done, but
+// whose end the holder had not read when the lease expired (TWICE, issue 20).
+func TestUnreadEnds(t *testing.T) {
+	for name, test := range unreadEndTests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(test.workers)
+			s.changeHolder(s.workers...)
+			s.runFor(200 * time.Millisecond)
+			s.submit(plainJob(jobID, 3, 2*time.Second, 1))
+			s.runFor(200 * time.Millisecond)
+			test.run(t, s)
+			for _, f := range s.workers {
+				f.answersLost = false
+			}
+			s.runFor(2 * time.Second)
+			requireState(t, s, jobID, dispatcher.StateCompleted)
+			requireNoViolations(t, s)
+		})
+	}
+}
+
+func requireNoViolations(t *testing.T, s *simulation) {
+	t.Helper()
+	for _, problem := range append(s.violations, s.repeated...) {
+		t.Error(problem)
+	}
+}
