dispatcher: add a delivered job only after the stored state is loaded

A process that takes over a cell registers its Runner before the stored jobs are loaded. A job that this process had accepted meanwhile was added at once, without progress, and the stored progress of the same job was then ignored. It exists if an earlier holder read the job from the store and ran it while the answer to its acceptance was still on its way.

Change: Add waits until the stored state has been restored, or the Runner has ended; the router doesn't wait for it before it answers the client. Deliveries from peers waited already.

--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -87,6 +87,7 @@
 
 	mu         sync.Mutex
 	loaded     chan struct{}
+	ended      chan struct{}
 	wake       chan struct{}
 	changed    chan struct{}
 	stored     chan struct{}
@@ -99,6 +100,7 @@
 	return &Runner{
 		Cell: cell, Clock: clock, Workers: workers, Archive: archive,
 		loaded:  make(chan struct{}),
+		ended:   make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 		changed: make(chan struct{}, 1),
 		stored:  make(chan struct{}),
@@ -106,8 +108,9 @@
 	}
 }
 
-// Run runs the cell until ctx ends or the cell is superseded.
+// Run runs the cell until ctx ends or the cell is superseded. It is called once.
 func (r *Runner) Run(ctx context.Context) error {
+	defer close(r.ended)
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.goroutines.Wait()
 	defer cancel()
@@ -189,6 +192,9 @@
 // Loaded returns a channel that is closed once the stored state has been restored.
 func (r *Runner) Loaded() <-chan struct{} { return r.loaded }
 
+// Ended returns a channel that is closed once Run has returned.
+func (r *Runner) Ended() <-chan struct{} { return r.ended }
+
 // runOnce sends the orders that are due and starts polling new workers. It reports
 // false if the cell is superseded.
 func (r *Runner) runOnce(ctx context.Context) bool {
@@ -296,8 +302,14 @@
 }
 
 // Add adds a job that was accepted for the cell. restored is true if an earlier holder
-// may have started tasks of the job.
+// may have started tasks of the job. Add waits until the stored state of the cell has
+// been restored, because that may contain progress of the job.
 func (r *Runner) Add(job Job, restored bool) {
+	select {
+	case <-r.loaded:
+	case <-r.ended:
+		return
+	}
 	r.mu.Lock()
 	r.Cell.AddJob(r.Clock.Now(), job, nil, restored)
 	r.mu.Unlock()
--- a/jobrouter.go
+++ b/jobrouter.go
@@ -58,7 +58,7 @@
 func (r *jobRouter) Deliver(job dispatcher.Job, record []byte, cell string) {
 	r.cacheCell(job.ID, cell)
 	if runner := r.heldCells.Runner(cell); runner != nil {
-		runner.Add(job, true)
+		go runner.Add(job, true)
 		return
 	}
 	holder, held := r.claimer.Holder(cell)
