zinniashore: a cell that is lost before it is loaded ends

The handler of stored jobs waited for the stored state of the cell without an end. If the cell was lost first, e.g. in an outage of the store that let the list of jobs through but not the rest, the handler never returned, nor did the claimer, and the process could claim no cell again and not release it at SIGTERM.

Change: the handler also returns once the Runner has ended.

--- a/heldcells.go
+++ b/heldcells.go
@@ -166,7 +166,11 @@
 		klog.ErrorS(err, "Decoding a stored job failed", "job", change.ID)
 		return
 	}
-	<-s.runner.Loaded()
+	select {
+	case <-s.runner.Loaded():
+	case <-s.runner.Ended():
+		return
+	}
 	if !change.Cancelled {
 		s.runner.Add(change.Job, true)
 		return
