dispatcher: acknowledge an end of an unknown job only if the store lacks the job

A holder that didn't know the job of a listed end waited 5 s for the job and then acknowledged the end, which was lost with that. A holder that doesn't reach the store, or is behind with its watch, gets to know the job later, and started its tasks again.

Change: after the 5 s the holder looks the job up in the store, and adds it with its progress; it acknowledges the end only if the store answers that the cell has no such job. Ruled out: waiting for ever, since the ends of jobs whose retention has passed would never be acknowledged.

go test ./dispatcher -run TestEndOfUnknownJob before: "starts again after its end was acknowledged", 2 tasks; after: passes.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -186,6 +186,33 @@
 	return stored, err
 }
 
+// Find implements dispatcher.Archive.
+func (a *CellArchive) Find(ctx context.Context, id string) (dispatcher.StoredJob, bool, error) {
+	var items []platform.Item
+	for _, key := range []string{JobPrefix(a.Cell) + id, JobPrefix(a.Cell) + id + cancelSuffix} {
+		item, err := a.Archiver.Store.Get(ctx, key)
+		if err != nil {
+			return dispatcher.StoredJob{}, false, err
+		}
+		if item.Revision != 0 {
+			items = append(items, item)
+		}
+	}
+	progress, err := a.Archiver.Store.Get(ctx, progressPrefix+a.Cell+"/"+id)
+	if err != nil {
+		return dispatcher.StoredJob{}, false, err
+	}
+	var progressItems []platform.Item
+	if progress.Revision != 0 {
+		progressItems = append(progressItems, progress)
+	}
+	stored := a.decodeJobs(items, progressItems)
+	if len(stored) == 0 {
+		return dispatcher.StoredJob{}, false, nil
+	}
+	return stored[0], true, nil
+}
+
 func (a *CellArchive) loadJobs(ctx context.Context) ([]dispatcher.StoredJob, error) {
 	items, _, err := a.Archiver.Store.List(ctx, JobPrefix(a.Cell))
 	if err != nil {
@@ -195,6 +222,13 @@
 	if err != nil {
 		return nil, err
 	}
+	return a.decodeJobs(items, progressItems), nil
+}
+
+// decodeJobs merges the items of jobs and cancellations with those of their progress. It
+// logs and skips malformed items, and leaves out jobs of which nothing is left to run or
+// to report.
+func (a *CellArchive) decodeJobs(items, progressItems []platform.Item) []dispatcher.StoredJob {
 	jobs := map[string]*dispatcher.StoredJob{}
 	for _, item := range progressItems {
 		id := strings.TrimPrefix(item.Key, progressPrefix+a.Cell+"/")
@@ -212,7 +246,7 @@
 			stored = append(stored, *j)
 		}
 	}
-	return stored, nil
+	return stored
 }
 
 func (a *CellArchive) mergeJobs(items []platform.Item, jobs map[string]*dispatcher.StoredJob) {
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -91,6 +91,10 @@
 	ready          []*task
 	// dirty holds the ids of the jobs that have changed since they were last stored.
 	dirty map[string]bool
+	// unknownJobs are the jobs that aren't known although a worker lists one of their ends,
+	// each with the time at which that was first seen. absentJobs are those that the store
+	// doesn't have either, each with the time of its answer.
+	unknownJobs, absentJobs map[string]time.Time
 	// upcoming are the jobs with occurrences that haven't begun.
 	upcoming map[string]*jobState
 	// lastRun is the number, under the epoch, of the newest run or gang of runs.
@@ -125,6 +129,9 @@
 		dirty:     map[string]bool{},
 		upcoming:  map[string]*jobState{},
 		headrooms: estimator.NewHeadrooms(),
+
+		unknownJobs: map[string]time.Time{},
+		absentJobs:  map[string]time.Time{},
 	}
 }
 
@@ -146,6 +153,8 @@
 		c.extendPart(now, j, job.Part)
 		return
 	}
+	delete(c.unknownJobs, job.ID)
+	delete(c.absentJobs, job.ID)
 	j := &jobState{
 		job:         job,
 		state:       StateQueued,
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -156,7 +156,7 @@
 			continue
 		}
 		handled := w.handledAhead[row.Number]
-		if !handled && c.awaitsJob(now, w, row.Task.Job) {
+		if !handled && c.awaitsJob(now, row.Task.Job) {
 			awaiting = true
 			continue
 		}
@@ -165,9 +165,6 @@
 		}
 		w.markEndHandled(row.Number, awaiting)
 	}
-	if !awaiting {
-		w.unknownJobSince = time.Time{}
-	}
 	if len(c.dirty) == 0 && !c.storing {
 		w.acknowledgedEnd = w.lastEnd
 	}
@@ -183,22 +180,6 @@
 	w.lastEnd = number
 }
 
-// awaitsJob reports whether an end belongs to a job that isn't known yet. The job may
-// still be on its way to this cell, and the end must not be acknowledged before it
-// arrives.
-func (c *Cell) awaitsJob(now time.Time, w *worker, id string) bool {
-	if _, known := c.jobs[id]; known {
-		return false
-	}
-	if w.unknownJobSince.IsZero() {
-		w.unknownJobSince = now
-	}
-	return now.Sub(w.unknownJobSince) < unknownEndTimeout
-}
-
-// unknownEndTimeout is how long the ends of an unknown job stay unacknowledged.
-const unknownEndTimeout = 5 * time.Second
-
 // handleEnd applies the end of a run that a worker reported.
 func (c *Cell) handleEnd(now time.Time, w *worker, row EndedRow) {
 	key := runKey{task: row.Task, run: row.Run}
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -45,6 +45,8 @@
 type Archive interface {
 	// Load returns the stored state of the cell.
 	Load(ctx context.Context) (StoredCell, error)
+	// Find returns the stored state of a job of the cell, and whether there is one.
+	Find(ctx context.Context, id string) (StoredJob, bool, error)
 	// Save stores a batch.
 	Save(ctx context.Context, batch *Batch) error
 }
@@ -92,6 +94,7 @@
 	changed    chan struct{}
 	stored     chan struct{}
 	polled     map[string]bool
+	lookups    map[string]bool
 	goroutines sync.WaitGroup
 }
 
@@ -105,6 +108,7 @@
 		changed: make(chan struct{}, 1),
 		stored:  make(chan struct{}),
 		polled:  map[string]bool{},
+		lookups: map[string]bool{},
 	}
 }
 
@@ -170,10 +174,7 @@
 		r.Cell.RestoreWorker(now, registration)
 	}
 	for _, j := range stored.Jobs {
-		r.Cell.AddJob(now, j.Job, j.Progress, true)
-		if j.Cancelled {
-			r.Cell.Cancel(now, j.Job.ID)
-		}
+		r.addStored(now, j)
 	}
 	close(r.loaded)
 }
@@ -202,6 +203,7 @@
 	orders := r.Cell.Plan(r.Clock.Now())
 	superseded := r.Cell.Superseded()
 	changed, _ := r.Cell.Changed()
+	r.findUnknownJobs(ctx)
 	var unpolled []string
 	for _, id := range r.Cell.Workers() {
 		if !r.polled[id] {
--- a/dispatcher/runner_test.go
+++ b/dispatcher/runner_test.go
@@ -44,6 +44,10 @@
 	}
 }
 
+func (a *slowArchive) Find(context.Context, string) (dispatcher.StoredJob, bool, error) {
+	return dispatcher.StoredJob{}, false, nil
+}
+
 func (a *slowArchive) Save(context.Context, *dispatcher.Batch) error { return nil }
 
 // noCells knows no other cells.
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -333,10 +333,30 @@
 	}
 	s.save()
 	s.pollAll()
+	s.findJobs()
 	s.execute(s.cell.Plan(s.now))
 	s.save()
 }
 
+// findJobs looks up the jobs that the cell doesn't know.
+func (s *simulation) findJobs() {
+	if s.storeDown {
+		return
+	}
+	for _, id := range s.cell.UnknownJobs(s.now) {
+		job, live := s.archive.jobs[id]
+		progress, begun := s.archive.progress[id]
+		switch {
+		case live && begun:
+			s.cell.AddJob(s.now, job, &progress, true)
+		case live:
+			s.cell.AddJob(s.now, job, nil, true)
+		default:
+			s.cell.SetAbsent(s.now, id)
+		}
+	}
+}
+
 func (s *simulation) save() {
 	if s.storeDown {
 		return
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -162,8 +162,6 @@
 	// connectionRefused is true if the worker's address has refused a connection since
 	// the worker last answered.
 	connectionRefused bool
-	// unknownJobSince is when an end of an unknown job was first listed.
-	unknownJobSince time.Time
 	// lastEnd is the number of the end up to which all ends were handled,
 	// acknowledgedEnd that of the newest end that may be acknowledged to the worker
 	// because its effect is stored.
--- /dev/null
+++ b/dispatcher/unknownjob.go
@@ -0,0 +1,94 @@
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// unknownJobTimeout is how long the job of a listed end may be on its way to this
+	// cell before it is looked up in the store.
+	unknownJobTimeout = 5 * time.Second
+	// absentJobTTL is how long the store's answer that a job doesn't exist is used.
+	absentJobTTL = time.Minute
+)
+
+// awaitsJob reports whether an end belongs to a job that isn't known yet. Such an end
+// must not be acknowledged before the job has arrived, or the store has answered that
+// the cell has no such job.
+func (c *Cell) awaitsJob(now time.Time, id string) bool {
+	if _, known := c.jobs[id]; known {
+		return false
+	}
+	if _, absent := c.absentJobs[id]; absent {
+		return false
+	}
+	if _, noted := c.unknownJobs[id]; !noted {
+		c.unknownJobs[id] = now
+	}
+	return true
+}
+
+// UnknownJobs returns the ids of the jobs to look up in the store.
+func (c *Cell) UnknownJobs(now time.Time) []string {
+	for id, at := range c.absentJobs {
+		if now.Sub(at) > absentJobTTL {
+			delete(c.absentJobs, id)
+		}
+	}
+	var ids []string
+	for id, since := range c.unknownJobs {
+		if now.Sub(since) >= unknownJobTimeout {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// SetAbsent records that the store has no job with an id in this cell.
+func (c *Cell) SetAbsent(now time.Time, id string) {
+	delete(c.unknownJobs, id)
+	c.absentJobs[id] = now
+}
+
+// findUnknownJobs looks up the jobs that aren't looked up already; the caller holds mu.
+func (r *Runner) findUnknownJobs(ctx context.Context) {
+	for _, id := range r.Cell.UnknownJobs(r.Clock.Now()) {
+		if !r.lookups[id] {
+			r.lookups[id] = true
+			r.runAsync(func() { r.findJob(ctx, id) })
+		}
+	}
+}
+
+// findJob looks up a job in the store and adds it to the cell.
+func (r *Runner) findJob(ctx context.Context, id string) {
+	stored, found, err := r.Archive.Find(ctx, id)
+	if err != nil {
+		klog.InfoS("Failed to look up the job of a listed end; retrying", "job", id, "cell", r.Cell.Name, "err", err)
+		r.sleep(ctx, storeRetryDelay)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.lookups, id)
+	now := r.Clock.Now()
+	switch {
+	case err != nil:
+	case found:
+		r.addStored(now, stored)
+	default:
+		r.Cell.SetAbsent(now, id)
+	}
+}
+
+// addStored adds a stored job; the caller holds mu.
+func (r *Runner) addStored(now time.Time, stored StoredJob) {
+	r.Cell.AddJob(now, stored.Job, stored.Progress, true)
+	if stored.Cancelled {
+		r.Cell.Cancel(now, stored.Job.ID)
+	}
+}
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -86,3 +86,25 @@
 		t.Error(problem)
 	}
 }
+
+// TestEndOfUnknownJob guards against the second run of a task whose end was acknowledged
+// before the holder knew the job: it could not reach the store for longer than it waited.
+func TestEndOfUnknownJob(t *testing.T) {
+	s := newSimulation(2)
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
+	s.submit(plainJob(jobID, 2, 200*time.Millisecond, 1))
+	s.step(50 * time.Millisecond)
+	delete(s.archive.jobs, jobID)
+	s.changeHolder(s.workers...)
+	s.archive.jobs[jobID] = s.jobs[jobID]
+	s.storeDown = true
+	s.runFor(8 * time.Second)
+	s.storeDown = false
+	s.cell.AddJob(s.now, s.jobs[jobID], nil, true)
+	s.runFor(2 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	for _, problem := range s.violations {
+		t.Error(problem)
+	}
+}
--- a/heldcells_test.go
+++ b/heldcells_test.go
@@ -20,6 +20,10 @@
 	return dispatcher.StoredCell{}, errors.New("the store is unreachable")
 }
 
+func (unreachableArchive) Find(context.Context, string) (dispatcher.StoredJob, bool, error) {
+	return dispatcher.StoredJob{}, false, errors.New("the store is unreachable")
+}
+
 func (unreachableArchive) Save(context.Context, *dispatcher.Batch) error { return nil }
 
 // TestCellEndsBeforeItIsLoaded guards against a process that can hold no cell any more:
