--- a/configurer/history_test.go
+++ b/configurer/history_test.go
@@ -1,13 +1,11 @@
 package configurer_test
 
 import (
-	"cmp"
 	"context"
 	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,7 +14,6 @@
 	"github.com/anishathalye/porcupine"
 
 	"zinniashore.example/configurer"
-	"zinniashore.example/standin"
 )
 
 var historySeed = flag.Uint64("history-seed", 1, "seed of the schedule of TestHistory")
@@ -27,80 +24,6 @@
 	historyReaders   = 3
 )
 
-// step is one operation on the register of an organisation.
-type step struct {
-	kind         stepKind
-	organisation string
-	base         int
-	value        int
-}
-
-type stepKind string
-
-const (
-	// stepCommit is a change from base to value that is durable.
-	stepCommit stepKind = "commit"
-	// stepUnclear is a change from base to value that may be durable.
-	stepUnclear stepKind = "unclear"
-	// stepConflict is a change that was rejected because base is not the newest value.
-	stepConflict stepKind = "conflict"
-	// stepAccept is an answer to an operator that value is accepted.
-	stepAccept stepKind = "accept"
-	// stepRead is a read of value in force in a process that is ready.
-	stepRead stepKind = "read"
-)
-
-// register holds the committed values and the index of the oldest value that may be in
-// force.
-type register struct {
-	values []int
-	floor  int
-}
-
-// registerModel models a register for each organisation: a commit needs the newest value
-// as its base, and after the acceptance of a value no process reads an older one.
-var registerModel = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		parts := map[string][]porcupine.Operation{}
-		for _, o := range history {
-			organisation := o.Input.(step).organisation
-			parts[organisation] = append(parts[organisation], o)
-		}
-		var partition [][]porcupine.Operation
-		for _, part := range parts {
-			partition = append(partition, part)
-		}
-		return partition
-	},
-	Init: func() any { return register{values: []int{1}} },
-	Step: func(state, input, _ any) (bool, any) { return state.(register).after(input.(step)) },
-	Equal: func(a, b any) bool {
-		return a.(register).floor == b.(register).floor && slices.Equal(a.(register).values, b.(register).values)
-	},
-}
-
-func (r register) after(s step) (bool, register) {
-	newest := r.values[len(r.values)-1]
-	position := slices.Index(r.values, s.value)
-	switch s.kind {
-	case stepCommit:
-		if newest != s.base {
-			return false, r
-		}
-		return true, register{values: append(slices.Clone(r.values), s.value), floor: r.floor}
-	case stepUnclear:
-		if newest != s.base {
-			return true, r
-		}
-		return true, register{values: append(slices.Clone(r.values), s.value), floor: r.floor}
-	case stepConflict:
-		return newest != s.base, r
-	case stepAccept:
-		return position >= 0, register{values: r.values, floor: max(r.floor, position)}
-	}
-	return position >= r.floor, r
-}
-
 // history runs operators, readers and faults against a fleet and records their
 // operations.
 type history struct {
@@ -228,100 +151,6 @@
 	})
 }
 
-// faults are the faults that are injected into the fleet, one at a time.
-var faults = map[string]func(h *history, random *rand.Rand, vm string){
-	"cut": func(h *history, random *rand.Rand, vm string) {
-		h.injectFault(random, vm, func(g *faultyStore) { g.cut = true }, func(g *faultyStore) { g.cut = false })
-	},
-	"frozen": func(h *history, random *rand.Rand, vm string) {
-		thaw := h.process(vm).store.freeze()
-		h.pause(random)
-		thaw()
-	},
-	"watch skipped": func(h *history, random *rand.Rand, vm string) {
-		h.injectFault(random, vm, func(g *faultyStore) { g.skipWatch = true }, func(g *faultyStore) { g.skipWatch = false })
-	},
-	"slow": func(h *history, random *rand.Rand, vm string) {
-		h.injectFault(random, vm, func(g *faultyStore) { g.slow = 60 * time.Millisecond }, func(g *faultyStore) { g.slow = 0 })
-	},
-	"outage": func(h *history, random *rand.Rand, _ string) {
-		h.injectStoreFaults(random, standin.StoreFaults{Outage: true})
-	},
-	"answers lost": func(h *history, random *rand.Rand, _ string) {
-		h.injectStoreFaults(random, standin.StoreFaults{LoseEvery: 2, DelayMilliseconds: 5})
-	},
-	"restarted": func(h *history, _ *rand.Rand, vm string) { h.restart(vm, noFaults) },
-	"restarted slow": func(h *history, _ *rand.Rand, vm string) {
-		h.restart(vm, func(g *faultyStore) { g.slow = 60 * time.Millisecond })
-	},
-	"released, then cut off": func(h *history, random *rand.Rand, vm string) {
-		h.restartUnregistered(random, vm)
-		h.process(vm).store.set(func(g *faultyStore) { g.cut = false })
-	},
-	"released, then cut off, peer restarted": func(h *history, random *rand.Rand, vm string) {
-		h.restartUnregistered(random, vm)
-		h.restart(h.peerOf(vm), noFaults)
-		h.pause(random)
-		h.process(vm).store.set(func(g *faultyStore) { g.cut = false })
-	},
-}
-
-func (h *history) pause(random *rand.Rand) {
-	time.Sleep(time.Duration(30+random.IntN(90)) * time.Millisecond)
-}
-
-func (h *history) injectFault(random *rand.Rand, vm string, begin, end func(g *faultyStore)) {
-	g := h.process(vm).store
-	g.set(begin)
-	h.pause(random)
-	g.set(end)
-}
-
-func (h *history) injectStoreFaults(random *rand.Rand, faults standin.StoreFaults) {
-	h.store.SetFaults(faults)
-	h.pause(random)
-	h.store.SetFaults(standin.StoreFaults{})
-}
-
-func (h *history) restart(vm string, prepare func(g *faultyStore)) {
-	h.locks[vm].Lock()
-	defer h.locks[vm].Unlock()
-	old := h.process(vm)
-	old.kill()
-	h.start(vm, old.FailureDomain, prepare)
-}
-
-// restartUnregistered kills the process of a VM, releases the VM and starts a new process
-// that can reach its peer, but not the store.
-func (h *history) restartUnregistered(random *rand.Rand, vm string) {
-	h.locks[vm].Lock()
-	old := h.process(vm)
-	old.kill()
-	ctx, cancel := context.WithTimeout(h.t.Context(), time.Second)
-	released := h.process(h.peerOf(vm)).Release(ctx, vm, "operator")
-	cancel()
-	h.start(vm, old.FailureDomain, func(g *faultyStore) { g.cut = true })
-	h.locks[vm].Unlock()
-	for range 100 {
-		if h.process(vm).Ready() {
-			break
-		}
-		time.Sleep(time.Millisecond)
-	}
-	h.pause(random)
-	h.pause(random)
-	if released == nil && h.process(vm).Ready() {
-		h.mu.Lock()
-		h.counts["permitted"]++
-		h.mu.Unlock()
-	}
-}
-
-// peerOf returns the other VM of the failure domain.
-func (h *history) peerOf(vm string) string {
-	return vm[:1] + map[string]string{"1": "2", "2": "1"}[vm[1:]]
-}
-
 func newHistory(t *testing.T) *history {
 	h := &history{fleet: newFleet(t, fastClock(t, 10), "curepipe", "phoenix"), started: time.Now(), value: 1}
 	h.locks, h.counts = map[string]*sync.RWMutex{}, map[string]int{}
@@ -380,19 +209,6 @@
 	running.Wait()
 }
 
-// schedule returns the names of the faults, each several times, in random order.
-func schedule(random *rand.Rand) []string {
-	var names []string
-	for name := range faults {
-		for range historyRounds {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names
-}
-
 // TestHistory checks that a change is applied once, on the revision that the operator read,
 // and that no process serves an older value after an acceptance, while processes are cut
 // off, frozen, slowed or restarted, store answers are lost and watch events are skipped.
@@ -419,50 +235,3 @@
 		t.Errorf("the history is %s", verdict)
 	}
 }
-
-// staleRead returns a read that is older than a value accepted before it began. For such
-// a history the linearizability checker may take very long; this search is fast.
-func staleRead(steps []porcupine.Operation) (porcupine.Operation, bool) {
-	positions := committedPositions(steps)
-	steps = slices.Clone(steps)
-	slices.SortFunc(steps, func(a, b porcupine.Operation) int { return cmp.Compare(effectiveTime(a), effectiveTime(b)) })
-	floor := map[string]int{}
-	for _, o := range steps {
-		s := o.Input.(step)
-		position, known := positions[s.organisation][s.value]
-		switch {
-		case s.kind == stepAccept:
-			floor[s.organisation] = max(floor[s.organisation], position)
-		case s.kind == stepRead && known && position < floor[s.organisation]:
-			return o, true
-		}
-	}
-	return porcupine.Operation{}, false
-}
-
-// effectiveTime returns when an acceptance is known or when a read begins.
-func effectiveTime(o porcupine.Operation) int64 {
-	if o.Input.(step).kind == stepAccept {
-		return o.Return
-	}
-	return o.Call
-}
-
-// committedPositions returns the index of each value in the sequence of commits of its
-// organisation.
-func committedPositions(steps []porcupine.Operation) map[string]map[int]int {
-	next := map[step]int{}
-	for _, o := range steps {
-		if s := o.Input.(step); s.kind == stepCommit {
-			next[step{organisation: s.organisation, base: s.base}] = s.value
-		}
-	}
-	positions := map[string]map[int]int{}
-	for _, organisation := range historyOrganisations {
-		positions[organisation] = map[int]int{}
-		for value := 1; value != 0; value = next[step{organisation: organisation, base: value}] {
-			positions[organisation][value] = len(positions[organisation])
-		}
-	}
-	return positions
-}
