scheduler: log the answer of a cell's last holder only when it changes

Why: docs/OPERATIONS.md promises bounded output, but each query of the last holder wrote a line.

Change: the line is written when the holder, held or whether the query failed differs from the last answer for the cell. Moved with its query to holderquery.go. The same answer of the same run of a holder isn't written again, even if it comes much later.

Before: go test . -run TestQueryHolderLog fails in all eight cases (20 lines for 20 equal answers, want 1). After: go test -race . passes. What queryHolder returns is unchanged, and the test checks it.

--- a/scheduler.go
+++ b/scheduler.go
@@ -57,6 +57,7 @@
 	intake         *acceptor.Intake
 	prober         *prober.Prober
 	peerClient     *relayer.Client
+	holderAnswers  answerLog
 	peerServer     *grpc.Server
 	peerListener   net.Listener
 	store          *platform.Store
@@ -131,14 +132,6 @@
 	}
 }
 
-// queryHolder reports whether another process still holds a cell, by asking that
-// process.
-func (s *Scheduler) queryHolder(ctx context.Context, holder claimer.Holder, cell string) bool {
-	status, err := s.peerClient.PeerStatus(ctx, holder.Address, cell)
-	klog.InfoS("Queried the last holder of a cell", "cell", cell, "holder", holder.Process, "held", status.Holds, "err", err)
-	return status.Holds
-}
-
 // Ready reports whether the process accepts calls.
 func (s *Scheduler) Ready() bool {
 	_, known := s.configurations.Configuration()
