dispatcher: a run that a restarted worker may have accepted is not lost

When the registry told of a worker's restart, the holder gave up all runs whose start the worker had accepted, also those that the restarted worker had accepted, and started their tasks elsewhere.

Change: only a run that a listing of the worker has shown counts as lost with the restart. The others are stopped at the restarted worker first.

go test ./dispatcher -run TestRunAcceptedAfterRestart before: "runs more than once at a time", 2 tasks; after: passes.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -37,7 +37,6 @@
 	}
 	switch answer {
 	case AnswerAccepted:
-		r.observed = true
 		if r.phase == phaseSent {
 			r.phase = phaseConfirmed
 		}
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -74,7 +74,8 @@
 			c.markLost(now, r, "worker started anew")
 			continue
 		}
-		// The start may still arrive: the restarted worker first has to refuse it.
+		// The restarted worker may have accepted the start, or may still get it: it first
+		// has to stop or refuse it.
 		r.phase = phaseUnknown
 		r.stopAcceptedAt = time.Time{}
 		c.stop(r)
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -25,7 +25,7 @@
 	number int64
 	worker *worker
 	phase  runPhase
-	// observed is true once the worker has reported the run.
+	// observed is true once the worker has listed the run.
 	observed bool
 	// sentAt is when the start was sent, confirmedAt when it was confirmed.
 	sentAt, confirmedAt time.Time
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -108,3 +108,28 @@
 		t.Error(problem)
 	}
 }
+
+// TestRunAcceptedAfterRestart guards against two runs of a task at the same time: the
+// registry told of the restart of a worker after the restarted worker had accepted a
+// start, and the run counted as one from before.
+func TestRunAcceptedAfterRestart(t *testing.T) {
+	s := newSimulation(3)
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
+	for _, f := range s.workers {
+		f.reboot()
+	}
+	s.submit(plainJob(jobID, 2, 2*time.Second, 1))
+	s.execute(s.cell.Plan(s.now))
+	for _, f := range s.workers {
+		if len(f.running) > 0 {
+			s.register(f)
+		}
+	}
+	s.execute(s.cell.Plan(s.now))
+	s.runFor(5 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	for _, problem := range s.violations {
+		t.Error(problem)
+	}
+}
