dispatcher: a crashed worker doesn't keep a cell from becoming active

A stored worker counted for the majority that a holder needs until it had left by draining. Once half of the stored workers had crashed and left the registry, no holder could become active or forget them.

Ruled out: not counting workers that merely don't answer, since the earlier holder may still reach these.

--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -43,7 +43,7 @@
 // Confirmed reports whether a majority of the workers has recently accepted an order
 // of this epoch, so that no other holder can have become active.
 func (c *Cell) Confirmed(now time.Time) bool {
-	return c.active && c.majority(func(w *worker) bool {
+	return c.active && c.majority(now, func(w *worker) bool {
 		return w.epochAccepted && now.Sub(w.answeredAt) < c.Limits.MaxConfirmationAge
 	})
 }
@@ -53,9 +53,9 @@
 func (c *Cell) activate(now time.Time) {
 	known := false
 	for _, w := range c.workers {
-		known = known || w.isVoter()
+		known = known || w.isVoter(now)
 	}
-	if !c.active && known && c.majority(func(w *worker) bool { return w.epochAccepted }) {
+	if !c.active && known && c.majority(now, func(w *worker) bool { return w.epochAccepted }) {
 		c.active = true
 		c.activeAt = now
 		c.record(recorder.Event{Kind: KindCell, Detail: "active"})
@@ -64,10 +64,10 @@
 
 // majority reports whether the number of workers that meet a condition exceeds half
 // the number of voters.
-func (c *Cell) majority(met func(*worker) bool) bool {
+func (c *Cell) majority(now time.Time, met func(*worker) bool) bool {
 	voters, matching := 0, 0
 	for _, w := range c.workers {
-		if w.isVoter() {
+		if w.isVoter(now) {
 			voters++
 		}
 		if met(w) {
@@ -78,8 +78,10 @@
 }
 
 // isVoter reports whether the worker counts towards the size of a majority: it is
-// registered, or an earlier holder may have used it.
-func (w *worker) isVoter() bool { return w.registered || w.restored && !w.hasLeft() }
+// registered, or an earlier holder may have used it and it may still exist.
+func (w *worker) isVoter(now time.Time) bool {
+	return w.registered || w.restored && !w.hasLeft() && !w.crashed(now)
+}
 
 // mayHaveRun reports whether an earlier holder may have started a task on a worker that
 // hasn't answered this holder yet, so that a run of the task may be active there or be
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -230,6 +230,10 @@
 	return !w.registered && now.Sub(w.absentSince) >= registrationGrace
 }
 
+// crashed reports whether the worker is gone according to the registry and nothing
+// listens at its address. A worker that is only cut off doesn't refuse connections.
+func (w *worker) crashed(now time.Time) bool { return w.connectionRefused && w.gone(now) }
+
 // hasLabel reports whether the worker has a label. Every worker has the empty label.
 func (w *worker) hasLabel(label string) bool { return label == "" || w.registration.HasLabel(label) }
 
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -133,3 +133,23 @@
 		t.Error(problem)
 	}
 }
+
+// TestActiveDespiteCrashedWorkers guards against a cell that never becomes active: half of
+// the workers that an earlier holder used had crashed and left the registry (soak, seed
+// 1045).
+func TestActiveDespiteCrashedWorkers(t *testing.T) {
+	s := newSimulation(4)
+	s.changeHolder(s.workers...)
+	s.submit(plainJob(jobID, 2, time.Second, 1))
+	s.runFor(200 * time.Millisecond)
+	for _, f := range s.workers[:2] {
+		f.reboot()
+		f.closed = true
+	}
+	s.changeHolder(s.workers[2:]...)
+	s.runFor(15 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	for _, problem := range s.violations {
+		t.Error(problem)
+	}
+}
