dispatcher: placing tasks computes what is common to all tasks once

Cause: each plan tested for each waiting task of a restored job whether any worker hasn't answered yet (tasks times workers), whether each worker is healthy, and summed the loads of each worker for each best-effort step without a place.

A planning pass now holds the healthy workers, whether restored tasks wait, and the remaining headrooms of each worker until its runs change. Run numbers are taken only by runs that start; a failed attempt used one of 2^20 before. TestPlanningPass compares the choices with those without a pass. The benchmark's cell is now one that a new holder has taken over.

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -7,29 +7,41 @@
 
 // selectWorker returns the usable worker with the highest score for a task, or nil.
 func (c *Cell) selectWorker(now time.Time, t *task) *worker {
-	var best *worker
-	var bestScore float64
+	if c.pass != nil {
+		return c.selectHealthyWorker(now, t)
+	}
+	var best choice
 	for _, w := range c.workers {
-		if !c.usable(now, w, t) {
-			continue
+		if c.usable(now, w, t) {
+			c.consider(now, &best, w, t)
 		}
-		score := scoreWorker(w, t)
-		if t.step.step.BestEffort {
-			interference := c.interference(w, t.step.step)
-			if math.IsInf(interference, 1) {
-				if !t.starved(now) {
-					continue
-				}
-				interference = starvedInterference
+	}
+	return best.worker
+}
+
+// choice is the best worker found for a task so far.
+type choice struct {
+	worker *worker
+	score  float64
+}
+
+// consider replaces the choice for a task by a usable worker if that one scores higher.
+func (c *Cell) consider(now time.Time, best *choice, w *worker, t *task) {
+	score := scoreWorker(w, t)
+	if t.step.step.BestEffort {
+		interference := c.interference(w, t.step.step)
+		if math.IsInf(interference, 1) {
+			if !t.starved(now) {
+				return
 			}
-			score += weightInterference * interference
-		}
-		if best == nil || score > bestScore ||
-			score == bestScore && w.registration.ID < best.registration.ID {
-			best, bestScore = w, score
+			interference = starvedInterference
 		}
+		score += weightInterference * interference
+	}
+	if best.worker == nil || score > best.score ||
+		score == best.score && w.registration.ID < best.worker.registration.ID {
+		best.worker, best.score = w, score
 	}
-	return best
 }
 
 const (
@@ -62,16 +74,18 @@
 
 // usable reports whether a task may start on a worker now.
 func (c *Cell) usable(now time.Time, w *worker, t *task) bool {
-	step := t.step.step
+	return c.healthy(now, w) && !now.Before(w.fullUntil) && w.accepts(now, t)
+}
+
+// accepts reports whether a task may start on a worker to which starts may be sent.
+func (w *worker) accepts(now time.Time, t *task) bool {
 	switch {
-	case !c.healthy(now, w) || now.Before(w.fullUntil):
+	case !w.fits(t.step.step, t.requiredIdleShare(now)):
 		return false
 	case t.movedFrom == w.registration.ID && now.Sub(t.movedAt) < returnDelay:
 		return false
 	case w.reservedFor != nil && w.reservedFor != t:
 		return false
-	case !w.fits(step, t.requiredIdleShare(now)):
-		return false
 	}
 	return w.eligible(t)
 }
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -113,6 +113,8 @@
 	// pendingPart is the part of a job that is being delegated to another cell, until
 	// it is stored.
 	pendingPart *Part
+	// pass is the planning pass while the ready tasks are placed, else nil.
+	pass *planningPass
 	// storing is true while a batch is being written to the store.
 	storing bool
 }
--- /dev/null
+++ b/dispatcher/export_test.go
@@ -0,0 +1,44 @@
+package dispatcher
+
+import (
+	"math"
+	"time"
+)
+
+// PlaceAndCompare places the ready tasks as Plan does. It returns the tasks for which
+// the choice within a planning pass differs from the choice without one.
+func PlaceAndCompare(c *Cell, now time.Time) (placed int, differing []TaskID) {
+	pass := c.newPlanningPass(now)
+	defer func() { c.pass = nil }()
+	for _, t := range c.ready {
+		if len(t.runs) > 0 {
+			continue
+		}
+		c.pass = nil
+		waits, w := c.mayHaveRun(now, t), c.selectWorker(now, t)
+		c.pass = pass
+		if c.mayHaveRun(now, t) != waits || !c.equallyGood(now, t, w, c.selectWorker(now, t)) {
+			differing = append(differing, t.id)
+		}
+		if !waits {
+			placed += len(c.place(now, t))
+		}
+	}
+	return placed, differing
+}
+
+// equallyGood reports whether two choices are the same worker, or workers whose scores
+// differ only by the order in which loads were summed.
+func (c *Cell) equallyGood(now time.Time, t *task, a, b *worker) bool {
+	if a == b {
+		return true
+	}
+	if a == nil || b == nil {
+		return false
+	}
+	const rounding = 1e-9
+	var choiceA, choiceB choice
+	c.consider(now, &choiceA, a, t)
+	c.consider(now, &choiceB, b, t)
+	return math.Abs(choiceA.score-choiceB.score) < rounding
+}
--- a/dispatcher/interference.go
+++ b/dispatcher/interference.go
@@ -111,32 +111,6 @@
 // the task's own load rises.
 const maxInterference = 0.7
 
-// interference returns the greatest share of the remaining headroom of any
-// long-running task on the worker that a best-effort task would take. It is infinite
-// if that share would reach maxInterference.
-func (c *Cell) interference(w *worker, step *Step) float64 {
-	if w.servingRuns == 0 {
-		return 0
-	}
-	loads := w.bestEffortLoads()
-	maxShare := 0.0
-	for _, r := range w.runs {
-		if r.task.step.step.TailTarget == 0 {
-			continue
-		}
-		image := r.task.step.step.Image
-		effect := w.processorShare(step.Size) * (c.headrooms.Effect(image, step.Image) + c.headrooms.EffectBound(image, step.Image)) / 2
-		headroom := c.remainingHeadroom(r, loads)
-		if effect > minEffect && effect >= maxInterference*headroom {
-			return math.Inf(1)
-		}
-		if headroom > 0 {
-			maxShare = math.Max(maxShare, effect/headroom)
-		}
-	}
-	return maxShare
-}
-
 // minEffect is the effect on the headroom up to which a best-effort task is ignored.
 const minEffect = 0.05
 
--- a/dispatcher/load_test.go
+++ b/dispatcher/load_test.go
@@ -26,8 +26,8 @@
 
 func (discard) Record(recorder.Event) recorder.Timestamp { return recorder.Timestamp{} }
 
-// loadedCell is a cell that has taken all capacity of its workers, with more ready
-// tasks than find a place. No run ends.
+// loadedCell is a cell that a new holder has taken over. Its tasks take all capacity of
+// its workers, and more are ready than find a place. No run ends.
 type loadedCell struct {
 	*simulation
 	listings []dispatcher.Listing
@@ -36,6 +36,16 @@
 
 func newLoadedCell() *loadedCell {
 	s := newSimulation(loadedWorkers)
+	s.submitLoad()
+	s.runFor(2 * time.Second)
+	s.changeHolder(s.workers...)
+	s.cell.Recorder = discard{}
+	s.runFor(500 * time.Millisecond)
+	return &loadedCell{simulation: s, listings: s.servingListings()}
+}
+
+// submitLoad starts a holder and submits the jobs that take all capacity of the workers.
+func (s *simulation) submitLoad() {
 	images := []string{"camera", "sorter", "index"}
 	for i, f := range s.workers {
 		f.registration.Capacity = dispatcher.Size{MilliProcessors: loadedMilliCapacity, Megabytes: 64000}
@@ -50,8 +60,12 @@
 		s.submit(loadJob(3*i+1, i, shortPerStep, dispatcher.Step{}))
 		s.submit(loadJob(3*i+2, i, bestEffortPerStep, dispatcher.Step{BestEffort: true, Checkpoints: true, Image: images[i%2]}))
 	}
-	s.runFor(2 * time.Second)
-	l := &loadedCell{simulation: s}
+}
+
+// servingListings returns the listings of all workers, with the usage of runs that have
+// begun.
+func (s *simulation) servingListings() []dispatcher.Listing {
+	var listings []dispatcher.Listing
 	for _, f := range s.workers {
 		order, _ := s.cell.NextPoll(s.now, f.registration.ID)
 		listing, _ := f.poll(order)
@@ -62,9 +76,9 @@
 				row.Usage = 12
 			}
 		}
-		l.listings = append(l.listings, listing)
+		listings = append(listings, listing)
 	}
-	return l
+	return listings
 }
 
 // loadJob returns a job of two steps whose tasks don't end during a benchmark.
@@ -113,6 +127,31 @@
 	t.Logf("%d runs, %d ready tasks", running, total-running)
 }
 
+// TestPlanningPass compares the choices of a planning pass with those without one, while
+// an empty cell fills up and while a full one learns from reports.
+func TestPlanningPass(t *testing.T) {
+	s := newSimulation(loadedWorkers)
+	s.submitLoad()
+	s.save()
+	s.pollAll()
+	placed, differing := dispatcher.PlaceAndCompare(s.cell, s.now)
+	if placed == 0 || len(differing) > 0 {
+		t.Errorf("new cell: %d tasks placed, choices differ for %v", placed, differing)
+	}
+	l := newLoadedCell()
+	for range 3 * loadedWorkers {
+		l.answerPoll()
+	}
+	for _, f := range l.workers[:loadedWorkers/3] {
+		f.registration.Capacity = f.registration.Capacity.Plus(f.registration.Capacity)
+		l.register(f)
+	}
+	placed, differing = dispatcher.PlaceAndCompare(l.cell, l.now)
+	if placed == 0 || len(differing) > 0 {
+		t.Errorf("cell with reports: %d tasks placed, choices differ for %v", placed, differing)
+	}
+}
+
 func BenchmarkPollAnswer(b *testing.B) {
 	l := newLoadedCell()
 	for b.Loop() {
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -112,6 +112,7 @@
 	}
 	delete(w.runs, key)
 	w.addUsage(r.task.step.step, -1)
+	c.pass.runsChanged(w)
 	if r.checkpoint != "" {
 		r.task.checkpoint = r.checkpoint
 	}
@@ -125,6 +126,7 @@
 	r := &run{task: t, number: number, worker: w, phase: phase, sentAt: now, confirmedAt: now, throttle: fullPercent}
 	w.runs[runKey{task: t.id, run: number}] = r
 	w.addUsage(t.step.step, 1)
+	c.pass.runsChanged(w)
 	t.runs = append(t.runs, r)
 	t.job().started = true
 	t.job().running++
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -82,6 +82,8 @@
 	for _, w := range c.workers {
 		w.reservedFor = nil
 	}
+	c.pass = c.newPlanningPass(now)
+	defer func() { c.pass = nil }()
 	var orders []StartOrder
 	var unplacedTasks unplaced
 	reserved := false
@@ -177,8 +179,7 @@
 			}
 		}
 	}
-	c.lastRun++
-	number := c.Epoch*maxRunsPerEpoch + c.lastRun
+	number := c.Epoch*maxRunsPerEpoch + c.lastRun + 1
 	var started []*run
 	for _, member := range members {
 		w := c.selectWorker(now, member)
@@ -192,6 +193,7 @@
 		r.throttleAccepted = true
 		started = append(started, r)
 	}
+	c.lastRun++
 	checkpoint := t.checkpoint
 	orders := make([]StartOrder, len(started))
 	for i, r := range started {
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -90,16 +90,28 @@
 	if !t.job().restored {
 		return false
 	}
+	waits, longRunningWaits := c.unansweredWorkers(now)
+	if t.step.step.LongRunning {
+		return longRunningWaits
+	}
+	return waits
+}
+
+// unansweredWorkers reports whether a task of a restored job, and whether a long-running
+// one, has to wait for the answer of a worker that an earlier holder used.
+func (c *Cell) unansweredWorkers(now time.Time) (waits, longRunningWaits bool) {
+	if c.pass != nil {
+		return c.pass.waits, c.pass.longRunningWaits
+	}
 	expired := now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
 		if w.epochAccepted || !w.restored || w.hasLeft() {
 			continue
 		}
-		if !expired || !t.step.step.LongRunning && !w.gone(now) {
-			return true
-		}
+		longRunningWaits = longRunningWaits || !expired
+		waits = waits || !expired || !w.gone(now)
 	}
-	return false
+	return waits, longRunningWaits
 }
 
 // earlierLeasesEnd returns when all leases that earlier holders granted have certainly
