dispatcher: an unreachable worker holds up no job accepted after the takeover

What callers would see: jobs of a failure domain stay queued. All jobs reach a cell marked as possibly started by an earlier holder, also those accepted long after the holder took over.

Jobs from before still do.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -21,6 +21,9 @@
 	// expired.
 	leaseExpiryMargin = 50 * time.Millisecond
 
+	// maxClockDifference is how far the times of day of two VMs may differ.
+	maxClockDifference = 3 * time.Second
+
 	// maxRunsPerEpoch is how many run numbers are available under each epoch.
 	maxRunsPerEpoch = 1 << 20
 
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -87,7 +87,8 @@
 // hasn't answered this holder yet, so that a run of the task may be active there or be
 // done.
 func (c *Cell) mayHaveRun(now time.Time, t *task) bool {
-	if !t.job().restored {
+	j := t.job()
+	if !j.restored || j.job.Accepted.After(c.earlierStartsEnd()) {
 		return false
 	}
 	waits, longRunningWaits := c.unansweredWorkers(now)
@@ -114,6 +115,12 @@
 	return waits, longRunningWaits
 }
 
+// earlierStartsEnd returns the time of day after which no earlier holder can have started
+// a task. It includes the difference between the clocks of two VMs.
+func (c *Cell) earlierStartsEnd() time.Time {
+	return c.activeAt.Add(c.Limits.MaxConfirmationAge + maxClockDifference)
+}
+
 // earlierLeasesEnd returns when all leases that earlier holders granted have certainly
 // expired.
 func (c *Cell) earlierLeasesEnd() time.Time {
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -287,14 +287,17 @@
 	s.cell.RemoveWorker(s.now, f.registration.ID)
 }
 
-// submit adds an accepted job.
-func (s *simulation) submit(job dispatcher.Job) {
+// submit adds an accepted job that no earlier holder can have started.
+func (s *simulation) submit(job dispatcher.Job) { s.add(job, false) }
+
+// add adds an accepted job. restored is true if an earlier holder may have started it.
+func (s *simulation) add(job dispatcher.Job, restored bool) {
 	job.Queue.Service = testService
 	job.Occurrences = max(job.Occurrences, 1)
 	job.Accepted = s.now
 	s.jobs[job.ID] = job
 	s.archive.jobs[job.ID] = job
-	s.cell.AddJob(s.now, job, nil, false)
+	s.cell.AddJob(s.now, job, nil, restored)
 }
 
 // pollAll polls every reachable worker.
