dispatcher: a task doesn't wait for a worker that restarted and is gone

What callers would see: a job that never completes (found in the review). After the restart of a worker a run whose start may still arrive waits for the worker's answer. If the worker left the registry before it answered, the run was never given up: the worker had no lease that could expire.

--- a/dispatcher/liveness_test.go
+++ b/dispatcher/liveness_test.go
@@ -21,3 +21,26 @@
 	s.runFor(2 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
 }
+
+// TestRestartedWorkerThatIsGone guards against a task that waits forever: the worker of
+// its run restarted and then left the registry before it answered.
+func TestRestartedWorkerThatIsGone(t *testing.T) {
+	s := newSimulation(3)
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
+	s.nextFate = func() startFate { return fateLost }
+	s.submit(plainJob(jobID, 3, time.Second, 1))
+	s.step(50 * time.Millisecond)
+	s.nextFate = func() startFate { return fateAccepted }
+	f := s.workers[0]
+	f.reachable = false
+	f.reboot()
+	s.register(f)
+	s.runFor(500 * time.Millisecond)
+	s.unregister(f)
+	s.runFor(20 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	for _, problem := range s.violations {
+		t.Error(problem)
+	}
+}
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -13,6 +13,8 @@
 		switch {
 		case w.hasLeft():
 			c.markAllLost(now, w, "worker has left")
+		case !w.epochAccepted && w.gone(now):
+			c.markAllLost(now, w, "worker is gone")
 		case w.epochAccepted && w.leaseExpired(now):
 			c.handleExpiredLease(now, w)
 		}
