dispatcher: a late answer doesn't hide newer polls that went unanswered

Ends are acknowledged only if the last poll was answered, since the worker may have restarted. An answer from before the restart that was handled after newer polls had failed counted as the last one.

Change: answered and unanswered polls are ordered by the time they were sent.

go test ./dispatcher -run TestLateAnswerFromBeforeRestart before: "starts again after its end was acknowledged", 3 tasks; after: passes.

--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -21,7 +21,7 @@
 		return PollOrder{}, false
 	}
 	order := PollOrder{Worker: w.registration, Epoch: c.Epoch}
-	if w.answered {
+	if w.answeredAt.After(w.unansweredAt) {
 		order.Acknowledged = w.acknowledgedEnd
 	}
 	if w.epochAccepted && c.Confirmed(now) && now.Sub(w.answeredAt) < unresponsiveTimeout {
@@ -138,8 +138,10 @@
 		c.superseded = true
 	}
 	w.connectionRefused = answer == AnswerConnectionRefused || w.connectionRefused && answer != AnswerAccepted
-	w.answered = answer == AnswerAccepted
-	if !w.answered {
+	if answer != AnswerAccepted {
+		if sent.After(w.unansweredAt) {
+			w.unansweredAt = sent
+		}
 		return
 	}
 	if listing.Boot != 0 && w.boot != 0 && listing.Boot != w.boot {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -155,10 +155,10 @@
 	leaseEnd time.Duration
 	// epochAccepted is true if the worker has accepted this holder's epoch.
 	epochAccepted bool
-	// answered is true if the last poll whose outcome is known was answered.
-	answered bool
 	// answeredAt is when the newest answered poll was sent.
 	answeredAt time.Time
+	// unansweredAt is when the newest unanswered poll was sent.
+	unansweredAt time.Time
 	// connectionRefused is true if the worker's address has refused a connection since
 	// the worker last answered.
 	connectionRefused bool
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -153,3 +153,32 @@
 		t.Error(problem)
 	}
 }
+
+// TestLateAnswerFromBeforeRestart guards against the second run of a task whose end was
+// acknowledged unread: a late answer from before a restart hid that newer polls had gone
+// unanswered.
+func TestLateAnswerFromBeforeRestart(t *testing.T) {
+	s := newSimulation(1)
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
+	s.submit(plainJob(otherID, 3, 200*time.Millisecond, 1))
+	s.runFor(time.Second)
+	requireState(t, s, otherID, dispatcher.StateCompleted)
+	f := s.workers[0]
+	order, _ := s.cell.NextPoll(s.now, f.registration.ID)
+	sent := s.now
+	late, answer := f.poll(order)
+	f.answersLost = true
+	s.runFor(100 * time.Millisecond)
+	f.reboot()
+	s.submit(plainJob(jobID, 3, 200*time.Millisecond, 1))
+	s.runFor(900 * time.Millisecond)
+	s.cell.HandlePollAnswer(s.now, sent, order, late, answer)
+	s.runFor(200 * time.Millisecond)
+	f.answersLost = false
+	s.runFor(9 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	for _, problem := range s.violations {
+		t.Error(problem)
+	}
+}
