dispatcher: a run that isn't listed may be among ends that weren't listed

A worker lists at most 500 ends at a time. With more, e.g. while the store is away and nothing can be acknowledged, a run could be neither listed as active nor as ended; after two polls the holder started its task again.

Change: the adapter tells when a listing may lack ends, and the holder then concludes nothing from runs that aren't listed.

--- a/dispatcher/fakeworker_test.go
+++ b/dispatcher/fakeworker_test.go
@@ -89,6 +89,10 @@
 		return false
 	})
 	listing := dispatcher.Listing{Clock: w.clock(), Boot: w.bootedAt.UnixMilli(), Ended: slices.Clone(w.ended)}
+	if w.maxListedEnds > 0 && len(listing.Ended) >= w.maxListedEnds {
+		listing.Ended = listing.Ended[:w.maxListedEnds]
+		listing.MoreEnds = true
+	}
 	for _, id := range slices.SortedFunc(maps.Keys(w.running), compareIDs) {
 		listing.Running = append(listing.Running, dispatcher.RunningRow{Task: id, Run: w.running[id].number})
 	}
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -163,7 +163,7 @@
 		w.answeredAt = sent
 	}
 	c.handleEnds(now, w, listing.Ended)
-	c.handleRunning(now, sent, w, listing.Running)
+	c.handleRunning(now, sent, w, listing)
 	c.observeTails(now, w)
 	c.activate(now)
 }
@@ -314,9 +314,9 @@
 
 // handleRunning applies the running rows of a listing: it updates known runs, adopts
 // runs of an earlier holder and handles runs that are missing.
-func (c *Cell) handleRunning(now, sent time.Time, w *worker, rows []RunningRow) {
-	listed := make(map[runKey]bool, len(rows))
-	for _, row := range rows {
+func (c *Cell) handleRunning(now, sent time.Time, w *worker, listing Listing) {
+	listed := make(map[runKey]bool, len(listing.Running))
+	for _, row := range listing.Running {
 		key := runKey{task: row.Task, run: row.Run}
 		listed[key] = true
 		r := w.runs[key]
@@ -328,6 +328,9 @@
 			r.update(now, row)
 		}
 	}
+	if listing.MoreEnds {
+		return // a run that isn't listed may be among the ends that follow
+	}
 	for _, r := range w.sortedRuns() {
 		if !listed[runKey{task: r.task.id, run: r.number}] {
 			c.handleUnlisted(now, sent, r)
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -125,6 +125,8 @@
 	ended        []dispatcher.EndedRow
 	endCount     int64
 	reachable    bool
+	// maxListedEnds is the number of ends that a listing contains at most; 0 is no limit.
+	maxListedEnds int
 	// answersLost makes the worker execute polls whose answers are lost.
 	answersLost bool
 	// closed makes the worker's address refuse connections.
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -182,3 +182,23 @@
 		t.Error(problem)
 	}
 }
+
+// TestEndsBeyondListing guards against the second run of a task whose end was not in the
+// listing: a worker lists a limited number of ends at a time.
+func TestEndsBeyondListing(t *testing.T) {
+	s := newSimulation(1)
+	s.workers[0].maxListedEnds = 500
+	s.workers[0].registration.Capacity = dispatcher.Size{MilliProcessors: 400000, Megabytes: 4000000}
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
+	s.submit(plainJob(jobID, 300, 200*time.Millisecond, 2))
+	s.step(50 * time.Millisecond)
+	s.storeDown = true
+	s.runFor(4 * time.Second)
+	s.storeDown = false
+	s.runFor(5 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	if len(s.violations) > 0 {
+		t.Errorf("%d violations, the first: %s", len(s.violations), s.violations[0])
+	}
+}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -96,6 +96,8 @@
 	// Running are the worker's current runs, Ended the ends that aren't acknowledged.
 	Running []RunningRow
 	Ended   []EndedRow
+	// MoreEnds is true if the worker may have more ends than Ended contains.
+	MoreEnds bool
 }
 
 // Answer is a worker's answer to an order.
