owner: TestCancellationWave holds its session while it counts writes

Callers saw nothing. The test was red once with "13 writes of the store", 12 allowed.

These writes are of takeovers, not of the wave that the test bounds.

Change: the session of this test lasts longer than the test can, and the test fails if the cell was taken again (epoch other than 1). The bound stays at 12. Stricter: a takeover used to be allowed up to the bound and is now a failure.

--- a/owner/fault_test.go
+++ b/owner/fault_test.go
@@ -395,11 +395,15 @@
 }
 
 // TestCancellationWave cancels a job of 4,000 tasks of which 16 run. The number of calls
-// to the workers and the store must stay bounded.
+// to the workers and the store must stay bounded. The session outlasts the test, so that
+// every write counted is one of the wave and none is of a takeover of the cell.
 func TestCancellationWave(t *testing.T) {
 	t.Parallel()
 	env := newTestEnv(t, 4)
-	env.process("a", func(o *owner.Owner) { o.Renewal, o.TaskLease = time.Second, 20*time.Second })
+	env.process("a", func(o *owner.Owner) {
+		o.Renewal, o.TaskLease = time.Second, 20*time.Second
+		o.Session.(*keeper.Session).TTL = 10 * settleLimit
+	})
 	env.submit(submitter.Job{Name: "wave", Tasks: 4000, Work: time.Hour})
 	env.eventually("workers are full", func() bool { return len(env.ledger.Runs()) == 16 })
 	env.workers["w0"].SetFaults(standin.WorkerFaults{Frozen: true})
@@ -422,6 +426,9 @@
 	if got := env.store.Counts()["swap"] - swaps; got > 12 {
 		t.Errorf("%d writes of the store", got)
 	}
+	if got := env.epoch(); got != 1 {
+		t.Errorf("the cell was taken again, at epoch %d, though its session cannot have expired", got)
+	}
 	env.check()
 }
 
