soak: random faults on real processes, checked from what clients and workers see

TestSoak starts 3 to 5 real processes of 'zinniashore schedule' on the stand-ins and injects a seeded plan of faults, in series and overlapping. The stand-in of the worker records the history of runs, restarts, and loses or delays answers after it carried a call out; a proxy in the test delays, resets and silences connections.

--- a/cmd/zinniashore/platform_test.go
+++ b/cmd/zinniashore/platform_test.go
@@ -107,15 +107,21 @@
 	return d
 }
 
+// platformSettings returns the settings of a process with the given first port and
+// shutdown grace in seconds.
+func platformSettings(name, failureDomain string, ports, grace int, store string) string {
+	return fmt.Sprintf(`{"node":%q,"ip":"127.0.0.1","zone":%q,"zones":{"graz-a":"steiermark","graz-b":"steiermark"},`+
+		`"listen":{"frontend":"127.0.0.1:%d","readiness":"127.0.0.1:%d"},"port-range":[%d,%d],"heartbeat-ms":1500,`+
+		`"bounds":{"max-hold-ms":5000,"stop-timeout-ms":500,"early_ms":250,"status_s":120,"grace-s":%d},`+
+		`"platform":{"address":%q,"min-ttl-ms":500}}`, name, failureDomain, ports, ports+1, ports+2, ports+3, grace, store)
+}
+
 func (d *platformDeployment) start(name, store string) {
 	d.t.Helper()
 	if _, known := d.settings[name]; !known {
 		ports := freePorts(d.t)
 		callers := fmt.Sprintf("127.0.0.1:%d", ports)
-		settings := fmt.Sprintf(`{"node":%q,"ip":"127.0.0.1","zone":"graz-a","zones":{"graz-a":"steiermark"},`+
-			`"listen":{"frontend":%q,"readiness":"127.0.0.1:%d"},"port-range":[%d,%d],"heartbeat-ms":1500,`+
-			`"bounds":{"max-hold-ms":5000,"stop-timeout-ms":500,"early_ms":250,"status_s":120,"grace-s":4},`+
-			`"platform":{"address":%q,"min-ttl-ms":500}}`, name, callers, ports+1, ports+2, ports+3, store)
+		settings := platformSettings(name, "graz-a", ports, 4, store)
 		file := filepath.Join(d.t.TempDir(), "settings.json")
 		if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 			d.t.Fatal(err)
--- /dev/null
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -0,0 +1,312 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"zinniashore.example/standin"
+)
+
+// soakFault is a planned fault.
+type soakFault struct {
+	at, length time.Duration
+	kind       string
+	// number selects what it hits, seeds its details.
+	number uint64
+	// variant selects the form of a fault of connections.
+	variant int
+}
+
+func (f soakFault) String() string {
+	return fmt.Sprintf("%.3fs for %s: %s (variant %d)", f.at.Seconds(), f.length.Round(time.Millisecond), f.kind, f.variant)
+}
+
+// soakKinds are the kinds of faults, with their weights.
+var soakKinds = []struct {
+	kind   string
+	weight int
+}{
+	{"kill a process", 3}, {"kill a holder", 4}, {"stop a process", 3}, {"freeze a process", 2}, {"freeze a holder", 3}, {"hang up", 1},
+	{"change the configuration", 1}, {"store unavailable", 3}, {"store loses answers", 2}, {"store refuses a process", 3},
+	{"link to the store", 4}, {"link to a worker", 3}, {"links to all workers", 2}, {"worker restarts", 4}, {"worker leaves", 2},
+	{"worker crashes", 2}, {"worker isn't registered", 2}, {"workers' answers", 5}, {"kill all processes", 1},
+}
+
+func newSoakPlan(seed uint64, length time.Duration, _ int) []soakFault {
+	rng := rand.New(rand.NewPCG(seed, 1<<32))
+	total := 0
+	for _, k := range soakKinds {
+		total += k.weight
+	}
+	// The processes have a second to start.
+	var plan []soakFault
+	for at := time.Second; at < length; at += time.Duration(rng.Int64N(int64(2 * soakFaultEvery))) {
+		f := soakFault{at: at, length: 300*time.Millisecond + time.Duration(rng.Int64N(int64(5*time.Second))), number: rng.Uint64(), variant: rng.IntN(8)}
+		choice := rng.IntN(total)
+		for _, k := range soakKinds {
+			if choice -= k.weight; choice < 0 {
+				f.kind = k.kind
+				break
+			}
+		}
+		plan = append(plan, f)
+	}
+	return plan
+}
+
+// form returns a fault of connections.
+func (f soakFault) form() *linkFault {
+	switch f.variant {
+	case 0:
+		return &linkFault{delay: time.Duration(50+f.number%1500) * time.Millisecond}
+	case 1:
+		return &linkFault{reset: true}
+	case 2:
+		return &linkFault{silentUp: true}
+	case 3:
+		return &linkFault{silentUp: true, drop: true}
+	case 4:
+		return &linkFault{silentDown: true}
+	case 5:
+		return &linkFault{silentDown: true, drop: true}
+	case 6:
+		return &linkFault{silentUp: true, silentDown: true}
+	}
+	return &linkFault{silentUp: true, silentDown: true, drop: true}
+}
+
+// holder returns the process that most recently used the highest epoch of the cell of a
+// process.
+func (s *soak) holder(p *soakProcess) *soakProcess {
+	epoch, name := int64(0), p.name
+	for _, e := range s.ledger.Events() {
+		s.mu.Lock()
+		domain := s.domains[e.Worker]
+		s.mu.Unlock()
+		if domain == p.domain && e.Epoch >= epoch && e.Caller != "" {
+			epoch, name = e.Epoch, strings.Split(e.Caller, "/")[0]
+		}
+	}
+	for _, other := range s.processes {
+		if other.name == name {
+			return other
+		}
+	}
+	return p
+}
+
+// inject carries out a fault and returns when it has ended.
+func (s *soak) inject(f soakFault) {
+	p := s.processes[f.number%uint64(len(s.processes))]
+	if strings.HasSuffix(f.kind, "a holder") {
+		p = s.holder(p)
+	}
+	if f.kind != "stop a process" && f.kind != "hang up" && f.kind != "change the configuration" {
+		span := &soakSpan{from: time.Now()}
+		s.mu.Lock()
+		s.faults = append(s.faults, span)
+		s.mu.Unlock()
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			span.to = time.Now()
+		}()
+	}
+	if s.injectProcess(f, p) || s.injectStore(f, p) {
+		return
+	}
+	s.injectWorker(f, p)
+}
+
+func (s *soak) injectProcess(f soakFault, p *soakProcess) bool {
+	switch f.kind {
+	case "kill a process", "kill a holder":
+		<-s.signal(p, syscall.SIGKILL)
+		time.Sleep(f.length * time.Duration(f.variant%2))
+		s.start(p)
+	case "kill all processes":
+		for _, each := range s.processes {
+			<-s.signal(each, syscall.SIGKILL)
+		}
+		time.Sleep(f.length / 2)
+		for _, each := range s.processes {
+			s.start(each)
+		}
+	case "stop a process":
+		select {
+		case <-s.signal(p, syscall.SIGTERM):
+		case <-time.After(soakGrace * time.Second):
+			<-s.signal(p, syscall.SIGKILL)
+		}
+		s.start(p)
+	case "freeze a process", "freeze a holder":
+		s.signal(p, syscall.SIGSTOP)
+		time.Sleep(f.length)
+		s.signal(p, syscall.SIGCONT)
+	case "hang up":
+		s.signal(p, syscall.SIGHUP)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *soak) injectStore(f soakFault, p *soakProcess) bool {
+	switch f.kind {
+	case "change the configuration":
+		s.mu.Lock()
+		s.version += 2
+		version := s.version
+		s.mu.Unlock()
+		text := strings.Replace(platformConfiguration, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1)
+		s.store.Put("op/config", []byte(strings.Replace(text, `"target-duration-ms":500`, fmt.Sprintf(`"target-duration-ms":%d`, 300+f.number%1000), 1)))
+	case "store unavailable":
+		s.storeOutage(f)
+	case "store loses answers":
+		s.setStore(standin.PlatformFaults{LoseEvery: 2 + f.variant%3})
+		time.Sleep(f.length)
+		s.setStore(standin.PlatformFaults{})
+	case "store refuses a process":
+		p.refused.Add(1)
+		time.Sleep(f.length)
+		p.refused.Add(-1)
+	case "link to the store":
+		fault := f.form()
+		p.store.begin(fault)
+		time.Sleep(f.length)
+		p.store.end(fault)
+	default:
+		return false
+	}
+	return true
+}
+
+// setStore sets faults of the store unless an outage, which prevails, is on.
+func (s *soak) setStore(faults standin.PlatformFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outages == 0 {
+		s.store.SetFaults(faults)
+	}
+}
+
+// storeOutage makes the store refuse all calls. In some outages it drops the workers,
+// which are back soon after its return.
+func (s *soak) storeOutage(f soakFault) {
+	s.mu.Lock()
+	s.outages++
+	s.store.SetFaults(standin.PlatformFaults{Refuse: true})
+	if f.variant%2 == 0 {
+		for _, w := range s.workers {
+			s.store.Remove("servers/" + w.id)
+		}
+	}
+	s.mu.Unlock()
+	time.Sleep(f.length)
+	s.mu.Lock()
+	s.outages--
+	if s.outages == 0 {
+		s.store.SetFaults(standin.PlatformFaults{})
+	}
+	workers := append([]*soakWorker(nil), s.workers...)
+	s.mu.Unlock()
+	time.Sleep(time.Duration(f.number % uint64(soakReappear)))
+	for _, w := range workers {
+		s.register(w)
+	}
+}
+
+// takeWorker returns a worker that neither leaves nor crashes; if last is set, it removes
+// it from those unless its domain needs it.
+func (s *soak) takeWorker(number uint64, leaves bool) *soakWorker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var staying []*soakWorker
+	count := map[string]int{}
+	for _, w := range s.workers {
+		if !w.draining {
+			staying = append(staying, w)
+			count[w.domain]++
+		}
+	}
+	sort.Slice(staying, func(i, j int) bool { return staying[i].id < staying[j].id })
+	w := staying[number%uint64(len(staying))]
+	if leaves {
+		if count[w.domain] < 3 {
+			return nil
+		}
+		w.draining = true
+	}
+	return w
+}
+
+func (s *soak) injectWorker(f soakFault, p *soakProcess) {
+	leaves := f.kind == "worker leaves" || f.kind == "worker crashes"
+	w := s.takeWorker(f.number>>8, leaves)
+	if w == nil {
+		return
+	}
+	switch f.kind {
+	case "link to a worker":
+		fault := f.form()
+		w.links[p.name].begin(fault)
+		time.Sleep(f.length)
+		w.links[p.name].end(fault)
+	case "links to all workers":
+		s.mu.Lock()
+		workers := append([]*soakWorker(nil), s.workers...)
+		s.mu.Unlock()
+		fault := f.form()
+		for _, each := range workers {
+			each.links[p.name].begin(fault)
+		}
+		time.Sleep(f.length)
+		for _, each := range workers {
+			each.links[p.name].end(fault)
+		}
+	case "worker restarts":
+		w.worker.SetDown(true)
+		w.worker.Restart()
+		time.Sleep(f.length / 4 * time.Duration(f.variant%3))
+		w.worker.Restart()
+		w.worker.SetDown(false)
+		s.register(w)
+	case "worker leaves":
+		s.register(w)
+		time.Sleep(soakDrain + f.length/4)
+		s.remove(w)
+		s.hide(w)
+		s.addWorker(w.domain, rand.New(rand.NewPCG(f.number, 0)))
+	case "worker crashes":
+		s.remove(w)
+		time.Sleep(3 * soakHeartbeat)
+		s.hide(w)
+		s.addWorker(w.domain, rand.New(rand.NewPCG(f.number, 0)))
+	case "worker isn't registered":
+		s.hide(w)
+		time.Sleep(f.length)
+		s.show(w)
+	case "workers' answers":
+		faults := standin.PlatformWorkerFaults{DelayEvery: 1 + f.variant%3, Delay: time.Duration(200+f.number%3000) * time.Millisecond}
+		if f.variant%2 == 0 {
+			faults = standin.PlatformWorkerFaults{DropEvery: 1 + f.variant%3}
+		}
+		w.worker.SetFaults(faults)
+		time.Sleep(f.length)
+		w.worker.SetFaults(standin.PlatformWorkerFaults{})
+	}
+}
+
+// remove ends a worker with everything that runs on it.
+func (s *soak) remove(w *soakWorker) {
+	s.mu.Lock()
+	w.gone = true
+	s.mu.Unlock()
+	w.worker.SetDown(true)
+	w.worker.Restart()
+	w.stop()
+}
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -59,6 +59,16 @@
 	s.notifyWatchers()
 }
 
+// Remove removes a key, as the platform itself does.
+func (s *PlatformStore) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.initAndExpire()
+	s.revision++
+	s.removeItem(key)
+	s.notifyWatchers()
+}
+
 // initAndExpire creates the maps on the first call and ends expired leases; the caller
 // holds the mutex.
 func (s *PlatformStore) initAndExpire() {
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -16,12 +16,29 @@
 type PlatformWorker struct {
 	// Length is the run time of a task.
 	Length time.Duration
+	// LengthOf, if set, returns the run time of a task in place of Length.
+	LengthOf func(task string) time.Duration
 	// LongRunning reports whether a task runs until it is stopped.
 	LongRunning func(task string) bool
+	// OutcomeOf, if set, returns how a run ends that isn't stopped, in place of done.
+	OutcomeOf func(task string, run int64) string
+	// ID, if set, is the id that calls have to name as the intended worker.
+	ID string
+	// MaxLease, if above 0, is the longest lease that is granted.
+	MaxLease time.Duration
+	// ClockRate is the rate of the worker's clock; 0 means 1.
+	ClockRate float64
+	// Caller, if set, names the process at the remote address of a call.
+	Caller func(remote string) string
 	// Ledger records the runs of all workers.
 	Ledger *PlatformLedger
 
 	mu             sync.Mutex
+	faults         PlatformWorkerFaults
+	calls          int
+	life           int
+	down           bool
+	lapsed         bool
 	booted         time.Time
 	epoch          int64
 	leaseUntil     int64
@@ -31,6 +48,18 @@
 	endCount       int64
 }
 
+// PlatformWorkerFaults are the faults that a PlatformWorker injects.
+type PlatformWorkerFaults struct {
+	// DropEvery loses the answer of every DropEvery-th call after the call was carried
+	// out, if above 0.
+	DropEvery int
+	// DelayEvery delays the answer of every DelayEvery-th call by Delay after the call was
+	// carried out, if above 0.
+	DelayEvery int
+	// Delay is the delay of these answers.
+	Delay time.Duration
+}
+
 type platformRun struct {
 	number  int64
 	endsAt  time.Time
@@ -44,9 +73,29 @@
 	outcome string
 }
 
+// PlatformEvent is something that happened on a worker.
+type PlatformEvent struct {
+	// Time is when it happened, on the test's clock.
+	Time time.Time
+	// Kind is start, end, acknowledged, lapsed (the lease of the worker) or restart.
+	Kind string
+	// Worker is the id of the worker, and Life counts its restarts.
+	Worker string
+	Life   int
+	// Task and Run name the run, if it is an event of a run.
+	Task string
+	Run  int64
+	// Outcome is how the run ended.
+	Outcome string
+	// Epoch and Caller are those of the call, if a call caused it.
+	Epoch  int64
+	Caller string
+}
+
 // PlatformLedger counts the runs of each task on all workers.
 type PlatformLedger struct {
 	mu       sync.Mutex
+	events   []PlatformEvent
 	running  map[string]int
 	done     map[string]int
 	problems []string
@@ -73,6 +122,19 @@
 	return l.running[task]
 }
 
+// Events returns what happened on all workers, in the order in which it was recorded.
+func (l *PlatformLedger) Events() []PlatformEvent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]PlatformEvent(nil), l.events...)
+}
+
+func (l *PlatformLedger) record(event PlatformEvent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = append(l.events, event)
+}
+
 func (l *PlatformLedger) startRun(task string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -104,6 +166,71 @@
 	Epoch    int64  `json:"fencing-token"`
 	LastSeen int64  `json:"last-seen"`
 	Wait     int64  `json:"wait-ms"`
+
+	caller string
+}
+
+// SetFaults replaces the faults.
+func (w *PlatformWorker) SetFaults(faults PlatformWorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = faults
+}
+
+// Restart ends all runs without a trace and forgets everything, as a restart under the
+// same id does.
+func (w *PlatformWorker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.boot()
+	w.endDueRuns()
+	for task, run := range w.runs {
+		w.Ledger.endRun(task, "crashed")
+		w.record(PlatformEvent{Time: time.Now(), Kind: "end", Task: task, Run: run.number, Outcome: "crashed"})
+	}
+	w.runs = nil
+	w.life++
+	w.record(PlatformEvent{Time: time.Now(), Kind: "restart"})
+	w.boot()
+}
+
+// SetDown makes the worker break off every call without carrying it out, or carry out
+// calls again.
+func (w *PlatformWorker) SetDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = down
+}
+
+// Born returns the time of the worker's start, in Unix milliseconds.
+func (w *PlatformWorker) Born() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.boot()
+	return w.booted.UnixMilli()
+}
+
+// Advance ends the runs whose end is due; every call does so, too.
+func (w *PlatformWorker) Advance() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.boot()
+	w.endDueRuns()
+}
+
+// boot starts the worker if it hasn't started; the caller holds the mutex.
+func (w *PlatformWorker) boot() {
+	if w.runs != nil {
+		return
+	}
+	w.booted = time.Now()
+	w.runs, w.highestRun = map[string]*platformRun{}, map[string]int64{}
+	w.unacknowledged, w.endCount, w.epoch, w.leaseUntil, w.lapsed = nil, 0, 0, 0, false
+}
+
+func (w *PlatformWorker) record(event PlatformEvent) {
+	event.Worker, event.Life = w.ID, w.life
+	w.Ledger.record(event)
 }
 
 // ServeHTTP implements http.Handler.
@@ -112,11 +239,24 @@
 	if !readMessage(rw, r, &command) {
 		return
 	}
+	if expected := r.Header.Get("X-Expect-Instance"); w.ID != "" && expected != w.ID {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if w.Caller != nil {
+		command.caller = w.Caller(r.RemoteAddr)
+	}
 	call := strings.TrimPrefix(r.URL.Path, "/api/")
 	deadline := time.Now().Add(time.Duration(command.Wait) * time.Millisecond)
+	life, drop, delay := w.admit()
 	for {
-		answer, status, wait := w.execute(call, command)
+		answer, status, wait := w.execute(call, command, life)
+		if answer == nil || drop && !wait {
+			dropConnection(rw)
+			return
+		}
 		if !wait || time.Now().After(deadline) {
+			time.Sleep(delay)
 			rw.Header().Set("Content-Type", "application/json")
 			rw.WriteHeader(status)
 			// The error is ignored: the client may have disconnected.
@@ -127,21 +267,48 @@
 	}
 }
 
-func (w *PlatformWorker) clock() int64 { return time.Since(w.booted).Milliseconds() }
+// admit returns the current life, and which faults apply to a call.
+func (w *PlatformWorker) admit() (life int, drop bool, delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+	drop = w.faults.DropEvery > 0 && w.calls%w.faults.DropEvery == 0
+	if w.faults.DelayEvery > 0 && w.calls%w.faults.DelayEvery == 0 {
+		delay = w.faults.Delay
+	}
+	return w.life, drop, delay
+}
+
+func (w *PlatformWorker) rate() float64 {
+	if w.ClockRate == 0 {
+		return 1
+	}
+	return w.ClockRate
+}
 
-func (w *PlatformWorker) execute(call string, command platformCommand) (map[string]any, int, bool) {
+func (w *PlatformWorker) clock() int64 {
+	return int64(float64(time.Since(w.booted)) * w.rate() / float64(time.Millisecond))
+}
+
+func (w *PlatformWorker) leaseEnd() time.Time {
+	return w.booted.Add(time.Duration(float64(w.leaseUntil) * float64(time.Millisecond) / w.rate()))
+}
+
+// execute carries out a call. It returns no answer if the worker is down or was
+// restarted since the call arrived.
+func (w *PlatformWorker) execute(call string, command platformCommand, life int) (map[string]any, int, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.runs == nil {
-		w.booted = time.Now()
-		w.runs, w.highestRun = map[string]*platformRun{}, map[string]int64{}
+	if w.down || w.life != life {
+		return nil, 0, false
 	}
+	w.boot()
 	w.endDueRuns()
 	if command.Epoch < w.epoch {
 		return w.conflict("fence")
 	}
 	w.epoch = command.Epoch
-	w.leaseUntil = max(w.leaseUntil, command.Deadline)
+	w.extendLease(command.Deadline)
 	switch call {
 	case "run-start":
 		return w.start(command)
@@ -153,6 +320,15 @@
 	return map[string]any{"clock-ms": w.clock()}, http.StatusOK, false
 }
 
+func (w *PlatformWorker) extendLease(deadline int64) {
+	if w.MaxLease > 0 {
+		deadline = min(deadline, w.clock()+w.MaxLease.Milliseconds())
+	}
+	if deadline > w.leaseUntil {
+		w.leaseUntil, w.lapsed = deadline, false
+	}
+}
+
 func (w *PlatformWorker) conflict(reason string) (map[string]any, int, bool) {
 	return map[string]any{"clock-ms": w.clock(), "reason": reason}, http.StatusConflict, false
 }
@@ -166,12 +342,20 @@
 	case run != nil || command.Run <= w.highestRun[command.Task]:
 		return w.conflict("old")
 	default:
-		endsAt := time.Now().Add(w.Length)
+		length, outcome := w.Length, "done"
+		if w.LengthOf != nil {
+			length = w.LengthOf(command.Task)
+		}
+		if w.OutcomeOf != nil {
+			outcome = w.OutcomeOf(command.Task, command.Run)
+		}
+		endsAt := time.Now().Add(length)
 		if w.LongRunning != nil && w.LongRunning(command.Task) {
 			endsAt = time.Now().Add(time.Hour)
 		}
-		w.runs[command.Task] = &platformRun{number: command.Run, endsAt: endsAt, outcome: "done"}
+		w.runs[command.Task] = &platformRun{number: command.Run, endsAt: endsAt, outcome: outcome}
 		w.Ledger.startRun(command.Task)
+		w.record(PlatformEvent{Time: time.Now(), Kind: "start", Task: command.Task, Run: command.Run, Epoch: command.Epoch, Caller: command.caller})
 	}
 	return map[string]any{"clock-ms": w.clock()}, http.StatusOK, false
 }
@@ -186,14 +370,17 @@
 // endDueRuns ends the runs whose lease has expired or whose end is due; the caller holds
 // the mutex.
 func (w *PlatformWorker) endDueRuns() {
+	now, leaseEnd := time.Now(), w.leaseEnd()
+	if now.After(leaseEnd) && !w.lapsed {
+		w.lapsed = true
+		w.record(PlatformEvent{Time: leaseEnd, Kind: "lapsed"})
+	}
 	for task, run := range w.runs {
-		outcome := ""
-		switch {
-		case w.clock() > w.leaseUntil:
-			outcome = "lapsed"
-		case time.Now().After(run.endsAt):
-			outcome = run.outcome
-		default:
+		end, outcome := run.endsAt, run.outcome
+		if leaseEnd.Before(end) {
+			end, outcome = leaseEnd, "lapsed"
+		}
+		if !now.After(end) {
 			continue
 		}
 		delete(w.runs, task)
@@ -201,6 +388,7 @@
 		w.endCount++
 		w.unacknowledged = append(w.unacknowledged, platformEnd{number: w.endCount, task: task, run: run.number, outcome: outcome})
 		w.Ledger.endRun(task, outcome)
+		w.record(PlatformEvent{Time: end, Kind: "end", Task: task, Run: run.number, Outcome: outcome})
 	}
 }
 
@@ -214,7 +402,11 @@
 		if end.number > command.LastSeen {
 			remaining = append(remaining, end)
 			finished = append(finished, []any{end.number, end.task, end.run, end.outcome, ""})
+			continue
 		}
+		w.record(PlatformEvent{
+			Time: time.Now(), Kind: "acknowledged", Task: end.task, Run: end.run, Outcome: end.outcome, Epoch: command.Epoch, Caller: command.caller,
+		})
 	}
 	w.unacknowledged = remaining
 	answer := map[string]any{"clock-ms": w.clock(), "born": w.booted.UnixMilli(), "running": running, "finished": finished}
