--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -155,6 +155,8 @@
 	leaseEnd time.Duration
 	// epochAccepted is true if the worker has accepted this holder's epoch.
 	epochAccepted bool
+	// answered is true if the last poll whose outcome is known was answered.
+	answered bool
 	// answeredAt is when the newest answered poll was sent.
 	answeredAt time.Time
 	// connectionRefused is true if the worker's address has refused a connection since
@@ -162,11 +164,13 @@
 	connectionRefused bool
 	// unknownJobSince is when an end of an unknown job was first listed.
 	unknownJobSince time.Time
-	// lastEnd is the number of the newest end that was handled, acknowledgedEnd that of
-	// the newest end that may be acknowledged to the worker because its effect is
-	// stored.
+	// lastEnd is the number of the end up to which all ends were handled,
+	// acknowledgedEnd that of the newest end that may be acknowledged to the worker
+	// because its effect is stored.
 	lastEnd, acknowledgedEnd int64
-	runs                     map[runKey]*run
+	// handledAhead holds the numbers of the handled ends above lastEnd.
+	handledAhead map[int64]bool
+	runs         map[runKey]*run
 	// used is the capacity that runs take. It excludes the processors of best-effort
 	// tasks, for which idleProcessors applies.
 	used Size
