--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -280,7 +280,8 @@
 // owner returns the process, with its incarnation, that opened a connection.
 func (s *soak) owner(near net.Conn) (string, int) {
 	address, ok := near.RemoteAddr().(*net.TCPAddr)
-	if !ok {
+	listened, listens := near.LocalAddr().(*net.TCPAddr)
+	if !ok || !listens {
 		return "", 0
 	}
 	pids, incarnations := map[string]int{}, map[string]int{}
@@ -291,7 +292,7 @@
 		}
 		p.mu.Unlock()
 	}
-	name := socketOwner(address.Port, pids)
+	name := socketOwner(address.Port, listened.Port, pids)
 	return name, incarnations[name]
 }
 
--- a/cmd/zinniashore/soakproxy_test.go
+++ b/cmd/zinniashore/soakproxy_test.go
@@ -228,17 +228,17 @@
 	pair.abort()
 }
 
-// socketOwner returns which of the given processes, by name, owns the socket at a local
-// port.
-func socketOwner(port int, processes map[string]int) string {
+// socketOwner returns which of the given processes, by name, owns the socket that connects
+// a local port to another one. A local port can have connections to several others.
+func socketOwner(port, other int, processes map[string]int) string {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
 	inode := ""
-	local := fmt.Sprintf("0100007F:%04X", port)
+	local, remote := fmt.Sprintf("0100007F:%04X", port), fmt.Sprintf("0100007F:%04X", other)
 	for line := range strings.Lines(string(table)) {
-		if fields := strings.Fields(line); len(fields) > 9 && fields[1] == local && fields[9] != "0" {
+		if fields := strings.Fields(line); len(fields) > 9 && fields[1] == local && fields[2] == remote && fields[9] != "0" {
 			inode = "socket:[" + fields[9] + "]"
 		}
 	}
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -79,7 +79,7 @@
 	Time time.Time
 	// Kind is start, end, acknowledged, lapsed (the lease of the worker) or restart.
 	Kind string
-	// Worker is the id of the worker, and Life counts its restarts.
+	// Worker is the id of the worker, and Life counts its restarts before the event.
 	Worker string
 	Life   int
 	// Task and Run name the run, if it is an event of a run.
@@ -189,8 +189,8 @@
 		w.record(PlatformEvent{Time: time.Now(), Kind: "end", Task: task, Run: run.number, Outcome: "crashed"})
 	}
 	w.runs = nil
-	w.life++
 	w.record(PlatformEvent{Time: time.Now(), Kind: "restart"})
+	w.life++
 	w.boot()
 }
 
