--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -60,7 +60,9 @@
 	// A worker restarted between two polls and took a start, and the next poll acknowledged
 	// the end of that run with the last number of the life before. Failed once on 225025c.
 	"ends of a new life acknowledged with a number of the old one": {seed: 1047, length: 20 * time.Second},
-	// A cell that was claimed never became active; not traced. Failed once on 78607e0.
+	// A new holder counted workers of the stored list that were gone for good, so that the
+	// others weren't a majority; it removes such workers only once it is active. Failed once
+	// on 78607e0.
 	"cell stays inactive after workers left": {seed: 1045, length: 20 * time.Second},
 }
 
