--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -56,6 +56,36 @@
 	}
 }
 
+func TestFind(t *testing.T) {
+	a, store := newArchiver(t)
+	archive := startTerm(t, a, store)
+	if _, found, err := archive.Find(t.Context(), jobID); found || err != nil {
+		t.Fatalf("a job that was never accepted: found = %v, %v", found, err)
+	}
+	record, err := dispatcher.EncodeJob(dispatcher.Job{ID: jobID, Steps: []dispatcher.Step{{Count: 2}}, Occurrences: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Accept(t.Context(), []archiver.AcceptedJob{{ID: jobID, Cell: cell, Record: record}}); err != nil {
+		t.Fatal(err)
+	}
+	done := dispatcher.TaskID{Job: jobID, Index: 1}
+	batch := &dispatcher.Batch{Jobs: []dispatcher.BatchJob{{ID: jobID, Progress: dispatcher.Progress{
+		State: dispatcher.StateQueued, Done: []dispatcher.TaskID{done},
+	}}}}
+	if err := archive.Save(t.Context(), batch); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Cancel(t.Context(), cell, jobID); err != nil {
+		t.Fatal(err)
+	}
+	stored, found, err := archive.Find(t.Context(), jobID)
+	if err != nil || !found || !stored.Cancelled || len(stored.Job.Steps) != 1 ||
+		stored.Progress == nil || len(stored.Progress.Done) != 1 || stored.Progress.Done[0] != done {
+		t.Errorf("stored = %+v, found = %v, %v; want the job with one task done, cancelled", stored, found, err)
+	}
+}
+
 func TestSaveThatComesLate(t *testing.T) {
 	a, store := newArchiver(t)
 	archive := startTerm(t, a, store)
