dispatcher: a worker counts as gone after 3 s without a registration

Workers whose registrations expired in an outage of the store are back within two seconds of its return; the holder sees that up to 0.5 s later, as the watch collects changes. After 2 s it took the worker as gone and started tasks that the worker listed as done.

What remains after a longer lag is in docs/design/platform.md.

go test ./dispatcher -run TestRegistrationBackAfterOutage before: "starts again although w0, which is registered, lists that it is done"; after: passes.

--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -222,8 +222,8 @@
 
 // registrationGrace is how long a worker may be missing from the registry before it
 // counts as gone. Workers whose registrations expired while the store was unavailable
-// register again within that time.
-const registrationGrace = 2 * time.Second
+// register again within two seconds; the watch of the registry lags behind.
+const registrationGrace = 3 * time.Second
 
 // gone reports whether the worker no longer exists according to the registry.
 func (w *worker) gone(now time.Time) bool {
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -202,3 +202,26 @@
 		t.Errorf("%d violations, the first: %s", len(s.violations), s.violations[0])
 	}
 }
+
+// TestRegistrationBackAfterOutage guards against the second run of a task whose worker lists
+// it as done: its registration expired in an outage of the store, and the holder saw the
+// new one half a second after the time that the platform allows.
+func TestRegistrationBackAfterOutage(t *testing.T) {
+	s := newSimulation(3)
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
+	s.submit(plainJob(jobID, 3, 2*time.Second, 1))
+	s.runFor(200 * time.Millisecond)
+	f := s.workers[0]
+	f.answersLost = true
+	s.runFor(6 * time.Second)
+	s.cell.RemoveWorker(s.now, f.registration.ID)
+	s.runFor(2500 * time.Millisecond)
+	s.register(f)
+	f.answersLost = false
+	s.runFor(2 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	for _, problem := range s.violations {
+		t.Error(problem)
+	}
+}
