--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -129,6 +129,11 @@
 	maxListedEnds int
 	// answersLost makes the worker execute polls whose answers are lost.
 	answersLost bool
+	// answerDelay is how long after a poll its answer is handled. lateAnswer handles the
+	// answer that is on its way, at lateAnswerAt.
+	answerDelay  time.Duration
+	lateAnswer   func()
+	lateAnswerAt time.Time
 	// closed makes the worker's address refuse connections.
 	closed bool
 	// fails makes each run fail.
@@ -305,6 +310,13 @@
 // pollAll polls every reachable worker.
 func (s *simulation) pollAll() {
 	for _, f := range s.workers {
+		if f.lateAnswer != nil {
+			if s.now.Before(f.lateAnswerAt) {
+				continue
+			}
+			f.lateAnswer()
+			f.lateAnswer = nil
+		}
 		order, known := s.cell.NextPoll(s.now, f.registration.ID)
 		if !known {
 			continue
@@ -322,6 +334,12 @@
 			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerUnknown)
 			continue
 		}
+		if f.answerDelay > 0 {
+			sent := s.now
+			f.lateAnswerAt = sent.Add(f.answerDelay)
+			f.lateAnswer = func() { s.cell.HandlePollAnswer(s.now, sent, order, listing, answer) }
+			continue
+		}
 		s.cell.HandlePollAnswer(s.now, s.now, order, listing, answer)
 	}
 }
