dispatcher: confirmation.go holds when a holder may act

What a holder concludes from the answers of most workers, and what it has to wait for after a change of the holder, is a concept of its own.

--- /dev/null
+++ b/dispatcher/confirmation.go
@@ -0,0 +1,95 @@
+package dispatcher
+
+import (
+	"time"
+
+	"zinniashore.example/recorder"
+)
+
+// Confirmed reports whether a majority of the workers has recently accepted an order
+// of this epoch, so that no other holder can have become active.
+func (c *Cell) Confirmed(now time.Time) bool {
+	return c.active && c.majority(now, func(w *worker) bool {
+		return w.epochAccepted && now.Sub(w.answeredAt) < c.Limits.MaxConfirmationAge
+	})
+}
+
+// activate makes the cell active once a majority of the workers has accepted its
+// epoch. A cell without known workers stays inactive.
+func (c *Cell) activate(now time.Time) {
+	known := false
+	for _, w := range c.workers {
+		known = known || w.isVoter(now)
+	}
+	if !c.active && known && c.majority(now, func(w *worker) bool { return w.epochAccepted }) {
+		c.active = true
+		c.activeAt = now
+		c.record(recorder.Event{Kind: KindCell, Detail: "active"})
+	}
+}
+
+// majority reports whether the number of workers that meet a condition exceeds half
+// the number of voters.
+func (c *Cell) majority(now time.Time, met func(*worker) bool) bool {
+	voters, matching := 0, 0
+	for _, w := range c.workers {
+		if w.isVoter(now) {
+			voters++
+		}
+		if met(w) {
+			matching++
+		}
+	}
+	return 2*matching > voters
+}
+
+// isVoter reports whether the worker counts towards the size of a majority: it is
+// registered, or an earlier holder may have used it and it may still exist.
+func (w *worker) isVoter(now time.Time) bool {
+	return w.registered || w.restored && !w.hasLeft() && !w.crashed(now)
+}
+
+// mayHaveRun reports whether an earlier holder may have started a task on a worker that
+// hasn't answered this holder yet, so that a run of the task may be active there or be
+// done.
+func (c *Cell) mayHaveRun(now time.Time, t *task) bool {
+	j := t.job()
+	if !j.restored || j.job.Accepted.After(c.earlierStartsEnd()) {
+		return false
+	}
+	waits, longRunningWaits := c.unansweredWorkers(now)
+	if t.step.step.LongRunning {
+		return longRunningWaits
+	}
+	return waits
+}
+
+// unansweredWorkers reports whether a task of a restored job, and whether a long-running
+// one, has to wait for the answer of a worker that an earlier holder used.
+func (c *Cell) unansweredWorkers(now time.Time) (waits, longRunningWaits bool) {
+	if c.pass != nil {
+		return c.pass.waits, c.pass.longRunningWaits
+	}
+	expired := now.After(c.earlierLeasesEnd())
+	for _, w := range c.workers {
+		if w.epochAccepted || !w.restored || w.hasLeft() {
+			continue
+		}
+		longRunningWaits = longRunningWaits || !expired
+		waits = waits || !expired || !w.gone(now)
+	}
+	return waits, longRunningWaits
+}
+
+// earlierStartsEnd returns the time of day after which no earlier holder can have started
+// a task. It includes the difference between the clocks of two VMs.
+func (c *Cell) earlierStartsEnd() time.Time {
+	return c.activeAt.Add(c.Limits.MaxConfirmationAge + maxClockDifference)
+}
+
+// earlierLeasesEnd returns when all leases that earlier holders granted have certainly
+// expired.
+func (c *Cell) earlierLeasesEnd() time.Time {
+	longest := time.Duration(float64(c.Limits.LeaseDuration) / minClockRate)
+	return c.activeAt.Add(c.Limits.MaxConfirmationAge + longest + leaseExpiryMargin)
+}
