--- a/cmd/zinniashore/platform_test.go
+++ b/cmd/zinniashore/platform_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -52,12 +53,20 @@
 	portsPerProcess = 4
 )
 
-// freePorts returns the first of portsPerProcess consecutive free ports.
+// reservedPorts are the ports that were given to deployments of this test process, which
+// run in parallel and bind them later.
+var reservedPorts sync.Map
+
+// freePorts returns the first of portsPerProcess consecutive ports that are free and that
+// no other deployment gets.
 func freePorts(t *testing.T) int {
 	t.Helper()
 	for range 200 {
-		first := firstTestPort + rand.IntN(testPorts)
-		if portsFree(first) {
+		first := firstTestPort + portsPerProcess*rand.IntN(testPorts/portsPerProcess)
+		if !portsFree(first) {
+			continue
+		}
+		if _, taken := reservedPorts.LoadOrStore(first, true); !taken {
 			return first
 		}
 	}
