--- a/dispatcher/lease_test.go
+++ b/dispatcher/lease_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-func (test *leaseTest) run(t *testing.T) {
+func (l *leaseTest) run(t *testing.T) {
 	const span = 20 * time.Second
 	s := newSimulation(5)
 	s.changeHolder(s.workers...)
@@ -50,9 +50,9 @@
 		if len(f.running) != 1 {
 			t.Fatalf("%s has %d runs, want 1", f.registration.ID, len(f.running))
 		}
-		f.answerDelay = test.delay
+		f.answerDelay = l.delay
 	}
-	s.workers[0].answersLost = test.lost
+	s.workers[0].answersLost = l.lost
 	ended := make(map[*fakeWorker]time.Duration)
 	for passed := time.Duration(0); passed < span; passed += 50 * time.Millisecond {
 		s.runFor(50 * time.Millisecond)
@@ -64,7 +64,7 @@
 	}
 	for _, f := range s.workers {
 		end, expired := ended[f]
-		if want := test.lost && f == s.workers[0]; expired != want {
+		if want := l.lost && f == s.workers[0]; expired != want {
 			t.Errorf("%s: lease expired = %v (after %v), want %v", f.registration.ID, expired, end, want)
 		}
 		// The answer that was handled last allows lease ends for 1.5 s, on a clock
@@ -77,7 +77,7 @@
 		t.Error(v)
 	}
 	for _, e := range s.events.recorded {
-		if !test.lost && (e.Kind == dispatcher.KindLost || e.Kind == dispatcher.KindEndAwaited) {
+		if !l.lost && (e.Kind == dispatcher.KindLost || e.Kind == dispatcher.KindEndAwaited) {
 			t.Errorf("%s of %s: %s", e.Kind, e.Task, e.Detail)
 		}
 	}
--- a/dispatcher/liveness_test.go
+++ b/dispatcher/liveness_test.go
@@ -10,9 +10,7 @@
 // TestUnreachableWorkerHoldsNoNewJob guards against a cell that stops: a registered worker
 // that didn't answer the new holder held up jobs that were accepted long afterwards.
 func TestUnreachableWorkerHoldsNoNewJob(t *testing.T) {
-	s := newSimulation(5)
-	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s := newActiveSimulation(5)
 	s.workers[0].reachable = false
 	s.runFor(8 * time.Second)
 	s.changeHolder(s.workers...)
@@ -25,9 +23,7 @@
 // TestRestartedWorkerThatIsGone guards against a task that waits forever: the worker of
 // its run restarted and then left the registry before it answered.
 func TestRestartedWorkerThatIsGone(t *testing.T) {
-	s := newSimulation(3)
-	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s := newActiveSimulation(3)
 	s.nextFate = func() startFate { return fateLost }
 	s.submit(plainJob(jobID, 3, time.Second, 1))
 	s.step(50 * time.Millisecond)
@@ -40,7 +36,5 @@
 	s.unregister(f)
 	s.runFor(20 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
-	for _, problem := range s.violations {
-		t.Error(problem)
-	}
+	requireNoViolations(t, s)
 }
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -25,9 +25,7 @@
 func TestUnreadEnds(t *testing.T) {
 	for name, test := range unreadEndTests {
 		t.Run(name, func(t *testing.T) {
-			s := newSimulation(test.workers)
-			s.changeHolder(s.workers...)
-			s.runFor(200 * time.Millisecond)
+			s := newActiveSimulation(test.workers)
 			s.submit(plainJob(jobID, 3, 2*time.Second, 1))
 			s.runFor(200 * time.Millisecond)
 			test.run(t, s)
@@ -36,9 +34,7 @@
 			}
 			s.runFor(2 * time.Second)
 			requireState(t, s, jobID, dispatcher.StateCompleted)
-			for _, problem := range s.violations {
-				t.Error(problem)
-			}
+			requireNoViolations(t, s)
 		})
 	}
 }
@@ -47,9 +43,7 @@
 // acknowledged unread: the worker had restarted under its id, and the holder sent it the
 // number of an end from before.
 func TestEndsOfRestartedWorker(t *testing.T) {
-	s := newSimulation(1)
-	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s := newActiveSimulation(1)
 	s.submit(plainJob(otherID, 3, 200*time.Millisecond, 1))
 	s.runFor(time.Second)
 	requireState(t, s, otherID, dispatcher.StateCompleted)
@@ -62,17 +56,13 @@
 	f.answersLost = false
 	s.runFor(9 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
-	for _, problem := range s.violations {
-		t.Error(problem)
-	}
+	requireNoViolations(t, s)
 }
 
 // TestEndBehindUnknownJob guards against the second run of a task whose end the worker
 // lists behind the end of a job that the holder doesn't know yet.
 func TestEndBehindUnknownJob(t *testing.T) {
-	s := newSimulation(1)
-	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s := newActiveSimulation(1)
 	s.submit(plainJob(jobID, 1, time.Second, 1))
 	s.runFor(200 * time.Millisecond)
 	f := s.workers[0]
@@ -82,17 +72,13 @@
 	})
 	s.runFor(9 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
-	for _, problem := range s.violations {
-		t.Error(problem)
-	}
+	requireNoViolations(t, s)
 }
 
 // TestEndOfUnknownJob guards against the second run of a task whose end was acknowledged
 // before the holder knew the job: it could not reach the store for longer than it waited.
 func TestEndOfUnknownJob(t *testing.T) {
-	s := newSimulation(2)
-	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s := newActiveSimulation(2)
 	s.submit(plainJob(jobID, 2, 200*time.Millisecond, 1))
 	s.step(50 * time.Millisecond)
 	delete(s.archive.jobs, jobID)
@@ -104,18 +90,14 @@
 	s.cell.AddJob(s.now, s.jobs[jobID], nil, true)
 	s.runFor(2 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
-	for _, problem := range s.violations {
-		t.Error(problem)
-	}
+	requireNoViolations(t, s)
 }
 
 // TestRunAcceptedAfterRestart guards against two runs of a task at the same time: the
 // registry told of the restart of a worker after the restarted worker had accepted a
 // start, and the run counted as one from before.
 func TestRunAcceptedAfterRestart(t *testing.T) {
-	s := newSimulation(3)
-	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s := newActiveSimulation(3)
 	for _, f := range s.workers {
 		f.reboot()
 	}
@@ -129,9 +111,7 @@
 	s.execute(s.cell.Plan(s.now))
 	s.runFor(5 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
-	for _, problem := range s.violations {
-		t.Error(problem)
-	}
+	requireNoViolations(t, s)
 }
 
 // TestActiveDespiteCrashedWorkers guards against a cell that never becomes active: half of
@@ -149,18 +129,14 @@
 	s.changeHolder(s.workers[2:]...)
 	s.runFor(15 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
-	for _, problem := range s.violations {
-		t.Error(problem)
-	}
+	requireNoViolations(t, s)
 }
 
 // TestLateAnswerFromBeforeRestart guards against the second run of a task whose end was
 // acknowledged unread: a late answer from before a restart hid that newer polls had gone
 // unanswered.
 func TestLateAnswerFromBeforeRestart(t *testing.T) {
-	s := newSimulation(1)
-	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s := newActiveSimulation(1)
 	s.submit(plainJob(otherID, 3, 200*time.Millisecond, 1))
 	s.runFor(time.Second)
 	requireState(t, s, otherID, dispatcher.StateCompleted)
@@ -178,9 +154,7 @@
 	f.answersLost = false
 	s.runFor(9 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
-	for _, problem := range s.violations {
-		t.Error(problem)
-	}
+	requireNoViolations(t, s)
 }
 
 // TestEndsBeyondListing guards against the second run of a task whose end was not in the
@@ -207,9 +181,7 @@
 // it as done: its registration expired in an outage of the store, and the holder saw the
 // new one half a second after the time that the platform allows.
 func TestRegistrationBackAfterOutage(t *testing.T) {
-	s := newSimulation(3)
-	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s := newActiveSimulation(3)
 	s.submit(plainJob(jobID, 3, 2*time.Second, 1))
 	s.runFor(200 * time.Millisecond)
 	f := s.workers[0]
@@ -221,6 +193,19 @@
 	f.answersLost = false
 	s.runFor(2 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
+	requireNoViolations(t, s)
+}
+
+// newActiveSimulation returns a simulation whose holder is active.
+func newActiveSimulation(workers int) *simulation {
+	s := newSimulation(workers)
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
+	return s
+}
+
+func requireNoViolations(t *testing.T, s *simulation) {
+	t.Helper()
 	for _, problem := range s.violations {
 		t.Error(problem)
 	}
