--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -37,6 +38,7 @@
 	faults         PlatformWorkerFaults
 	calls          int
 	life           int
+	connections    map[string]workerConnection
 	down           bool
 	lapsed         bool
 	booted         time.Time
@@ -73,6 +75,12 @@
 	outcome string
 }
 
+// workerConnection is an open connection and the life of the worker that accepted it.
+type workerConnection struct {
+	connection net.Conn
+	life       int
+}
+
 type platformCommand struct {
 	Task     string `json:"task"`
 	Run      int64  `json:"run"`
@@ -91,8 +99,8 @@
 	w.faults = faults
 }
 
-// Restart ends all runs without a trace and forgets everything, as a restart under the
-// same id does.
+// Restart ends all runs without a trace, closes all connections and forgets everything,
+// as a restart under the same id does.
 func (w *PlatformWorker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -106,6 +114,26 @@
 	w.record(PlatformEvent{Time: time.Now(), Kind: "restart"})
 	w.life++
 	w.boot()
+	for _, c := range w.connections {
+		// The error is ignored: the client may have closed the connection.
+		_ = c.connection.Close()
+	}
+}
+
+// trackConnection implements connectionTracker.
+func (w *PlatformWorker) trackConnection(connection net.Conn, state http.ConnState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	remote := connection.RemoteAddr().String()
+	switch state {
+	case http.StateNew:
+		if w.connections == nil {
+			w.connections = map[string]workerConnection{}
+		}
+		w.connections[remote] = workerConnection{connection: connection, life: w.life}
+	case http.StateClosed, http.StateHijacked:
+		delete(w.connections, remote)
+	}
 }
 
 // SetDown makes the worker break off every call without carrying it out, or carry out
@@ -162,7 +190,7 @@
 	}
 	call := strings.TrimPrefix(r.URL.Path, "/api/")
 	deadline := time.Now().Add(time.Duration(command.Wait) * time.Millisecond)
-	life, drop, delay := w.admit()
+	life, drop, delay := w.admit(r.RemoteAddr)
 	for {
 		answer, status, wait := w.execute(call, command, life)
 		if answer == nil || drop && !wait {
@@ -181,8 +209,9 @@
 	}
 }
 
-// admit returns the current life, and which faults apply to a call.
-func (w *PlatformWorker) admit() (life int, drop bool, delay time.Duration) {
+// admit returns the life of the worker that a call from a remote address belongs to, and
+// which faults apply to the call.
+func (w *PlatformWorker) admit(remote string) (life int, drop bool, delay time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls++
@@ -190,6 +219,9 @@
 	if w.faults.DelayEvery > 0 && w.calls%w.faults.DelayEvery == 0 {
 		delay = w.faults.Delay
 	}
+	if c, tracked := w.connections[remote]; tracked {
+		return c.life, drop, delay
+	}
 	return w.life, drop, delay
 }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -339,11 +339,19 @@
 		return "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	if tracker, ok := handler.(connectionTracker); ok {
+		server.ConnState = tracker.trackConnection
+	}
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return listener.Addr().String(), nil
 }
 
+// connectionTracker is a handler that is told about the connections of its server.
+type connectionTracker interface {
+	trackConnection(connection net.Conn, state http.ConnState)
+}
+
 func readMessage(w http.ResponseWriter, r *http.Request, message any) bool {
 	if err := json.NewDecoder(r.Body).Decode(message); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
