platform, dispatcher: a poll that acknowledges ends reaches only the boot that listed them

A worker answered a poll and restarted under its id.

Ruled out: a shorter wait between polls (the window shrinks, a busy machine opens it again); treating runs of a new boot as done or lost (nobody knows which). A guard in the body of the request would cost a second write for each poll, as net/http then sends headers first.

The dispatcher's simulation refuses a poll that names another boot, as the client does.

--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -14,14 +14,16 @@
 // NextPoll returns the next poll of a worker, and whether the worker is known. The
 // lease of a worker that has been unresponsive isn't extended, so that it can expire.
 // A worker that didn't answer the last poll may have restarted under its id and counts
-// its ends anew, so it gets no acknowledgement before it has answered again.
+// its ends anew, so it gets no acknowledgement before it has answered again; any other
+// poll names the boot that answered.
 func (c *Cell) NextPoll(now time.Time, id string) (PollOrder, bool) {
 	w, known := c.workers[id]
 	if !known {
 		return PollOrder{}, false
 	}
 	order := PollOrder{Worker: w.registration, Epoch: c.Epoch}
-	if w.answeredAt.After(w.unansweredAt) {
+	if w.epochAccepted && w.answeredAt.After(w.unansweredAt) {
+		order.Boot = w.boot
 		order.Acknowledged = w.acknowledgedEnd
 	}
 	if w.epochAccepted && c.Confirmed(now) && now.Sub(w.answeredAt) < unresponsiveTimeout {
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -329,6 +329,10 @@
 			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerConnectionRefused)
 			continue
 		}
+		if order.Boot != 0 && order.Boot != f.bootedAt.UnixMilli() {
+			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerUnsent)
+			continue
+		}
 		listing, answer := f.poll(order)
 		if f.answersLost {
 			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerUnknown)
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -59,6 +59,23 @@
 	requireNoViolations(t, s)
 }
 
+// TestEndsOfRestartBetweenPolls guards against the second run of a task whose end was
+// acknowledged unread: the worker had restarted after it answered the last poll (soak,
+// seed 1047).
+func TestEndsOfRestartBetweenPolls(t *testing.T) {
+	s := newActiveSimulation(1)
+	s.submit(plainJob(otherID, 3, 200*time.Millisecond, 1))
+	s.runFor(time.Second)
+	requireState(t, s, otherID, dispatcher.StateCompleted)
+	s.workers[0].reboot()
+	s.submit(plainJob(jobID, 3, 200*time.Millisecond, 1))
+	s.execute(s.cell.Plan(s.now))
+	s.step(250 * time.Millisecond)
+	s.runFor(9 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	requireNoViolations(t, s)
+}
+
 // TestEndBehindUnknownJob guards against the second run of a task whose end the worker
 // lists behind the end of a job that the holder doesn't know yet.
 func TestEndBehindUnknownJob(t *testing.T) {
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -127,7 +127,7 @@
 	AnswerInvalid Answer = "invalid"
 	// AnswerUnknown: the worker may have executed the order, or may execute it later.
 	AnswerUnknown Answer = "unclear"
-	// AnswerUnsent: the order wasn't sent.
+	// AnswerUnsent: the order wasn't sent, and never will be.
 	AnswerUnsent Answer = "unsent"
 	// AnswerConnectionRefused: the worker's address refused the connection.
 	AnswerConnectionRefused Answer = "closed"
@@ -168,7 +168,11 @@
 // PollOrder polls a worker for its runs and extends its lease.
 type PollOrder struct {
 	Worker Registration
-	Epoch  int64
+	// Boot is the boot that the order is for, in Unix milliseconds. It must not reach the
+	// worker after a restart, with which the numbers of ends and the clock start anew; 0
+	// is any boot.
+	Boot  int64
+	Epoch int64
 	// Acknowledged is the number of the newest end that the worker no longer needs to
 	// list.
 	Acknowledged int64
