soak: name the caller of a worker by the worker and the local address

Cause: the soak kept the process that opened a connection by the local address of its own connection to the worker.

Change: the key is the worker and the local address, which together are unique. The rule and its check stay as they were.

--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -91,6 +91,10 @@
 	sequence            int
 }
 
+// workerConnection is a connection to a worker. Connections to two workers may have the
+// same local address.
+type workerConnection struct{ worker, local string }
+
 type soakSpan struct{ from, to time.Time }
 
 // soak is one run of the deployment under the faults of a seed.
@@ -106,10 +110,11 @@
 
 	processes []*soakProcess
 
-	mu       sync.Mutex
-	workers  []*soakWorker
-	created  int
-	callers  map[string]string
+	mu      sync.Mutex
+	workers []*soakWorker
+	created int
+	// callers are the processes that opened connections to workers.
+	callers  map[workerConnection]string
 	jobs     map[string]*soakJob
 	problems []soakProblem
 	// absences are the spans in which a worker wasn't registered, other than those of an
@@ -179,7 +184,7 @@
 	t.Cleanup(cancel)
 	s := &soak{
 		t: t, seed: seed, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
-		callers: map[string]string{}, jobs: map[string]*soakJob{}, absences: map[string][]soakSpan{}, domains: map[string]string{}, version: 3,
+		callers: map[workerConnection]string{}, jobs: map[string]*soakJob{}, absences: map[string][]soakSpan{}, domains: map[string]string{}, version: 3,
 	}
 	s.store.Put("op/config", []byte(platformConfiguration))
 	rng := rand.New(rand.NewPCG(seed, 0))
@@ -256,7 +261,7 @@
 			}
 			return "done"
 		},
-		Caller: s.caller,
+		Caller: func(remote string) string { return s.caller(workerConnection{w.id, remote}) },
 	}
 	ctx, stop := context.WithCancel(s.ctx)
 	bound, err := standin.Listen(ctx, "127.0.0.1:0", w.worker)
@@ -269,7 +274,7 @@
 	proxy.opened = func(local, process string) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.callers[local] = process
+		s.callers[workerConnection{w.id, local}] = process
 	}
 	proxy.link = func(near net.Conn) (*soakLink, string) {
 		name, incarnation := s.owner(near)
@@ -284,10 +289,10 @@
 	s.register(w)
 }
 
-func (s *soak) caller(remote string) string {
+func (s *soak) caller(connection workerConnection) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.callers[remote]
+	return s.callers[connection]
 }
 
 // owner returns the process, with its incarnation, that opened a connection.
