--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -122,8 +122,11 @@
 	absences map[string][]soakSpan
 	faults   []*soakSpan
 	outages  int
-	domains  map[string]string
-	version  int
+	// longestPause is the longest time between two steps of advance: a machine that is too
+	// busy delays the stand-ins as well.
+	longestPause time.Duration
+	domains      map[string]string
+	version      int
 }
 
 // report notes a broken rule and the tasks concerned.
@@ -424,6 +427,7 @@
 // advance ends runs that are due and renews registrations until ctx ends.
 func (s *soak) advance(stop <-chan struct{}) {
 	renewed := time.Now()
+	stepped := time.Now()
 	for {
 		select {
 		case <-stop:
@@ -431,6 +435,8 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		s.mu.Lock()
+		s.longestPause = max(s.longestPause, time.Since(stepped))
+		stepped = time.Now()
 		workers := append([]*soakWorker(nil), s.workers...)
 		s.mu.Unlock()
 		for _, w := range workers {
@@ -524,8 +530,8 @@
 		}
 		job.mu.Unlock()
 	}
-	s.t.Logf("seed %d: %d processes, %d faults, %d jobs (%d accepted, %d refused), %d tasks started, %s", s.seed, len(s.processes),
-		len(plan), len(s.jobs), accepted, refused, len(history.runs), time.Since(s.began).Round(time.Second))
+	s.t.Logf("seed %d: %d processes, %d faults, %d jobs (%d accepted, %d refused), %d tasks started, %s, longest pause %s", s.seed, len(s.processes),
+		len(plan), len(s.jobs), accepted, refused, len(history.runs), time.Since(s.began).Round(time.Second), s.longestPause.Round(time.Millisecond))
 	s.mu.Unlock()
 	if accepted == 0 || len(history.runs) == 0 {
 		s.t.Errorf("seed %d: nothing ran", s.seed)
