--- a/owner/cell.go
+++ b/owner/cell.go
@@ -283,7 +283,8 @@
 }
 
 // handleCommit applies the outcome of a commit. The starts that it made durable are
-// sent only now, and only if the session has been valid without a gap.
+// sent only now, and only if the session has been valid without a gap. A write that was
+// answered after that isn't applied: a successor may have loaded the cell without it.
 func (c *cell) handleCommit(prepared preparedWrite, err error) {
 	c.committing = false
 	if c.checkFenced(err) {
@@ -296,6 +297,10 @@
 		}
 		return
 	}
+	if !c.tenure.valid() {
+		klog.InfoS("Ignored journal write answered after the session expired", "cell", c.spec.ID, "epoch", c.tenure.epoch, "entries", len(prepared.entries))
+		return
+	}
 	c.journal.apply(prepared)
 	c.owner.Metrics.Counter("commits").Inc(1)
 	c.owner.Metrics.Counter("commit_bytes").Inc(int64(len(prepared.body)))
