heldcells: a stored cancellation reaches the holder although a watch gets no answer

What callers would see: tasks of a job start after its cancellation was acknowledged, later than the platform allows (3 s at the least).

Cause: an entry VM that can't reach the holder within 0.7 s stores the cancellation and acknowledges it; the holder then learns of it only from its watch of jobs. A watch call that gets no answer (answer lost, connection half open) ended after 5 s of wait plus 1 s of slack, so the holder could stay unaware for 6 s.

Change: the watch of jobs waits for 1 s, so that a call without an answer ends after 2 s; the watch of registrations keeps its 5 s. The price is one watch call more a second for each cell without changes of jobs.

--- a/heldcells.go
+++ b/heldcells.go
@@ -16,10 +16,14 @@
 )
 
 const (
-	// watchWait is how long a watch call waits for a change. It is also how long a
-	// half-open connection may delay the changes of these watches, which tolerate the
+	// registrationWait is how long a watch call for registrations waits for a change. It
+	// is also how long a half-open connection may delay the changes, which tolerate the
 	// delay.
-	watchWait = 5 * time.Second
+	registrationWait = 5 * time.Second
+	// jobWait is how long a watch call for jobs waits for a change. No task of a job may
+	// start later than three seconds after the store has acknowledged the cancellation of
+	// the job, even if the call that would have reported it gets no answer.
+	jobWait = time.Second
 	// registrationBatchPause is how long changes of registrations are batched, since
 	// workers renew their registrations often.
 	registrationBatchPause = 500 * time.Millisecond
@@ -72,11 +76,17 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return runner.Run(ctx) })
 	watches := []watcher.Watcher{
-		{Prefix: platform.RegistrationPrefix, BatchDelay: registrationBatchPause, Handler: &registrations{cell: cell, runner: runner}},
-		{Prefix: archiver.JobPrefix(cell), BatchDelay: jobBatchPause, Handler: &storedJobs{cell: cell, runner: runner}},
+		{
+			Prefix: platform.RegistrationPrefix, Wait: registrationWait, BatchDelay: registrationBatchPause,
+			Handler: &registrations{cell: cell, runner: runner},
+		},
+		{
+			Prefix: archiver.JobPrefix(cell), Wait: jobWait, BatchDelay: jobBatchPause,
+			Handler: &storedJobs{cell: cell, runner: runner},
+		},
 	}
 	for _, w := range watches {
-		w.Store, w.Clock, w.Wait = h.store, h.clock, watchWait
+		w.Store, w.Clock = h.store, h.clock
 		group.Go(func() error { return w.Run(ctx) })
 	}
 	return group.Wait()
