--- a/dispatcher/fakeworker_test.go
+++ b/dispatcher/fakeworker_test.go
@@ -37,7 +37,7 @@
 
 func (w *fakeWorker) start(o dispatcher.StartOrder) dispatcher.Answer {
 	w.endDueRuns()
-	w.leaseEnd = max(w.leaseEnd, o.LeaseEnd)
+	w.extendLease(o.LeaseEnd)
 	switch r := w.running[o.Task]; {
 	case o.Epoch < w.epoch:
 		return dispatcher.AnswerFenced
@@ -80,7 +80,7 @@
 		return dispatcher.Listing{}, dispatcher.AnswerFenced
 	}
 	w.epoch = o.Epoch
-	w.leaseEnd = max(w.leaseEnd, o.LeaseEnd)
+	w.extendLease(o.LeaseEnd)
 	w.ended = slices.DeleteFunc(w.ended, func(row dispatcher.EndedRow) bool {
 		if row.Number <= o.Acknowledged {
 			w.simulation.acknowledged(row)
@@ -88,7 +88,7 @@
 		}
 		return false
 	})
-	listing := dispatcher.Listing{Clock: w.clock(), Boot: w.bootedAt.UnixMilli(), Ended: slices.Clone(w.ended)}
+	listing := dispatcher.Listing{Clock: w.clock(), Boot: w.reportedBoot(), Ended: slices.Clone(w.ended)}
 	if w.maxListedEnds > 0 && len(listing.Ended) >= w.maxListedEnds {
 		listing.Ended = listing.Ended[:w.maxListedEnds]
 		listing.MoreEnds = true
@@ -116,5 +116,16 @@
 	w.running = map[dispatcher.TaskID]*fakeRun{}
 	w.highestRun = map[dispatcher.TaskID]int64{}
 	w.ended = nil
-	w.registration.Boot = w.bootedAt.UnixMilli()
+	w.registration.Boot = w.reportedBoot()
+}
+
+// reportedBoot returns the boot time that the worker reports, in Unix milliseconds.
+func (w *fakeWorker) reportedBoot() int64 { return w.bootedAt.Add(w.bootStep).UnixMilli() }
+
+// extendLease extends the lease, for at most maxGrant from now if that is set.
+func (w *fakeWorker) extendLease(end time.Duration) {
+	if w.maxGrant > 0 {
+		end = min(end, w.clock()+w.maxGrant)
+	}
+	w.leaseEnd = max(w.leaseEnd, end)
 }
--- /dev/null
+++ b/dispatcher/restartlease_test.go
@@ -0,0 +1,162 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniashore.example/dispatcher"
+)
+
+// maxGrant is the longest lease that a worker of these tests accepts; limits.LeaseDuration
+// is half of it, as on the users' platform.
+const maxGrant = 8 * time.Second
+
+// newAgedSimulation returns a simulation whose holder is active and whose workers' clocks
+// read 30 s and more.
+func newAgedSimulation(workers int) *simulation {
+	s := newActiveSimulation(workers)
+	s.runFor(30 * time.Second)
+	for _, f := range s.workers {
+		f.maxGrant = maxGrant
+	}
+	return s
+}
+
+// enlarge doubles the processors of workers.
+func (s *simulation) enlarge(workers []*fakeWorker) {
+	for _, f := range workers {
+		f.registration.Capacity.MilliProcessors *= 2
+		s.register(f)
+	}
+}
+
+// requireBoundedLease fails if a worker holds a longer lease than the holder grants.
+func requireBoundedLease(t *testing.T, f *fakeWorker) {
+	t.Helper()
+	if lease := f.leaseEnd - f.clock(); lease > limits.LeaseDuration {
+		t.Errorf("%s, restarted, holds a lease of %v, want at most %v", f.registration.ID, lease, limits.LeaseDuration)
+	}
+}
+
+// TestLeaseOfPollAfterRestart guards against two runs of a task at the same time: the
+// poll after one that wasn't sent names no boot and takes the lease end on the clock of
+// the boot before to the new one, which keeps a longer lease than the holder knows.
+func TestLeaseOfPollAfterRestart(t *testing.T) {
+	s := newAgedSimulation(3)
+	restarted := s.workers[0]
+	restarted.reboot()
+	s.runFor(100 * time.Millisecond)
+	requireBoundedLease(t, restarted)
+	s.submit(longRunningJob(jobID, 3, 3500))
+	s.step(50 * time.Millisecond)
+	if len(restarted.running) != 1 {
+		t.Fatalf("%s has %d runs, want 1", restarted.registration.ID, len(restarted.running))
+	}
+	restarted.reachable = false
+	s.enlarge(s.workers[1:])
+	s.runFor(10 * time.Second)
+	requireNoViolations(t, s)
+}
+
+// TestLeaseOfStartAfterRestart guards against two runs of a task at the same time: a start
+// takes the lease end on the clock of the boot before to a worker that has restarted since
+// it was polled.
+func TestLeaseOfStartAfterRestart(t *testing.T) {
+	s := newAgedSimulation(3)
+	s.submit(longRunningJob(jobID, 3, 3500))
+	restarted := s.workers[0]
+	restarted.reboot()
+	s.execute(s.cell.Plan(s.now))
+	if len(restarted.running) != 1 {
+		t.Fatalf("%s has %d runs, want 1", restarted.registration.ID, len(restarted.running))
+	}
+	requireBoundedLease(t, restarted)
+	restarted.reachable = false
+	s.enlarge(s.workers[1:])
+	s.runFor(10 * time.Second)
+	requireNoViolations(t, s)
+}
+
+// TestRunOfRestartedWorkerThatIsGone guards against two runs of a task at the same time: a
+// restarted worker accepted a start before the registry told of the restart, was cut off,
+// and counts as gone before the lease of the run has expired.
+func TestRunOfRestartedWorkerThatIsGone(t *testing.T) {
+	s := newActiveSimulation(3)
+	s.submit(plainJob(jobID, 3, 6*time.Second, 1))
+	restarted := s.workers[0]
+	restarted.reboot()
+	s.execute(s.cell.Plan(s.now))
+	if len(restarted.running) == 0 {
+		t.Fatalf("%s has no run", restarted.registration.ID)
+	}
+	s.register(restarted)
+	restarted.reachable = false
+	s.runFor(500 * time.Millisecond)
+	s.unregister(restarted)
+	s.runFor(10 * time.Second)
+	requireNoViolations(t, s)
+}
+
+// TestRestartAfterClockStep guards against tasks that wait for ever: the worker restarted
+// while its time of day was set back, so that its new boot time is below the one before.
+func TestRestartAfterClockStep(t *testing.T) {
+	s := newActiveSimulation(1)
+	s.submit(plainJob(jobID, 2, 500*time.Millisecond, 2))
+	s.runFor(100 * time.Millisecond)
+	f := s.workers[0]
+	f.reboot()
+	f.bootStep = -2 * time.Second
+	f.registration.Boot = f.reportedBoot()
+	s.register(f)
+	s.runFor(20 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	requireNoViolations(t, s)
+}
+
+// TestAnswerWithoutBoot guards against an acknowledgement that names no boot: an
+// answer without a boot time makes the next poll name any boot, but still acknowledge.
+func TestAnswerWithoutBoot(t *testing.T) {
+	s := newActiveSimulation(1)
+	s.submit(plainJob(otherID, 3, 200*time.Millisecond, 1))
+	s.runFor(time.Second)
+	id := s.workers[0].registration.ID
+	order, _ := s.cell.NextPoll(s.now, id)
+	listing, answer := s.workers[0].poll(order)
+	listing.Boot = 0
+	s.now = s.now.Add(50 * time.Millisecond)
+	s.cell.HandlePollAnswer(s.now, s.now, order, listing, answer)
+	if order, _ = s.cell.NextPoll(s.now, id); order.Boot == 0 && order.Acknowledged != 0 {
+		t.Errorf("a poll of any boot acknowledges the ends up to %d", order.Acknowledged)
+	}
+}
+
+// TestMajoritiesAfterRestart guards against two holders that act at the same time: a worker
+// that restarts forgets the newer epoch, and counts for the earlier holder again.
+func TestMajoritiesAfterRestart(t *testing.T) {
+	s := newActiveSimulation(3)
+	earlier := s.cell
+	s.changeHolder(s.workers...)
+	later := s.cell
+	pollWith := func(c *dispatcher.Cell, f *fakeWorker) {
+		s.now = s.now.Add(10 * time.Millisecond)
+		order, _ := c.NextPoll(s.now, f.registration.ID)
+		if order.Boot != 0 && order.Boot != f.reportedBoot() {
+			c.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerUnsent)
+			return
+		}
+		listing, answer := f.poll(order)
+		c.HandlePollAnswer(s.now, s.now, order, listing, answer)
+	}
+	pollWith(later, s.workers[0])
+	pollWith(later, s.workers[1])
+	s.workers[0].reboot()
+	for range 3 {
+		pollWith(earlier, s.workers[0])
+		pollWith(earlier, s.workers[2])
+	}
+	s.now = s.now.Add(100 * time.Millisecond)
+	pollWith(later, s.workers[1])
+	if earlier.Confirmed(s.now) && later.Confirmed(s.now) {
+		t.Error("two holders are confirmed at the same time")
+	}
+}
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -127,6 +127,10 @@
 	reachable    bool
 	// maxListedEnds is the number of ends that a listing contains at most; 0 is no limit.
 	maxListedEnds int
+	// maxGrant is the longest lease that the worker accepts; 0 is no limit.
+	maxGrant time.Duration
+	// bootStep is how far the worker's time of day was off when it booted.
+	bootStep time.Duration
 	// answersLost makes the worker execute polls whose answers are lost.
 	answersLost bool
 	// answerDelay is how long after a poll its answer is handled. lateAnswer handles the
@@ -329,7 +333,7 @@
 			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerConnectionRefused)
 			continue
 		}
-		if order.Boot != 0 && order.Boot != f.bootedAt.UnixMilli() {
+		if order.Boot != 0 && order.Boot != f.reportedBoot() {
 			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerUnsent)
 			continue
 		}
