dispatcher: a lease is extended only for the boot that answered

Cause: after a poll that wasn't sent or went unanswered, the next one named no boot but still extended the lease, on the clock of the boot before; the new boot keeps a lease of up to its own maximum, twice what the holder assumes.

Change: NextPoll extends the lease only in a poll that names its boot. After an unanswered poll one more passes without extension; a lease of 4 to 5 s bears it.

go test ./dispatcher -run TestLeaseOfPollAfterRestart before: a lease of 8 s, want 4 s, and two runs at once; after: passes. The other tests of the package have the results they had before.

--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -14,8 +14,8 @@
 // NextPoll returns the next poll of a worker, and whether the worker is known. The
 // lease of a worker that has been unresponsive isn't extended, so that it can expire.
 // A worker that didn't answer the last poll may have restarted under its id and counts
-// its ends anew, so it gets no acknowledgement before it has answered again; any other
-// poll names the boot that answered.
+// its clock and its ends anew, so it gets no acknowledgement and no lease before it has
+// answered again; any other poll names the boot that answered.
 func (c *Cell) NextPoll(now time.Time, id string) (PollOrder, bool) {
 	w, known := c.workers[id]
 	if !known {
@@ -26,7 +26,7 @@
 		order.Boot = w.boot
 		order.Acknowledged = w.acknowledgedEnd
 	}
-	if w.epochAccepted && c.Confirmed(now) && now.Sub(w.answeredAt) < unresponsiveTimeout {
+	if order.Boot != 0 && c.Confirmed(now) && now.Sub(w.answeredAt) < unresponsiveTimeout {
 		order.LeaseEnd = c.extendLease(now, w)
 	}
 	if w.epochAccepted && w.lastEnd == w.acknowledgedEnd {
