dispatcher: an answer without a boot time doesn't make the boot unknown

Cause: a listing without one set the known boot to 0; the next poll named no boot, but still acknowledged, and the next restart went unnoticed.

Change: a known boot is kept, and a poll acknowledges only if it names one.

go test ./dispatcher -run TestAnswerWithoutBoot before: 'a poll of any boot acknowledges the ends up to 3'; after: passes.

--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -22,7 +22,7 @@
 		return PollOrder{}, false
 	}
 	order := PollOrder{Worker: w.registration, Epoch: c.Epoch}
-	if w.epochAccepted && w.answeredAt.After(w.unansweredAt) {
+	if w.epochAccepted && w.boot != 0 && w.answeredAt.After(w.unansweredAt) {
 		order.Boot = w.boot
 		order.Acknowledged = w.acknowledgedEnd
 	}
@@ -68,7 +68,9 @@
 		w.clock = listing.Clock
 		w.clockAt = now
 	}
-	w.boot = listing.Boot
+	if listing.Boot != 0 {
+		w.boot = listing.Boot
+	}
 	if !w.epochAccepted {
 		w.leaseEnd = max(w.leaseEnd, listing.Clock+c.Limits.LeaseDuration)
 	}
