standin: the end of a connection doesn't forget a newer one with its address

What was seen: nothing; found in review by reading. Connections were kept by their remote address alone, so the late end of one could drop the record of a newer one, whose calls a restart would then not refuse.

Change: the record goes only with its own connection. go test -race -count=3 ./platform (without TestWorkerWithoutKeepAlive, KNOWN-RED): passes.

--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -132,7 +132,10 @@
 		}
 		w.connections[remote] = workerConnection{connection: connection, life: w.life}
 	case http.StateClosed, http.StateHijacked:
-		delete(w.connections, remote)
+		// A newer connection may have the same remote address already.
+		if w.connections[remote].connection == connection {
+			delete(w.connections, remote)
+		}
 	}
 }
 
