dispatcher: a job delivered after a worker listed runs of it doesn't start them again

Cause, by reading and a test: the new holder polled the worker before it had the job. The listed run was recorded as one of an unknown job, to be stopped later; a listed end of such a job waited. When the job was delivered, the holder planned before the next poll and started all its tasks anew. The time of the first run's stop fits the delayed stop of such runs.

Change: when a job is added, what workers have listed of it is applied first: its ends are handled, its runs adopted. Ends that wait are kept by number.

go test ./dispatcher -run TestJobDeliveredAfterListing before: "3 tasks are started that a worker has listed" with active and with done runs; after: passes.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -179,6 +179,7 @@
 	c.record(recorder.Event{Kind: KindJobAdded, Key: job.ID, Detail: job.Queue.Name})
 	c.upcoming[job.ID] = j
 	c.beginOccurrences(now, j)
+	c.applyListed(now, job.ID)
 }
 
 // criticalPath returns the estimated run time of the longest chain of dependent steps.
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -42,7 +42,7 @@
 }
 
 func newWorker() *worker {
-	return &worker{runs: map[runKey]*run{}, orphanedRuns: map[runKey]time.Time{}, handledAhead: map[int64]bool{}}
+	return &worker{runs: map[runKey]*run{}, orphanedRuns: map[runKey]time.Time{}, handledAhead: map[int64]bool{}, awaitedEnds: map[int64]EndedRow{}}
 }
 
 // RemoveWorker marks a worker as no longer registered.
@@ -86,6 +86,7 @@
 	w.leaseEnd = 0
 	w.orphanedRuns = map[runKey]time.Time{}
 	w.handledAhead = map[int64]bool{}
+	w.awaitedEnds = map[int64]EndedRow{}
 }
 
 func (w *worker) sortedRuns() []*run {
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -97,8 +97,10 @@
 		handled := w.handledAhead[row.Number]
 		if !handled && c.awaitsJob(now, row.Task.Job) {
 			awaiting = true
+			w.awaitedEnds[row.Number] = row
 			continue
 		}
+		delete(w.awaitedEnds, row.Number)
 		if !handled {
 			c.handleEnd(now, w, row)
 		}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -168,7 +168,9 @@
 	lastEnd, acknowledgedEnd int64
 	// handledAhead holds the numbers of the handled ends above lastEnd.
 	handledAhead map[int64]bool
-	runs         map[runKey]*run
+	// awaitedEnds holds the listed ends of jobs that aren't known yet, by number.
+	awaitedEnds map[int64]EndedRow
+	runs        map[runKey]*run
 	// used is the capacity that runs take. It excludes the processors of best-effort
 	// tasks, for which idleProcessors applies.
 	used Size
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -32,6 +32,25 @@
 	return true
 }
 
+// applyListed applies what workers have listed of a job that wasn't known then, so that no
+// task starts that is active or done. A worker will list it again, but only later.
+func (c *Cell) applyListed(now time.Time, id string) {
+	for _, w := range c.workers {
+		for number, row := range w.awaitedEnds {
+			if row.Task.Job == id {
+				delete(w.awaitedEnds, number)
+				w.handledAhead[number] = true
+				c.handleEnd(now, w, row)
+			}
+		}
+		for key := range w.orphanedRuns {
+			if key.task.Job == id && c.adopt(now, w, RunningRow{Task: key.task, Run: key.run}) != nil {
+				delete(w.orphanedRuns, key)
+			}
+		}
+	}
+}
+
 // UnknownJobs returns the ids of the jobs to look up in the store.
 func (c *Cell) UnknownJobs(now time.Time) []string {
 	for id, at := range c.absentJobs {
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -227,3 +227,27 @@
 		t.Error(problem)
 	}
 }
+
+// TestJobDeliveredAfterListing guards against two runs of a task: a new holder gets a job
+// only after a worker has listed runs of it, or their ends, and plans before it polls
+// again (TWICE on a hunted day, mix 893577733164).
+func TestJobDeliveredAfterListing(t *testing.T) {
+	for name, length := range map[string]time.Duration{"the runs are active": 4 * time.Second, "the runs are done": 600 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			s := newActiveSimulation(3)
+			s.submit(plainJob(jobID, 3, length, 1))
+			s.step(50 * time.Millisecond)
+			delete(s.archive.jobs, jobID)
+			s.changeHolder(s.workers...)
+			s.runFor(time.Second)
+			s.archive.jobs[jobID] = s.jobs[jobID]
+			s.cell.AddJob(s.now, s.jobs[jobID], nil, true)
+			if orders := s.cell.Plan(s.now); len(orders.Starts) > 0 {
+				t.Errorf("%d tasks are started that a worker has listed", len(orders.Starts))
+			}
+			s.runFor(9 * time.Second)
+			requireState(t, s, jobID, dispatcher.StateCompleted)
+			requireNoViolations(t, s)
+		})
+	}
+}
