watcher, acceptor: the log tells what each watch did and what a 404 follows from

Between 7.2 s and 14.0 s of the record the log has no line about the watch of the configuration, so a request that hangs can't be told from one that is answered late, or from a list. A 404 didn't say which version it followed from, nor how old that was.

Each failed request of a watch is logged with how long it took; the first answer after that with the time from which changes may have been missing. A 404 has a line with the version and the age of the configuration, 20 a second at most (TestUnknownQueueIsLogged). No logic changes.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -35,6 +35,9 @@
 	// Configuration returns the current configuration, or false if none has been
 	// read yet.
 	Configuration() (platform.Configuration, bool)
+	// Age returns how long ago the store last answered whether the configuration has
+	// changed.
+	Age() time.Duration
 }
 
 // JobService handles requests about accepted jobs of all cells, whichever process holds
@@ -68,6 +71,7 @@
 	StoreReached func() bool
 
 	inFlight atomic.Int64
+	refusals refusalLog
 }
 
 // InFlight returns the number of requests in progress.
@@ -85,7 +89,7 @@
 	}
 	queue, rest, found := matchQueue(configuration.Queues, request)
 	if !found {
-		http.Error(w, "no such queue", http.StatusNotFound)
+		a.refuseUnknownQueue(w, request, configuration)
 		return
 	}
 	timeout := platform.ClientTimeout(request, max(queue.Timeout, defaultTimeout))
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -1,25 +1,31 @@
 package acceptor_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
+	"k8s.io/klog/v2"
 
 	"zinniashore.example/acceptor"
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/platform"
 )
 
-type fakeConfigurations struct{}
+type fakeConfigurations struct{ age time.Duration }
 
 func (fakeConfigurations) Configuration() (platform.Configuration, bool) {
-	return platform.Configuration{Queues: []dispatcher.Queue{{Name: "quotes", Host: "shop.example", Prefix: "/quotes/"}}}, true
+	return platform.Configuration{Version: 3, Queues: []dispatcher.Queue{{Name: "quotes", Host: "shop.example", Prefix: "/quotes/"}}}, true
 }
 
+func (c fakeConfigurations) Age() time.Duration { return c.age }
+
 // fakeJobs reports each job as running.
 type fakeJobs struct{ acceptor.JobService }
 
@@ -56,3 +62,33 @@
 		})
 	}
 }
+
+// TestUnknownQueueIsLogged checks that a refusal names the version of the configuration
+// that it follows from and its age, at a limited rate.
+func TestUnknownQueueIsLogged(t *testing.T) {
+	var lines bytes.Buffer
+	klog.LogToStderr(false)
+	klog.SetOutput(&lines)
+	t.Cleanup(func() {
+		klog.SetOutput(io.Discard)
+		klog.LogToStderr(true)
+	})
+	a := &acceptor.Acceptor{Clock: clockwork.NewFakeClock(), Configurations: fakeConfigurations{age: time.Second}, Jobs: fakeJobs{}}
+	const requests = 100
+	for range requests {
+		request := httptest.NewRequest(http.MethodGet, "/other/", nil)
+		answer := httptest.NewRecorder()
+		a.ServeHTTP(answer, request)
+		if answer.Code != http.StatusNotFound {
+			t.Fatalf("status %d, want 404", answer.Code)
+		}
+	}
+	klog.Flush()
+	logged := lines.String()
+	if want := `"No such queue" host="example.com" path="/other/" version=3 age="1s"`; !strings.Contains(logged, want) {
+		t.Errorf("no line with %s in\n%s", want, logged)
+	}
+	if count := strings.Count(logged, "No such queue"); count >= requests {
+		t.Errorf("%d lines for %d requests at one time", count, requests)
+	}
+}
--- /dev/null
+++ b/acceptor/refusal.go
@@ -0,0 +1,52 @@
+package acceptor
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
+
+	"zinniashore.example/platform"
+)
+
+const (
+	// refusalLinesPerSecond and refusalLineBurst limit the log lines about unknown queues.
+	refusalLinesPerSecond = 20
+	refusalLineBurst      = 60
+)
+
+// refusalLog logs requests for unknown queues at a limited rate. The zero value is ready
+// for use.
+type refusalLog struct {
+	mu         sync.Mutex
+	limiter    *rate.Limiter
+	suppressed int
+}
+
+// admit reports whether to write a line now, and how many were suppressed since the last
+// one.
+func (l *refusalLog) admit(now time.Time) (bool, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limiter == nil {
+		l.limiter = rate.NewLimiter(refusalLinesPerSecond, refusalLineBurst)
+	}
+	if !l.limiter.AllowN(now, 1) {
+		l.suppressed++
+		return false, 0
+	}
+	suppressed := l.suppressed
+	l.suppressed = 0
+	return true, suppressed
+}
+
+// refuseUnknownQueue answers a request for a queue that the configuration doesn't have.
+func (a *Acceptor) refuseUnknownQueue(w http.ResponseWriter, request *http.Request, configuration platform.Configuration) {
+	if logged, suppressed := a.refusals.admit(a.Clock.Now()); logged {
+		klog.InfoS("No such queue", "host", request.Host, "path", request.URL.Path,
+			"version", configuration.Version, "age", a.Configurations.Age(), "left_out", suppressed)
+	}
+	http.Error(w, "no such queue", http.StatusNotFound)
+}
--- a/configurations.go
+++ b/configurations.go
@@ -2,7 +2,9 @@
 
 import (
 	"sync"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/platform"
@@ -10,9 +12,13 @@
 
 // configurations holds the newest configuration received. It ignores older versions.
 type configurations struct {
+	clock clockwork.Clock
+
 	mu      sync.Mutex
 	current platform.Configuration
 	known   bool
+	// answered is when the store last answered the watch of the configuration.
+	answered time.Time
 }
 
 // Configuration implements acceptor.ConfigurationSource.
@@ -22,6 +28,20 @@
 	return c.current, c.known
 }
 
+// Age implements acceptor.ConfigurationSource.
+func (c *configurations) Age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Now().Sub(c.answered)
+}
+
+// read notes an answer of the store.
+func (c *configurations) read(time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = c.clock.Now()
+}
+
 // Replace implements watcher.Handler.
 func (c *configurations) Replace(items []platform.Item) {
 	for _, item := range items {
--- a/scheduler.go
+++ b/scheduler.go
@@ -101,7 +101,7 @@
 func (s *Scheduler) build() {
 	s.store = platform.NewStore(s.Settings.StoreAddress)
 	archive := &archiver.Archiver{Store: s.store}
-	s.configurations = &configurations{}
+	s.configurations = &configurations{clock: s.Clock}
 	s.heldCells = &heldCells{
 		clock: s.Clock, settings: s.Settings, store: s.store, workers: platform.NewWorkers(), archiver: archive,
 		recorder: &eventLog{clock: s.Clock, scope: s.meter.Scope, recorder: &recorder.Recorder{
@@ -150,15 +150,21 @@
 	}
 }
 
+// configurationWatch returns the watch that keeps the configuration up to date.
+func (s *Scheduler) configurationWatch() watcher.Watcher {
+	return watcher.Watcher{
+		Store: s.store, Clock: s.Clock, Prefix: platform.OperatorPrefix, Handler: s.configurations,
+		Read: s.configurations.read, Wait: configurationWait,
+	}
+}
+
 // Run serves until ctx ends, then shuts down gracefully: it withdraws readiness, answers
 // calls as long as the platform still sends some, and then releases the cell.
 func (s *Scheduler) Run(ctx context.Context) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	configuration := watcher.Watcher{
-		Store: s.store, Clock: s.Clock, Prefix: platform.OperatorPrefix, Handler: s.configurations, Wait: configurationWait,
-	}
+	configuration := s.configurationWatch()
 	roles := []func(context.Context) error{configuration.Run, s.claimer.Run, s.intake.Run, s.prober.Run}
 	for _, run := range roles {
 		group.Go(func() error { return run(running) })
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -58,20 +58,23 @@
 // the history of the watch. It always returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
 	var revision int64
-	listed, unreachable := false, false
+	listed := false
+	var lost outage
 	retry := minRetryDelay
 	for ctx.Err() == nil {
 		var err error
+		sent := w.Clock.Now()
 		if listed {
 			revision, err = w.watch(ctx, revision)
 		} else {
 			revision, err = w.list(ctx)
 		}
 		if err == nil {
-			if unreachable {
-				klog.InfoS("Store reachable again", "prefix", w.Prefix)
+			if lost.failures > 0 {
+				klog.InfoS("Store reachable again", "prefix", w.Prefix, "after", revision,
+					"failures", lost.failures, "unread", w.Clock.Now().Sub(lost.began), "lastTook", lost.lastTook)
 			}
-			listed, unreachable, retry = true, false, minRetryDelay
+			listed, lost, retry = true, outage{}, minRetryDelay
 			continue
 		}
 		if ctx.Err() != nil {
@@ -82,10 +85,8 @@
 			listed = false
 			continue
 		}
-		if !unreachable {
-			klog.ErrorS(err, "Store unreachable; retrying", "prefix", w.Prefix)
-		}
-		unreachable = true
+		lost = lost.withFailure(sent, w.Clock.Now())
+		klog.ErrorS(err, "Store unreachable; retrying", "prefix", w.Prefix, "failures", lost.failures, "took", lost.lastTook)
 		select {
 		case <-ctx.Done():
 		case <-w.Clock.After(retry + rand.N(retry)):
@@ -130,3 +131,22 @@
 		w.Read(until)
 	}
 }
+
+// outage is a series of failed requests.
+type outage struct {
+	// began is when the first of them was sent: changes since then haven't been read.
+	began    time.Time
+	failures int
+	// lastTook is how long the last of them took to fail.
+	lastTook time.Duration
+}
+
+// withFailure returns the outage with one more failed request.
+func (o outage) withFailure(sent, failed time.Time) outage {
+	if o.failures == 0 {
+		o.began = sent
+	}
+	o.failures++
+	o.lastTook = failed.Sub(sent)
+	return o
+}
