--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -14,6 +15,9 @@
 type PlatformFaults struct {
 	// Refuse answers every call with status 503, without effect.
 	Refuse bool
+	// Silent leaves every call without an answer or effect, those that are waiting at its
+	// start too; their connections return nothing further.
+	Silent bool
 	// LoseEvery loses the answer of every LoseEvery-th committed transaction, if above
 	// zero.
 	LoseEvery int
@@ -39,16 +43,62 @@
 	nextLease    int64
 	transactions int
 	faults       PlatformFaults
-	changed      chan struct{}
+	// silences is how often the store or its connections have fallen silent.
+	silences int
+	// connections are the addresses of the clients' connections, and whether they are silent
+	// for good.
+	connections map[string]bool
+	changed     chan struct{}
 }
 
 // SetFaults replaces the faults.
 func (s *PlatformStore) SetFaults(faults PlatformFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if faults.Silent && !s.faults.Silent {
+		s.silences++
+	}
 	s.faults = faults
 }
 
+// SilenceConnections makes all connections that clients have used silent for good. New ones
+// work.
+func (s *PlatformStore) SilenceConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silences++
+	for address := range s.connections {
+		s.connections[address] = true
+	}
+}
+
+// silent reports whether the store is silent or has been since it had fallen silent the given
+// number of times.
+func (s *PlatformStore) silent(silences int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Silent || s.silences != silences
+}
+
+// onSilentConnection notes the connection of a request and reports whether it is silent.
+func (s *PlatformStore) onSilentConnection(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connections == nil {
+		s.connections = map[string]bool{}
+	}
+	silent := s.connections[r.RemoteAddr]
+	s.connections[r.RemoteAddr] = silent
+	return silent
+}
+
+// hang leaves a request without an answer until its client ends the connection.
+func hang(r *http.Request) {
+	// The server notices the end of a connection only once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 // Put writes a key without a lease, as the platform itself does, and returns its revision.
 func (s *PlatformStore) Put(key string, value []byte) int64 {
 	s.mu.Lock()
@@ -124,8 +174,12 @@
 func (s *PlatformStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.initAndExpire()
-	refuse := s.faults.Refuse
+	refuse, silences := s.faults.Refuse, s.silences
 	s.mu.Unlock()
+	if s.onSilentConnection(r) || s.silent(silences) {
+		hang(r)
+		return
+	}
 	if refuse {
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
@@ -137,7 +191,7 @@
 	case path == "range":
 		s.list(w, r)
 	case path == "watch":
-		s.watch(w, r)
+		s.watch(w, r, silences)
 	case path == "txn":
 		s.commit(w, r)
 	case path == "lease":
@@ -175,29 +229,23 @@
 	writeMessage(w, map[string]any{"items": items, "has-more": false, "as-of": s.revision})
 }
 
-func (s *PlatformStore) watch(w http.ResponseWriter, r *http.Request) {
+func (s *PlatformStore) watch(w http.ResponseWriter, r *http.Request, silences int) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	for {
-		s.mu.Lock()
-		s.initAndExpire()
-		events := []platformItem{}
-		for _, item := range s.history {
-			if item.Revision > after && strings.HasPrefix(item.Key, r.URL.Query().Get("prefix")) {
-				events = append(events, item)
-			}
+	for expired := false; ; {
+		events, asOf, changed := s.eventsAfter(after, r.URL.Query().Get("prefix"))
+		if s.silent(silences) {
+			hang(r)
+			return
 		}
-		asOf, changed := s.revision, s.changed
-		s.mu.Unlock()
-		if len(events) > 0 {
+		if len(events) > 0 || expired {
 			writeMessage(w, map[string]any{"events": events, "as-of": asOf})
 			return
 		}
 		select {
 		case <-timeout:
-			writeMessage(w, map[string]any{"events": events, "as-of": asOf})
-			return
+			expired = true
 		case <-r.Context().Done():
 			return
 		case <-changed:
@@ -206,6 +254,21 @@
 	}
 }
 
+// eventsAfter returns the changes under a prefix after a revision, the current revision,
+// and a channel that is closed at the next change.
+func (s *PlatformStore) eventsAfter(after int64, prefix string) ([]platformItem, int64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.initAndExpire()
+	events := []platformItem{}
+	for _, item := range s.history {
+		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events, s.revision, s.changed
+}
+
 type platformTransaction struct {
 	Expect []platformItem `json:"expect-rev"`
 	Writes []platformItem `json:"writes"`
