--- a/heldcells.go
+++ b/heldcells.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// registrationWait is how long a watch call for registrations waits for a change. A
-	// half-open connection delays changes by this time, the slack of the call and a retry.
-	// That has to be less than the 3 s after which a process counts as in touch again. A
-	// worker that is gone counts as registered for as much longer if no other one registers.
-	registrationWait = time.Second
+	// registrationWait is how long a watch call for registrations waits for a change. No task
+	// may start on a worker later than two seconds after it has registered as draining, even
+	// if a connection became half-open in the batch delay before the call. A worker that is
+	// gone counts as registered for as much longer if no other one registers.
+	registrationWait = 700 * time.Millisecond
 	// jobWait is how long a watch call for jobs waits for a change. No task of a job may
 	// start later than three seconds after the store has acknowledged the cancellation of
 	// the job, even if the call that would have reported it gets no answer.
--- a/scheduler.go
+++ b/scheduler.go
@@ -29,7 +29,7 @@
 const (
 	// configurationWait is how long a watch call for the configuration waits. A change
 	// must be in force within two seconds even if the connection is half-open.
-	configurationWait = 2 * time.Second
+	configurationWait = time.Second
 	// drainPollInterval is the interval at which a draining process checks for calls in
 	// flight.
 	drainPollInterval = 20 * time.Millisecond
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -15,8 +15,15 @@
 )
 
 const (
+	// minRetryDelay and maxRetryDelay bound the delay between two requests that fail at once,
+	// before its jitter.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// minAnswerTime is how long an answer may take beyond the time that its request waits
+	// before the request counts as lost. It doubles with each failed request, up to
+	// maxAnswerTime, since the store may be slow.
+	minAnswerTime = 400 * time.Millisecond
+	maxAnswerTime = 1200 * time.Millisecond
 )
 
 // Store is the subset of platform.Store that a Watcher uses.
@@ -44,8 +51,8 @@
 	// Read, if set, is called once the handler has got all changes up to a time: that at
 	// which the answered request was sent, since the answer may have waited to be read.
 	Read func(until time.Time)
-	// Wait is how long one watch request waits for a change. An unresponsive
-	// connection is detected shortly after that time.
+	// Wait is how long one watch request waits for a change. A request without an answer
+	// hides changes for this time and minAnswerTime.
 	Wait time.Duration
 	// BatchDelay is the delay between the receipt of changes and the next watch
 	// request. Changes in that time arrive in one response, which limits the rate of
@@ -53,49 +60,68 @@
 	BatchDelay time.Duration
 }
 
-// Run lists the keys and watches them until ctx ends. It retries failed requests with
-// exponential backoff and jitter, and lists the keys again if the store has compacted
-// the history of the watch. It always returns nil.
+// Run lists the keys and watches them until ctx ends. It repeats a failed request at once if
+// that took long, or with exponential backoff and jitter. Until one is answered, its requests
+// don't wait for a change, so that a silent store is noticed to answer again soon after it
+// does. It lists the keys again if the store has compacted the history of the watch. It always
+// returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
 	var revision int64
 	listed := false
 	var lost outage
-	retry := minRetryDelay
 	for ctx.Err() == nil {
 		var err error
 		sent := w.Clock.Now()
 		if listed {
-			revision, err = w.watch(ctx, revision)
+			revision, err = w.watch(ctx, revision, lost.failures)
 		} else {
 			revision, err = w.list(ctx)
 		}
-		if err == nil {
-			if lost.failures > 0 {
-				klog.InfoS("Store reachable again", "prefix", w.Prefix, "after", revision,
-					"failures", lost.failures, "unread", w.Clock.Now().Sub(lost.began), "lastTook", lost.lastTook)
-			}
-			listed, lost, retry = true, outage{}, minRetryDelay
-			continue
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		if errors.Is(err, platform.ErrCompacted) {
+		switch {
+		case ctx.Err() != nil:
+		case err == nil:
+			w.logEnd(lost, revision)
+			listed, lost = true, outage{}
+		case errors.Is(err, platform.ErrCompacted):
 			klog.InfoS("Watched history was compacted; listing the keys again", "prefix", w.Prefix, "after", revision)
 			listed = false
-			continue
-		}
-		lost = lost.withFailure(sent, w.Clock.Now())
-		klog.ErrorS(err, "Store unreachable; retrying", "prefix", w.Prefix, "failures", lost.failures, "took", lost.lastTook)
-		select {
-		case <-ctx.Done():
-		case <-w.Clock.After(retry + rand.N(retry)):
+		default:
+			lost = lost.withFailure(sent, w.Clock.Now())
+			klog.ErrorS(err, "Store unreachable; retrying", "prefix", w.Prefix, "failures", lost.failures, "took", lost.lastTook)
+			w.backOff(ctx, lost)
 		}
-		retry = min(2*retry, maxRetryDelay)
 	}
 	return nil
 }
 
+func (w *Watcher) logEnd(lost outage, revision int64) {
+	if lost.failures > 0 {
+		klog.InfoS("Store reachable again", "prefix", w.Prefix, "after", revision,
+			"failures", lost.failures, "unread", w.Clock.Now().Sub(lost.began), "lastTook", lost.lastTook)
+	}
+}
+
+// backOff waits until the next request may be sent. The delay counts from when the failed
+// request was sent.
+func (w *Watcher) backOff(ctx context.Context, lost outage) {
+	delay := doubled(minRetryDelay, lost.failures-1, maxRetryDelay)
+	select {
+	case <-ctx.Done():
+	case <-w.Clock.After(delay + rand.N(delay) - lost.lastTook):
+	}
+}
+
+// doubled returns a duration that has been doubled a number of times, at most limit.
+func doubled(duration time.Duration, times int, limit time.Duration) time.Duration {
+	for range times {
+		if duration >= limit {
+			break
+		}
+		duration *= 2
+	}
+	return min(duration, limit)
+}
+
 func (w *Watcher) list(ctx context.Context) (int64, error) {
 	sent := w.Clock.Now()
 	items, revision, err := w.Store.List(ctx, w.Prefix)
@@ -107,9 +133,17 @@
 	return revision, nil
 }
 
-func (w *Watcher) watch(ctx context.Context, revision int64) (int64, error) {
+// watch requests the changes after a revision. Its request waits for one only if the request
+// before hasn't failed.
+func (w *Watcher) watch(ctx context.Context, revision int64, failures int) (int64, error) {
+	wait := w.Wait
+	if failures > 0 {
+		wait = 0
+	}
 	sent := w.Clock.Now()
-	events, next, err := w.Store.Watch(ctx, w.Prefix, revision, w.Wait)
+	limited, cancel := clockwork.WithTimeout(ctx, w.Clock, wait+doubled(minAnswerTime, failures, maxAnswerTime))
+	events, next, err := w.Store.Watch(limited, w.Prefix, revision, wait)
+	cancel()
 	if err != nil {
 		return revision, err
 	}
