--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -85,10 +85,33 @@
 	}
 	klog.Flush()
 	logged := lines.String()
-	if want := `"No such queue" host="example.com" path="/other/" version=3 age="1s"`; !strings.Contains(logged, want) {
+	if want := `"No such queue" host="example.com" path="/other/" status=404 version=3 age="1s"`; !strings.Contains(logged, want) {
 		t.Errorf("no line with %s in\n%s", want, logged)
 	}
 	if count := strings.Count(logged, "No such queue"); count >= requests {
 		t.Errorf("%d lines for %d requests at one time", count, requests)
 	}
 }
+
+// TestUnknownQueueOfOldConfiguration guards against a 404 for a queue that has been added
+// since the store last answered.
+func TestUnknownQueueOfOldConfiguration(t *testing.T) {
+	tests := map[string]struct {
+		age        time.Duration
+		want       int
+		retryAfter bool
+	}{
+		"current configuration":     {age: 1400 * time.Millisecond, want: http.StatusNotFound},
+		"may lack confirmed queues": {age: 1600 * time.Millisecond, want: http.StatusServiceUnavailable, retryAfter: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := &acceptor.Acceptor{Clock: clockwork.NewRealClock(), Configurations: fakeConfigurations{age: test.age}, Jobs: fakeJobs{}}
+			answer := httptest.NewRecorder()
+			a.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/other/", nil))
+			if answer.Code != test.want || (answer.Header().Get("Retry-After") != "") != test.retryAfter {
+				t.Errorf("status %d, Retry-After %q; want %d", answer.Code, answer.Header().Get("Retry-After"), test.want)
+			}
+		})
+	}
+}
--- a/configurations.go
+++ b/configurations.go
@@ -13,12 +13,16 @@
 // configurations holds the newest configuration received. It ignores older versions.
 type configurations struct {
 	clock clockwork.Clock
+	// suspendedTime returns for how long in all the VM has been suspended.
+	suspendedTime func() time.Duration
 
 	mu      sync.Mutex
 	current platform.Configuration
 	known   bool
-	// answered is when the store last answered the watch of the configuration.
-	answered time.Time
+	// answered is when the store last answered the watch of the configuration, and suspended
+	// the value of suspendedTime then.
+	answered  time.Time
+	suspended time.Duration
 }
 
 // Configuration implements acceptor.ConfigurationSource.
@@ -32,14 +36,14 @@
 func (c *configurations) Age() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.clock.Now().Sub(c.answered)
+	return c.clock.Now().Sub(c.answered) + c.suspendedTime() - c.suspended
 }
 
 // read notes an answer of the store.
 func (c *configurations) read(time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = c.clock.Now()
+	c.answered, c.suspended = c.clock.Now(), c.suspendedTime()
 }
 
 // Replace implements watcher.Handler.
--- a/scheduler.go
+++ b/scheduler.go
@@ -101,7 +101,7 @@
 func (s *Scheduler) build() {
 	s.store = platform.NewStore(s.Settings.StoreAddress)
 	archive := &archiver.Archiver{Store: s.store}
-	s.configurations = &configurations{clock: s.Clock}
+	s.configurations = &configurations{clock: s.Clock, suspendedTime: suspendedTime}
 	s.heldCells = &heldCells{
 		clock: s.Clock, settings: s.Settings, store: s.store, workers: platform.NewWorkers(), archiver: archive,
 		recorder: &eventLog{clock: s.Clock, scope: s.meter.Scope, recorder: &recorder.Recorder{
--- a/watches_test.go
+++ b/watches_test.go
@@ -91,7 +91,7 @@
 		"configuration": {
 			key: platform.ConfigurationKey, bound: configurationBound,
 			follow: func(t *testing.T, store *platform.Store) func(string) string {
-				s := &Scheduler{Clock: clock, store: store, configurations: &configurations{clock: clock}}
+				s := &Scheduler{Clock: clock, store: store, configurations: &configurations{}}
 				return follow(t, s.configurationWatch())
 			},
 		},
