--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	watchWait       = 20 * time.Second
+	// watchWait is short enough that a change is in force within its bound even if the
+	// connection of a watch is half-open.
+	watchWait       = 3 * time.Second
 	mirrorRetryWait = 500 * time.Millisecond
 )
 
