--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -45,6 +45,7 @@
 	soakFaultEvery  = 600 * time.Millisecond
 	soakFleetEvery  = 2 * time.Second
 	soakSeriesEvery = 4 * time.Second
+	soakSilentEvery = 3 * time.Second
 	// soakStop is how long the stop of a run takes.
 	soakStop = 300 * time.Millisecond
 	// soakGap is the longest time between two faults of a series.
@@ -117,7 +118,7 @@
 	// busy delays the stand-ins as well.
 	longestPause time.Duration
 	domains      map[string]string
-	version      int
+	versions     soakVersions
 }
 
 func (s *soak) addJob(job *soakJob) {
@@ -143,9 +144,9 @@
 	s := &soak{
 		t: t, seed: c.seed, deadly: c.deadly, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
 		callers: map[workerConnection]string{}, jobs: map[string]*soakJob{}, innocent: map[string]bool{}, absences: map[string][]soakSpan{},
-		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, version: 3,
+		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, versions: soakVersions{shown: map[string][]soakShown{}},
 	}
-	s.store.Put("op/config", []byte(platformConfiguration))
+	s.configure(c.seed)
 	rng := rand.New(rand.NewPCG(c.seed, 0))
 	processes := 3 + rng.IntN(3)
 	if *soakProcesses > 0 {
@@ -182,6 +183,9 @@
 	for i := range soakClients {
 		clients.Go(func() { newSoakClient(s, i).run(stop) })
 	}
+	for i := range soakProbers {
+		clients.Go(func() { newSoakClient(s, soakClients+1+i).probeRoutes(stop) })
+	}
 	for _, f := range plan {
 		faults.Go(func() {
 			time.Sleep(time.Until(s.began.Add(f.at)))
--- a/cmd/zinniashore/soakclient_test.go
+++ b/cmd/zinniashore/soakclient_test.go
@@ -121,8 +121,13 @@
 	}
 }
 
-// call returns the status and body of the answer; status 0 for no answer.
+// call sends a request about a job.
 func (c *soakClient) call(p *soakProcess, method, path, body string) (int, string) {
+	return c.request(p, method, platformPrefix+path, body)
+}
+
+// request returns the status and body of the answer; status 0 for no answer.
+func (c *soakClient) request(p *soakProcess, method, path, body string) (int, string) {
 	conn, reader := c.conns[p.name], c.readers[p.name]
 	if conn == nil {
 		var err error
@@ -133,8 +138,8 @@
 		c.conns[p.name], c.readers[p.name] = conn, reader
 	}
 	_ = conn.SetDeadline(time.Now().Add(soakPatience + time.Second))
-	_, err := fmt.Fprintf(conn, "%s %s%s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: %d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
-		method, platformPrefix, path, platformHost, soakPatience.Milliseconds(), len(body), body)
+	_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: %d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, platformHost, soakPatience.Milliseconds(), len(body), body)
 	sent := time.Now()
 	if err != nil {
 		c.hangUp(p)
--- a/cmd/zinniashore/soakfaults_test.go
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -31,8 +31,8 @@
 	weight int
 }
 
-// soakKinds are the kinds of faults of the first plan of a seed, soakFleetKinds and
-// soakSeriesKinds those of the others, which overlap it.
+// soakKinds are the kinds of faults of the first plan of a seed, soakFleetKinds,
+// soakSeriesKinds and soakSilentKinds those of the others, which overlap it.
 var (
 	soakKinds = []soakKind{
 		{"kill a process", 3}, {"kill a holder", 4}, {"stop a process", 3}, {"freeze a process", 2}, {"freeze a holder", 3}, {"hang up", 1},
@@ -42,6 +42,7 @@
 	}
 	soakFleetKinds  = []soakKind{{"all workers restart", 1}, {"worker's capacity", 2}}
 	soakSeriesKinds = []soakKind{{"stops in series", 1}, {"configurations in series", 1}}
+	soakSilentKinds = []soakKind{{"store silent", 2}, {"store's connections silent", 1}, {"change the configuration", 3}}
 	// soakPlannedKinds excuse no broken rule.
 	soakPlannedKinds = []string{"stop a process", "hang up", "change the configuration", "worker's capacity", "stops in series", "configurations in series"}
 )
@@ -50,7 +51,8 @@
 func newSoakPlan(seed uint64, length time.Duration) []soakFault {
 	plan := drawFaults(rand.New(rand.NewPCG(seed, 1<<32)), soakKinds, soakFaultEvery, length)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 2<<32)), soakFleetKinds, soakFleetEvery, length)...)
-	return append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3<<32)), soakSeriesKinds, soakSeriesEvery, length)...)
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3<<32)), soakSeriesKinds, soakSeriesEvery, length)...)
+	return append(plan, drawFaults(rand.New(rand.NewPCG(seed, 4<<32)), soakSilentKinds, soakSilentEvery, length)...)
 }
 
 // drawFaults draws faults that begin once in each interval on average.
@@ -169,7 +171,12 @@
 	case "change the configuration":
 		s.configure(f.number)
 	case "store unavailable":
-		s.storeOutage(f)
+		s.storeOutage(f, standin.PlatformFaults{Refuse: true}, f.variant%2 == 0)
+	case "store silent":
+		s.storeOutage(f, standin.PlatformFaults{Silent: true}, f.variant%4 == 0)
+	case "store's connections silent":
+		s.store.SilenceConnections()
+		s.configure(f.number)
 	case "store loses answers":
 		s.setStore(standin.PlatformFaults{LoseEvery: 2 + f.variant%3})
 		time.Sleep(f.length)
@@ -198,13 +205,14 @@
 	}
 }
 
-// storeOutage makes the store refuse all calls. In some outages it drops the workers,
-// which are back soon after its return.
-func (s *soak) storeOutage(f soakFault) {
+// storeOutage makes the store refuse all calls, or leave them without an answer. In some
+// outages it drops the workers, which are back soon after its return. The configuration
+// changes as it returns.
+func (s *soak) storeOutage(f soakFault, faults standin.PlatformFaults, drop bool) {
 	s.mu.Lock()
 	s.outages++
-	s.store.SetFaults(standin.PlatformFaults{Refuse: true})
-	if f.variant%2 == 0 {
+	s.store.SetFaults(faults)
+	if drop {
 		for _, w := range s.workers {
 			s.store.Remove("servers/" + w.id)
 		}
@@ -218,6 +226,7 @@
 	}
 	workers := append([]*soakWorker(nil), s.workers...)
 	s.mu.Unlock()
+	s.configure(f.number)
 	time.Sleep(time.Duration(f.number % uint64(soakReappear)))
 	for _, w := range workers {
 		s.register(w)
--- a/cmd/zinniashore/soakinformed_test.go
+++ b/cmd/zinniashore/soakinformed_test.go
@@ -24,14 +24,16 @@
 // soakHindrances are the kinds of faults that keep a process from reading registrations or
 // delay its orders.
 var soakHindrances = map[string]soakHindrance{
-	"store unavailable":       {allProcesses: true},
-	"store loses answers":     {allProcesses: true},
-	"store refuses a process": {},
-	"link to the store":       {},
-	"freeze a process":        {delaysOrders: true},
-	"freeze a holder":         {delaysOrders: true},
-	"link to a worker":        {delaysOrders: true},
-	"links to all workers":    {delaysOrders: true},
+	"store unavailable":          {allProcesses: true},
+	"store loses answers":        {allProcesses: true},
+	"store silent":               {allProcesses: true},
+	"store's connections silent": {allProcesses: true},
+	"store refuses a process":    {},
+	"link to the store":          {},
+	"freeze a process":           {delaysOrders: true},
+	"freeze a holder":            {delaysOrders: true},
+	"link to a worker":           {delaysOrders: true},
+	"links to all workers":       {delaysOrders: true},
 }
 
 // undisturbed returns the begin of the last span before a time which is as long as given
--- a/cmd/zinniashore/soakreport_test.go
+++ b/cmd/zinniashore/soakreport_test.go
@@ -64,8 +64,8 @@
 		}
 		job.mu.Unlock()
 	}
-	s.t.Logf("seed %d: %d processes, %d faults, %d jobs (%d accepted, %d refused, %d given up), %d tasks started, %d starts on shrunk workers, %s, longest pause %s", s.seed, len(s.processes),
-		len(plan), len(s.jobs), accepted, refused, len(s.innocent), len(history.runs), history.shrunk, time.Since(s.began).Round(time.Second), s.longestPause.Round(time.Millisecond))
+	s.t.Logf("seed %d: %d processes, %d faults, %d jobs (%d accepted, %d refused, %d given up), %d tasks started, %d starts on shrunk workers, %d versions, %d answers checked for them, %s, longest pause %s", s.seed, len(s.processes),
+		len(plan), len(s.jobs), accepted, refused, len(s.innocent), len(history.runs), history.shrunk, len(s.versions.acknowledged), s.versions.checked, time.Since(s.began).Round(time.Second), s.longestPause.Round(time.Millisecond))
 	s.mu.Unlock()
 	if accepted == 0 || len(history.runs) == 0 {
 		s.t.Errorf("seed %d: nothing ran", s.seed)
--- a/cmd/zinniashore/soakseries_test.go
+++ b/cmd/zinniashore/soakseries_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -73,12 +71,3 @@
 		time.Sleep(f.gap())
 	}
 }
-
-// configure writes a new version of the configuration.
-func (s *soak) configure(number uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version += 2
-	text := strings.Replace(platformConfiguration, `"version":3`, fmt.Sprintf(`"version":%d`, s.version), 1)
-	s.store.Put("op/config", []byte(strings.Replace(text, `"target-duration-ms":500`, fmt.Sprintf(`"target-duration-ms":%d`, 300+number%1000), 1)))
-}
