--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -30,7 +30,9 @@
 	// renewRetryInterval is short enough that the holder finds a recovered store before
 	// other processes may claim the cell.
 	renewRetryInterval = 150 * time.Millisecond
-	watchWait          = 2 * time.Second
+	// renewTimeout leaves time for another renewal within leaseTTL if one gets no answer.
+	renewTimeout = 700 * time.Millisecond
+	watchWait    = 2 * time.Second
 	// expiredClaimDelay delays the claim of a cell whose last claim expired, so that
 	// the process that held the cell can re-register first.
 	expiredClaimDelay = 250 * time.Millisecond
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/platform"
@@ -190,7 +191,9 @@
 
 // renew renews the lease and reports whether the store answered.
 func (c *Claimer) renew(ctx context.Context, lease int64) bool {
-	err := c.Store.Renew(ctx, lease)
+	limited, cancel := clockwork.WithTimeout(ctx, c.Clock, renewTimeout)
+	err := c.Store.Renew(limited, lease)
+	cancel()
 	if errors.Is(err, platform.ErrLeaseEnded) {
 		klog.InfoS("Store lease of the claim has expired", "cell", c.Candidate)
 		c.mu.Lock()
