logger: one limiter for lines of one kind

The limit of the log lines about unknown queues repeated that of the events line by line. Both use logger.Limiter; what is logged stays the same (TestUnknownQueueIsLogged, TestLimiter).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/dispatcher"
+	"zinniashore.example/logger"
 	"zinniashore.example/platform"
 )
 
@@ -71,7 +73,9 @@
 	StoreReached func() bool
 
 	inFlight atomic.Int64
-	refusals refusalLog
+	// refusals limits the log lines about unknown queues; refusalLimiter returns it.
+	refusals     *logger.Limiter
+	refusalsOnce sync.Once
 }
 
 // InFlight returns the number of requests in progress.
--- a/acceptor/refusal.go
+++ b/acceptor/refusal.go
@@ -2,12 +2,11 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"zinniashore.example/logger"
 	"zinniashore.example/platform"
 )
 
@@ -21,29 +20,9 @@
 	maxConfigurationAge = 1500 * time.Millisecond
 )
 
-// refusalLog logs requests for unknown queues at a limited rate. The zero value is ready
-// for use.
-type refusalLog struct {
-	mu         sync.Mutex
-	limiter    *rate.Limiter
-	suppressed int
-}
-
-// admit reports whether to write a line now, and how many were suppressed since the last
-// one.
-func (l *refusalLog) admit(now time.Time) (bool, int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.limiter == nil {
-		l.limiter = rate.NewLimiter(refusalLinesPerSecond, refusalLineBurst)
-	}
-	if !l.limiter.AllowN(now, 1) {
-		l.suppressed++
-		return false, 0
-	}
-	suppressed := l.suppressed
-	l.suppressed = 0
-	return true, suppressed
+func (a *Acceptor) refusalLimiter() *logger.Limiter {
+	a.refusalsOnce.Do(func() { a.refusals = logger.NewLimiter(refusalLinesPerSecond, refusalLineBurst) })
+	return a.refusals
 }
 
 // refuseUnknownQueue answers a request for a queue that the configuration doesn't have. If
@@ -53,7 +32,7 @@
 	if age > maxConfigurationAge {
 		status = http.StatusServiceUnavailable
 	}
-	if logged, suppressed := a.refusals.admit(a.Clock.Now()); logged {
+	if logged, suppressed := a.refusalLimiter().Admit(a.Clock.Now()); logged {
 		klog.InfoS("No such queue", "host", request.Host, "path", request.URL.Path,
 			"status", status, "version", configuration.Version, "age", age, "left_out", suppressed)
 	}
--- a/events.go
+++ b/events.go
@@ -6,10 +6,10 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/dispatcher"
+	"zinniashore.example/logger"
 	"zinniashore.example/recorder"
 )
 
@@ -36,9 +36,8 @@
 
 // kindLog limits the log lines of one kind of event and counts its events.
 type kindLog struct {
-	limiter    *rate.Limiter
-	counter    tally.Counter
-	suppressed int
+	limiter *logger.Limiter
+	counter tally.Counter
 }
 
 var _ dispatcher.Recorder = (*eventLog)(nil)
@@ -68,7 +67,7 @@
 	k, known := l.kinds[event.Kind]
 	if !known {
 		k = &kindLog{
-			limiter: rate.NewLimiter(eventsPerSecond, eventBurst),
+			limiter: logger.NewLimiter(eventsPerSecond, eventBurst),
 			counter: l.scope.Tagged(map[string]string{"kind": string(event.Kind)}).Counter("events"),
 		}
 		l.kinds[event.Kind] = k
@@ -76,13 +75,7 @@
 	k.counter.Inc(1)
 	now := l.clock.Now()
 	l.observeJobTime(now, event)
-	if !k.limiter.AllowN(now, 1) {
-		k.suppressed++
-		return false, 0
-	}
-	suppressed := k.suppressed
-	k.suppressed = 0
-	return true, suppressed
+	return k.limiter.Admit(now)
 }
 
 // observeJobTime records the time from the arrival of a job in its cell until the job is
