--- a/cmd/zinniashore/soakconfig_test.go
+++ b/cmd/zinniashore/soakconfig_test.go
@@ -18,8 +18,8 @@
 	soakRegress = 250 * time.Millisecond
 	// soakRouteVersions is how many versions have a route that one of them has added.
 	soakRouteVersions = 3
-	// soakVersionStep is the difference between two versions.
-	soakVersionStep = 2
+	// firstSoakVersion is the first version, soakVersionStep the difference between two.
+	firstSoakVersion, soakVersionStep = 3, 2
 	// soakNewVersions is how many of the newest versions' routes are asked for.
 	soakNewVersions = 6
 	soakProbers     = 3
@@ -43,8 +43,6 @@
 	version int
 }
 
-const firstSoakVersion = 3
-
 // newest returns the newest version; the caller holds the mutex.
 func (v *soakVersions) newest() int {
 	return firstSoakVersion + soakVersionStep*(len(v.acknowledged)-1)
@@ -146,15 +144,17 @@
 	}
 }
 
-// probeRoute asks a process for a route and checks by which versions that may have been
-// answered.
+// life names a process and its incarnation.
+func (p *soakProcess) life() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%s/%d", p.name, p.incarnation)
+}
+
+// probeRoute asks a process for the route that a version has added, and checks that a version
+// which the process may have answers so.
 func (c *soakClient) probeRoute(p *soakProcess, added int) {
-	life := func() string {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return fmt.Sprintf("%s/%d", p.name, p.incarnation)
-	}
-	before, sent := life(), time.Now()
+	life, sent := p.life(), time.Now()
 	status, _ := c.request(p, http.MethodGet, soakRoutePrefix(added), "")
 	if status != http.StatusOK && status != http.StatusNotFound {
 		return
@@ -164,26 +164,42 @@
 	informed, slack := s.informed(p.name, sent, answered), s.pause()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	oldest := v.oldest(life, sent.Add(-slack), informed)
+	if !v.anyAnswers(oldest, added, status) {
+		s.report(fmt.Sprintf("CONFIG: %s answered %d for the route of version %d, sent %s, answered %s; versions %d to %d say otherwise (informed %t)",
+			life, status, added, s.since(sent), s.since(answered), oldest, v.newest(), informed))
+		return
+	}
+	if status == http.StatusOK && life == p.life() {
+		v.shown[life] = append(v.shown[life], soakShown{at: answered, version: added})
+	}
+}
+
+// oldest returns the oldest version by which a process may answer a request that was sent at
+// a time; the caller holds the mutex.
+func (v *soakVersions) oldest(life string, sent time.Time, informed bool) int {
 	oldest := firstSoakVersion - soakVersionStep
 	if informed {
-		oldest = v.before(sent.Add(-soakApply - slack))
+		oldest = v.before(sent.Add(-soakApply))
 		v.checked++
 	}
-	for _, shown := range v.shown[before] {
-		if shown.at.Add(soakRegress + slack).Before(sent) {
+	for _, shown := range v.shown[life] {
+		if shown.at.Add(soakRegress).Before(sent) {
 			oldest = max(oldest, shown.version)
 		}
 	}
+	return oldest
+}
+
+// anyAnswers reports whether a version from the oldest to the newest one answers a request for
+// a route with a status; the caller holds the mutex.
+func (v *soakVersions) anyAnswers(oldest, added, status int) bool {
 	for version := oldest; version <= v.newest(); version += soakVersionStep {
 		if hasRoute(version, added) == (status == http.StatusOK) {
-			if status == http.StatusOK && before == life() {
-				v.shown[before] = append(v.shown[before], soakShown{at: answered, version: added})
-			}
-			return
+			return true
 		}
 	}
-	s.report(fmt.Sprintf("CONFIG: %s answered %d for the route of version %d, sent %s, answered %s; versions %d to %d say otherwise (informed %t)",
-		before, status, added, s.since(sent), s.since(answered), oldest, v.newest(), informed))
+	return false
 }
 
 // pause returns the longest time for which the machine held up the stand-ins so far.
