--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,10 @@
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	flag.Parse()
 	cases := map[string]func(*site, bool) (bool, error){
-		"drained": drainedTwice,
+		"drained":  drainedTwice,
+		"labelled": labelledJobLost,
+		"foreign":  foreignEntries,
+		"late":     lateSubmission,
 	}
 	play, found := cases[flag.Arg(0)]
 	if !found {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,12 +38,14 @@
 
 // site is a small deployment: the stand-ins and the processes of the system.
 type site struct {
-	record    *record
-	folder    string
-	program   string
-	store     *store
-	storeAt   string
-	zones     []string
+	record  *record
+	folder  string
+	program string
+	store   *store
+	storeAt string
+	zones   []string
+	// network is the part that the loopback addresses of the processes have in common.
+	network   string
 	minions   []*minion
 	processes []*process
 }
@@ -58,23 +61,19 @@
 	service    = "finishing"
 )
 
-func freePort() int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
-}
-
-// freePorts returns the first of two free ports in a row.
-func freePorts() int {
+// freePorts returns a port of an address such that it and the next one are free.
+func freePorts(ip string) int {
 	for {
-		first := freePort()
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+1))
+		first, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			panic(err)
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		second, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port+1))
+		_ = first.Close()
 		if err == nil {
-			_ = listener.Close()
-			return first
+			_ = second.Close()
+			return port
 		}
 	}
 }
@@ -84,7 +83,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{record: r, folder: folder, program: program, store: newStore(), zones: zones}
+	s := &site{
+		record: r, folder: folder, program: program, store: newStore(), zones: zones,
+		network: fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), 1+rand.IntN(250)),
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -121,18 +123,22 @@
 
 // addProcess starts a process of the system, as the deploy file says: target/zinniashore schedule.
 func (s *site) addProcess(zone string) (*process, error) {
-	ports := freePorts()
+	ip := fmt.Sprintf("%s%d", s.network, len(s.processes)+1)
+	served, ports := freePorts(ip), freePorts(ip)
+	for ports-served <= 1 && served-ports <= 1 {
+		ports = freePorts(ip)
+	}
 	p := &process{
 		name: fmt.Sprintf("edge-%s-%d", zone, len(s.processes)+1), zone: zone,
-		frontend:  fmt.Sprintf("127.0.0.1:%d", freePort()),
-		readiness: fmt.Sprintf("127.0.0.1:%d", freePort()),
+		frontend:  fmt.Sprintf("%s:%d", ip, served),
+		readiness: fmt.Sprintf("%s:%d", ip, served+1),
 	}
 	zones := map[string]string{}
 	for _, z := range s.zones {
 		zones[z] = "plaines"
 	}
 	settings := map[string]any{
-		"node": p.name, "role": "entry", "machine-class": "edge", "serves": []string{"edge"}, "ip": "127.0.0.1",
+		"node": p.name, "role": "entry", "machine-class": "edge", "serves": []string{"edge"}, "ip": ip,
 		"zone": zone, "region": "plaines", "zones": zones,
 		"listen":     map[string]any{"frontend": p.frontend, "readiness": p.readiness},
 		"port-range": []int{ports, ports + 1}, "bootstrap": true,
@@ -216,6 +222,11 @@
 
 // request sends a request of a requester and records the answer.
 func (s *site) request(p *process, method, path string, body any) (int, map[string]any) {
+	return s.requestWithin(p, 3*time.Second, method, path, body)
+}
+
+// requestWithin is request by a requester that leaves after a time.
+func (s *site) requestWithin(p *process, limit time.Duration, method, path string, body any) (int, map[string]any) {
 	var content io.Reader
 	if body != nil {
 		encoded, err := json.Marshal(body)
@@ -232,7 +243,7 @@
 	request.Host = queueHost
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("X-Deadline-Ms", "3000")
-	client := http.Client{Timeout: 3 * time.Second}
+	client := http.Client{Timeout: limit}
 	response, err := client.Do(request)
 	if err != nil {
 		s.record.add("answer", "%s %s to %s: %v", method, path, p.name, err)
@@ -275,3 +286,16 @@
 	}
 	return all
 }
+
+// holder returns the process that is registered as the holder of a zone's cell, or nil.
+func (s *site) holder(zone string) *process {
+	s.store.mu.Lock()
+	value := s.store.items["zinniashore/holders/"+zone].Value
+	s.store.mu.Unlock()
+	for _, p := range s.processes {
+		if bytes.Contains(value, []byte(p.name)) {
+			return p
+		}
+	}
+	return nil
+}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -35,6 +35,9 @@
 	leases   map[int64]*lease
 	nextID   int64
 	changed  chan struct{}
+	// late, if set, returns for how long a transaction that writes these keys is late. It gets
+	// no answer and is executed then, if its condition still holds.
+	late func(keys []string) time.Duration
 }
 
 func newStore() *store {
@@ -248,6 +251,17 @@
 		answer(w, http.StatusBadRequest, nil)
 		return
 	}
+	if s.late != nil {
+		var keys []string
+		for _, write := range body.Writes {
+			keys = append(keys, write.Key)
+		}
+		if delay := s.late(keys); delay > 0 {
+			time.Sleep(delay)
+			w = silent{}
+			defer func() { <-r.Context().Done() }() // the channel returns nothing further
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	met := true
@@ -283,3 +297,10 @@
 	}
 	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
 }
+
+// silent drops an answer.
+type silent struct{}
+
+func (silent) Header() http.Header               { return http.Header{} }
+func (silent) Write(content []byte) (int, error) { return len(content), nil }
+func (silent) WriteHeader(int)                   {}
