--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 [ -x ../bin/standin ] && [ -x ../../target/zinniashore ] || { echo 'build first' >&2; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec timeout -k 2 110 ../bin/standin -program ../../target/zinniashore -record record.txt -trouble=$trouble late
+exec timeout -k 2 110 ../bin/standin -program ../../target/zinniashore -record record.txt -trouble=$trouble frozen
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 		"drained":  drainedTwice,
 		"labelled": labelledJobLost,
 		"foreign":  foreignEntries,
+		"frozen":   frozenSubmission,
 		"late":     lateSubmission,
 	}
 	play, found := cases[flag.Arg(0)]
