dispatcher: a draining worker that is cut off isn't taken for one that has exited

Cause: hasLeft took 'draining, unregistered, one refused connection' for an exit, whatever the lease. A cut shows the same signs. It decided over lost runs, over what a new holder waits for, over majorities and over the removal of workers.

Ruled out: a lease that is computed too short; without the phase the same runs wait for its end.

Change: a worker has exited if another worker answers at its address and the registry doesn't list it; otherwise its leases have to expire. Events of forgotten workers tell what is known of their absence.

Two cases of TestCell demanded the fault: a start elsewhere 500 ms after a refused connection. They keep the 500 ms for a worker whose address another one has taken; two new cases check that tasks leave a draining worker before it exits, and stay if they end before.

--- a/dispatcher/cell_test.go
+++ b/dispatcher/cell_test.go
@@ -310,12 +310,13 @@
 			t.Errorf("tasks of %d jobs were offered, want all 3", len(offered))
 		}
 	}},
-	"tasks of a worker that has left start elsewhere at once": {workers: 2, run: func(t *testing.T, s *simulation) {
+	"tasks of a worker whose address another one has taken start elsewhere at once": {workers: 2, run: func(t *testing.T, s *simulation) {
 		exited := drainAndExit(s, 2*time.Second)
+		exited.closed, exited.replaced = false, true
 		s.unregister(exited)
 		s.runFor(500 * time.Millisecond)
 		if total := len(s.workers[0].running) + len(s.workers[1].running); total != 2 {
-			t.Errorf("%d tasks run 500 ms after one of two workers has left, want 2", total)
+			t.Errorf("%d tasks run 500 ms after one of two workers was replaced, want 2", total)
 		}
 	}},
 	"a registered worker whose address is closed may still run its tasks": {workers: 2, run: func(t *testing.T, s *simulation) {
@@ -325,8 +326,9 @@
 			t.Errorf("%d tasks run, want 1: the lease of the other run hasn't expired", total)
 		}
 	}},
-	"restored tasks don't wait for a worker that has left": {workers: 2, run: func(t *testing.T, s *simulation) {
+	"restored tasks don't wait for a worker whose address another one has taken": {workers: 2, run: func(t *testing.T, s *simulation) {
 		exited := drainAndExit(s, 2*time.Second)
+		exited.closed, exited.replaced = false, true
 		for _, f := range s.workers {
 			if f != exited {
 				s.changeHolder(f)
@@ -337,6 +339,33 @@
 			t.Errorf("%d tasks run under the new holder, want 2", total)
 		}
 	}},
+	"tasks leave a draining worker before it exits": {workers: 2, run: func(t *testing.T, s *simulation) {
+		s.submit(plainJob(jobID, 4, 3*time.Second, 1))
+		s.runFor(200 * time.Millisecond)
+		exiting := s.workers[0]
+		exiting.registration.Phase, exiting.registration.Remaining = dispatcher.PhaseDraining, 2*time.Second
+		s.register(exiting)
+		s.runFor(2 * time.Second)
+		if len(exiting.running) > 0 {
+			t.Errorf("%d tasks of 3 s run on a worker that exits within 2 s", len(exiting.running))
+		}
+		if total := len(s.workers[1].running); total != 4 {
+			t.Errorf("%d tasks run on the other worker, want 4", total)
+		}
+	}},
+	"a task that a draining worker will finish stays there": {workers: 2, run: func(t *testing.T, s *simulation) {
+		job := plainJob(jobID, 2, 1500*time.Millisecond, 1)
+		job.Steps[0].WorkerLimit = 1
+		s.submit(job)
+		s.runFor(200 * time.Millisecond)
+		exiting := s.workers[0]
+		exiting.registration.Phase, exiting.registration.Remaining = dispatcher.PhaseDraining, 2*time.Second
+		s.register(exiting)
+		s.runFor(time.Second)
+		if len(exiting.running) != 1 {
+			t.Errorf("%d tasks run on the draining worker, want 1", len(exiting.running))
+		}
+	}},
 	"a short task without capacity does not block a best-effort task": {workers: 1, run: func(t *testing.T, s *simulation) {
 		s.submit(longRunningJob(otherID, 2, 1900))
 		s.runFor(100 * time.Millisecond)
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -56,7 +56,7 @@
 // isVoter reports whether the worker counts towards the size of a majority: it is
 // registered, or a holder may have used it and it may still exist.
 func (c *Cell) isVoter(w *worker) bool {
-	return w.registered || (w.restored || w.stored) && !w.hasLeft() && !c.crashed(w)
+	return w.registered || (w.restored || w.stored) && !w.exited() && !c.crashed(w)
 }
 
 // mayHaveRun reports whether an earlier holder may have started a task on a worker that
@@ -82,7 +82,7 @@
 	}
 	expired := now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
-		if w.epochAccepted || !w.restored || w.hasLeft() {
+		if w.epochAccepted || !w.restored || w.exited() {
 			continue
 		}
 		longRunningWaits = longRunningWaits || !expired
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -23,6 +23,7 @@
 	restarted := registration.Boot != w.registration.Boot && registration.Boot > w.boot
 	w.registration = registration
 	w.registered = true
+	w.exitsAfter = now.Add(registration.Remaining)
 	if w.boot != 0 && restarted {
 		c.setBoot(now, w, registration.Boot)
 	}
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -55,13 +55,16 @@
 		w.connectionRefused = true
 		c.noteCrash(w)
 	}
+	if answer == AnswerRestarted && !sent.Before(w.answeredAt) {
+		w.addressTaken = true
+	}
 	if answer != AnswerAccepted {
 		if sent.After(w.unansweredAt) {
 			w.unansweredAt = sent
 		}
 		return
 	}
-	w.connectionRefused = false
+	w.connectionRefused, w.addressTaken = false, false
 	if listing.Boot != 0 && listing.Boot != w.boot {
 		if !sent.After(w.bootSince) {
 			c.handleEarlierBoot(now, w, listing.Ended)
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -6,13 +6,14 @@
 	"zinniashore.example/recorder"
 )
 
-// expireLeases handles the runs of workers that have left or whose lease has certainly
+// expireLeases handles the runs of workers that have exited or whose lease has certainly
 // expired, and removes workers that can't run anything any more.
 func (c *Cell) expireLeases(now time.Time) {
 	for id, w := range c.workers {
 		switch {
-		case w.hasLeft():
-			c.markAllLost(now, w, "worker has left")
+		case w.exited():
+			c.blameCrashed(now, w)
+			c.markAllLost(now, w, "another worker has the address")
 		case !w.epochAccepted && c.gone(w):
 			c.handleGone(now, w)
 		case w.epochAccepted && w.leaseExpired(now):
@@ -23,7 +24,7 @@
 			if w.stored {
 				c.removedWorkers++
 			}
-			c.record(recorder.Event{Kind: KindWorker, VM: id, Detail: "forgotten"})
+			c.record(recorder.Event{Kind: KindWorker, VM: id, Detail: "forgotten; " + c.absence(now, w)})
 		}
 	}
 }
@@ -67,33 +68,13 @@
 	}
 }
 
-// drainWorkers stops the long-running tasks on draining workers, one at a time, once
-// another worker has capacity for them.
-func (c *Cell) drainWorkers(now time.Time) {
-	for _, w := range c.workers {
-		if w.registration.Phase != PhaseDraining || now.Sub(w.drainStoppedAt) < drainStopInterval {
-			continue
-		}
-		for _, r := range w.sortedRuns() {
-			if r.phase == phaseConfirmed && r.task.step.step.LongRunning && !r.task.step.step.Gang && c.selectWorker(now, r.task) != nil {
-				w.drainStoppedAt = now
-				c.stop(r)
-				break
-			}
-		}
-	}
-}
-
-// drainStopInterval separates the stops of long-running tasks on a draining worker.
-const drainStopInterval = 200 * time.Millisecond
-
-// removable reports whether nothing can run on a worker any more: it has left, or it
+// removable reports whether nothing can run on a worker any more: it has exited, or it
 // is gone and hasn't answered for so long that the leases of its runs have expired.
 func (c *Cell) removable(now time.Time, w *worker) bool {
 	if w.registered || len(w.runs) > 0 || !c.active {
 		return false
 	}
-	if w.hasLeft() {
+	if w.exited() {
 		return true
 	}
 	if !c.gone(w) || w.epochAccepted && !w.leaseExpired(now) {
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -69,6 +69,8 @@
 	lateAnswerAt time.Time
 	// closed makes the worker's address refuse connections.
 	closed bool
+	// replaced makes another worker answer at the worker's address.
+	replaced bool
 	// fails makes each run fail at its end. failsAfter, if set, is how soon each run fails.
 	fails      bool
 	failsAfter time.Duration
@@ -290,6 +292,10 @@
 			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerConnectionRefused)
 			continue
 		}
+		if f.replaced {
+			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerRestarted)
+			continue
+		}
 		if order.Boot != 0 && order.Boot != f.reportedBoot() {
 			s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerUnsent)
 			continue
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -179,8 +179,8 @@
 	// unansweredAt is when the newest unanswered poll was sent.
 	unansweredAt time.Time
 	// connectionRefused is true if the worker's address has refused a connection since
-	// the worker last answered.
-	connectionRefused bool
+	// the worker last answered, addressTaken if another worker has answered there.
+	connectionRefused, addressTaken bool
 	// lastEnd is the number of the end up to which all ends were handled,
 	// acknowledgedEnd that of the newest end that may be acknowledged to the worker
 	// because its effect is stored.
@@ -219,9 +219,9 @@
 	// was last sent. For a run of an unknown job, the time is first set to
 	// orphanedStopDelay ahead, which delays the first stop.
 	orphanedRuns map[runKey]time.Time
-	// drainStoppedAt is when a long-running task was last stopped because the worker
-	// drains.
-	drainStoppedAt time.Time
+	// exitsAfter is the earliest time at which the worker exits if it drains, by its
+	// registration. drainStoppedAt is when a task was last stopped because the worker drains.
+	exitsAfter, drainStoppedAt time.Time
 	// throttledAt is when the throttle levels of the worker's runs were last computed.
 	throttledAt time.Time
 }
@@ -258,12 +258,10 @@
 	return w.epochAccepted && w.minClock(now) > w.leaseEnd+leaseExpiryMargin
 }
 
-// hasLeft reports whether the worker has left the cell: it was draining, the registry
-// no longer lists it, and its address refuses connections. Each condition alone may
-// have other causes.
-func (w *worker) hasLeft() bool {
-	return w.connectionRefused && !w.registered && w.registration.Phase == PhaseDraining
-}
+// exited reports whether the worker's process has certainly ended: another worker has its
+// address. That an address refuses connections doesn't show it, whether or not the worker was
+// draining: the worker may be cut off, and its runs continue until their lease expires.
+func (w *worker) exited() bool { return w.addressTaken && !w.registered }
 
 // registrationGrace is how long a worker may be missing from the registry before it
 // counts as gone. Workers whose registrations expired while the store was unavailable
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -27,6 +27,9 @@
 	Service string
 	// Phase is PhaseReady if the worker accepts new tasks.
 	Phase Phase
+	// Remaining is for how long at least the worker runs on if it drains, from when it
+	// registered that.
+	Remaining time.Duration
 	// Capacity is the total capacity of the worker.
 	Capacity Size
 	// Labels are the worker's labels, its rack among them.
@@ -121,7 +124,7 @@
 	// AnswerUnhealthy: the worker rejected the order because it is unhealthy.
 	AnswerUnhealthy Answer = "unhealthy"
 	// AnswerRestarted: the worker has restarted since the registration to which the
-	// order was sent.
+	// order was sent, or another worker has its address.
 	AnswerRestarted Answer = "reborn"
 	// AnswerInvalid: the worker can't parse the order.
 	AnswerInvalid Answer = "invalid"
