--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -112,6 +112,9 @@
 	// activeAt.
 	active   bool
 	activeAt time.Time
+	// inactiveSince is since when the holder doesn't act, zero while it does, and
+	// inactivityReportedAt when that was last reported.
+	inactiveSince, inactivityReportedAt time.Time
 	// resumedAt is when the holder's VM was last found to have been suspended.
 	resumedAt time.Time
 	// registryReadAt is the time up to which the changes of the registry are known.
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -9,9 +9,12 @@
 // Confirmed reports whether a majority of the workers has recently accepted an order
 // of this epoch, so that no other holder can have become active.
 func (c *Cell) Confirmed(now time.Time) bool {
-	return c.active && c.majority(func(w *worker) bool {
-		return c.vouches(w) && now.Sub(w.answeredAt) < c.Limits.MaxConfirmationAge
-	})
+	return c.active && c.majority(func(w *worker) bool { return c.confirms(now, w) })
+}
+
+// confirms reports whether a worker has recently accepted an order of this epoch.
+func (c *Cell) confirms(now time.Time, w *worker) bool {
+	return c.vouches(w) && now.Sub(w.answeredAt) < c.Limits.MaxConfirmationAge
 }
 
 // Resumed records that the VM of the holder was suspended: the monotonic clock stood still,
