dispatcher, claimer: workers that nobody else can act with have no vote

Cause: a stored worker had a vote until its address refused a connection. The addresses of workers that have left may be silent for ever, and workers are forgotten only once the cell is active: 8 of 16 is never a majority.

Change: a term names the earlier holders that may still act. A new holder asks them to give up the cell (Yield); one that released it, or an earlier run of the same process, has ended. Once all have, a worker that is gone by the registry and never answered has no vote, as nobody else can act with it, and earlier leases count from that time. Saves tell the newest epoch that became active, so that older terms aren't asked.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 
@@ -160,6 +161,14 @@
 	// savedRevision is the revision of the last save. Each save is conditional on it,
 	// so that a save whose response was lost can't be committed after a newer one.
 	savedRevision int64
+	// activeEpoch is the newest epoch under which a holder of the cell became active, as far
+	// as it is known.
+	activeEpoch int64
+}
+
+// saveMessage is the value that each save of a cell writes.
+type saveMessage struct {
+	ActiveEpoch int64 `json:"active_epoch,omitempty"`
 }
 
 // Load implements dispatcher.Archive.
@@ -178,6 +187,14 @@
 		return stored, err
 	}
 	a.savedRevision = item.Revision
+	if item.Revision != 0 {
+		var save saveMessage
+		if err := json.Unmarshal(item.Value, &save); err != nil {
+			return stored, err
+		}
+		a.activeEpoch = save.ActiveEpoch
+	}
+	stored.ActiveEpoch = a.activeEpoch
 	stored.Jobs, err = a.loadJobs(ctx)
 	return stored, err
 }
@@ -283,7 +300,11 @@
 func (a *CellArchive) commit(ctx context.Context, transaction platform.Transaction) error {
 	term, save := TermPrefix+a.Cell, savePrefix+a.Cell
 	transaction.Expect = []platform.Expectation{{Key: term, Revision: a.Epoch}, {Key: save, Revision: a.savedRevision}}
-	transaction.Writes = append(transaction.Writes, platform.Item{Key: save, Value: []byte("{}")})
+	content, err := json.Marshal(saveMessage{ActiveEpoch: a.activeEpoch})
+	if err != nil {
+		return err
+	}
+	transaction.Writes = append(transaction.Writes, platform.Item{Key: save, Value: content})
 	revision, err := a.Archiver.Store.Commit(ctx, transaction)
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
--- a/archiver/save.go
+++ b/archiver/save.go
@@ -11,6 +11,9 @@
 // state and keeps its progress.
 func (a *CellArchive) Save(ctx context.Context, batch *dispatcher.Batch) error {
 	transaction := platform.Transaction{}
+	if batch.Active {
+		a.activeEpoch = a.Epoch
+	}
 	for _, j := range batch.Jobs {
 		if err := a.addJob(ctx, &transaction, j); err != nil {
 			return err
--- a/cancellation_test.go
+++ b/cancellation_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"zinniashore.example/archiver"
+	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/platform"
 	"zinniashore.example/recorder"
@@ -98,7 +99,7 @@
 		settings: platform.Settings{MaxGrant: 10 * time.Second, StateRetention: time.Minute},
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- cells.run(ctx, testCell, epoch) }()
+	go func() { ended <- cells.run(ctx, testCell, claimer.Term{Epoch: epoch}) }()
 	t.Cleanup(func() {
 		cancel()
 		<-ended
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -97,7 +97,7 @@
 	// Candidate is the cell that this process may claim.
 	Candidate string
 	// Hold runs the cell until ctx ends or the cell is lost.
-	Hold func(ctx context.Context, cell string, epoch int64) error
+	Hold func(ctx context.Context, cell string, term Term) error
 	// Eligible reports whether this process may hold a cell now.
 	Eligible func() bool
 	// Holds asks another process whether it still holds a cell according to its
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -46,6 +46,8 @@
 type term struct {
 	process string
 	epoch   int64
+	// earlier are the earlier holders that may still act.
+	earlier []claimer.EarlierHolder
 }
 
 func (h *harness) start(t *testing.T, process, address string) context.CancelFunc {
@@ -59,10 +61,10 @@
 		Store: store, Clock: clockwork.NewRealClock(),
 		Prefix: "holders/", TermPrefix: "terms/", Candidate: "graz-a",
 		Self: claimer.Holder{Process: process, Address: "127.0.0.1:1", Incarnation: process + "/" + time.Now().String(), Processors: h.processors[process]},
-		Hold: func(ctx context.Context, _ string, epoch int64) error {
-			h.began <- term{process, epoch}
+		Hold: func(ctx context.Context, _ string, held claimer.Term) error {
+			h.began <- term{process, held.Epoch, held.Earlier}
 			<-ctx.Done()
-			h.ended <- term{process, epoch}
+			h.ended <- term{process, held.Epoch, held.Earlier}
 			return nil
 		},
 		Eligible: func() bool { return true },
--- /dev/null
+++ b/claimer/earlier.go
@@ -0,0 +1,88 @@
+package claimer
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"zinniashore.example/platform"
+)
+
+// Term is the term under which a process holds a cell.
+type Term struct {
+	// Epoch is the revision of the term, which fences the holder's commands.
+	Epoch int64
+	// Earlier are the holders of earlier terms that haven't certainly ended.
+	Earlier []EarlierHolder
+	// EarlierUnknown is true if there may be earlier holders that Earlier lacks.
+	EarlierUnknown bool
+	// ClaimedAt is a time before the claim, at which the holders that Earlier lacks had ended.
+	ClaimedAt time.Time
+}
+
+// EarlierHolder is the holder of an earlier term.
+type EarlierHolder struct {
+	Holder
+	// Epoch is the revision of that term.
+	Epoch int64
+}
+
+// termMessage is the value of a term key.
+type termMessage struct {
+	// Token tells the write of this term from all others.
+	Token   string                 `json:"token"`
+	Holder  holderMessage          `json:"holder"`
+	Earlier []earlierHolderMessage `json:"earlier,omitempty"`
+	// EarlierUnknown is true if a holder has begun its term after one whose value wasn't
+	// understood.
+	EarlierUnknown bool `json:"earlier_unknown,omitempty"`
+}
+
+type earlierHolderMessage struct {
+	Holder holderMessage `json:"holder"`
+	Epoch  int64         `json:"epoch"`
+}
+
+func encodeTerm(self Holder, term Term) ([]byte, error) {
+	message := termMessage{Token: uuid.NewString(), Holder: holderMessage(self), EarlierUnknown: term.EarlierUnknown}
+	for _, e := range term.Earlier {
+		message.Earlier = append(message.Earlier, earlierHolderMessage{Holder: holderMessage(e.Holder), Epoch: e.Epoch})
+	}
+	return json.Marshal(message)
+}
+
+// nextTerm returns the term that follows a stored one. released is the revision of the holder key
+// that the claim replaces: the previous holder has ended if it has released the cell. So have
+// the earlier runs of this process.
+func (c *Claimer) nextTerm(previous platform.Item, released int64) Term {
+	term := Term{ClaimedAt: c.Clock.Now()}
+	if previous.Revision == 0 {
+		return term
+	}
+	var message termMessage
+	if err := json.Unmarshal(previous.Value, &message); err != nil {
+		klog.InfoS("The stored term doesn't name the earlier holders of the cell", "cell", c.Candidate, "err", err)
+		term.EarlierUnknown = true
+		return term
+	}
+	term.EarlierUnknown = message.EarlierUnknown
+	for _, e := range message.Earlier {
+		term.Earlier = append(term.Earlier, EarlierHolder{Holder: Holder(e.Holder), Epoch: e.Epoch})
+	}
+	if !c.releasedAt(released) {
+		term.Earlier = append(term.Earlier, EarlierHolder{Holder: Holder(message.Holder), Epoch: previous.Revision})
+	}
+	term.Earlier = slices.DeleteFunc(term.Earlier, func(e EarlierHolder) bool { return e.Process == c.Self.Process })
+	return term
+}
+
+// releasedAt reports whether the holder key of a revision says that the cell was released.
+func (c *Claimer) releasedAt(revision int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	holder, held := c.holders[c.Candidate]
+	return held && holder.revision == revision && holder.Process == ""
+}
--- /dev/null
+++ b/claimer/earlier_test.go
@@ -0,0 +1,101 @@
+package claimer_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"zinniashore.example/claimer"
+	"zinniashore.example/platform"
+)
+
+// expireClaim removes the holder key as the end of its store lease does.
+func expireClaim(t *testing.T, address string) {
+	t.Helper()
+	if _, err := platform.NewStore(address).Commit(t.Context(), platform.Transaction{Remove: []string{"holders/graz-a"}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// silentStore stops serving a process once it is silent.
+type silentStore struct {
+	claimer.Store
+	silent chan struct{}
+}
+
+func (s *silentStore) call(ctx context.Context) error {
+	select {
+	case <-s.silent:
+		<-ctx.Done()
+		return ctx.Err()
+	default:
+		return nil
+	}
+}
+
+// Renew implements claimer.Store.
+func (s *silentStore) Renew(ctx context.Context, lease int64) error {
+	if err := s.call(ctx); err != nil {
+		return err
+	}
+	return s.Store.Renew(ctx, lease)
+}
+
+// Grant implements claimer.Store.
+func (s *silentStore) Grant(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
+	if err := s.call(ctx); err != nil {
+		return 0, 0, err
+	}
+	return s.Store.Grant(ctx, ttl)
+}
+
+// earlierTests are the cases of TestEarlierHolders: how the holder edge-1 ends, and whether the term
+// of edge-2 names it.
+var earlierTests = map[string]struct {
+	end   func(t *testing.T, stop context.CancelFunc, silent chan struct{}, address string)
+	named []string
+}{
+	"released": {end: func(_ *testing.T, stop context.CancelFunc, _ chan struct{}, _ string) { stop() }},
+	"silent": {
+		end: func(t *testing.T, _ context.CancelFunc, silent chan struct{}, address string) {
+			close(silent)
+			expireClaim(t, address)
+		},
+		named: []string{"edge-1"},
+	},
+}
+
+// TestEarlierHolders guards against a new holder that takes an earlier one for ended although it may
+// still act, or that can't know that it has ended although it has released the cell.
+func TestEarlierHolders(t *testing.T) {
+	for name, test := range earlierTests {
+		t.Run(name, func(t *testing.T) {
+			h, _, address := newHarness(t)
+			silent := make(chan struct{})
+			h.wrapStore = func(process string) claimer.Store {
+				store := platform.NewStore(address)
+				if process == "edge-1" {
+					return &silentStore{Store: store, silent: silent}
+				}
+				return store
+			}
+			stop := h.start(t, "edge-1", address)
+			receive(t, h.began)
+			h.start(t, "edge-2", address)
+			h.awaitKnown(t, "edge-2", "edge-1")
+			test.end(t, stop, silent, address)
+			second := receive(t, h.began)
+			if second.process != "edge-2" {
+				t.Fatalf("%s holds the cell, want edge-2", second.process)
+			}
+			var named []string
+			for _, earlier := range second.earlier {
+				named = append(named, earlier.Process)
+			}
+			if !slices.Equal(named, test.named) {
+				t.Errorf("the term names the earlier holders %q, want %q", named, test.named)
+			}
+		})
+	}
+}
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -7,7 +7,6 @@
 	"errors"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
@@ -17,7 +16,7 @@
 // claim tries to claim the cell and holds it until it is lost. It reports whether
 // the cell was claimed.
 func (c *Claimer) claim(ctx context.Context, expected int64) bool {
-	term, err := c.Store.Get(ctx, c.TermPrefix+c.Candidate)
+	previous, err := c.Store.Get(ctx, c.TermPrefix+c.Candidate)
 	if err != nil {
 		klog.ErrorS(err, "Failed to read the term of the cell", "cell", c.Candidate)
 	}
@@ -29,14 +28,15 @@
 		klog.ErrorS(err, "Failed to get a store lease for the claim", "cell", c.Candidate)
 		return false
 	}
-	epoch, err := c.beginTerm(ctx, lease, expected, term.Revision)
+	term := c.nextTerm(previous, expected)
+	term.Epoch, err = c.beginTerm(ctx, lease, expected, previous.Revision, term)
 	if err != nil {
 		klog.InfoS("Failed to claim the cell", "cell", c.Candidate, "expected", expected, "err", err)
 		c.releaseLease(ctx, lease)
 		return false
 	}
-	klog.InfoS("Cell claimed", "cell", c.Candidate, "epoch", epoch)
-	c.hold(ctx, lease, epoch)
+	klog.InfoS("Cell claimed", "cell", c.Candidate, "epoch", term.Epoch, "earlierHolders", len(term.Earlier), "unknownHolders", term.EarlierUnknown)
+	c.hold(ctx, lease, term)
 	return true
 }
 
@@ -60,16 +60,19 @@
 // beginTerm stores this process as the holder under a new term and returns the epoch.
 // If the answer of the store is lost, beginTerm reads the term back to find out
 // whether it was stored.
-func (c *Claimer) beginTerm(ctx context.Context, lease, expected, term int64) (int64, error) {
+func (c *Claimer) beginTerm(ctx context.Context, lease, expected, previous int64, term Term) (int64, error) {
 	item, err := c.holderItem(c.Self, lease)
 	if err != nil {
 		return 0, err
 	}
 	termKey := c.TermPrefix + c.Candidate
-	token := []byte(uuid.NewString())
+	content, err := encodeTerm(c.Self, term)
+	if err != nil {
+		return 0, err
+	}
 	epoch, err := c.Store.Commit(ctx, platform.Transaction{
-		Expect: []platform.Expectation{{Key: item.Key, Revision: expected}, {Key: termKey, Revision: term}},
-		Writes: []platform.Item{item, {Key: termKey, Value: token}},
+		Expect: []platform.Expectation{{Key: item.Key, Revision: expected}, {Key: termKey, Revision: previous}},
+		Writes: []platform.Item{item, {Key: termKey, Value: content}},
 	})
 	var unclear *platform.UnclearError
 	if !errors.As(err, &unclear) {
@@ -79,7 +82,7 @@
 	if readErr != nil {
 		return 0, errors.Join(err, readErr)
 	}
-	if bytes.Equal(stored.Value, token) {
+	if bytes.Equal(stored.Value, content) {
 		return stored.Revision, nil
 	}
 	return 0, err
@@ -99,18 +102,18 @@
 
 // hold runs the cell until another process has begun a term or ctx ends. When ctx
 // ends, it releases the cell so that other processes can claim it at once.
-func (c *Claimer) hold(ctx context.Context, lease, epoch int64) {
+func (c *Claimer) hold(ctx context.Context, lease int64, term Term) {
 	holding, stop := context.WithCancel(ctx)
 	defer stop()
 	c.mu.Lock()
-	c.recordSelf(epoch)
+	c.recordSelf(term.Epoch)
 	c.mu.Unlock()
 	ended := make(chan error, 1)
-	go func() { ended <- c.Hold(holding, c.Candidate, epoch) }()
-	lease = c.maintain(holding, lease, epoch, ended)
+	go func() { ended <- c.Hold(holding, c.Candidate, term) }()
+	lease = c.maintain(holding, lease, term.Epoch, ended)
 	stop()
 	if err := <-ended; err != nil {
-		klog.InfoS("Cell lost", "cell", c.Candidate, "epoch", epoch, "err", err)
+		klog.InfoS("Cell lost", "cell", c.Candidate, "epoch", term.Epoch, "err", err)
 	}
 	if ctx.Err() != nil {
 		c.releaseCell(lease)
--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -27,6 +27,8 @@
 	Part *Part
 	// Workers are all workers on which tasks may run; nil if they haven't changed.
 	Workers []Registration
+	// Active is true if the holder has become active, so that no earlier one acts.
+	Active bool
 
 	// begun is when the batch was made. The store takes it only during the holder's term.
 	begun            time.Time
@@ -85,7 +87,7 @@
 // BatchFailed must be called before the next batch.
 func (c *Cell) NextBatch(now time.Time, limit int) *Batch {
 	c.dropFinalPart()
-	b := &Batch{begun: now}
+	b := &Batch{begun: now, Active: c.active}
 	ids := make([]string, 0, len(c.dirty))
 	for id := range c.dirty {
 		ids = append(ids, id)
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -57,9 +57,9 @@
 }
 
 // isVoter reports whether the worker counts towards the size of a majority: it is
-// registered, or a holder may have used it and it may still exist.
+// registered, or a holder may have used it and it may still exist and support another holder.
 func (c *Cell) isVoter(w *worker) bool {
-	return w.registered || (w.restored || w.stored) && !w.exited() && !c.crashed(w)
+	return w.registered || (w.restored || w.stored) && !w.exited() && !c.crashed(w) && !c.unsupportive(w)
 }
 
 // mayHaveRun reports whether an earlier holder may have started a task on a worker that
@@ -97,12 +97,21 @@
 // earlierStartsEnd returns the time of day after which no earlier holder can have started
 // a task. It includes the difference between the clocks of two VMs.
 func (c *Cell) earlierStartsEnd() time.Time {
-	return c.activeAt.Add(c.Limits.MaxConfirmationAge + maxClockDifference)
+	return c.earlierOrdersEnd().Add(maxClockDifference)
+}
+
+// earlierOrdersEnd returns when earlier holders have certainly stopped sending orders.
+func (c *Cell) earlierOrdersEnd() time.Time {
+	end := c.activeAt.Add(c.Limits.MaxConfirmationAge)
+	if !c.earlierEndedAt.IsZero() && c.earlierEndedAt.Before(end) {
+		return c.earlierEndedAt
+	}
+	return end
 }
 
 // earlierLeasesEnd returns when all leases that earlier holders granted have certainly
 // expired.
 func (c *Cell) earlierLeasesEnd() time.Time {
 	longest := time.Duration(float64(c.Limits.LeaseDuration) / minClockRate)
-	return c.activeAt.Add(c.Limits.MaxConfirmationAge + longest + leaseExpiryMargin)
+	return c.earlierOrdersEnd().Add(longest + leaseExpiryMargin)
 }
--- /dev/null
+++ b/dispatcher/earlier.go
@@ -0,0 +1,74 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"zinniashore.example/recorder"
+)
+
+// earlierHoldersRetryDelay separates questions to earlier holders.
+const earlierHoldersRetryDelay = 500 * time.Millisecond
+
+// EarlierHolders finds out whether the earlier holders of a cell have ended.
+type EarlierHolders interface {
+	// Ended reports whether all holders of earlier terms, from activeEpoch on, have certainly
+	// stopped acting, and a time at which they had.
+	Ended(ctx context.Context, activeEpoch int64) (at time.Time, ended bool)
+}
+
+// EarlierHoldersEnded records that all earlier holders had certainly stopped acting at a time.
+// From then on only leases that they granted before keep runs active.
+func (c *Cell) EarlierHoldersEnded(at time.Time) {
+	if !c.earlierEndedAt.IsZero() {
+		return
+	}
+	c.earlierEndedAt = at
+	c.record(recorder.Event{Kind: KindCell, Detail: "all earlier holders have ended"})
+}
+
+// AwaitsEarlierHolders reports whether it matters that the earlier holders aren't known to have
+// ended: a worker that one of them used hasn't answered.
+func (c *Cell) AwaitsEarlierHolders() bool {
+	if !c.earlierEndedAt.IsZero() {
+		return false
+	}
+	for _, w := range c.workers {
+		if w.restored && !w.epochAccepted {
+			return true
+		}
+	}
+	return false
+}
+
+// unsupportive reports whether a worker that doesn't answer can't support another holder either:
+// it is gone according to the registry, has never answered this holder, and all earlier ones have
+// ended.
+func (c *Cell) unsupportive(w *worker) bool {
+	return !c.earlierEndedAt.IsZero() && !w.epochAccepted && c.gone(w)
+}
+
+// askEarlierHoldersIfDue begins to ask whether the earlier holders have ended; the caller holds
+// mu.
+func (r *Runner) askEarlierHoldersIfDue(ctx context.Context) {
+	if r.EarlierHolders == nil || r.askingEarlierHolders || !r.Cell.AwaitsEarlierHolders() {
+		return
+	}
+	r.askingEarlierHolders = true
+	r.runAsync(func() { r.askEarlierHolders(ctx) })
+}
+
+// askEarlierHolders asks once whether the earlier holders have ended.
+func (r *Runner) askEarlierHolders(ctx context.Context) {
+	at, ended := r.EarlierHolders.Ended(ctx, r.activeEpoch)
+	if !ended {
+		r.sleep(ctx, earlierHoldersRetryDelay)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.askingEarlierHolders = false
+	if ended {
+		r.Cell.EarlierHoldersEnded(at)
+		signal(r.wake)
+	}
+}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -19,6 +19,7 @@
 // send now.
 func (c *Cell) Plan(now time.Time) Orders {
 	c.expireLeases(now)
+	c.activate(now)
 	c.reportInactivity(now)
 	for _, j := range c.upcoming {
 		c.beginOccurrences(now, j)
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -73,6 +73,9 @@
 	Jobs []StoredJob
 	// Workers are the workers on which tasks of the cell may run.
 	Workers []Registration
+	// ActiveEpoch is the newest epoch under which a holder became active; 0 if none is stored.
+	// Holders of earlier terms don't act any more.
+	ActiveEpoch int64
 }
 
 // StoredJob is the stored state of a job.
@@ -96,6 +99,8 @@
 	Archive Archive
 	// OtherCells gives access to the other cells.
 	OtherCells OtherCells
+	// EarlierHolders, if set, finds out whether the earlier holders have ended.
+	EarlierHolders EarlierHolders
 	// SuspendedTime, if set, returns for how long in all the VM has been suspended, which
 	// Clock doesn't count.
 	SuspendedTime func() time.Duration
@@ -114,7 +119,11 @@
 	delivered chan struct{}
 	// checkingTerm is true while the store is asked whether the term is still the newest.
 	checkingTerm bool
-	goroutines   sync.WaitGroup
+	// activeEpoch is the newest epoch under which an earlier holder became active.
+	activeEpoch int64
+	// askingEarlierHolders is true while EarlierHolders is asked.
+	askingEarlierHolders bool
+	goroutines           sync.WaitGroup
 }
 
 // NewRunner returns a Runner of a cell.
@@ -211,6 +220,7 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	r.Cell.TermChecked(checked)
+	r.activeEpoch = stored.ActiveEpoch
 	for _, registration := range stored.Workers {
 		r.Cell.RestoreWorker(now, registration)
 	}
@@ -247,6 +257,7 @@
 	changed, _ := r.Cell.Changed()
 	r.findUnknownJobs(ctx)
 	r.checkTermIfDue(ctx)
+	r.askEarlierHoldersIfDue(ctx)
 	var unpolled []string
 	for _, id := range r.Cell.Workers() {
 		if !r.polled[id] {
--- a/heldcells.go
+++ b/heldcells.go
@@ -10,8 +10,10 @@
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/archiver"
+	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/platform"
+	"zinniashore.example/relayer"
 	"zinniashore.example/watcher"
 )
 
@@ -50,19 +52,50 @@
 	recorder dispatcher.Recorder
 	selector *cellSelector
 
+	// peers sends requests to earlier holders.
+	peers *relayer.Client
+
 	mu      sync.Mutex
-	runners map[string]*dispatcher.Runner
+	runners map[string]heldCell
+	// yielded holds, by cell, the epoch before which this process doesn't hold it any more.
+	yielded map[string]int64
+}
+
+// heldCell is the runner of a cell that this process holds.
+type heldCell struct {
+	runner *dispatcher.Runner
+	epoch  int64
+	stop   context.CancelFunc
 }
 
 // Runner implements relayer.Cells.
 func (h *heldCells) Runner(cell string) *dispatcher.Runner {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.runners[cell]
+	return h.runners[cell].runner
+}
+
+// Yield implements relayer.Cells.
+func (h *heldCells) Yield(cell string, epoch int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.yielded == nil {
+		h.yielded = map[string]int64{}
+	}
+	h.yielded[cell] = max(h.yielded[cell], epoch)
+	held, found := h.runners[cell]
+	if !found || held.epoch >= epoch {
+		return true
+	}
+	klog.InfoS("Giving up a cell to the holder of a newer term", "cell", cell, "epoch", held.epoch, "newer", epoch)
+	held.stop()
+	return false
 }
 
-// run runs a cell under an epoch until ctx ends or the cell is lost.
-func (h *heldCells) run(ctx context.Context, cell string, epoch int64) error {
+// run runs a cell under a term until ctx ends or the cell is lost.
+func (h *heldCells) run(ctx context.Context, cell string, term claimer.Term) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	limits := dispatcher.Limits{
 		LeaseDuration:      min(time.Duration(float64(h.settings.MaxGrant)*leaseFraction), maxLeaseDuration),
 		MaxLeaseDuration:   h.settings.MaxGrant,
@@ -70,11 +103,14 @@
 		MaxConfirmationAge: maxConfirmationAge,
 		StateRetention:     h.settings.StateRetention,
 	}
-	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: epoch}
-	runner := dispatcher.NewRunner(dispatcher.NewCell(cell, epoch, limits, h.recorder), h.clock, h.workers, archive)
+	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: term.Epoch}
+	runner := dispatcher.NewRunner(dispatcher.NewCell(cell, term.Epoch, limits, h.recorder), h.clock, h.workers, archive)
 	runner.OtherCells = h.selector
 	runner.SuspendedTime = suspendedTime
-	h.set(cell, runner)
+	runner.EarlierHolders = &earlierHolders{cell: cell, term: term, clock: h.clock, peers: h.peers}
+	if !h.set(cell, heldCell{runner: runner, epoch: term.Epoch, stop: stop}) {
+		return dispatcher.ErrSuperseded
+	}
 	defer h.unset(cell, runner)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return runner.Run(ctx) })
@@ -102,19 +138,24 @@
 	return watches
 }
 
-func (h *heldCells) set(cell string, runner *dispatcher.Runner) {
+// set records a held cell. It reports false if this process has already yielded it.
+func (h *heldCells) set(cell string, held heldCell) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if held.epoch < h.yielded[cell] {
+		return false
+	}
 	if h.runners == nil {
-		h.runners = map[string]*dispatcher.Runner{}
+		h.runners = map[string]heldCell{}
 	}
-	h.runners[cell] = runner
+	h.runners[cell] = held
+	return true
 }
 
 func (h *heldCells) unset(cell string, runner *dispatcher.Runner) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.runners[cell] == runner {
+	if h.runners[cell].runner == runner {
 		delete(h.runners, cell)
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -41,6 +41,9 @@
 type Cells interface {
 	// Runner returns the runner of a cell, or nil if this process doesn't hold it.
 	Runner(cell string) *dispatcher.Runner
+	// Yield stops the runner of a cell if its epoch is before epoch, and any later one. It
+	// reports whether none of them acts any more.
+	Yield(cell string, epoch int64) bool
 }
 
 // Server implements the Relayer service.
@@ -51,6 +54,8 @@
 	Cells Cells
 	// ReachesStore reports whether this process reaches the store.
 	ReachesStore func() bool
+	// Incarnation is unique to the run of this process.
+	Incarnation string
 }
 
 // NewGRPCServer returns a gRPC server on which s is registered.
@@ -135,6 +140,12 @@
 	return &relayerpb.HoldsAnswer{Held: runner != nil && runner.Confirmed(), ReachesStore: s.ReachesStore()}, nil
 }
 
+// Yield implements relayerpb.RelayerServer.
+func (s *Server) Yield(_ context.Context, request *relayerpb.YieldRequest) (*relayerpb.YieldAnswer, error) {
+	ended := request.GetIncarnation() != s.Incarnation || s.Cells.Yield(request.GetCell(), request.GetEpoch())
+	return &relayerpb.YieldAnswer{Ended: ended}, nil
+}
+
 // Deliver implements relayerpb.RelayerServer.
 func (s *Server) Deliver(ctx context.Context, request *relayerpb.DeliverRequest) (*relayerpb.DeliverAnswer, error) {
 	runner := s.loadedRunner(ctx, request.GetCell())
@@ -217,6 +228,14 @@
 	return PeerStatus{Holds: answer.GetHeld(), ReachesStore: answer.GetReachesStore()}, err
 }
 
+// Yield asks a peer to give up a cell under all epochs before the given one. It reports whether
+// the run of the peer with the given incarnation has certainly stopped acting under them.
+func (c *Client) Yield(ctx context.Context, address, cell, incarnation string, epoch int64) (bool, error) {
+	answer, err := call(ctx, c, address, relayerpb.RelayerClient.Yield,
+		&relayerpb.YieldRequest{Cell: cell, Epoch: epoch, Incarnation: incarnation})
+	return answer.GetEnded(), err
+}
+
 // Deliver sends encoded jobs to the holder of their cell. It returns ErrNotHeld if the
 // peer doesn't hold the cell.
 func (c *Client) Deliver(ctx context.Context, address, cell string, jobs [][]byte) error {
--- a/scheduler.go
+++ b/scheduler.go
@@ -74,7 +74,9 @@
 		return err
 	}
 	s.peerListener = listener
-	s.peerServer = relayer.NewGRPCServer(&relayer.Server{Cells: s.heldCells, ReachesStore: s.prober.StoreReached})
+	s.peerServer = relayer.NewGRPCServer(&relayer.Server{
+		Cells: s.heldCells, ReachesStore: s.prober.StoreReached, Incarnation: s.claimer.Self.Incarnation,
+	})
 	callers, err := restHandler("callers", func(*rest.Server) {}, rest.WithNotFoundHandler(s.acceptor))
 	if err != nil {
 		return err
@@ -109,6 +111,7 @@
 		}},
 	}
 	s.peerClient = &relayer.Client{}
+	s.heldCells.peers = s.peerClient
 	s.claimer = &claimer.Claimer{
 		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix, Candidate: s.Settings.FailureDomain,
 		Self: claimer.Holder{
