claimer: a process of another failure domain holds a cell that has none of its own

Cause: each process claimed only the cell of its own failure domain.

Ruled out: a claim without a majority; no process claims the cell at all.

Change: a process is a candidate for the other domains' cells too, 3 s after they became free: at once if released; else only if for 2 s its workers are registered and the last holder doesn't answer. Its own domain's processes take a cell back. A holder is asked by itself no more whether it reaches the store.

go test ./claimer -run 'TestTakeover|TestReturnFromOutside' without the candidacies: no process claims the cell; with them: passes.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -144,6 +144,15 @@
 	return progress.State, nil
 }
 
+// Workers returns the workers on which tasks of a cell may run, as they are stored.
+func (a *Archiver) Workers(ctx context.Context, cell string) ([]dispatcher.Registration, error) {
+	item, err := a.Store.Get(ctx, workerPrefix+cell)
+	if err != nil || item.Revision == 0 {
+		return nil, err
+	}
+	return dispatcher.DecodeWorkers(item.Value)
+}
+
 // Cancel stores the cancellation of a job, which the holder of its cell then reads.
 func (a *Archiver) Cancel(ctx context.Context, cell, id string) error {
 	_, err := a.Store.Commit(ctx, platform.Transaction{Writes: []platform.Item{cancellationItem(cell, id)}})
@@ -174,16 +183,12 @@
 // Load implements dispatcher.Archive.
 func (a *CellArchive) Load(ctx context.Context) (dispatcher.StoredCell, error) {
 	var stored dispatcher.StoredCell
-	item, err := a.Archiver.Store.Get(ctx, workerPrefix+a.Cell)
-	if err != nil {
+	var err error
+	if stored.Workers, err = a.Archiver.Workers(ctx, a.Cell); err != nil {
 		return stored, err
 	}
-	if item.Revision != 0 {
-		if stored.Workers, err = dispatcher.DecodeWorkers(item.Value); err != nil {
-			return stored, err
-		}
-	}
-	if item, err = a.Archiver.Store.Get(ctx, savePrefix+a.Cell); err != nil {
+	item, err := a.Archiver.Store.Get(ctx, savePrefix+a.Cell)
+	if err != nil {
 		return stored, err
 	}
 	a.savedRevision = item.Revision
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -1,4 +1,5 @@
-// Package claimer decides which process holds a cell. A claim consists of two keys of
+// Package claimer decides which process holds a cell: one of the cell's own failure domain, or, if
+// that has none, one of another. A claim consists of two keys of
 // the store: the holder key, which registers the holder and ends with the holder's
 // store lease, and the term key, which stays until the next holder writes it. The
 // revision of the term key is the epoch that fences the holder's commands. A holder
@@ -70,6 +71,8 @@
 type Holder struct {
 	// Process is its name, empty if the cell was released.
 	Process string
+	// FailureDomain is the failure domain of the process, empty if unknown.
+	FailureDomain string
 	// Address is the address at which it serves its peers.
 	Address string
 	// Incarnation is unique to the run of the process.
@@ -80,10 +83,11 @@
 }
 
 type holderMessage struct {
-	Process     string  `json:"process"`
-	Address     string  `json:"address"`
-	Incarnation string  `json:"incarnation"`
-	Processors  float64 `json:"processors,omitempty"`
+	Process       string  `json:"process"`
+	FailureDomain string  `json:"failure_domain,omitempty"`
+	Address       string  `json:"address"`
+	Incarnation   string  `json:"incarnation"`
+	Processors    float64 `json:"processors,omitempty"`
 }
 
 // Claimer claims cells. Its exported fields are set before Run.
@@ -94,8 +98,11 @@
 	Prefix, TermPrefix string
 	// Self is this process.
 	Self Holder
-	// Candidate is the cell that this process may claim.
+	// Candidate is the cell of this process's own failure domain.
 	Candidate string
+	// OtherCells are the cells of other failure domains. This process claims one of them only if
+	// no process of that domain does.
+	OtherCells []string
 	// Hold runs the cell until ctx ends or the cell is lost.
 	Hold func(ctx context.Context, cell string, term Term) error
 	// Eligible reports whether this process may hold a cell now.
@@ -103,23 +110,37 @@
 	// Holds asks another process whether it still holds a cell according to its
 	// workers.
 	Holds func(ctx context.Context, holder Holder, cell string) bool
+	// HasWorkers reports whether the registry lists the workers of a cell, so that they can be
+	// reached although no holder is registered.
+	HasWorkers func(ctx context.Context, cell string) bool
 
 	mu      sync.Mutex
 	holders map[string]claim
 	// lastHolders are the holders that were registered last, by cell.
 	lastHolders map[string]Holder
 	// strongest is the largest number of processors of a holder of any cell so far.
-	strongest float64
-	// freeSince is when this process first saw the candidate cell without a holder,
-	// zero while the cell has one.
+	strongest   float64
+	candidacies []*candidacy
+	changed     chan struct{}
+	synced      bool
+}
+
+// candidacy is the state of this process as a candidate for one cell.
+type candidacy struct {
+	*Claimer
+	cell string
+	// outside is true if the cell is that of another failure domain.
+	outside bool
+	// freeSince is when this process first saw the cell without a holder, or, in its own failure
+	// domain, with one of another. It is zero while the cell is occupied.
 	freeSince time.Time
 	// graceSince is the start of returnGrace: the first answer of the store after the
 	// cell became free, or after the store was unavailable. It is zero before.
 	graceSince time.Time
 	// wasHolder is set if this process held the cell before it became free.
 	wasHolder bool
-	changed   chan struct{}
-	synced    bool
+	// abandonedSince is when the cell of another failure domain was first seen to be abandoned.
+	abandonedSince time.Time
 }
 
 // Replace implements watcher.Handler.
@@ -175,7 +196,6 @@
 // notifyChange updates the state that follows from the holders and wakes the
 // goroutines that wait for a change; the caller holds mu.
 func (c *Claimer) notifyChange() {
-	holder, held := c.holders[c.Candidate]
 	if c.lastHolders == nil {
 		c.lastHolders = map[string]Holder{}
 	}
@@ -184,13 +204,8 @@
 			c.lastHolders[cell] = entry.Holder
 		}
 	}
-	switch {
-	case held && holder.Process != "":
-		c.freeSince = time.Time{}
-		c.wasHolder = holder.Incarnation == c.Self.Incarnation
-	case c.freeSince.IsZero():
-		c.freeSince = c.Clock.Now()
-		c.graceSince = time.Time{}
+	for _, k := range c.candidacies {
+		k.updateFree()
 	}
 	if c.changed != nil {
 		close(c.changed)
@@ -198,6 +213,34 @@
 	c.changed = make(chan struct{})
 }
 
+// updateFree updates since when the cell is free; the caller holds mu.
+func (k *candidacy) updateFree() {
+	switch {
+	case k.occupied():
+		k.freeSince = time.Time{}
+		k.abandonedSince = time.Time{}
+		k.wasHolder = k.holders[k.cell].Incarnation == k.Self.Incarnation
+	case k.freeSince.IsZero():
+		k.freeSince = k.Clock.Now()
+		k.graceSince = time.Time{}
+	}
+}
+
+// occupied reports whether the cell has a registered holder that this process leaves it to. A
+// process takes its own failure domain's cell back from one of another; the caller holds mu.
+func (k *candidacy) occupied() bool {
+	holder, held := k.holders[k.cell]
+	if !held || holder.Process == "" {
+		return false
+	}
+	return k.outside || !holder.outside(k.Self.FailureDomain)
+}
+
+// outside reports whether the process is of another failure domain than the given one.
+func (h Holder) outside(failureDomain string) bool {
+	return h.FailureDomain != "" && h.FailureDomain != failureDomain
+}
+
 // Holder returns the process that was last registered as the holder of a cell, and
 // whether there was one. A holder whose registration has expired continues until
 // another process begins a term.
@@ -223,10 +266,17 @@
 	return maps.Clone(c.lastHolders)
 }
 
-// Run claims the candidate cell whenever it is free, until ctx ends.
+// Run claims cells whenever they are free, until ctx ends.
 func (c *Claimer) Run(ctx context.Context) error {
 	var running sync.WaitGroup
 	defer running.Wait()
+	for _, k := range c.stand() {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			k.run(ctx)
+		}()
+	}
 	running.Add(1)
 	go func() {
 		defer running.Done()
@@ -235,15 +285,40 @@
 			klog.ErrorS(err, "Watch of the claims ended")
 		}
 	}()
+	<-ctx.Done()
+	return nil
+}
+
+// stand makes this process a candidate for all cells and returns the candidacies.
+func (c *Claimer) stand() []*candidacy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.candidacies = []*candidacy{{Claimer: c, cell: c.Candidate}}
+	for _, cell := range c.OtherCells {
+		c.candidacies = append(c.candidacies, &candidacy{Claimer: c, cell: cell, outside: true})
+	}
+	return c.candidacies
+}
+
+// run claims the cell whenever it is free, until ctx ends.
+func (k *candidacy) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		expected, free := c.claimable()
-		if free && !c.leftToLastHolder(ctx) && !c.claim(ctx, expected) {
-			c.backOff(ctx)
+		expected, free := k.claimable()
+		if free && !k.leftToOthers(ctx) && !k.claim(ctx, expected) {
+			k.backOff(ctx)
 			continue
 		}
-		c.awaitChange(ctx)
+		k.awaitChange(ctx)
 	}
-	return nil
+}
+
+// leftToOthers reports whether a free cell is left to its last holder or, if it is that of another
+// failure domain, to the processes there.
+func (k *candidacy) leftToOthers(ctx context.Context) bool {
+	if k.outside {
+		return !k.abandoned(ctx)
+	}
+	return k.leftToLastHolder(ctx)
 }
 
 // backOff waits after a failed claim, so that a store in trouble receives few
@@ -255,74 +330,92 @@
 	}
 }
 
-// awaitChange waits for a change of the claims, at most for claimPollInterval.
-func (c *Claimer) awaitChange(ctx context.Context) {
-	c.mu.Lock()
-	if c.changed == nil {
-		c.changed = make(chan struct{})
+// awaitChange waits for a change of the claims, at most for as long as it takes until the cell
+// may become claimable.
+func (k *candidacy) awaitChange(ctx context.Context) {
+	k.mu.Lock()
+	if k.changed == nil {
+		k.changed = make(chan struct{})
 	}
-	changed := c.changed
-	c.mu.Unlock()
-	pause := claimPollInterval
-	c.mu.Lock()
-	if !c.freeSince.IsZero() {
-		pause = rankDelay / 2
+	changed := k.changed
+	free := !k.freeSince.IsZero()
+	k.mu.Unlock()
+	var timeout <-chan time.Time
+	switch {
+	case k.outside && free:
+		timeout = k.Clock.After(outsidePollInterval)
+	case k.outside:
+	case free:
+		timeout = k.Clock.After(rankDelay / 2)
+	default:
+		timeout = k.Clock.After(claimPollInterval)
 	}
-	c.mu.Unlock()
 	select {
 	case <-ctx.Done():
 	case <-changed:
-	case <-c.Clock.After(pause):
+	case <-timeout:
 	}
 }
 
 // claimable returns the revision of the claim that this process would replace, and
-// reports whether it may claim the candidate cell now.
-func (c *Claimer) claimable() (int64, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.synced || !c.Eligible() {
+// reports whether it may claim the cell now.
+func (k *candidacy) claimable() (int64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.synced || !k.Eligible() {
 		return 0, false
 	}
-	holder, held := c.holders[c.Candidate]
-	if held && holder.Process == c.Self.Process && holder.Incarnation != c.Self.Incarnation {
+	holder, held := k.holders[k.cell]
+	if held && !k.outside && holder.Process == k.Self.Process && holder.Incarnation != k.Self.Incarnation {
 		return holder.revision, true
 	}
-	if held && holder.Process != "" || c.freeSince.IsZero() {
+	if k.occupied() || k.freeSince.IsZero() {
 		return 0, false
 	}
-	pause := c.claimDelay()
-	if !held && !c.wasHolder {
+	pause := k.claimDelay()
+	if !held && !k.wasHolder {
 		pause += expiredClaimDelay
 	}
-	return holder.revision, c.Clock.Now().Sub(c.freeSince) >= pause
+	return holder.revision, k.Clock.Now().Sub(k.freeSince) >= pause
 }
 
-// leftToLastHolder reports whether the candidate cell is left to its last holder,
-// whose registration has expired while it kept its workers.
-func (c *Claimer) leftToLastHolder(ctx context.Context) bool {
-	c.mu.Lock()
-	last, found := c.lastHolders[c.Candidate]
-	_, held := c.holders[c.Candidate]
-	inGrace := !c.graceSince.IsZero() && c.Clock.Now().Sub(c.graceSince) < returnGrace
-	c.mu.Unlock()
-	if held || !found || !inGrace || last.Process == c.Self.Process {
+// leftToLastHolder reports whether the cell is left to its last holder, whose registration has
+// expired while it kept its workers.
+func (k *candidacy) leftToLastHolder(ctx context.Context) bool {
+	k.mu.Lock()
+	_, held := k.holders[k.cell]
+	inGrace := !k.graceSince.IsZero() && k.Clock.Now().Sub(k.graceSince) < returnGrace
+	k.mu.Unlock()
+	return !held && inGrace && k.lastHolderActs(ctx)
+}
+
+// lastHolderActs reports whether the last holder, another process, answers that it still holds
+// the cell.
+func (k *candidacy) lastHolderActs(ctx context.Context) bool {
+	k.mu.Lock()
+	last, found := k.lastHolders[k.cell]
+	k.mu.Unlock()
+	if !found || last.Process == k.Self.Process {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, holdsTimeout)
 	defer cancel()
-	return c.Holds(ctx, last, c.Candidate)
+	return k.Holds(ctx, last, k.cell)
 }
 
 // claimDelay returns how long this process waits, by its rank and its processors, for other
 // candidates to claim the cell first.
-func (c *Claimer) claimDelay() time.Duration {
-	if c.wasHolder {
+func (k *candidacy) claimDelay() time.Duration {
+	if k.wasHolder {
 		return 0
 	}
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(c.Self.Process + c.Candidate))
-	return time.Duration(hash.Sum32()%rankCount)*rankDelay + c.weaknessDelay()
+	_, _ = hash.Write([]byte(k.Self.Process + k.cell))
+	rank := time.Duration(hash.Sum32() % rankCount)
+	if k.outside {
+		return k.takeoverPause() + rank*outsideRankDelay + k.weaknessDelay()
+	}
+	return rank*rankDelay + k.weaknessDelay()
 }
 
 // weaknessDelay returns how long this process waits for a stronger one. A process with few
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,10 @@
 	// wrapStore returns the store of a process, if set.
 	wrapStore func(process string) claimer.Store
 	claimers  map[string]*claimer.Claimer
+	// domains are the failure domains of the processes; "graz-a" if not set. withWorkers is true
+	// if the registry lists the workers of the cell.
+	domains     map[string]string
+	withWorkers atomic.Bool
 	// processors is how many processors the processes have; 0 is unknown.
 	processors map[string]float64
 }
@@ -57,11 +62,20 @@
 	if h.wrapStore != nil {
 		store = h.wrapStore(process)
 	}
+	domain, outside := h.domains[process]
+	if !outside {
+		domain = "graz-a"
+	}
 	c := &claimer.Claimer{
 		Store: store, Clock: clockwork.NewRealClock(),
-		Prefix: "holders/", TermPrefix: "terms/", Candidate: "graz-a",
-		Self: claimer.Holder{Process: process, Address: "127.0.0.1:1", Incarnation: process + "/" + time.Now().String(), Processors: h.processors[process]},
-		Hold: func(ctx context.Context, _ string, held claimer.Term) error {
+		Prefix: "holders/", TermPrefix: "terms/", Candidate: domain,
+		Self:       claimer.Holder{Process: process, FailureDomain: domain, Address: "127.0.0.1:1", Incarnation: process + "/" + time.Now().String(), Processors: h.processors[process]},
+		HasWorkers: func(context.Context, string) bool { return h.withWorkers.Load() },
+		Hold: func(ctx context.Context, cell string, held claimer.Term) error {
+			if cell != "graz-a" {
+				<-ctx.Done()
+				return nil
+			}
 			h.began <- term{process, held.Epoch, held.Earlier}
 			<-ctx.Done()
 			h.ended <- term{process, held.Epoch, held.Earlier}
@@ -70,6 +84,9 @@
 		Eligible: func() bool { return true },
 		Holds:    func(_ context.Context, holder claimer.Holder, _ string) bool { return h.alive[holder.Process] },
 	}
+	if outside {
+		c.OtherCells = []string{"graz-a"}
+	}
 	if h.claimers == nil {
 		h.claimers = map[string]*claimer.Claimer{}
 	}
--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -57,14 +57,14 @@
 // nextTerm returns the term that follows a stored one. released is the revision of the holder key
 // that the claim replaces: the previous holder has ended if it has released the cell. So have
 // the earlier runs of this process.
-func (c *Claimer) nextTerm(previous platform.Item, released int64) Term {
-	term := Term{ClaimedAt: c.Clock.Now()}
+func (k *candidacy) nextTerm(previous platform.Item, released int64) Term {
+	term := Term{ClaimedAt: k.Clock.Now()}
 	if previous.Revision == 0 {
 		return term
 	}
 	var message termMessage
 	if err := json.Unmarshal(previous.Value, &message); err != nil {
-		klog.InfoS("The stored term doesn't name the earlier holders of the cell", "cell", c.Candidate, "err", err)
+		klog.InfoS("The stored term doesn't name the earlier holders of the cell", "cell", k.cell, "err", err)
 		term.EarlierUnknown = true
 		return term
 	}
@@ -72,17 +72,17 @@
 	for _, e := range message.Earlier {
 		term.Earlier = append(term.Earlier, EarlierHolder{Holder: Holder(e.Holder), Epoch: e.Epoch})
 	}
-	if !c.releasedAt(released) {
+	if !k.releasedAt(released) {
 		term.Earlier = append(term.Earlier, EarlierHolder{Holder: Holder(message.Holder), Epoch: previous.Revision})
 	}
-	term.Earlier = slices.DeleteFunc(term.Earlier, func(e EarlierHolder) bool { return e.Process == c.Self.Process })
+	term.Earlier = slices.DeleteFunc(term.Earlier, func(e EarlierHolder) bool { return e.Process == k.Self.Process })
 	return term
 }
 
 // releasedAt reports whether the holder key of a revision says that the cell was released.
-func (c *Claimer) releasedAt(revision int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	holder, held := c.holders[c.Candidate]
+func (k *candidacy) releasedAt(revision int64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	holder, held := k.holders[k.cell]
 	return held && holder.revision == revision && holder.Process == ""
 }
--- a/claimer/earlier_test.go
+++ b/claimer/earlier_test.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// silence makes the store at an address silent to a process once a channel is closed.
+func (h *harness) silence(address, silenced string, silent chan struct{}) {
+	h.wrapStore = func(process string) claimer.Store {
+		store := platform.NewStore(address)
+		if process == silenced {
+			return &silentStore{Store: store, silent: silent}
+		}
+		return store
+	}
+}
+
 // Renew implements claimer.Store.
 func (s *silentStore) Renew(ctx context.Context, lease int64) error {
 	if err := s.call(ctx); err != nil {
@@ -73,13 +84,7 @@
 		t.Run(name, func(t *testing.T) {
 			h, _, address := newHarness(t)
 			silent := make(chan struct{})
-			h.wrapStore = func(process string) claimer.Store {
-				store := platform.NewStore(address)
-				if process == "edge-1" {
-					return &silentStore{Store: store, silent: silent}
-				}
-				return store
-			}
+			h.silence(address, "edge-1", silent)
 			stop := h.start(t, "edge-1", address)
 			receive(t, h.began)
 			h.start(t, "edge-2", address)
--- /dev/null
+++ b/claimer/takeover.go
@@ -0,0 +1,77 @@
+package claimer
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// takeoverDelay is how long a cell is left to the processes of its own failure domain. It
+	// covers an ordinary restart.
+	takeoverDelay = 3 * time.Second
+	// abandonmentPeriod is for how long a cell whose holder hasn't released it must look
+	// abandoned. Registrations of a failure domain that was cut off may be back before its
+	// holder's.
+	abandonmentPeriod = 2 * time.Second
+	// outsideRankDelay separates the claims of processes of other failure domains,
+	// secondCellDelay delays that of one that already holds a cell.
+	outsideRankDelay = 200 * time.Millisecond
+	secondCellDelay  = 400 * time.Millisecond
+	// outsidePollInterval is how often a process checks a free cell of another failure domain.
+	outsidePollInterval = 500 * time.Millisecond
+)
+
+// takeoverPause returns how long this process leaves a cell of another failure domain to others;
+// the caller holds mu.
+func (k *candidacy) takeoverPause() time.Duration {
+	for _, holder := range k.holders {
+		if holder.Incarnation == k.Self.Incarnation {
+			return takeoverDelay + secondCellDelay
+		}
+	}
+	return takeoverDelay
+}
+
+// abandoned reports whether no process of the cell's failure domain holds a free cell or is going
+// to. A cell that was released has no holder that acts. Otherwise the last holder may be cut off from the
+// store or from this process: then its workers aren't registered, or it answers that it still
+// has them.
+func (k *candidacy) abandoned(ctx context.Context) bool {
+	if k.released() {
+		return true
+	}
+	acts := k.lastHolderActs(ctx)
+	if acts || !k.HasWorkers(ctx, k.cell) {
+		k.setAbandoned(time.Time{})
+		return false
+	}
+	return k.abandonedFor() >= abandonmentPeriod
+}
+
+// released reports whether the last holder has released the cell.
+func (k *candidacy) released() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	holder, held := k.holders[k.cell]
+	return held && holder.Process == ""
+}
+
+// abandonedFor returns for how long the cell has looked abandoned.
+func (k *candidacy) abandonedFor() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.Clock.Now()
+	if k.abandonedSince.IsZero() {
+		k.abandonedSince = now
+		klog.InfoS("Cell of another failure domain has no holder", "cell", k.cell, "for", now.Sub(k.freeSince))
+	}
+	return now.Sub(k.abandonedSince)
+}
+
+func (k *candidacy) setAbandoned(since time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.abandonedSince = since
+}
--- /dev/null
+++ b/claimer/takeover_test.go
@@ -0,0 +1,102 @@
+package claimer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// takeoverTests are the cases of TestTakeover: how the only process of the cell's failure domain
+// ends, and whether one of another failure domain claims the cell.
+var takeoverTests = map[string]struct {
+	// released is true if the process releases the cell, alive if it answers that it holds it.
+	released, alive bool
+	withWorkers     bool
+	takenOver       bool
+}{
+	"it leaves":                              {released: true, takenOver: true},
+	"it is lost":                             {withWorkers: true, takenOver: true},
+	"the failure domain is cut off":          {},
+	"the store refuses it, it answers peers": {withWorkers: true, alive: true},
+}
+
+// TestTakeover guards against a cell that nobody holds: only processes of its own failure domain
+// claimed it, and they had all left. A cell whose holder may be cut off is left to it.
+func TestTakeover(t *testing.T) {
+	for name, test := range takeoverTests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, _, address := newHarness(t)
+			h.domains = map[string]string{"edge-9": "graz-b"}
+			h.alive = map[string]bool{"edge-1": test.alive}
+			h.withWorkers.Store(test.withWorkers)
+			silent := make(chan struct{})
+			h.silence(address, "edge-1", silent)
+			stop := h.start(t, "edge-1", address)
+			receive(t, h.began)
+			h.start(t, "edge-9", address)
+			h.awaitKnown(t, "edge-9", "edge-1")
+			if test.released {
+				stop()
+			} else {
+				close(silent)
+				expireClaim(t, address)
+			}
+			expectTakeover(t, h, test.takenOver)
+		})
+	}
+}
+
+// expectTakeover fails unless edge-9 claims the cell, in time, exactly if it is to.
+func expectTakeover(t *testing.T, h *harness, takenOver bool) {
+	t.Helper()
+	select {
+	case next := <-h.began:
+		if !takenOver || next.process != "edge-9" {
+			t.Errorf("%s claims the cell", next.process)
+		}
+	case <-time.After(8 * time.Second):
+		if takenOver {
+			t.Error("no process claims the cell within 8 s")
+		}
+	}
+}
+
+// TestRestartedProcessFirst guards against a process of another failure domain that claims a cell
+// while the processes of the cell's own are restarted.
+func TestRestartedProcessFirst(t *testing.T) {
+	t.Parallel()
+	h, _, address := newHarness(t)
+	h.domains = map[string]string{"edge-9": "graz-b"}
+	h.withWorkers.Store(true)
+	stop := h.start(t, "edge-1", address)
+	receive(t, h.began)
+	h.start(t, "edge-9", address)
+	h.awaitKnown(t, "edge-9", "edge-1")
+	stop()
+	time.Sleep(2 * time.Second)
+	h.start(t, "edge-1", address)
+	if next := receive(t, h.began); next.process != "edge-1" {
+		t.Errorf("%s claims the cell, want the restarted edge-1", next.process)
+	}
+}
+
+// TestReturnFromOutside guards against a cell that stays with a process of another failure domain
+// although one of its own is back.
+func TestReturnFromOutside(t *testing.T) {
+	t.Parallel()
+	h, _, address := newHarness(t)
+	h.domains = map[string]string{"edge-9": "graz-b"}
+	var stop context.CancelFunc = h.start(t, "edge-1", address)
+	receive(t, h.began)
+	h.start(t, "edge-9", address)
+	h.awaitKnown(t, "edge-9", "edge-1")
+	stop()
+	outside := receive(t, h.began)
+	h.start(t, "edge-2", address)
+	if next := receive(t, h.began); next.process != "edge-2" || next.epoch <= outside.epoch {
+		t.Errorf("after %+v came %+v, want edge-2 with a higher epoch", outside, next)
+	}
+	for ended := receive(t, h.ended); ended.process != "edge-9"; ended = receive(t, h.ended) {
+	}
+}
--- a/otherholders.go
+++ b/otherholders.go
@@ -10,6 +10,7 @@
 
 // otherHolders are the processes that hold the cells of other failure domains.
 type otherHolders struct {
+	self    string
 	home    string
 	claimer *claimer.Claimer
 	peers   *relayer.Client
@@ -23,7 +24,7 @@
 	answers := make(chan storeStatus, len(cells))
 	queried := 0
 	for cell, holder := range cells {
-		if cell == o.home {
+		if cell == o.home || holder.Process == o.self {
 			continue
 		}
 		queried++
--- a/scheduler.go
+++ b/scheduler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -114,18 +115,21 @@
 	s.heldCells.peers = s.peerClient
 	s.claimer = &claimer.Claimer{
 		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix, Candidate: s.Settings.FailureDomain,
+		OtherCells: otherDomains(s.Settings),
 		Self: claimer.Holder{
-			Process: s.Settings.Process, Address: s.Settings.PeerAddress, Incarnation: uuid.NewString(), Processors: s.Settings.Processors,
+			Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Address: s.Settings.PeerAddress,
+			Incarnation: uuid.NewString(), Processors: s.Settings.Processors,
 		},
-		Hold:     s.heldCells.run,
-		Eligible: func() bool { return !s.draining.Load() },
-		Holds:    s.queryHolder,
+		Hold:       s.heldCells.run,
+		Eligible:   func() bool { return !s.draining.Load() },
+		Holds:      s.queryHolder,
+		HasWorkers: (&cellWorkers{store: s.store, archiver: archive}).registered,
 	}
 	selector := &cellSelector{home: s.Settings.FailureDomain, claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient}
 	s.heldCells.selector = selector
 	s.prober = &prober.Prober{
 		Store: s.store, Clock: s.Clock,
-		Peers: &otherHolders{home: s.Settings.FailureDomain, claimer: s.claimer, peers: s.peerClient},
+		Peers: &otherHolders{self: s.Settings.Process, home: s.Settings.FailureDomain, claimer: s.claimer, peers: s.peerClient},
 	}
 	s.intake = acceptor.NewIntake(s.Clock, archive)
 	s.acceptor = &acceptor.Acceptor{
@@ -137,6 +141,11 @@
 	}
 }
 
+// otherDomains returns the failure domains other than that of this process.
+func otherDomains(settings platform.Settings) []string {
+	return slices.DeleteFunc(slices.Clone(settings.FailureDomains), func(domain string) bool { return domain == settings.FailureDomain })
+}
+
 // Ready reports whether the process accepts calls.
 func (s *Scheduler) Ready() bool {
 	_, known := s.configurations.Configuration()
