archiver: the cancellation of an unaccepted job keeps a late submission out

Cause: a cancellation without ids/<job> left nothing behind, and that this key doesn't exist is the only condition of an acceptance.

Ruled out: an old read of the store; reads are linearizable, the job's keys are written after the 410.

Change: the cancellation writes the key, empty, on the same condition. A later submission is answered 503, a state 410. The holder of the home cell removes the record like that of a final job. Ten a second and process, bursts of 100; beyond that, and without the store, the cancellation isn't acknowledged. A submission whose client has left, of which nothing is written, is refused.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -51,7 +51,8 @@
 	Deliver(job dispatcher.Job, record []byte, cell string)
 	// State returns the state of a job, or ErrUnknown if it was never accepted.
 	State(ctx context.Context, id string) (dispatcher.State, error)
-	// Cancel cancels a job. It returns ErrUnknown if the job was never accepted.
+	// Cancel cancels a job. It returns ErrUnknown if the job was never accepted, and won't be by
+	// any submission that is still under way.
 	Cancel(ctx context.Context, id string) error
 	// Pending returns the number of jobs of a queue without a started task.
 	Pending(ctx context.Context, queue string) (int, error)
@@ -197,6 +198,8 @@
 		writeState(w, dispatcher.StateQueued)
 	case OutcomeRefused:
 		refuse(w, http.StatusServiceUnavailable)
+	case OutcomeCancelled:
+		http.Error(w, "not carried out: the job was cancelled before", http.StatusServiceUnavailable)
 	default:
 		http.Error(w, "it is not known whether the job was accepted", http.StatusGatewayTimeout)
 	}
--- a/acceptor/intake.go
+++ b/acceptor/intake.go
@@ -25,6 +25,8 @@
 	// OutcomeRefused means that this submission has not stored the job and never
 	// will.
 	OutcomeRefused Outcome = "refused"
+	// OutcomeCancelled means that the job was cancelled before, is not stored, and never will be.
+	OutcomeCancelled Outcome = "cancelled"
 	// OutcomeUnclear means that the job may be stored now or later.
 	OutcomeUnclear Outcome = "unclear"
 )
@@ -62,6 +64,8 @@
 	job      archiver.AcceptedJob
 	deadline time.Time
 	arrived  time.Time
+	// abandoned is closed once the client has left or its timeout has passed.
+	abandoned <-chan struct{}
 	// unclear is true if an earlier attempt may have stored the job, or still may.
 	unclear bool
 	outcome chan Outcome
@@ -74,7 +78,7 @@
 func (i *Intake) Accept(ctx context.Context, id, cell string, record []byte) Outcome {
 	s := &submission{
 		job:     archiver.AcceptedJob{ID: id, Cell: cell, Record: record},
-		arrived: i.Clock.Now(),
+		arrived: i.Clock.Now(), abandoned: ctx.Done(),
 		outcome: make(chan Outcome, 1),
 	}
 	s.deadline, _ = ctx.Deadline()
@@ -143,7 +147,10 @@
 
 // store stores a batch, with retries until each submission has an outcome.
 func (i *Intake) store(ctx context.Context, batch []*submission) {
-	for len(batch) > 0 && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		if batch = endAbandoned(batch); len(batch) == 0 {
+			return
+		}
 		err := i.accept(ctx, batch)
 		var exists *archiver.ExistsError
 		var refused *platform.RefusedError
@@ -171,6 +178,24 @@
 	}
 }
 
+// endAbandoned ends the submissions that nobody waits for any more and that nothing was written
+// of, and returns the others.
+func endAbandoned(batch []*submission) []*submission {
+	var remaining []*submission
+	for _, s := range batch {
+		select {
+		case <-s.abandoned:
+			if !s.unclear {
+				s.end(OutcomeRefused)
+				continue
+			}
+		default:
+		}
+		remaining = append(remaining, s)
+	}
+	return remaining
+}
+
 func (i *Intake) accept(ctx context.Context, batch []*submission) error {
 	jobs := make([]archiver.AcceptedJob, len(batch))
 	for n, s := range batch {
@@ -183,10 +208,12 @@
 	var remaining []*submission
 	for _, s := range batch {
 		switch {
-		case !exists.IDs[s.job.ID]:
-			remaining = append(remaining, s)
-		default:
+		case exists.IDs[s.job.ID]:
 			s.end(OutcomeExists)
+		case exists.Cancelled[s.job.ID]:
+			s.end(OutcomeCancelled)
+		default:
+			remaining = append(remaining, s)
 		}
 	}
 	return remaining
--- a/acceptor/intake_test.go
+++ b/acceptor/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +87,35 @@
 		})
 	}
 }
+
+// recordingArchive implements acceptor.Archive and records the ids of accepted jobs.
+type recordingArchive struct{ ids []string }
+
+func (a *recordingArchive) Accept(_ context.Context, jobs []archiver.AcceptedJob) error {
+	for _, j := range jobs {
+		a.ids = append(a.ids, j.ID)
+	}
+	return nil
+}
+
+func (a *recordingArchive) Cell(context.Context, string) (string, error) { return "", nil }
+
+// TestAbandonedSubmission guards against a job that is stored although its client has left before
+// anything of it was written.
+func TestAbandonedSubmission(t *testing.T) {
+	const waiting = "00000000000000a2"
+	archive := &recordingArchive{}
+	intake := acceptor.NewIntake(clockwork.NewRealClock(), archive)
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	if outcome := intake.Accept(left, "00000000000000a1", "graz-a", nil); outcome == acceptor.OutcomeAccepted {
+		t.Errorf("the outcome is %q", outcome)
+	}
+	go func() { _ = intake.Run(t.Context()) }()
+	if outcome := intake.Accept(t.Context(), waiting, "graz-a", nil); outcome != acceptor.OutcomeAccepted {
+		t.Errorf("the outcome of the next submission is %q, want %q", outcome, acceptor.OutcomeAccepted)
+	}
+	if !slices.Equal(archive.ids, []string{waiting}) {
+		t.Errorf("the jobs %q are stored, want only that of the client that waits", archive.ids)
+	}
+}
--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -17,7 +17,8 @@
 
 const (
 	keyRoot = "zinniashore/"
-	// idPrefix is the prefix of the keys that map accepted jobs to their cells.
+	// idPrefix is the prefix of the keys that map accepted jobs to their cells. The value of a
+	// job that was cancelled before it could be accepted is empty.
 	idPrefix = keyRoot + "ids/"
 	// jobPrefix is the prefix of the keys of live jobs, by cell.
 	jobPrefix = keyRoot + "jobs/"
@@ -72,10 +73,12 @@
 type ExistsError struct {
 	// IDs are the ids of these jobs.
 	IDs map[string]bool
+	// Cancelled are the ids of jobs that were cancelled before, and never will be accepted.
+	Cancelled map[string]bool
 }
 
 // Error implements error.
-func (e *ExistsError) Error() string { return "jobs are already accepted" }
+func (e *ExistsError) Error() string { return "jobs are already accepted or cancelled" }
 
 // Accept stores all jobs in one transaction. It returns an *ExistsError if some of
 // them are already accepted, or the error of the store.
@@ -92,15 +95,40 @@
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	exists := &ExistsError{IDs: map[string]bool{}}
+	exists := &ExistsError{IDs: map[string]bool{}, Cancelled: map[string]bool{}}
 	for _, item := range conflict.Items {
-		if item.Revision != 0 {
-			exists.IDs[strings.TrimPrefix(item.Key, idPrefix)] = true
+		id := strings.TrimPrefix(item.Key, idPrefix)
+		switch {
+		case item.Revision == 0:
+		case len(item.Value) == 0:
+			exists.Cancelled[id] = true
+		default:
+			exists.IDs[id] = true
 		}
 	}
 	return exists
 }
 
+// CancelUnaccepted cancels a job that isn't accepted: no submission of it that is written later,
+// by any process, can be. The holder of cell removes the record in time. If the job is accepted
+// after all, CancelUnaccepted changes nothing and returns the job's cell.
+func (a *Archiver) CancelUnaccepted(ctx context.Context, cell, id string) (string, error) {
+	_, err := a.Store.Commit(ctx, platform.Transaction{
+		Expect: []platform.Expectation{{Key: idPrefix + id}},
+		Writes: []platform.Item{{Key: idPrefix + id}, {Key: cancellationKey(cell, id), Value: []byte(unacceptedValue)}},
+	})
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		return "", err
+	}
+	for _, item := range conflict.Items {
+		if item.Key == idPrefix+id {
+			return string(item.Value), nil
+		}
+	}
+	return "", err
+}
+
 // Cell returns the cell of an accepted job, or an empty string if the job was never
 // accepted.
 func (a *Archiver) Cell(ctx context.Context, id string) (string, error) {
@@ -260,7 +288,7 @@
 	a.mergeJobs(items, jobs)
 	var stored []dispatcher.StoredJob
 	for _, j := range jobs {
-		if len(j.Job.Steps) > 0 || j.Progress != nil && j.Progress.State.Final() {
+		if len(j.Job.Steps) > 0 || j.Unaccepted || j.Progress != nil && j.Progress.State.Final() {
 			stored = append(stored, *j)
 		}
 	}
@@ -276,10 +304,12 @@
 		}
 		j, found := jobs[change.ID]
 		if !found {
-			j = &dispatcher.StoredJob{}
+			j = &dispatcher.StoredJob{Job: dispatcher.Job{ID: change.ID}}
 			jobs[change.ID] = j
 		}
 		switch {
+		case change.Unaccepted:
+			j.Unaccepted = true
 		case change.Cancelled:
 			j.Cancelled = true
 		case change.FailedIn != "":
--- a/archiver/change.go
+++ b/archiver/change.go
@@ -12,6 +12,8 @@
 type Change struct {
 	ID        string
 	Cancelled bool
+	// Unaccepted is true for the cancellation of a job that wasn't accepted before.
+	Unaccepted bool
 	// FailedIn is the cell that has given up a delegated part of the job.
 	FailedIn string
 	// Job is set unless Cancelled or FailedIn is.
@@ -22,7 +24,7 @@
 func DecodeChange(cell string, item platform.Item) (Change, error) {
 	name := strings.TrimPrefix(item.Key, JobPrefix(cell))
 	if id, cancelled := strings.CutSuffix(name, cancelSuffix); cancelled {
-		return Change{ID: id, Cancelled: true}, nil
+		return Change{ID: id, Cancelled: true, Unaccepted: string(item.Value) == unacceptedValue}, nil
 	}
 	if id, failed := strings.CutSuffix(name, failedSuffix); failed {
 		return Change{ID: id, FailedIn: string(item.Value)}, nil
@@ -31,9 +33,15 @@
 	return Change{ID: name, Job: job}, err
 }
 
+// unacceptedValue is the value of the cancellation of a job that wasn't accepted before.
+const unacceptedValue = `{"unaccepted":true}`
+
+// cancellationKey returns the key that marks a job of a cell as cancelled.
+func cancellationKey(cell, id string) string { return JobPrefix(cell) + id + cancelSuffix }
+
 // cancellationItem returns the item that marks a job of a cell as cancelled.
 func cancellationItem(cell, id string) platform.Item {
-	return platform.Item{Key: JobPrefix(cell) + id + cancelSuffix, Value: []byte("{}")}
+	return platform.Item{Key: cancellationKey(cell, id), Value: []byte("{}")}
 }
 
 // failureItem returns the item that tells the home cell of a job which cell has given up
--- a/archiver/expiry_test.go
+++ b/archiver/expiry_test.go
@@ -75,3 +75,36 @@
 		})
 	}
 }
+
+// TestUnacceptedExpires guards against cancellations of unaccepted jobs that stay in the store for
+// ever, or that a new holder removes at once.
+func TestUnacceptedExpires(t *testing.T) {
+	a, store := newArchiver(t)
+	if _, err := a.CancelUnaccepted(t.Context(), cell, jobID); err != nil {
+		t.Fatal(err)
+	}
+	archive := startTerm(t, a, store)
+	now := time.UnixMilli(1_000_000)
+	c := dispatcher.NewCell(archive.Cell, archive.Epoch, dispatcher.Limits{StateRetention: time.Minute}, noEvents{})
+	stored, err := archive.Load(t.Context())
+	if err != nil || len(stored.Jobs) != 1 || !stored.Jobs[0].Unaccepted {
+		t.Fatalf("a new holder loads %+v (%v), want one unaccepted job", stored.Jobs, err)
+	}
+	c.AddUnaccepted(now, stored.Jobs[0].Job.ID)
+	if state, known := c.State(jobID); known {
+		t.Errorf("the unaccepted job is shown as %q", state)
+	}
+	saveAll(t, archive, c, now.Add(time.Minute))
+	accepted := []archiver.AcceptedJob{{ID: jobID, Cell: cell, Record: []byte("{}")}}
+	if err := a.Accept(t.Context(), accepted); err == nil {
+		t.Error("the job is accepted one minute after its cancellation")
+	}
+	saveAll(t, archive, c, now.Add(2*time.Minute))
+	items, _, err := store.List(t.Context(), archiver.JobPrefix(cell))
+	if err != nil || len(items) > 0 {
+		t.Errorf("the store holds %d items (%v) after the retention, want none", len(items), err)
+	}
+	if err := a.Accept(t.Context(), accepted); err != nil {
+		t.Errorf("Accept() after the retention = %v", err)
+	}
+}
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -337,7 +337,7 @@
 // it is stored.
 func (c *Cell) State(id string) (State, bool) {
 	j, known := c.jobs[id]
-	if !known || j.job.Part != nil {
+	if !known || j.job.Part != nil || j.unaccepted {
 		return "", false
 	}
 	if j.state.Final() && j.stored != j.state {
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -86,6 +86,8 @@
 	// Cancelled is true if a client cancelled the job while the cell had no holder to
 	// handle it.
 	Cancelled bool
+	// Unaccepted is true if a client cancelled the job before it was accepted; it never will be.
+	Unaccepted bool
 	// FailedIn is a cell that has given up a delegated part of the job, or empty.
 	FailedIn string
 }
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -139,6 +139,8 @@
 	due time.Time
 	// restored is true if an earlier holder may have started tasks of the job.
 	restored bool
+	// unaccepted is true if the job was cancelled before it was accepted.
+	unaccepted bool
 	// finalAt is when the job became final.
 	finalAt time.Time
 	// stored is the newest state in the store.
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -106,6 +106,10 @@
 
 // addStored adds a stored job; the caller holds mu.
 func (r *Runner) addStored(now time.Time, stored StoredJob) {
+	if stored.Unaccepted {
+		r.Cell.AddUnaccepted(now, stored.Job.ID)
+		return
+	}
 	r.Cell.AddJob(now, stored.Job, stored.Progress, true)
 	if stored.Cancelled {
 		r.Cell.Cancel(now, stored.Job.ID)
--- a/heldcells.go
+++ b/heldcells.go
@@ -233,6 +233,8 @@
 		return
 	}
 	switch {
+	case change.Unaccepted:
+		s.runner.AddUnaccepted(change.ID)
 	case change.Cancelled:
 		s.cancel(change.ID)
 	case change.FailedIn != "":
--- a/jobrouter.go
+++ b/jobrouter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/acceptor"
@@ -25,8 +26,15 @@
 	// maxTrackedJobs bounds the jobs whose cells are cached, and the jobs whose times
 	// eventLog measures.
 	maxTrackedJobs = 20000
+	// unacceptedPerSecond and unacceptedBurst limit the cancellations of unaccepted jobs that a
+	// process stores: anybody may send them, and each takes a write and is kept.
+	unacceptedPerSecond = 10
+	unacceptedBurst     = 100
 )
 
+// errTooManyCancellations reports that the cancellation of an unaccepted job wasn't stored.
+var errTooManyCancellations = errors.New("too many cancellations of jobs that aren't accepted")
+
 // jobRouter routes calls about jobs to the processes that hold the cells of the jobs.
 type jobRouter struct {
 	home      string
@@ -37,6 +45,9 @@
 	peers     *relayer.Client
 	selector  *cellSelector
 
+	// unaccepted limits the cancellations of unaccepted jobs that are stored.
+	unaccepted *rate.Limiter
+
 	mu      sync.Mutex
 	cells   map[string]string
 	pending map[string]pendingCount
@@ -140,6 +151,9 @@
 // doesn't know the job yet, it receives the cancellation through the store.
 func (r *jobRouter) Cancel(ctx context.Context, id string) error {
 	cell, err := r.cell(ctx, id)
+	if errors.Is(err, acceptor.ErrUnknown) {
+		cell, err = r.cancelUnaccepted(ctx, id)
+	}
 	if err != nil {
 		return err
 	}
@@ -151,6 +165,25 @@
 	return r.archiver.Cancel(ctx, cell, id)
 }
 
+// cancelUnaccepted stores the cancellation of a job that isn't accepted, so that a submission that is
+// still under way can't be, and returns acceptor.ErrUnknown. If the job has been accepted meanwhile, it
+// returns the job's cell.
+func (r *jobRouter) cancelUnaccepted(ctx context.Context, id string) (string, error) {
+	if !r.unaccepted.AllowN(r.heldCells.clock.Now(), 1) {
+		return "", errTooManyCancellations
+	}
+	cell, err := r.archiver.CancelUnaccepted(ctx, r.home, id)
+	if err != nil {
+		return "", err
+	}
+	if cell == "" {
+		klog.InfoS("Cancelled a job that wasn't accepted", "job", id)
+		return "", acceptor.ErrUnknown
+	}
+	r.cacheCell(id, cell)
+	return cell, nil
+}
+
 func (r *jobRouter) requestCancel(ctx context.Context, cell, id string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
--- a/scheduler.go
+++ b/scheduler.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/zeromicro/go-zero/rest"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
@@ -137,6 +138,7 @@
 		Jobs: &jobRouter{
 			home: s.Settings.FailureDomain, self: s.Settings.Process, claimer: s.claimer, heldCells: s.heldCells,
 			archiver: archive, peers: s.peerClient, selector: selector,
+			unaccepted: rate.NewLimiter(unacceptedPerSecond, unacceptedBurst),
 		},
 	}
 }
