dispatcher: registrations of unnamed services have no vote

Cause: each entry that could be decoded was a worker with a vote, polled, and stored as one that tasks may run on. Nobody listens at its address.

Change: the holder knows the configured services; an entry of another one is set aside until a configuration names it. A worker that a holder has used keeps its vote when its service is dropped, as its runs continue.

--- a/cellworkers.go
+++ b/cellworkers.go
@@ -15,8 +15,9 @@
 
 // cellWorkers finds out whether the workers of cells are registered.
 type cellWorkers struct {
-	store    *platform.Store
-	archiver *archiver.Archiver
+	store          *platform.Store
+	archiver       *archiver.Archiver
+	configurations *configurations
 }
 
 // registered reports whether the registry lists more than half of a cell's workers. The
@@ -34,7 +35,7 @@
 		klog.InfoS("Reading the registered workers of a cell without a holder failed", "cell", cell, "err", err)
 		return false
 	}
-	listed := registeredIn(cell, items)
+	listed := c.registeredIn(cell, items)
 	count := len(listed)
 	for _, worker := range stored {
 		listed[worker.ID] = true
@@ -43,7 +44,8 @@
 }
 
 // registeredIn returns the ids of the workers of a cell that the registry lists.
-func registeredIn(cell string, items []platform.Item) map[string]bool {
+func (c *cellWorkers) registeredIn(cell string, items []platform.Item) map[string]bool {
+	configuration, _ := c.configurations.Configuration()
 	ids := map[string]bool{}
 	for _, item := range items {
 		registration, err := platform.DecodeRegistration(item)
@@ -51,7 +53,7 @@
 			klog.V(1).InfoS("Leaving out a registration that can't be decoded", "worker", registration.ID, "err", err)
 			continue
 		}
-		if registration.FailureDomain == cell {
+		if registration.FailureDomain == cell && configuration.Services[registration.Service] {
 			ids[registration.ID] = true
 		}
 	}
--- a/configurations.go
+++ b/configurations.go
@@ -15,6 +15,8 @@
 	clock clockwork.Clock
 	// suspendedTime returns for how long in all the VM has been suspended.
 	suspendedTime func() time.Duration
+	// changed, if set, is called with each newer configuration.
+	changed func(platform.Configuration)
 
 	mu      sync.Mutex
 	current platform.Configuration
@@ -69,12 +71,20 @@
 		klog.ErrorS(err, "Decoding the configuration failed", "revision", item.Revision)
 		return
 	}
+	if c.replace(configuration) && c.changed != nil {
+		c.changed(configuration)
+	}
+}
+
+// replace puts a configuration in force, and reports whether it is newer.
+func (c *configurations) replace(configuration platform.Configuration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.known && configuration.Version <= c.current.Version {
-		return
+		return false
 	}
 	klog.InfoS("Configuration in force", "version", configuration.Version, "queues", len(configuration.Queues))
 	c.current = configuration
 	c.known = true
+	return true
 }
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -94,6 +94,10 @@
 
 	jobs    map[string]*jobState
 	workers map[string]*worker
+	// services are the names of the configured services, nil if all are. unnamed are the
+	// registrations of workers of other services that no holder has used.
+	services map[string]bool
+	unnamed  map[string]Registration
 	// removedWorkers counts the workers that are removed here and still listed in the
 	// store.
 	removedWorkers int
@@ -150,6 +154,7 @@
 		Recorder:  events,
 		jobs:      map[string]*jobState{},
 		workers:   map[string]*worker{},
+		unnamed:   map[string]Registration{},
 		dirty:     map[string]bool{},
 		upcoming:  map[string]*jobState{},
 		headrooms: estimator.NewHeadrooms(),
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -10,6 +10,10 @@
 // SetWorker applies a worker's new or changed registration.
 func (c *Cell) SetWorker(now time.Time, registration Registration) {
 	w, known := c.workers[registration.ID]
+	if !known && c.services != nil && !c.services[registration.Service] {
+		c.setUnnamed(registration)
+		return
+	}
 	if !known {
 		w = newWorker()
 		c.workers[registration.ID] = w
@@ -49,6 +53,7 @@
 
 // RemoveWorker marks a worker as no longer registered.
 func (c *Cell) RemoveWorker(now time.Time, id string) {
+	delete(c.unnamed, id)
 	w, known := c.workers[id]
 	if !known || !w.registered {
 		return
--- a/dispatcher/registry.go
+++ b/dispatcher/registry.go
@@ -16,6 +16,7 @@
 			r.Cell.RemoveWorker(now, id)
 		}
 	}
+	r.Cell.removeUnnamed(listed)
 	r.mu.Unlock()
 	signal(r.wake)
 }
--- a/heldcells.go
+++ b/heldcells.go
@@ -57,6 +57,8 @@
 
 	mu      sync.Mutex
 	runners map[string]heldCell
+	// services are the names of the configured services, empty before they are known.
+	services map[string]bool
 	// yielded holds, by cell, the epoch before which this process doesn't hold it any more.
 	yielded map[string]int64
 }
@@ -149,9 +151,20 @@
 		h.runners = map[string]heldCell{}
 	}
 	h.runners[cell] = held
+	held.runner.SetServices(h.services)
 	return true
 }
 
+// setServices sets the names of the configured services.
+func (h *heldCells) setServices(configuration platform.Configuration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.services = configuration.Services
+	for _, held := range h.runners {
+		held.runner.SetServices(h.services)
+	}
+}
+
 func (h *heldCells) unset(cell string, runner *dispatcher.Runner) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/scheduler.go
+++ b/scheduler.go
@@ -108,10 +108,12 @@
 	s.configurations = &configurations{clock: s.Clock, suspendedTime: suspendedTime}
 	s.heldCells = &heldCells{
 		clock: s.Clock, settings: s.Settings, store: s.store, workers: platform.NewWorkers(), archiver: archive,
+		services: map[string]bool{},
 		recorder: &eventLog{clock: s.Clock, scope: s.meter.Scope, recorder: &recorder.Recorder{
 			Clock: s.Clock, Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Capacity: timeLineCapacity,
 		}},
 	}
+	s.configurations.changed = s.heldCells.setServices
 	s.peerClient = &relayer.Client{}
 	s.heldCells.peers = s.peerClient
 	s.claimer = &claimer.Claimer{
@@ -124,7 +126,7 @@
 		Hold:       s.heldCells.run,
 		Eligible:   func() bool { return !s.draining.Load() },
 		Holds:      s.queryHolder,
-		HasWorkers: (&cellWorkers{store: s.store, archiver: archive}).registered,
+		HasWorkers: (&cellWorkers{store: s.store, archiver: archive, configurations: s.configurations}).registered,
 	}
 	selector := &cellSelector{home: s.Settings.FailureDomain, claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient}
 	s.heldCells.selector = selector
--- a/yield_test.go
+++ b/yield_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
+
 	"zinniashore.example/dispatcher"
 )
 
@@ -25,7 +27,7 @@
 			cells := &heldCells{}
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
-			runner := &dispatcher.Runner{}
+			runner := dispatcher.NewRunner(dispatcher.NewCell(cell, test.held, dispatcher.Limits{}, noEvents{}), clockwork.NewRealClock(), nil, nil)
 			if test.held != 0 && !cells.set(cell, heldCell{runner: runner, epoch: test.held, stop: stop}) {
 				t.Fatal("the cell can't be held")
 			}
