dispatcher: a job moves from a cell that can't run it

Cause: a job keeps the cell that it was accepted for, and only long-running tasks are delegated.

Ruled out: that the frozen cell has the job and loses it; ids/<job> names the home cell of the process that took it.

Change: a job of which no worker of its cell could run a waiting task moves to a cell with places, with its progress, in one save under the holder's term, on the condition that it belongs to the cell and isn't cancelled. A cancellation through the store is written for the job's present cell. A cell that was cached is read again if its holder doesn't know the job.

go test ./dispatcher -run TestRelocationForLabel without the rule: no job is to be relocated; with it: passes. Cancellations and lost answers around a move: TestCancellationDuringRelocation, TestRelocation, TestRelocationOfCancelledJob, TestCancelAfterRelocation.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -181,9 +181,30 @@
 	return dispatcher.DecodeWorkers(item.Value)
 }
 
-// Cancel stores the cancellation of a job, which the holder of its cell then reads.
-func (a *Archiver) Cancel(ctx context.Context, cell, id string) error {
-	_, err := a.Store.Commit(ctx, platform.Transaction{Writes: []platform.Item{cancellationItem(cell, id)}})
+// maxCancelAttempts is how often a cancellation is stored again because the job was relocated
+// meanwhile.
+const maxCancelAttempts = 3
+
+// Cancel stores the cancellation of a job in its present cell, whose holder then reads it.
+func (a *Archiver) Cancel(ctx context.Context, id string) error {
+	var conflict *platform.ConflictError
+	var err error
+	for range maxCancelAttempts {
+		var home platform.Item
+		if home, err = a.Store.Get(ctx, idPrefix+id); err != nil {
+			return err
+		}
+		if home.Revision == 0 {
+			return nil // its state has expired
+		}
+		_, err = a.Store.Commit(ctx, platform.Transaction{
+			Expect: []platform.Expectation{{Key: home.Key, Revision: home.Revision}},
+			Writes: []platform.Item{cancellationItem(string(home.Value), id)},
+		})
+		if !errors.As(err, &conflict) {
+			return err
+		}
+	}
 	return err
 }
 
@@ -334,7 +355,8 @@
 // other conflict it adopts the revision of the last save, so that a retry can succeed.
 func (a *CellArchive) commit(ctx context.Context, transaction platform.Transaction) error {
 	term, save := TermPrefix+a.Cell, savePrefix+a.Cell
-	transaction.Expect = []platform.Expectation{{Key: term, Revision: a.Epoch}, {Key: save, Revision: a.savedRevision}}
+	transaction.Expect = append(transaction.Expect,
+		platform.Expectation{Key: term, Revision: a.Epoch}, platform.Expectation{Key: save, Revision: a.savedRevision})
 	content, err := json.Marshal(saveMessage{ActiveEpoch: a.activeEpoch})
 	if err != nil {
 		return err
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -82,7 +82,7 @@
 	if err := archive.Save(t.Context(), batch); err != nil {
 		t.Fatal(err)
 	}
-	if err := a.Cancel(t.Context(), cell, jobID); err != nil {
+	if err := a.Cancel(t.Context(), jobID); err != nil {
 		t.Fatal(err)
 	}
 	stored, found, err := archive.Find(t.Context(), jobID)
@@ -163,7 +163,7 @@
 	if err := a.Accept(t.Context(), []archiver.AcceptedJob{{ID: jobID, Cell: cell, Record: record}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := a.Cancel(t.Context(), cell, jobID); err != nil {
+	if err := a.Cancel(t.Context(), jobID); err != nil {
 		t.Fatal(err)
 	}
 	archive := startTerm(t, a, store)
--- /dev/null
+++ b/archiver/relocation_test.go
@@ -0,0 +1,79 @@
+package archiver_test
+
+import (
+	"errors"
+	"testing"
+
+	"zinniashore.example/archiver"
+	"zinniashore.example/dispatcher"
+)
+
+func relocationBatch() *dispatcher.Batch {
+	return &dispatcher.Batch{Relocation: &dispatcher.Relocation{
+		Cell: otherCell, Job: dispatcher.Job{ID: jobID, Occurrences: 1, Steps: []dispatcher.Step{{Count: 1}}},
+	}}
+}
+
+func acceptPlain(t *testing.T, a *archiver.Archiver) {
+	t.Helper()
+	record, err := dispatcher.EncodeJob(dispatcher.Job{ID: jobID, Occurrences: 1, Steps: []dispatcher.Step{{Count: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Accept(t.Context(), []archiver.AcceptedJob{{ID: jobID, Cell: cell, Record: record}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRelocation checks that a job belongs to one cell before and after its relocation, also if the
+// answer to the save is lost and it is repeated after the new cell has saved progress.
+func TestRelocation(t *testing.T) {
+	a, store := newArchiver(t)
+	acceptPlain(t, a)
+	archive := startTerm(t, a, store)
+	mustSave(t, archive, relocationBatch())
+	if home, err := a.Cell(t.Context(), jobID); home != otherCell || err != nil {
+		t.Fatalf("the job belongs to %q (%v), want %q", home, err, otherCell)
+	}
+	other := startTermOf(t, a, store, otherCell)
+	mustSave(t, other, jobBatch(dispatcher.StateCompleted))
+	mustSave(t, archive, relocationBatch())
+	if state, err := a.State(t.Context(), otherCell, jobID); state != dispatcher.StateCompleted || err != nil {
+		t.Errorf("state = %q, %v; want completed", state, err)
+	}
+	items, _, err := store.List(t.Context(), archiver.JobPrefix(cell))
+	if err != nil || len(items) > 0 {
+		t.Errorf("the old cell holds %d items (%v), want none", len(items), err)
+	}
+}
+
+// TestRelocationOfCancelledJob guards against a cancelled job that runs in another cell: its
+// cancellation was stored for the old cell before the relocation.
+func TestRelocationOfCancelledJob(t *testing.T) {
+	a, store := newArchiver(t)
+	acceptPlain(t, a)
+	archive := startTerm(t, a, store)
+	if err := a.Cancel(t.Context(), jobID); err != nil {
+		t.Fatal(err)
+	}
+	if err := archive.Save(t.Context(), relocationBatch()); !errors.Is(err, dispatcher.ErrRelocationRefused) {
+		t.Errorf("Save() = %v, want %v", err, dispatcher.ErrRelocationRefused)
+	}
+	mustSave(t, archive, jobBatch(dispatcher.StateCancelled))
+	requireState(t, a, dispatcher.StateCancelled)
+}
+
+// TestCancelAfterRelocation guards against a cancellation that is stored for a cell that the job has
+// left.
+func TestCancelAfterRelocation(t *testing.T) {
+	a, store := newArchiver(t)
+	acceptPlain(t, a)
+	mustSave(t, startTerm(t, a, store), relocationBatch())
+	if err := a.Cancel(t.Context(), jobID); err != nil {
+		t.Fatal(err)
+	}
+	stored, err := startTermOf(t, a, store, otherCell).Load(t.Context())
+	if err != nil || len(stored.Jobs) != 1 || !stored.Jobs[0].Cancelled {
+		t.Errorf("the new cell has the jobs %+v (%v), want one that is cancelled", stored.Jobs, err)
+	}
+}
--- a/archiver/save.go
+++ b/archiver/save.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
+	"strings"
 
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/platform"
@@ -35,6 +38,11 @@
 		// A part that its home cell extended after it had ended was stored again.
 		transaction.Remove = append(transaction.Remove, progressPrefix+a.Cell+"/"+id, job+cancelSuffix, job)
 	}
+	if batch.Relocation != nil {
+		if err := a.addRelocation(ctx, &transaction, batch.Relocation); err != nil {
+			return err
+		}
+	}
 	if batch.Part != nil {
 		item, err := a.partItem(batch.Part)
 		if err != nil {
@@ -42,7 +50,43 @@
 		}
 		transaction.Writes = append(transaction.Writes, item)
 	}
-	return a.commit(ctx, transaction)
+	err := a.commit(ctx, transaction)
+	if batch.Relocation != nil && cancelledMeanwhile(err) {
+		return dispatcher.ErrRelocationRefused
+	}
+	return err
+}
+
+// addRelocation adds the rows that move a job to another cell, unless an earlier save whose answer was
+// lost has moved it. A job that has been cancelled through the store isn't moved.
+func (a *CellArchive) addRelocation(ctx context.Context, transaction *platform.Transaction, r *dispatcher.Relocation) error {
+	id := r.Job.ID
+	home, err := a.Archiver.Store.Get(ctx, idPrefix+id)
+	if err != nil || string(home.Value) == r.Cell {
+		return err
+	}
+	record, err := dispatcher.EncodeJob(r.Job)
+	if err != nil {
+		return err
+	}
+	transaction.Expect = append(transaction.Expect,
+		platform.Expectation{Key: idPrefix + id, Revision: home.Revision}, platform.Expectation{Key: cancellationKey(a.Cell, id)})
+	transaction.Writes = append(transaction.Writes,
+		platform.Item{Key: idPrefix + id, Value: []byte(r.Cell)}, platform.Item{Key: JobPrefix(r.Cell) + id, Value: record})
+	transaction.Remove = append(transaction.Remove, JobPrefix(a.Cell)+id, progressPrefix+a.Cell+"/"+id)
+	return nil
+}
+
+// cancelledMeanwhile reports whether a transaction was refused because the cancellation of a job
+// exists.
+func cancelledMeanwhile(err error) bool {
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	return slices.ContainsFunc(conflict.Items, func(item platform.Item) bool {
+		return item.Revision != 0 && strings.HasSuffix(item.Key, cancelSuffix)
+	})
 }
 
 // addJob adds the rows of a changed job to a transaction.
--- a/cancellation_test.go
+++ b/cancellation_test.go
@@ -136,7 +136,7 @@
 	acceptTestJob(t, archive)
 	runner := holdTestCell(t, store)
 	loser.loseNext()
-	if err := archive.Cancel(t.Context(), testCell, testJob); err != nil {
+	if err := archive.Cancel(t.Context(), testJob); err != nil {
 		t.Fatal(err)
 	}
 	waitFor(t, cancelTimeout, "the holder has cancelled the job", func() bool {
--- a/dispatcher/archive_test.go
+++ b/dispatcher/archive_test.go
@@ -15,6 +15,8 @@
 	progress map[string]dispatcher.Progress
 	workers  []dispatcher.Registration
 	parts    []dispatcher.Part
+	// relocations are the jobs that were moved to other cells.
+	relocations []dispatcher.Relocation
 	// cancelIn are the cells that have to cancel parts of jobs, failedParts the failed jobs
 	// of which this cell runs a part.
 	cancelIn    map[string][]string
@@ -61,6 +63,11 @@
 	if b.Part != nil {
 		a.parts = append(a.parts, *b.Part)
 	}
+	if b.Relocation != nil {
+		a.relocations = append(a.relocations, *b.Relocation)
+		delete(a.jobs, b.Relocation.Job.ID)
+		delete(a.progress, b.Relocation.Job.ID)
+	}
 	return true
 }
 
--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -10,6 +10,8 @@
 const (
 	rowsPerJob        = 3
 	rowsPerExpiredJob = 4
+	// relocationRows is how many rows the relocation of a job takes.
+	relocationRows = 9
 )
 
 // retentionMargin is how long final jobs are kept beyond Limits.StateRetention.
@@ -25,6 +27,8 @@
 	Expired, ExpiredParts []string
 	// Part is the part of a job that is delegated to another cell, or nil.
 	Part *Part
+	// Relocation is the move of a job to another cell, or nil.
+	Relocation *Relocation
 	// Workers are all workers on which tasks may run; nil if they haven't changed.
 	Workers []Registration
 	// Active is true if the holder has become active, so that no earlier one acts.
@@ -71,7 +75,7 @@
 // Changed reports whether there are changes to store. urgent is true if a client may
 // be waiting for one.
 func (c *Cell) Changed() (changed, urgent bool) {
-	if c.unstoredWorkers() || c.pendingPart != nil {
+	if c.unstoredWorkers() || c.pendingPart != nil || c.pendingRelocation != nil {
 		return true, true
 	}
 	for id := range c.dirty {
@@ -87,10 +91,15 @@
 // BatchFailed must be called before the next batch.
 func (c *Cell) NextBatch(now time.Time, limit int) *Batch {
 	c.dropFinalPart()
-	b := &Batch{begun: now, Active: c.active}
+	b := &Batch{begun: now, Active: c.active, Relocation: c.pendingRelocation}
+	if b.Relocation != nil {
+		limit -= relocationRows / rowsPerJob
+	}
 	ids := make([]string, 0, len(c.dirty))
 	for id := range c.dirty {
-		ids = append(ids, id)
+		if !c.jobs[id].relocating {
+			ids = append(ids, id)
+		}
 	}
 	urgent := func(id string) bool {
 		return c.jobs[id].state.Final() || c.pendingPart != nil && c.pendingPart.Job.ID == id
@@ -130,7 +139,7 @@
 	if len(b.Jobs) == 0 {
 		c.addExpired(now, b, limit*rowsPerJob/rowsPerExpiredJob)
 	}
-	if len(b.Jobs)+len(b.Expired)+len(b.ExpiredParts) == 0 && b.Workers == nil {
+	if len(b.Jobs)+len(b.Expired)+len(b.ExpiredParts) == 0 && b.Workers == nil && b.Relocation == nil {
 		return nil
 	}
 	c.storing = true
@@ -197,6 +206,9 @@
 	if b.Part != nil {
 		c.pendingPart = nil
 	}
+	if b.Relocation != nil {
+		c.relocated(b.Relocation.Job.ID)
+	}
 	c.removedWorkers -= b.removedWorkers
 	for _, registration := range b.Workers {
 		if w := c.workers[registration.ID]; w != nil && w.registration.equivalent(registration) {
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -54,6 +54,7 @@
 	KindEndAwaited   recorder.Kind = "task_end_awaited"
 	KindDelegated    recorder.Kind = "task_hand_over"
 	KindPartFailed   recorder.Kind = "part_given_up"
+	KindRelocated    recorder.Kind = "job_relocated"
 	KindOrphaned     recorder.Kind = "task_stray"
 	KindWorker       recorder.Kind = "worker"
 	KindCell         recorder.Kind = "cell"
@@ -139,6 +140,8 @@
 	// pendingPart is the part of a job that is being delegated to another cell, until
 	// it is stored.
 	pendingPart *Part
+	// pendingRelocation is the relocation of a job, until it is stored or refused.
+	pendingRelocation *Relocation
 	// pass is the planning pass while the ready tasks are placed, else nil.
 	pass *planningPass
 	// storing is true while a batch is being written to the store.
@@ -184,6 +187,9 @@
 	}
 	delete(c.unknownJobs, job.ID)
 	delete(c.absentJobs, job.ID)
+	if progress == nil {
+		progress = job.Progress
+	}
 	j := &jobState{
 		job:         job,
 		state:       StateQueued,
@@ -286,13 +292,17 @@
 	c.ready = append(c.ready, t)
 }
 
-// Cancel cancels a job. It reports whether the job is known. The channel stored is
-// closed once the cancellation is in the store; it is nil if it already is.
+// Cancel cancels a job. It reports whether the job is known; one that is being relocated isn't. The
+// channel stored is closed once the cancellation is in the store; it is nil if it already is.
 func (c *Cell) Cancel(now time.Time, id string) (known bool, stored <-chan struct{}) {
 	j, known := c.jobs[id]
 	if !known {
 		return false, nil
 	}
+	if j.relocating {
+		j.cancelDeferred = true
+		return false, nil
+	}
 	if !j.state.Final() {
 		c.record(recorder.Event{Kind: KindJobCancelled, Key: id})
 		c.finish(now, j, StateCancelled)
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -106,7 +106,7 @@
 // cell.
 func (c *Cell) unplaceable(now time.Time, t *task) bool {
 	switch {
-	case !t.movable() || t.remote || len(t.runs) > 0 || t.job().state.Final():
+	case !t.movable() || t.remote || len(t.runs) > 0 || t.job().state.Final() || t.job().relocating:
 		return false
 	case t.notBefore.After(now) || now.Sub(t.refusedAt) < delegationRetryDelay || now.Sub(t.readyAt) < delegationDelay:
 		return false
@@ -244,6 +244,7 @@
 		}
 	}
 	part := j.job
+	part.Progress = nil
 	part.Part, part.PartCrashes = j.occurrences[id.Occurrence].partOf(cell)
 	c.pendingPart = &Part{Cell: cell, Job: part}
 	c.dirty[id.Job] = true
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -40,7 +40,7 @@
 	}
 	r.mu.Unlock()
 	if !delegates && !moves {
-		return false
+		return r.relocateOnce(ctx)
 	}
 	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step])
 	delegated := false
@@ -61,6 +61,27 @@
 	return true
 }
 
+// relocateOnce offers the next job that no worker of the cell can run to the other cells. It reports
+// whether there was one.
+func (r *Runner) relocateOnce(ctx context.Context) bool {
+	r.mu.Lock()
+	id, job, found := r.Cell.NextToRelocate(r.Clock.Now())
+	r.mu.Unlock()
+	if !found {
+		return false
+	}
+	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step])
+	r.mu.Lock()
+	if places == 0 {
+		r.Cell.DelegationRefused(r.Clock.Now(), id)
+	} else {
+		r.Cell.Relocate(r.Clock.Now(), id, cell)
+	}
+	r.mu.Unlock()
+	signal(r.changed)
+	return true
+}
+
 // FailPart fails a job of which another cell has given up a delegated part. It reports
 // whether the cell knows the job.
 func (r *Runner) FailPart(id, cell string) bool {
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -115,6 +115,8 @@
 	FirstDue time.Time
 	// Interval is the time between the due times of consecutive occurrences.
 	Interval time.Duration
+	// Progress is the progress of the job in the cell from which it was relocated, or nil.
+	Progress *Progress
 	// Part lists the tasks of the job that this cell runs; nil means all of them.
 	Part []TaskID
 	// PartCrashes are the crashes of workers under tasks of the part, in the cell that has
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -68,7 +68,9 @@
 }
 
 // EncodeProgress returns the stored form of a job's progress, in JSON.
-func EncodeProgress(p Progress) ([]byte, error) {
+func EncodeProgress(p Progress) ([]byte, error) { return json.Marshal(newProgressMessage(p)) }
+
+func newProgressMessage(p Progress) progressMessage {
 	m := progressMessage{State: p.State, Part: p.Part, Finished: p.Finished, Crashes: encodeCrashes(p.Crashes)}
 	for _, id := range p.Done {
 		last := len(m.Done) - 1
@@ -86,7 +88,7 @@
 	for _, e := range p.Delegated {
 		m.Delegated = append(m.Delegated, delegatedMessage{Step: e.Task.Step, Task: e.Task.Index, Cell: e.Cell})
 	}
-	return json.Marshal(m)
+	return m
 }
 
 // DecodeProgress decodes the stored form of a job's progress.
@@ -95,6 +97,10 @@
 	if err := json.Unmarshal(content, &m); err != nil {
 		return Progress{}, err
 	}
+	return m.progress(job), nil
+}
+
+func (m *progressMessage) progress(job string) Progress {
 	p := Progress{State: m.State, Part: m.Part, Finished: m.Finished, Crashes: decodeCrashes(job, m.Crashes)}
 	for _, d := range m.Done {
 		for _, index := range d.Tasks {
@@ -110,7 +116,7 @@
 	for _, e := range m.Delegated {
 		p.Delegated = append(p.Delegated, DelegatedTask{Task: TaskID{Job: job, Step: e.Step, Index: e.Task}, Cell: e.Cell})
 	}
-	return p, nil
+	return p
 }
 
 // progress returns the progress of a job that has to be stored.
@@ -201,6 +207,7 @@
 	Part        []partMessage    `json:"part,omitempty"`
 	Crashes     []crashesMessage `json:"crashes,omitempty"`
 	Home        string           `json:"home,omitempty"`
+	Progress    *progressMessage `json:"progress,omitempty"`
 }
 
 type queueMessage struct {
@@ -254,6 +261,10 @@
 	if j.Timed {
 		m.FirstDueMS = j.FirstDue.UnixMilli()
 	}
+	if j.Progress != nil {
+		progress := newProgressMessage(*j.Progress)
+		m.Progress = &progress
+	}
 	for _, id := range j.Part {
 		m.Part = append(m.Part, partMessage{Step: id.Step, Task: id.Index})
 	}
@@ -288,6 +299,10 @@
 	if m.Timed {
 		j.FirstDue = time.UnixMilli(m.FirstDueMS)
 	}
+	if m.Progress != nil {
+		progress := m.Progress.progress(m.ID)
+		j.Progress = &progress
+	}
 	for _, t := range m.Part {
 		j.Part = append(j.Part, TaskID{Job: m.ID, Step: t.Step, Index: t.Task})
 	}
--- /dev/null
+++ b/dispatcher/relocation.go
@@ -0,0 +1,106 @@
+package dispatcher
+
+import (
+	"errors"
+	"time"
+
+	"zinniashore.example/recorder"
+)
+
+// ErrRelocationRefused is the error of a batch whose relocation will never be stored: the job has
+// been cancelled through the store.
+var ErrRelocationRefused = errors.New("the job to relocate has been cancelled")
+
+// Relocation is the move of a whole job to another cell.
+type Relocation struct {
+	// Cell is the name of the new cell.
+	Cell string
+	// Job is the job with its progress.
+	Job Job
+}
+
+// NextToRelocate returns a task that no worker of the cell can run, whatever capacity is
+// free, with its job, which may be relocated to another cell: nothing of it is active here or elsewhere. Of
+// several it is the one whose last offer is longest ago.
+func (c *Cell) NextToRelocate(now time.Time) (TaskID, Job, bool) {
+	if c.pendingRelocation != nil || !c.Confirmed(now) {
+		return TaskID{}, Job{}, false
+	}
+	var longest *task
+	for _, t := range c.ready {
+		if (longest == nil || t.refusedAt.Before(longest.refusedAt)) && c.relocatable(now, t) {
+			longest = t
+		}
+	}
+	if longest == nil {
+		return TaskID{}, Job{}, false
+	}
+	return longest.id, longest.job().job, true
+}
+
+// relocatable reports whether the job of a waiting task may be relocated, and has to be.
+func (c *Cell) relocatable(now time.Time, t *task) bool {
+	j := t.job()
+	switch {
+	case t.movable() || t.remote || j.job.Part != nil || j.running > 0 || j.state.Final():
+		return false
+	case now.Sub(t.readyAt) < delegationDelay || now.Sub(t.refusedAt) < delegationRetryDelay:
+		return false
+	}
+	return !c.mayHaveRun(now, t) && !c.capable(t) && len(j.partCells()) == 0
+}
+
+// capable reports whether a worker of the cell could run a task if all of its capacity were free. A
+// worker that may register again counts, as its capacity may not be known.
+func (c *Cell) capable(t *task) bool {
+	step := t.step.step
+	for _, w := range c.workers {
+		suitable := w.registration.Phase != PhaseDraining && w.registration.Service == t.job().job.Queue.Service && w.hasLabel(step.Label)
+		large := w.registered && w.registration.Capacity.Holds(step.Size)
+		if suitable && (large || !w.registered && !c.gone(w)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Relocate begins the relocation of a task's job, which the next batch stores. It reports false if the
+// job may not be relocated any more.
+func (c *Cell) Relocate(now time.Time, id TaskID, cell string) bool {
+	t := c.task(now, id)
+	if t == nil || c.pendingRelocation != nil || !c.relocatable(now, t) {
+		return false
+	}
+	j := t.job()
+	job := j.job
+	progress := j.progress()
+	job.Progress = &progress
+	j.relocating = true
+	c.pendingRelocation = &Relocation{Cell: cell, Job: job}
+	c.record(recorder.Event{Kind: KindRelocated, Key: id.Job, Detail: "to " + cell + ": no worker here can run " + id.String()})
+	return true
+}
+
+// relocated removes a job whose relocation is stored.
+func (c *Cell) relocated(id string) {
+	c.pendingRelocation = nil
+	delete(c.jobs, id)
+	delete(c.dirty, id)
+	delete(c.upcoming, id)
+	c.dropFromReady(func(t *task) bool { return t.id.Job == id })
+}
+
+// RelocationRefused ends a relocation that certainly won't be stored. The job's cancellation, if it
+// came meanwhile, is carried out.
+func (c *Cell) RelocationRefused(now time.Time) {
+	if c.pendingRelocation == nil {
+		return
+	}
+	id := c.pendingRelocation.Job.ID
+	c.pendingRelocation = nil
+	j := c.jobs[id]
+	j.relocating = false
+	if j.cancelDeferred {
+		c.Cancel(now, id)
+	}
+}
--- /dev/null
+++ b/dispatcher/relocation_test.go
@@ -0,0 +1,90 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniashore.example/dispatcher"
+)
+
+// awaitRelocation runs the simulation until a job is to be relocated, for at most span.
+func awaitRelocation(s *simulation, span time.Duration) (dispatcher.TaskID, bool) {
+	for end := s.now.Add(span); s.now.Before(end); s.step(50 * time.Millisecond) {
+		if id, _, found := s.cell.NextToRelocate(s.now); found {
+			return id, true
+		}
+	}
+	return dispatcher.TaskID{}, false
+}
+
+// TestRelocationForLabel guards against a job that waits for ever in a cell that has no worker with
+// the label that it requires.
+func TestRelocationForLabel(t *testing.T) {
+	s := newActiveSimulation(3)
+	labelled := plainJob(jobID, 2, time.Second, 1)
+	labelled.Steps[0].Label = "kind-b"
+	s.submit(labelled)
+	full := plainJob(otherID, 200, time.Hour, 1)
+	s.submit(full)
+	if id, found := awaitRelocation(s, 2*time.Second); !found || id.Job != jobID {
+		t.Errorf("%s is to be relocated (%v), want a task of %s", id, found, jobID)
+	}
+}
+
+// TestRelocationWaitsForLeases guards against two runs of a task: a job mustn't move while a run of it
+// may be active on a worker that is cut off.
+func TestRelocationWaitsForLeases(t *testing.T) {
+	s := newActiveSimulation(1)
+	s.submit(plainJob(jobID, 1, 12*time.Second, 1))
+	s.runFor(500 * time.Millisecond)
+	cut := s.workers[0]
+	cut.reachable = false
+	s.unregister(cut)
+	if _, found := awaitRelocation(s, 10*time.Second); !found {
+		t.Fatal("the job isn't to be relocated")
+	}
+	if len(cut.running) > 0 {
+		t.Error("the job is to be relocated while a run of it is active")
+	}
+}
+
+// TestCancellationDuringRelocation guards against a cancelled job that runs in the cell that it moves
+// to: its cancellation was carried out in the old one only.
+func TestCancellationDuringRelocation(t *testing.T) {
+	s := newActiveSimulation(3)
+	labelled := plainJob(jobID, 1, time.Second, 1)
+	labelled.Steps[0].Label = "kind-b"
+	s.submit(labelled)
+	id, found := awaitRelocation(s, 2*time.Second)
+	if !found || !s.cell.Relocate(s.now, id, "graz-b") {
+		t.Fatal("the job isn't relocated")
+	}
+	if known, _ := s.cell.Cancel(s.now, jobID); known {
+		t.Error("the cell cancels a job that may already belong to another")
+	}
+	s.cell.RelocationRefused(s.now)
+	requireState(t, s, jobID, dispatcher.StateRunning) // until the cancellation is stored
+	s.runFor(200 * time.Millisecond)
+	requireState(t, s, jobID, dispatcher.StateCancelled)
+}
+
+// TestRelocatedProgress guards against tasks that are done and start again in the cell that their job
+// has moved to.
+func TestRelocatedProgress(t *testing.T) {
+	s := newActiveSimulation(2)
+	job := plainJob(jobID, 2, time.Second, 2)
+	job.Progress = &dispatcher.Progress{State: dispatcher.StateQueued, Done: []dispatcher.TaskID{{Job: jobID}}}
+	record, err := dispatcher.EncodeJob(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := dispatcher.DecodeJob(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.submit(decoded)
+	s.runFor(300 * time.Millisecond)
+	if s.running[dispatcher.TaskID{Job: jobID}] != 0 || s.running[dispatcher.TaskID{Job: jobID, Index: 1}] != 1 {
+		t.Errorf("running tasks: %v, want the second one of the first step only", s.running)
+	}
+}
--- a/dispatcher/saver.go
+++ b/dispatcher/saver.go
@@ -81,6 +81,9 @@
 	} else {
 		r.Cell.BatchFailed(batch)
 	}
+	if errors.Is(err, ErrRelocationRefused) {
+		r.Cell.RelocationRefused(r.Clock.Now())
+	}
 	close(r.stored)
 	r.stored = make(chan struct{})
 	if err == nil && batch.Part != nil {
@@ -89,6 +92,9 @@
 			signal(r.delivered)
 		})
 	}
+	if err == nil && batch.Relocation != nil {
+		r.runAsync(func() { r.OtherCells.Deliver(ctx, Part{Cell: batch.Relocation.Cell, Job: batch.Relocation.Job}) })
+	}
 	return true, err
 }
 
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -139,6 +139,9 @@
 	due time.Time
 	// restored is true if an earlier holder may have started tasks of the job.
 	restored bool
+	// relocating is true while the job is being relocated to another cell: nothing of it starts.
+	// cancelDeferred is true if it was cancelled meanwhile.
+	relocating, cancelDeferred bool
 	// unaccepted is true if the job was cancelled before it was accepted.
 	unaccepted bool
 	// finalAt is when the job became final.
--- a/jobrouter.go
+++ b/jobrouter.go
@@ -128,9 +128,21 @@
 	if err == nil && known {
 		return state, nil
 	}
+	if cell, err = r.presentCell(ctx, id); err != nil {
+		return "", err
+	}
 	return r.archiver.State(ctx, cell, id)
 }
 
+// presentCell returns the cell of an accepted job from the store: a job may have been relocated since
+// its cell was cached.
+func (r *jobRouter) presentCell(ctx context.Context, id string) (string, error) {
+	r.mu.Lock()
+	delete(r.cells, id)
+	r.mu.Unlock()
+	return r.cell(ctx, id)
+}
+
 // fetchState returns the state of a job from the holder of its cell, and whether the
 // holder knows the job.
 func (r *jobRouter) fetchState(ctx context.Context, cell, id string) (dispatcher.State, bool, error) {
@@ -162,7 +174,7 @@
 		return nil
 	}
 	klog.InfoS("Cancelling a job through the store", "job", id, "cell", cell, "err", err)
-	return r.archiver.Cancel(ctx, cell, id)
+	return r.archiver.Cancel(ctx, id)
 }
 
 // cancelUnaccepted stores the cancellation of a job that isn't accepted, so that a submission that is
