dispatcher: a cell without workers hands over what it holds

Cause: a holder acts while most of its workers confirm it. Without any worker there is no majority, so it delegates and relocates nothing.

Change: an active holder with no worker that counts may act: only the store is left to act on, which takes changes under the newest term only. A new holder of such a cell becomes active once all earlier ones have ended.

go test ./dispatcher -run TestRelocationFromEmptiedCell without the change: no long-running task is to be delegated; with it: passes.

--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -7,9 +7,23 @@
 )
 
 // Confirmed reports whether a majority of the workers has recently accepted an order
-// of this epoch, so that no other holder can have become active.
+// of this epoch, so that no other holder can have become active. Where no worker is left there
+// is nothing to act on but the store, which takes changes under the newest term only.
 func (c *Cell) Confirmed(now time.Time) bool {
-	return c.active && c.majority(func(w *worker) bool { return c.confirms(now, w) })
+	if !c.active {
+		return false
+	}
+	return c.majority(func(w *worker) bool { return c.confirms(now, w) }) || !c.hasVoters()
+}
+
+// hasVoters reports whether any worker counts towards a majority.
+func (c *Cell) hasVoters() bool {
+	for _, w := range c.workers {
+		if c.isVoter(w) {
+			return true
+		}
+	}
+	return false
 }
 
 // confirms reports whether a worker has recently accepted an order of this epoch.
@@ -28,13 +42,13 @@
 }
 
 // activate makes the cell active once a majority of the workers has accepted its
-// epoch. A cell without known workers stays inactive.
+// epoch, or if no worker is left and all earlier holders have ended.
 func (c *Cell) activate(now time.Time) {
-	known := false
-	for _, w := range c.workers {
-		known = known || c.isVoter(w)
+	if c.active {
+		return
 	}
-	if !c.active && known && c.majority(c.vouches) {
+	abandoned := !c.hasVoters() && !c.earlierEndedAt.IsZero() && !c.registryReadAt.IsZero()
+	if abandoned || c.hasVoters() && c.majority(c.vouches) {
 		c.active = true
 		c.activeAt = now
 		c.record(recorder.Event{Kind: KindCell, Detail: "active"})
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -28,11 +28,14 @@
 }
 
 // AwaitsEarlierHolders reports whether it matters that the earlier holders aren't known to have
-// ended: a worker that one of them used hasn't answered.
+// ended: a worker that one of them used hasn't answered, or no worker is left.
 func (c *Cell) AwaitsEarlierHolders() bool {
 	if !c.earlierEndedAt.IsZero() {
 		return false
 	}
+	if !c.active && !c.hasVoters() {
+		return true
+	}
 	for _, w := range c.workers {
 		if w.restored && !w.epochAccepted {
 			return true
--- a/dispatcher/relocation_test.go
+++ b/dispatcher/relocation_test.go
@@ -17,6 +17,48 @@
 	return dispatcher.TaskID{}, false
 }
 
+// leaveAll makes all workers drain and exit, one second apart.
+func leaveAll(s *simulation) {
+	for _, f := range s.workers {
+		f.registration.Phase = dispatcher.PhaseDraining
+		s.register(f)
+		s.runFor(time.Second)
+		f.reboot()
+		f.reachable = false
+		s.unregister(f)
+	}
+}
+
+// TestRelocationFromEmptiedCell guards against jobs that wait for ever in a cell whose workers have all
+// left: a cell without workers acted on nothing, and short tasks never changed their cell.
+func TestRelocationFromEmptiedCell(t *testing.T) {
+	s := newActiveSimulation(3)
+	s.submit(plainJob(jobID, 3, 2*time.Second, 3))
+	s.submit(longRunningJob(otherID, 3, 1500))
+	s.runFor(2200 * time.Millisecond)
+	leaveAll(s)
+	id, found := awaitRelocation(s, 15*time.Second)
+	if !found || id.Job != jobID {
+		t.Fatalf("%s is to be relocated (%v), want a task of %s", id, found, jobID)
+	}
+	s.cell.Relocate(s.now, id, "graz-b")
+	s.runFor(12 * time.Second)
+	if _, _, delegates := s.cell.NextToDelegate(s.now); !delegates {
+		t.Error("no long-running task is to be delegated")
+	}
+	if len(s.archive.relocations) != 1 {
+		t.Fatalf("%d jobs are relocated, want 1", len(s.archive.relocations))
+	}
+	moved := s.archive.relocations[0]
+	if moved.Cell != "graz-b" || moved.Job.Progress == nil || len(moved.Job.Progress.Done) == 0 {
+		t.Errorf("the job moves to %q with the progress %+v, want its done tasks in graz-b", moved.Cell, moved.Job.Progress)
+	}
+	if _, known := s.cell.State(jobID); known {
+		t.Error("the cell still knows the relocated job")
+	}
+	requireNoViolations(t, s)
+}
+
 // TestRelocationForLabel guards against a job that waits for ever in a cell that has no worker with
 // the label that it requires.
 func TestRelocationForLabel(t *testing.T) {
