dispatcher: a delegated part goes back from a cell that can't run it

Cause: a part is never delegated again.

Change: a cell of which no worker could run a waiting task of a part gives the whole part back, once nothing of it is active: its save removes the part and tells the home cell. That takes the tasks back once, by the record's revision, and delegates nothing of the job before it has stored that; a new delegation is refused as long as the record exists, a return if the part was extended or cancelled. Tasks on draining workers that can leave only so are stopped before.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -29,6 +29,9 @@
 	// failedSuffix is appended to the key of a job to get the key that names a cell which
 	// has given up a delegated part of the job.
 	failedSuffix = "/failed"
+	// returnedInfix separates the key of a job from the name of a cell in the key by which that
+	// cell gives a part of the job back.
+	returnedInfix = "/returned/"
 
 	// HolderPrefix is the prefix of the keys under which the holders of cells register.
 	HolderPrefix = keyRoot + "holders/"
@@ -333,6 +336,8 @@
 			j.Unaccepted = true
 		case change.Cancelled:
 			j.Cancelled = true
+		case change.Returned != nil:
+			j.Returned = append(j.Returned, *change.Returned)
 		case change.FailedIn != "":
 			j.FailedIn = change.FailedIn
 		default:
--- a/archiver/change.go
+++ b/archiver/change.go
@@ -16,7 +16,9 @@
 	Unaccepted bool
 	// FailedIn is the cell that has given up a delegated part of the job.
 	FailedIn string
-	// Job is set unless Cancelled or FailedIn is.
+	// Returned is a part of the job that another cell has given back, or nil.
+	Returned *dispatcher.ReturnedPart
+	// Job is set unless Cancelled, FailedIn or Returned is.
 	Job dispatcher.Job
 }
 
@@ -29,10 +31,22 @@
 	if id, failed := strings.CutSuffix(name, failedSuffix); failed {
 		return Change{ID: id, FailedIn: string(item.Value)}, nil
 	}
+	if id, from, returned := strings.Cut(name, returnedInfix); returned {
+		part, err := decodeReturned(id, from, item)
+		return Change{ID: id, Returned: part}, err
+	}
 	job, err := dispatcher.DecodeJob(item.Value)
 	return Change{ID: name, Job: job}, err
 }
 
+// returnedKey returns the key by which a cell gives a part of a job back to the job's home cell.
+func returnedKey(home, id, cell string) string { return JobPrefix(home) + id + returnedInfix + cell }
+
+func decodeReturned(id, from string, item platform.Item) (*dispatcher.ReturnedPart, error) {
+	progress, err := dispatcher.DecodeProgress(id, item.Value)
+	return &dispatcher.ReturnedPart{Cell: from, Crashes: progress.Crashes, Revision: item.Revision}, err
+}
+
 // unacceptedValue is the value of the cancellation of a job that wasn't accepted before.
 const unacceptedValue = `{"unaccepted":true}`
 
--- a/archiver/save.go
+++ b/archiver/save.go
@@ -43,7 +43,13 @@
 			return err
 		}
 	}
+	if batch.Return != nil {
+		if err := a.addReturn(ctx, &transaction, batch.Return); err != nil {
+			return err
+		}
+	}
 	if batch.Part != nil {
+		transaction.Expect = append(transaction.Expect, platform.Expectation{Key: returnedKey(a.Cell, batch.Part.Job.ID, batch.Part.Cell)})
 		item, err := a.partItem(batch.Part)
 		if err != nil {
 			return err
@@ -51,7 +57,7 @@
 		transaction.Writes = append(transaction.Writes, item)
 	}
 	err := a.commit(ctx, transaction)
-	if batch.Relocation != nil && cancelledMeanwhile(err) {
+	if (batch.Relocation != nil || batch.Return != nil) && cancelledMeanwhile(err) {
 		return dispatcher.ErrRelocationRefused
 	}
 	return err
@@ -77,6 +83,36 @@
 	return nil
 }
 
+// addReturn adds the rows that give a part back to the home cell of its job, unless an earlier save whose
+// answer was lost has done so. A part that the home cell has extended isn't given back.
+func (a *CellArchive) addReturn(ctx context.Context, transaction *platform.Transaction, r *dispatcher.PartReturn) error {
+	key := JobPrefix(a.Cell) + r.Job
+	item, err := a.Archiver.Store.Get(ctx, key)
+	if err != nil || item.Revision == 0 {
+		return err
+	}
+	job, err := dispatcher.DecodeJob(item.Value)
+	if err != nil {
+		return err
+	}
+	if len(job.Part) != len(r.Part) {
+		return dispatcher.ErrRelocationRefused
+	}
+	home, err := a.home(ctx, r.Job)
+	if err != nil {
+		return err
+	}
+	content, err := dispatcher.EncodeProgress(r.Progress)
+	if err != nil {
+		return err
+	}
+	transaction.Expect = append(transaction.Expect,
+		platform.Expectation{Key: key, Revision: item.Revision}, platform.Expectation{Key: cancellationKey(a.Cell, r.Job)})
+	transaction.Writes = append(transaction.Writes, platform.Item{Key: returnedKey(home, r.Job, a.Cell), Value: content})
+	transaction.Remove = append(transaction.Remove, key, progressPrefix+a.Cell+"/"+r.Job)
+	return nil
+}
+
 // cancelledMeanwhile reports whether a transaction was refused because the cancellation of a job
 // exists.
 func cancelledMeanwhile(err error) bool {
@@ -99,6 +135,9 @@
 	if j.Progress.State.Final() {
 		transaction.Remove = append(transaction.Remove, JobPrefix(a.Cell)+j.ID)
 	}
+	for _, cell := range j.TakenBackFrom {
+		transaction.Remove = append(transaction.Remove, returnedKey(a.Cell, j.ID, cell))
+	}
 	for _, cell := range j.CancelIn {
 		transaction.Writes = append(transaction.Writes, cancellationItem(cell, j.ID))
 	}
--- a/dispatcher/archive_test.go
+++ b/dispatcher/archive_test.go
@@ -17,6 +17,8 @@
 	parts    []dispatcher.Part
 	// relocations are the jobs that were moved to other cells.
 	relocations []dispatcher.Relocation
+	// returns are the parts that were given back.
+	returns []dispatcher.PartReturn
 	// cancelIn are the cells that have to cancel parts of jobs, failedParts the failed jobs
 	// of which this cell runs a part.
 	cancelIn    map[string][]string
@@ -63,6 +65,11 @@
 	if b.Part != nil {
 		a.parts = append(a.parts, *b.Part)
 	}
+	if b.Return != nil {
+		a.returns = append(a.returns, *b.Return)
+		delete(a.jobs, b.Return.Job)
+		delete(a.progress, b.Return.Job)
+	}
 	if b.Relocation != nil {
 		a.relocations = append(a.relocations, *b.Relocation)
 		delete(a.jobs, b.Relocation.Job.ID)
--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -29,6 +29,8 @@
 	Part *Part
 	// Relocation is the move of a job to another cell, or nil.
 	Relocation *Relocation
+	// Return is a part that goes back to the home cell of its job, or nil.
+	Return *PartReturn
 	// Workers are all workers on which tasks may run; nil if they haven't changed.
 	Workers []Registration
 	// Active is true if the holder has become active, so that no earlier one acts.
@@ -53,11 +55,14 @@
 	// CancelIn are the names of the cells that have to cancel delegated parts of the
 	// job.
 	CancelIn []string
+	// TakenBackFrom are the names of cells that have given back parts of the job, which
+	// Progress takes into account.
+	TakenBackFrom []string
 }
 
 // rows returns how many rows of a transaction the job takes at most: its progress, the
 // removal of its description, and what other cells have to know.
-func (b *BatchJob) rows() int { return max(rowsPerJob, 2+len(b.CancelIn)) }
+func (b *BatchJob) rows() int { return max(rowsPerJob, 2+len(b.CancelIn)+len(b.TakenBackFrom)) }
 
 // Part is a part of a job that one cell delegates to another.
 type Part struct {
@@ -75,7 +80,7 @@
 // Changed reports whether there are changes to store. urgent is true if a client may
 // be waiting for one.
 func (c *Cell) Changed() (changed, urgent bool) {
-	if c.unstoredWorkers() || c.pendingPart != nil || c.pendingRelocation != nil {
+	if c.unstoredWorkers() || c.pendingPart != nil || c.pendingRelocation != nil || c.pendingReturn != nil {
 		return true, true
 	}
 	for id := range c.dirty {
@@ -92,7 +97,10 @@
 func (c *Cell) NextBatch(now time.Time, limit int) *Batch {
 	c.dropFinalPart()
 	b := &Batch{begun: now, Active: c.active, Relocation: c.pendingRelocation}
-	if b.Relocation != nil {
+	if b.Relocation == nil {
+		b.Return = c.pendingReturn
+	}
+	if b.Relocation != nil || b.Return != nil {
 		limit -= relocationRows / rowsPerJob
 	}
 	ids := make([]string, 0, len(c.dirty))
@@ -139,7 +147,7 @@
 	if len(b.Jobs) == 0 {
 		c.addExpired(now, b, limit*rowsPerJob/rowsPerExpiredJob)
 	}
-	if len(b.Jobs)+len(b.Expired)+len(b.ExpiredParts) == 0 && b.Workers == nil && b.Relocation == nil {
+	if len(b.Jobs)+len(b.Expired)+len(b.ExpiredParts) == 0 && b.Workers == nil && b.Relocation == nil && b.Return == nil {
 		return nil
 	}
 	c.storing = true
@@ -159,7 +167,7 @@
 
 func (c *Cell) batchJob(id string) BatchJob {
 	j := c.jobs[id]
-	changed := BatchJob{ID: id, Progress: j.progress(), Own: j.job.Part == nil}
+	changed := BatchJob{ID: id, Progress: j.progress(), Own: j.job.Part == nil, TakenBackFrom: slices.Clone(j.unstoredReturns)}
 	if j.state == StateCancelled || j.state == StateFailed {
 		changed.CancelIn = j.partCells()
 	}
@@ -188,6 +196,7 @@
 	for _, changed := range b.Jobs {
 		j := c.jobs[changed.ID]
 		j.stored = changed.Progress.State
+		j.unstoredReturns = slices.DeleteFunc(j.unstoredReturns, func(cell string) bool { return slices.Contains(changed.TakenBackFrom, cell) })
 		c.markCrashesStored(j, &changed.Progress)
 		if j.stored != j.state {
 			continue
@@ -203,11 +212,16 @@
 	for _, id := range slices.Concat(b.Expired, b.ExpiredParts) {
 		delete(c.jobs, id)
 	}
-	if b.Part != nil {
+	if b.Part == c.pendingPart {
 		c.pendingPart = nil
 	}
 	if b.Relocation != nil {
 		c.relocated(b.Relocation.Job.ID)
+		c.pendingRelocation = nil
+	}
+	if b.Return != nil {
+		c.relocated(b.Return.Job)
+		c.pendingReturn = nil
 	}
 	c.removedWorkers -= b.removedWorkers
 	for _, registration := range b.Workers {
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -142,6 +142,8 @@
 	pendingPart *Part
 	// pendingRelocation is the relocation of a job, until it is stored or refused.
 	pendingRelocation *Relocation
+	// pendingReturn is the part that is being given back, until that is stored or refused.
+	pendingReturn *PartReturn
 	// pass is the planning pass while the ready tasks are placed, else nil.
 	pass *planningPass
 	// storing is true while a batch is being written to the store.
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -106,7 +106,7 @@
 // cell.
 func (c *Cell) unplaceable(now time.Time, t *task) bool {
 	switch {
-	case !t.movable() || t.remote || len(t.runs) > 0 || t.job().state.Final() || t.job().relocating:
+	case !t.movable() || t.remote || len(t.runs) > 0 || t.job().state.Final() || t.job().relocating || len(t.job().unstoredReturns) > 0:
 		return false
 	case t.notBefore.After(now) || now.Sub(t.refusedAt) < delegationRetryDelay || now.Sub(t.readyAt) < delegationDelay:
 		return false
@@ -229,7 +229,7 @@
 // reports whether it has delegated anything.
 func (c *Cell) Delegate(now time.Time, id TaskID, cell string, places int) bool {
 	j := c.jobs[id.Job]
-	if j == nil || j.state.Final() || c.pendingPart != nil {
+	if j == nil || j.state.Final() || c.pendingPart != nil || j.relocating || len(j.unstoredReturns) > 0 {
 		return false
 	}
 	first := j.occurrences[id.Occurrence].steps[id.Step].tasks[id.Index]
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -68,7 +68,7 @@
 	id, job, found := r.Cell.NextToRelocate(r.Clock.Now())
 	r.mu.Unlock()
 	if !found {
-		return false
+		return r.returnOnce()
 	}
 	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step])
 	r.mu.Lock()
@@ -82,6 +82,21 @@
 	return true
 }
 
+// returnOnce gives the next part back that no worker of the cell can run. It reports whether there
+// was one.
+func (r *Runner) returnOnce() bool {
+	r.mu.Lock()
+	id, found := r.Cell.NextToReturn(r.Clock.Now())
+	if found {
+		r.Cell.ReturnPart(id)
+	}
+	r.mu.Unlock()
+	if found {
+		signal(r.changed)
+	}
+	return found
+}
+
 // FailPart fails a job of which another cell has given up a delegated part. It reports
 // whether the cell knows the job.
 func (r *Runner) FailPart(id, cell string) bool {
--- a/dispatcher/draining.go
+++ b/dispatcher/draining.go
@@ -6,14 +6,14 @@
 const drainStopInterval = 200 * time.Millisecond
 
 // drainWorkers stops the tasks that draining workers may not run to their end, one at a time
-// on each worker, once another worker has capacity for them.
+// on each worker, once another worker has capacity for them, or if none of the cell could run them.
 func (c *Cell) drainWorkers(now time.Time) {
 	for _, w := range c.workers {
 		if w.registration.Phase != PhaseDraining || now.Sub(w.drainStoppedAt) < drainStopInterval {
 			continue
 		}
 		for _, r := range w.sortedRuns() {
-			if r.mayOutliveWorker(now) && c.selectWorker(now, r.task) != nil {
+			if r.mayOutliveWorker(now) && c.canLeave(now, r.task) {
 				w.drainStoppedAt = now
 				c.stop(r)
 				break
@@ -22,6 +22,13 @@
 	}
 }
 
+// canLeave reports whether a task on a draining worker can continue on another one or, if no worker of
+// the cell could run it, in another cell. Tasks that can be delegated are stopped once a cell has
+// capacity for them.
+func (c *Cell) canLeave(now time.Time, t *task) bool {
+	return c.selectWorker(now, t) != nil || !t.movable() && !c.capable(t)
+}
+
 // mayOutliveWorker reports whether a run on a draining worker could be moved and is expected to
 // last until the worker may exit.
 func (r *run) mayOutliveWorker(now time.Time) bool {
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -7,9 +7,9 @@
 	"zinniashore.example/recorder"
 )
 
-// ErrRelocationRefused is the error of a batch whose relocation will never be stored: the job has
-// been cancelled through the store.
-var ErrRelocationRefused = errors.New("the job to relocate has been cancelled")
+// ErrRelocationRefused is the error of a batch whose relocation, or return of a part, will never be
+// stored: the job has been cancelled through the store, or the part extended.
+var ErrRelocationRefused = errors.New("the job to relocate has been cancelled or changed")
 
 // Relocation is the move of a whole job to another cell.
 type Relocation struct {
@@ -81,23 +81,29 @@
 	return true
 }
 
-// relocated removes a job whose relocation is stored.
+// relocated removes a job whose relocation, or the return of whose part, is stored.
 func (c *Cell) relocated(id string) {
-	c.pendingRelocation = nil
 	delete(c.jobs, id)
 	delete(c.dirty, id)
 	delete(c.upcoming, id)
 	c.dropFromReady(func(t *task) bool { return t.id.Job == id })
 }
 
-// RelocationRefused ends a relocation that certainly won't be stored. The job's cancellation, if it
-// came meanwhile, is carried out.
-func (c *Cell) RelocationRefused(now time.Time) {
-	if c.pendingRelocation == nil {
-		return
+// RelocationRefused ends the relocation, or the return of a part, of a batch, which certainly won't be
+// stored. The job's cancellation, if it came meanwhile, is carried out.
+func (c *Cell) RelocationRefused(now time.Time, b *Batch) {
+	if b.Relocation != nil {
+		c.pendingRelocation = nil
+		c.resume(now, b.Relocation.Job.ID)
 	}
-	id := c.pendingRelocation.Job.ID
-	c.pendingRelocation = nil
+	if b.Return != nil {
+		c.pendingReturn = nil
+		c.resume(now, b.Return.Job)
+	}
+}
+
+// resume continues a job that isn't relocated.
+func (c *Cell) resume(now time.Time, id string) {
 	j := c.jobs[id]
 	j.relocating = false
 	if j.cancelDeferred {
--- a/dispatcher/relocation_test.go
+++ b/dispatcher/relocation_test.go
@@ -104,7 +104,9 @@
 	if known, _ := s.cell.Cancel(s.now, jobID); known {
 		t.Error("the cell cancels a job that may already belong to another")
 	}
-	s.cell.RelocationRefused(s.now)
+	batch := s.cell.NextBatch(s.now, 4)
+	s.cell.BatchFailed(batch)
+	s.cell.RelocationRefused(s.now, batch)
 	requireState(t, s, jobID, dispatcher.StateRunning) // until the cancellation is stored
 	s.runFor(200 * time.Millisecond)
 	requireState(t, s, jobID, dispatcher.StateCancelled)
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -90,6 +90,8 @@
 	Unaccepted bool
 	// FailedIn is a cell that has given up a delegated part of the job, or empty.
 	FailedIn string
+	// Returned are the parts of the job that other cells have given back.
+	Returned []ReturnedPart
 }
 
 // Runner runs a cell under one epoch. Its exported fields are set before Run.
--- a/dispatcher/saver.go
+++ b/dispatcher/saver.go
@@ -82,7 +82,7 @@
 		r.Cell.BatchFailed(batch)
 	}
 	if errors.Is(err, ErrRelocationRefused) {
-		r.Cell.RelocationRefused(r.Clock.Now())
+		r.Cell.RelocationRefused(r.Clock.Now(), batch)
 	}
 	close(r.stored)
 	r.stored = make(chan struct{})
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -142,6 +142,10 @@
 	// relocating is true while the job is being relocated to another cell: nothing of it starts.
 	// cancelDeferred is true if it was cancelled meanwhile.
 	relocating, cancelDeferred bool
+	// returnedAt holds the revisions of the newest records by which other cells have given parts
+	// back, unstoredReturns the cells whose tasks the store still has as delegated.
+	returnedAt      map[string]int64
+	unstoredReturns []string
 	// unaccepted is true if the job was cancelled before it was accepted.
 	unaccepted bool
 	// finalAt is when the job became final.
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -114,6 +114,9 @@
 	if stored.Cancelled {
 		r.Cell.Cancel(now, stored.Job.ID)
 	}
+	for _, returned := range stored.Returned {
+		r.Cell.AddReturned(now, stored.Job.ID, returned)
+	}
 	if stored.FailedIn != "" {
 		r.Cell.FailPart(now, stored.Job.ID, stored.FailedIn)
 	}
--- a/heldcells.go
+++ b/heldcells.go
@@ -250,6 +250,10 @@
 		s.runner.AddUnaccepted(change.ID)
 	case change.Cancelled:
 		s.cancel(change.ID)
+	case change.Returned != nil:
+		if !s.runner.AddReturned(change.ID, *change.Returned) {
+			klog.InfoS("Part of an unknown job was given back", "job", change.ID, "cell", change.Returned.Cell)
+		}
 	case change.FailedIn != "":
 		if !s.runner.FailPart(change.ID, change.FailedIn) {
 			klog.InfoS("Failed part of an unknown job", "job", change.ID, "cell", change.FailedIn)
