dispatcher: a worker that has exited loses its vote when its lease has expired

Cause: a worker that is gone kept its vote until it was removed, 2 s after the longest lease that it may have. With four of eight gone there is no majority.

Change: in an active cell a worker that the registry hasn't listed for 3 s has no vote from the end of the lease that this holder granted: it runs nothing. One that answers keeps its vote, as answers extend the lease.

--- a/dispatcher/absence.go
+++ b/dispatcher/absence.go
@@ -41,7 +41,7 @@
 	var missing []string
 	for _, id := range c.Workers() {
 		w := c.workers[id]
-		if !c.isVoter(w) {
+		if !c.isVoter(now, w) {
 			continue
 		}
 		voters++
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -13,13 +13,13 @@
 	if !c.active {
 		return false
 	}
-	return c.majority(func(w *worker) bool { return c.confirms(now, w) }) || !c.hasVoters()
+	return c.majority(now, func(w *worker) bool { return c.confirms(now, w) }) || !c.hasVoters(now)
 }
 
 // hasVoters reports whether any worker counts towards a majority.
-func (c *Cell) hasVoters() bool {
+func (c *Cell) hasVoters(now time.Time) bool {
 	for _, w := range c.workers {
-		if c.isVoter(w) {
+		if c.isVoter(now, w) {
 			return true
 		}
 	}
@@ -47,8 +47,8 @@
 	if c.active {
 		return
 	}
-	abandoned := !c.hasVoters() && !c.earlierEndedAt.IsZero() && !c.registryReadAt.IsZero()
-	if abandoned || c.hasVoters() && c.majority(c.vouches) {
+	abandoned := !c.hasVoters(now) && !c.earlierEndedAt.IsZero() && !c.registryReadAt.IsZero()
+	if abandoned || c.hasVoters(now) && c.majority(now, c.vouches) {
 		c.active = true
 		c.activeAt = now
 		c.record(recorder.Event{Kind: KindCell, Detail: "active"})
@@ -57,10 +57,10 @@
 
 // majority reports whether the number of workers that meet a condition exceeds half
 // the number of voters.
-func (c *Cell) majority(met func(*worker) bool) bool {
+func (c *Cell) majority(now time.Time, met func(*worker) bool) bool {
 	voters, matching := 0, 0
 	for _, w := range c.workers {
-		if c.isVoter(w) {
+		if c.isVoter(now, w) {
 			voters++
 		}
 		if met(w) {
@@ -72,8 +72,8 @@
 
 // isVoter reports whether the worker counts towards the size of a majority: it is
 // registered, or a holder may have used it and it may still exist and support another holder.
-func (c *Cell) isVoter(w *worker) bool {
-	return w.registered || (w.restored || w.stored) && !w.exited() && !c.crashed(w) && !c.unsupportive(w)
+func (c *Cell) isVoter(now time.Time, w *worker) bool {
+	return w.registered || (w.restored || w.stored) && !w.exited() && !c.crashed(w) && !c.unsupportive(now, w)
 }
 
 // mayHaveRun reports whether an earlier holder may have started a task on a worker that
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -29,11 +29,11 @@
 
 // AwaitsEarlierHolders reports whether it matters that the earlier holders aren't known to have
 // ended: a worker that one of them used hasn't answered, or no worker is left.
-func (c *Cell) AwaitsEarlierHolders() bool {
+func (c *Cell) AwaitsEarlierHolders(now time.Time) bool {
 	if !c.earlierEndedAt.IsZero() {
 		return false
 	}
-	if !c.active && !c.hasVoters() {
+	if !c.active && !c.hasVoters(now) {
 		return true
 	}
 	for _, w := range c.workers {
@@ -44,17 +44,24 @@
 	return false
 }
 
-// unsupportive reports whether a worker that doesn't answer can't support another holder either:
-// it is gone according to the registry, has never answered this holder, and all earlier ones have
-// ended.
-func (c *Cell) unsupportive(w *worker) bool {
-	return !c.earlierEndedAt.IsZero() && !w.epochAccepted && c.gone(w)
+// unsupportive reports whether a worker that doesn't answer can't support another holder either: it
+// is gone according to the registry and has never answered this holder, and all earlier ones have
+// ended. A worker that has answered runs nothing any more once the lease that this holder granted
+// has expired.
+func (c *Cell) unsupportive(now time.Time, w *worker) bool {
+	if !c.gone(w) {
+		return false
+	}
+	if w.epochAccepted {
+		return c.active && w.leaseExpired(now)
+	}
+	return !c.earlierEndedAt.IsZero()
 }
 
 // askEarlierHoldersIfDue begins to ask whether the earlier holders have ended; the caller holds
 // mu.
 func (r *Runner) askEarlierHoldersIfDue(ctx context.Context) {
-	if r.EarlierHolders == nil || r.askingEarlierHolders || !r.Cell.AwaitsEarlierHolders() {
+	if r.EarlierHolders == nil || r.askingEarlierHolders || !r.Cell.AwaitsEarlierHolders(r.Clock.Now()) {
 		return
 	}
 	r.askingEarlierHolders = true
