dispatcher: tasks of a cell that can't run them queue in a busy one

Cause: they are delegated only to a cell with a free place. The others are busy, and their short tasks take each place that becomes free; the log has one delegation at 29.7 s and the next at 39.5 s.

Change: cells tell how many tasks would fit beside their long-running ones, less those that wait. A task or job that no worker of its own cell could run goes to the cell with the most such places if none is free. A cell that could run the task keeps it, as before.

go test ./dispatcher -run TestLaterPlaces new; FreeCapacity had no such count.

--- a/cellselector.go
+++ b/cellselector.go
@@ -62,12 +62,22 @@
 }
 
 // FindCell implements dispatcher.OtherCells.
-func (s *cellSelector) FindCell(ctx context.Context, cell, service string, step dispatcher.Step) (string, int) {
+func (s *cellSelector) FindCell(ctx context.Context, cell, service string, step dispatcher.Step, later bool) (string, int) {
 	step.Count = 1
-	best, places := "", 0
-	for other, free := range s.freeCapacities(ctx, service, step) {
-		if other != cell && free.Places > places {
-			best, places = other, free.Places
+	found := s.freeCapacities(ctx, service, step)
+	delete(found, cell)
+	best, places := mostPlaces(found, func(free dispatcher.FreeCapacity) int { return free.Places })
+	if places == 0 && later {
+		return mostPlaces(found, func(free dispatcher.FreeCapacity) int { return free.LaterPlaces })
+	}
+	return best, places
+}
+
+// mostPlaces returns the cell with the most places, and their number; 0 if there is none.
+func mostPlaces(found map[string]dispatcher.FreeCapacity, count func(dispatcher.FreeCapacity) int) (best string, places int) {
+	for cell, free := range found {
+		if count(free) > places {
+			best, places = cell, count(free)
 		}
 	}
 	return best, places
--- a/dispatcher/capacity.go
+++ b/dispatcher/capacity.go
@@ -8,6 +8,9 @@
 	// its kind that have just become ready. Tasks that have waited longer aren't
 	// subtracted: they found no place in this cell.
 	Places int
+	// LaterPlaces is the number of tasks of the step that could start once all tasks that aren't
+	// long-running have ended, less the long-running tasks that wait.
+	LaterPlaces int
 	// Load is the share of the cell's processors that running and waiting tasks take.
 	Load float64
 }
@@ -24,6 +27,7 @@
 		taken += w.registration.Capacity.MilliProcessors - w.idleProcessors()
 		if c.healthy(now, w) && w.hasLabel(step.Label) {
 			free.Places += c.places(w, step)
+			free.LaterPlaces += w.laterPlaces(step)
 		}
 	}
 	for _, t := range c.ready {
@@ -31,11 +35,14 @@
 			continue
 		}
 		taken += t.step.step.Size.MilliProcessors
+		if t.step.step.LongRunning {
+			free.LaterPlaces--
+		}
 		if t.step.step.kind() == step.kind() && now.Sub(t.readyAt) < tickInterval {
 			free.Places--
 		}
 	}
-	free.Places = max(0, free.Places)
+	free.Places, free.LaterPlaces = max(0, free.Places), max(0, free.LaterPlaces)
 	free.Load = float64(taken) / float64(max(capacity, 1))
 	return free
 }
@@ -59,6 +66,26 @@
 	return kindShort
 }
 
+// laterPlaces returns the number of tasks of a step that fit on a worker beside its long-running tasks.
+func (w *worker) laterPlaces(step *Step) int {
+	remaining := w.registration.Capacity
+	for _, r := range w.runs {
+		if s := r.task.step.step; s.LongRunning {
+			remaining = remaining.Minus(s.Size)
+		}
+	}
+	limit := maxPlaces
+	if step.WorkerLimit > 0 {
+		limit = min(limit, step.WorkerLimit)
+	}
+	count := 0
+	for count < limit && remaining.Holds(step.Size) {
+		remaining = remaining.Minus(step.Size)
+		count++
+	}
+	return count
+}
+
 // maxPlaces bounds the places that are counted per worker.
 const maxPlaces = 100
 
--- a/dispatcher/capacity_test.go
+++ b/dispatcher/capacity_test.go
@@ -54,3 +54,18 @@
 		})
 	}
 }
+
+// TestLaterPlaces guards against long-running tasks of a cell without workers that find no place in
+// others: short tasks take each place there that becomes free.
+func TestLaterPlaces(t *testing.T) {
+	s := newActiveSimulation(1)
+	s.submit(longRunningJob(otherID, 1, 2000))
+	s.submit(plainJob(jobID, 40, 10*time.Second, 1))
+	s.runFor(500 * time.Millisecond)
+	step := longRunningJob(jobID, 1, 2000).Steps[0]
+	free := s.cell.FreeCapacity(s.now, testService, &step)
+	want := int(fullCapacity.MilliProcessors/step.Size.MilliProcessors) - 1
+	if free.Places != 0 || free.LaterPlaces != want {
+		t.Errorf("places = %d, later %d; want 0 and %d", free.Places, free.LaterPlaces, want)
+	}
+}
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -38,11 +38,12 @@
 	if !delegates {
 		id, job, moves = r.Cell.NextToMove(now)
 	}
+	later := (delegates || moves) && !r.Cell.Capable(now, id)
 	r.mu.Unlock()
 	if !delegates && !moves {
 		return r.relocateOnce(ctx)
 	}
-	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step])
+	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step], later)
 	delegated := false
 	r.mu.Lock()
 	switch now = r.Clock.Now(); {
@@ -70,7 +71,7 @@
 	if !found {
 		return r.returnOnce()
 	}
-	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step])
+	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step], true)
 	r.mu.Lock()
 	if places == 0 {
 		r.Cell.DelegationRefused(r.Clock.Now(), id)
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -50,6 +50,12 @@
 	return !c.mayHaveRun(now, t) && !c.capable(t) && len(j.partCells()) == 0
 }
 
+// Capable reports whether a worker of the cell could run a task if all of its capacity were free.
+func (c *Cell) Capable(now time.Time, id TaskID) bool {
+	t := c.task(now, id)
+	return t != nil && c.capable(t)
+}
+
 // capable reports whether a worker of the cell could run a task if all of its capacity were free. A
 // worker that may register again counts, as its capacity may not be known.
 func (c *Cell) capable(t *task) bool {
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -63,7 +63,8 @@
 type OtherCells interface {
 	// FindCell returns another cell than cell with capacity for tasks of a step of a
 	// service, and for how many. It is 0 if there is no such cell.
-	FindCell(ctx context.Context, cell, service string, step Step) (other string, places int)
+	// If later is true, a cell that will have capacity once short tasks have ended will do.
+	FindCell(ctx context.Context, cell, service string, step Step, later bool) (other string, places int)
 	// Deliver sends a stored part to the cell that it is delegated to.
 	Deliver(ctx context.Context, part Part)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -131,7 +131,7 @@
 		BestEffort:  request.GetFiller(),
 		Image:       request.GetImage(),
 	})
-	return &relayerpb.RoomAnswer{Held: true, Places: int64(capacity.Places), Load: capacity.Load}, nil
+	return &relayerpb.RoomAnswer{Held: true, Places: int64(capacity.Places), LaterPlaces: int64(capacity.LaterPlaces), Load: capacity.Load}, nil
 }
 
 // Holds implements relayerpb.RelayerServer.
@@ -211,7 +211,7 @@
 	if err != nil {
 		return dispatcher.FreeCapacity{}, err
 	}
-	return dispatcher.FreeCapacity{Places: int(answer.GetPlaces()), Load: answer.GetLoad()}, heldError(answer.GetHeld())
+	return dispatcher.FreeCapacity{Places: int(answer.GetPlaces()), LaterPlaces: int(answer.GetLaterPlaces()), Load: answer.GetLoad()}, heldError(answer.GetHeld())
 }
 
 // PeerStatus describes whether a peer holds a cell and reaches the store.
