--- a/claimer/takeover_test.go
+++ b/claimer/takeover_test.go
@@ -1,7 +1,6 @@
 package claimer_test
 
 import (
-	"context"
 	"testing"
 	"time"
 )
@@ -87,7 +86,7 @@
 	t.Parallel()
 	h, _, address := newHarness(t)
 	h.domains = map[string]string{"edge-9": "graz-b"}
-	var stop context.CancelFunc = h.start(t, "edge-1", address)
+	stop := h.start(t, "edge-1", address)
 	receive(t, h.began)
 	h.start(t, "edge-9", address)
 	h.awaitKnown(t, "edge-9", "edge-1")
