dispatcher: many jobs that can never run cost one question to the other cells

Change: if no cell could run a task, that holds for all waiting tasks of the service with the same label that need as much.

go test ./dispatcher -run TestManyJobsThatNeverRun new; one question for 50 jobs.

--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -74,7 +74,7 @@
 	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step], true)
 	r.mu.Lock()
 	if places == 0 {
-		r.Cell.DelegationRefused(r.Clock.Now(), id)
+		r.Cell.RelocationUnplaced(r.Clock.Now(), id)
 	} else {
 		r.Cell.Relocate(r.Clock.Now(), id, cell)
 	}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -109,7 +109,10 @@
 // mayStart reports whether nothing but a worker with capacity is missing for a start of the
 // task, and one can be expected.
 func (c *Cell) mayStart(now time.Time, t *task) bool {
-	return !t.job().relocating && !t.notBefore.After(now) && len(t.runs) == 0 && !c.mayHaveRun(now, t) && !t.awaitsCrashStore() && !c.pass.unplaced.covers(t)
+	if t.job().relocating || t.notBefore.After(now) || len(t.runs) > 0 {
+		return false
+	}
+	return !c.mayHaveRun(now, t) && !t.awaitsCrashStore() && !c.pass.unplaced.covers(t)
 }
 
 // placeOrReserve starts a task, or notes that no worker has capacity for it. In each
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -70,6 +70,22 @@
 	return false
 }
 
+// RelocationUnplaced records that no other cell could run a task. That applies to all waiting tasks that
+// need as much, so that many jobs that can never run cost few questions.
+func (c *Cell) RelocationUnplaced(now time.Time, id TaskID) {
+	unplaced := c.task(now, id)
+	if unplaced == nil {
+		return
+	}
+	service, step := unplaced.job().job.Queue.Service, unplaced.step.step
+	for _, t := range c.ready {
+		s := t.step.step
+		if t.job().job.Queue.Service == service && s.Label == step.Label && s.Size.Holds(step.Size) {
+			t.refusedAt = now
+		}
+	}
+}
+
 // Relocate begins the relocation of a task's job, which the next batch stores. It reports false if the
 // job may not be relocated any more.
 func (c *Cell) Relocate(now time.Time, id TaskID, cell string) bool {
--- a/dispatcher/relocation_test.go
+++ b/dispatcher/relocation_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -132,3 +133,23 @@
 		t.Errorf("running tasks: %v, want the second one of the first step only", s.running)
 	}
 }
+
+// TestManyJobsThatNeverRun guards against a question to all cells for each of many jobs that no worker
+// of any cell can run.
+func TestManyJobsThatNeverRun(t *testing.T) {
+	s := newActiveSimulation(2)
+	for n := range 50 {
+		job := plainJob(fmt.Sprintf("%016x", n), 2, time.Second, 1)
+		job.Steps[0].Size.MilliProcessors = fullCapacity.MilliProcessors + int64(n) + 1
+		s.submit(job)
+	}
+	s.runFor(time.Second)
+	questions := 0
+	for id, _, found := s.cell.NextToRelocate(s.now); found; id, _, found = s.cell.NextToRelocate(s.now) {
+		s.cell.RelocationUnplaced(s.now, id)
+		questions++
+	}
+	if questions == 0 || questions > 1 {
+		t.Errorf("%d questions for 50 jobs, want 1", questions)
+	}
+}
--- a/dispatcher/services.go
+++ b/dispatcher/services.go
@@ -22,7 +22,8 @@
 
 func (c *Cell) setUnnamed(registration Registration) {
 	if _, known := c.unnamed[registration.ID]; !known {
-		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: "left out: the configuration doesn't name its service " + registration.Service})
+		detail := "left out: the configuration doesn't name its service " + registration.Service
+		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: detail})
 	}
 	c.unnamed[registration.ID] = registration
 }
