--- a/archiver/relocation_test.go
+++ b/archiver/relocation_test.go
@@ -77,3 +77,24 @@
 		t.Errorf("the new cell has the jobs %+v (%v), want one that is cancelled", stored.Jobs, err)
 	}
 }
+
+// TestRepeatedRelocation guards against a job that two cells run: the save of a relocation whose answer
+// was lost was repeated after the new cell had relocated the job to a third one.
+func TestRepeatedRelocation(t *testing.T) {
+	const third = "graz-c"
+	a, store := newArchiver(t)
+	acceptPlain(t, a)
+	archive := startTerm(t, a, store)
+	mustSave(t, archive, relocationBatch())
+	onward := relocationBatch()
+	onward.Relocation.Cell = third
+	mustSave(t, startTermOf(t, a, store, otherCell), onward)
+	mustSave(t, archive, relocationBatch())
+	if home, err := a.Cell(t.Context(), jobID); home != third || err != nil {
+		t.Errorf("the job's cell is %q (%v), want %q", home, err, third)
+	}
+	items, _, err := store.List(t.Context(), archiver.JobPrefix(otherCell))
+	if err != nil || len(items) > 0 {
+		t.Errorf("%s holds %d items of the job (%v), want none", otherCell, len(items), err)
+	}
+}
