dispatcher: a late record of a relocated job doesn't bring it back

A cell forgets a job that it has relocated, and a part that it has given back.

Reads of the store are linearizable, so that a job which has come back is found, and one that hasn't isn't.

go test ./dispatcher -run TestLateRecordOfRelocatedJob before: the relocated job runs in the old cell; after: passes.

--- a/archiver/expiry_test.go
+++ b/archiver/expiry_test.go
@@ -34,7 +34,7 @@
 	t.Helper()
 	for batch := c.NextBatch(now, 9); batch != nil; batch = c.NextBatch(now, 9) {
 		mustSave(t, archive, batch)
-		c.BatchStored(batch)
+		c.BatchStored(now, batch)
 	}
 }
 
--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -190,7 +190,7 @@
 }
 
 // BatchStored applies the successful write of a batch.
-func (c *Cell) BatchStored(b *Batch) {
+func (c *Cell) BatchStored(now time.Time, b *Batch) {
 	c.storing = false
 	c.TermChecked(b.begun)
 	for _, changed := range b.Jobs {
@@ -216,11 +216,11 @@
 		c.pendingPart = nil
 	}
 	if b.Relocation != nil {
-		c.relocated(b.Relocation.Job.ID)
+		c.relocated(now, b.Relocation.Job.ID)
 		c.pendingRelocation = nil
 	}
 	if b.Return != nil {
-		c.relocated(b.Return.Job)
+		c.relocated(now, b.Return.Job)
 		c.pendingReturn = nil
 	}
 	c.removedWorkers -= b.removedWorkers
--- a/dispatcher/batch_test.go
+++ b/dispatcher/batch_test.go
@@ -34,7 +34,7 @@
 		if rows > maxRows {
 			t.Errorf("a batch takes %d rows, want at most %d", rows, maxRows)
 		}
-		s.cell.BatchStored(batch)
+		s.cell.BatchStored(s.now, batch)
 	}
 	if stored != limit {
 		t.Errorf("%d jobs were stored, want %d", stored, limit)
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -142,6 +142,9 @@
 	pendingPart *Part
 	// pendingRelocation is the relocation of a job, until it is stored or refused.
 	pendingRelocation *Relocation
+	// departed holds the jobs that were relocated, and those of which a part was given back, each
+	// with the time. A record of one may still arrive late.
+	departed map[string]time.Time
 	// pendingReturn is the part that is being given back, until that is stored or refused.
 	pendingReturn *PartReturn
 	// pass is the planning pass while the ready tasks are placed, else nil.
@@ -160,6 +163,7 @@
 		jobs:      map[string]*jobState{},
 		workers:   map[string]*worker{},
 		unnamed:   map[string]Registration{},
+		departed:  map[string]time.Time{},
 		dirty:     map[string]bool{},
 		upcoming:  map[string]*jobState{},
 		headrooms: estimator.NewHeadrooms(),
@@ -181,12 +185,17 @@
 
 // AddJob adds an accepted job. progress is its stored progress, or nil. restored is
 // true if an earlier holder may have started tasks of the job. A job that is already
-// known is not replaced; only its delegated part is extended.
+// known is not replaced; only its delegated part is extended. One that has departed is looked up
+// in the store first.
 func (c *Cell) AddJob(now time.Time, job Job, progress *Progress, restored bool) {
 	if j, known := c.jobs[job.ID]; known {
 		c.extendPart(now, j, &job)
 		return
 	}
+	if _, departed := c.departed[job.ID]; departed {
+		c.unknownJobs[job.ID] = now.Add(-unknownJobTimeout)
+		return
+	}
 	delete(c.unknownJobs, job.ID)
 	delete(c.absentJobs, job.ID)
 	if progress == nil {
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -104,7 +104,8 @@
 }
 
 // relocated removes a job whose relocation, or the return of whose part, is stored.
-func (c *Cell) relocated(id string) {
+func (c *Cell) relocated(now time.Time, id string) {
+	c.departed[id] = now
 	delete(c.jobs, id)
 	delete(c.dirty, id)
 	delete(c.upcoming, id)
--- a/dispatcher/relocation_test.go
+++ b/dispatcher/relocation_test.go
@@ -153,3 +153,28 @@
 		t.Errorf("%d questions for 50 jobs, want 1", questions)
 	}
 }
+
+// TestLateRecordOfRelocatedJob guards against a job that two cells run: a record of it, delivered late
+// or listed before, arrived after it had been relocated.
+func TestLateRecordOfRelocatedJob(t *testing.T) {
+	s := newActiveSimulation(3)
+	labelled := plainJob(jobID, 1, time.Second, 1)
+	labelled.Steps[0].Label = "kind-b"
+	s.submit(labelled)
+	id, found := awaitRelocation(s, 2*time.Second)
+	if !found || !s.cell.Relocate(s.now, id, "graz-b") {
+		t.Fatal("the job isn't relocated")
+	}
+	s.runFor(200 * time.Millisecond)
+	late := s.jobs[jobID]
+	late.Steps[0].Label = ""
+	s.cell.AddJob(s.now, late, nil, true)
+	s.runFor(2 * time.Second)
+	if s.running[dispatcher.TaskID{Job: jobID}] != 0 || s.done[dispatcher.TaskID{Job: jobID}] {
+		t.Error("the relocated job runs in the old cell")
+	}
+	s.archive.jobs[jobID] = late
+	s.cell.AddJob(s.now, late, nil, true)
+	s.runFor(2 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+}
--- a/dispatcher/saver.go
+++ b/dispatcher/saver.go
@@ -77,7 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
-		r.Cell.BatchStored(batch)
+		r.Cell.BatchStored(r.Clock.Now(), batch)
 	} else {
 		r.Cell.BatchFailed(batch)
 	}
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -358,9 +358,9 @@
 		progress, begun := s.archive.progress[id]
 		switch {
 		case live && begun:
-			s.cell.AddJob(s.now, job, &progress, true)
+			s.cell.AddFound(s.now, job, &progress)
 		case live:
-			s.cell.AddJob(s.now, job, nil, true)
+			s.cell.AddFound(s.now, job, nil)
 		default:
 			s.cell.SetAbsent(s.now, id)
 		}
@@ -376,7 +376,7 @@
 			s.cell.BatchFailed(batch)
 			return
 		}
-		s.cell.BatchStored(batch)
+		s.cell.BatchStored(s.now, batch)
 	}
 }
 
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -58,6 +58,11 @@
 			delete(c.absentJobs, id)
 		}
 	}
+	for id, at := range c.departed {
+		if now.Sub(at) > absentJobTTL {
+			delete(c.departed, id)
+		}
+	}
 	var ids []string
 	for id, since := range c.unknownJobs {
 		if now.Sub(since) >= unknownJobTimeout {
@@ -74,6 +79,12 @@
 	c.absentJobs[id] = now
 }
 
+// AddFound adds a job that the store has in this cell.
+func (c *Cell) AddFound(now time.Time, job Job, progress *Progress) {
+	delete(c.departed, job.ID)
+	c.AddJob(now, job, progress, true)
+}
+
 // findUnknownJobs looks up the jobs that aren't looked up already; the caller holds mu.
 func (r *Runner) findUnknownJobs(ctx context.Context) {
 	for _, id := range r.Cell.UnknownJobs(r.Clock.Now()) {
@@ -110,7 +121,7 @@
 		r.Cell.AddUnaccepted(now, stored.Job.ID)
 		return
 	}
-	r.Cell.AddJob(now, stored.Job, stored.Progress, true)
+	r.Cell.AddFound(now, stored.Job, stored.Progress)
 	if stored.Cancelled {
 		r.Cell.Cancel(now, stored.Job.ID)
 	}
