archiver: no cancellation is stored for a cell without a name

Found by reading the change again. A job whose cell was cached, whose state had expired and which had been cancelled as unaccepted since, got another cancellation under an empty cell name, where nobody removes it.

go test ./archiver -run TestCancelOfUnacceptedJob before: one item of a cell without a name; after: passes.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -197,7 +197,7 @@
 		if home, err = a.Store.Get(ctx, idPrefix+id); err != nil {
 			return err
 		}
-		if home.Revision == 0 {
+		if len(home.Value) == 0 {
 			return nil // its state has expired
 		}
 		_, err = a.Store.Commit(ctx, platform.Transaction{
--- a/archiver/relocation_test.go
+++ b/archiver/relocation_test.go
@@ -98,3 +98,19 @@
 		t.Errorf("%s holds %d items of the job (%v), want none", otherCell, len(items), err)
 	}
 }
+
+// TestCancelOfUnacceptedJob guards against a cancellation that is stored for a cell without a name, which
+// nobody removes: the job's state had expired, and it was cancelled again.
+func TestCancelOfUnacceptedJob(t *testing.T) {
+	a, store := newArchiver(t)
+	if _, err := a.CancelUnaccepted(t.Context(), cell, jobID); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Cancel(t.Context(), jobID); err != nil {
+		t.Fatal(err)
+	}
+	items, _, err := store.List(t.Context(), archiver.JobPrefix(""))
+	if err != nil || len(items) > 0 {
+		t.Errorf("the store holds %d items of a cell without a name (%v), want none", len(items), err)
+	}
+}
