--- a/archiver/relocation_test.go
+++ b/archiver/relocation_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// TestRelocation checks that a job belongs to one cell before and after its relocation, also if the
+// TestRelocation checks that a job has one cell before and after its relocation, also if the
 // answer to the save is lost and it is repeated after the new cell has saved progress.
 func TestRelocation(t *testing.T) {
 	a, store := newArchiver(t)
@@ -33,7 +33,7 @@
 	archive := startTerm(t, a, store)
 	mustSave(t, archive, relocationBatch())
 	if home, err := a.Cell(t.Context(), jobID); home != otherCell || err != nil {
-		t.Fatalf("the job belongs to %q (%v), want %q", home, err, otherCell)
+		t.Fatalf("the job's cell is %q (%v), want %q", home, err, otherCell)
 	}
 	other := startTermOf(t, a, store, otherCell)
 	mustSave(t, other, jobBatch(dispatcher.StateCompleted))
--- a/archiver/return_test.go
+++ b/archiver/return_test.go
@@ -22,7 +22,7 @@
 	}})
 }
 
-// TestPartReturn checks that a part belongs to one cell before and after it is given back, also if the
+// TestPartReturn checks that one cell has a part before and after it is given back, also if the
 // answer to that save is lost.
 func TestPartReturn(t *testing.T) {
 	first, second := dispatcher.TaskID{Job: jobID}, dispatcher.TaskID{Job: jobID, Index: 1}
--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -32,7 +32,7 @@
 
 // termMessage is the value of a term key.
 type termMessage struct {
-	// Token tells the write of this term from all others.
+	// Token is unique to the write of this term.
 	Token   string                 `json:"token"`
 	Holder  holderMessage          `json:"holder"`
 	Earlier []earlierHolderMessage `json:"earlier,omitempty"`
--- a/dispatcher/absence.go
+++ b/dispatcher/absence.go
@@ -54,7 +54,7 @@
 	return fmt.Sprintf("%d of %d workers confirm it, active: %t; missing: %s", confirming, voters, c.active, strings.Join(missing, "; "))
 }
 
-// absence describes what the holder knows of a worker that it may have to treat as gone.
+// absence describes, for logs, since when a worker hasn't been registered or answered.
 func (c *Cell) absence(now time.Time, w *worker) string {
 	registry := "registered"
 	if !w.registered {
--- a/dispatcher/capacity.go
+++ b/dispatcher/capacity.go
@@ -66,7 +66,8 @@
 	return kindShort
 }
 
-// laterPlaces returns the number of tasks of a step that fit on a worker beside its long-running tasks.
+// laterPlaces returns the number of tasks of a step that fit into the capacity of a worker that its
+// long-running tasks leave.
 func (w *worker) laterPlaces(step *Step) int {
 	remaining := w.registration.Capacity
 	for _, r := range w.runs {
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -71,9 +71,9 @@
 }
 
 // isVoter reports whether the worker counts towards the size of a majority: it is
-// registered, or a holder may have used it and it may still exist and support another holder.
+// registered, or a holder may have used it, it may still exist, and it may confirm another holder.
 func (c *Cell) isVoter(now time.Time, w *worker) bool {
-	return w.registered || (w.restored || w.stored) && !w.exited() && !c.crashed(w) && !c.unsupportive(now, w)
+	return w.registered || (w.restored || w.stored) && !w.exited() && !c.crashed(w) && c.mayConfirmOther(now, w)
 }
 
 // mayHaveRun reports whether an earlier holder may have started a task on a worker that
--- a/dispatcher/draining.go
+++ b/dispatcher/draining.go
@@ -39,7 +39,7 @@
 	return step.LongRunning || now.Add(r.expectedRest(now)).After(r.worker.exitsAfter)
 }
 
-// expectedRest returns for how much longer a run is expected to last, by the estimate of its
+// expectedRest returns how much longer a run is expected to last, by the estimate of its
 // step and the progress that the worker last listed.
 func (r *run) expectedRest(now time.Time) time.Duration {
 	rest := r.task.step.step.Estimate * time.Duration(fullPercent-r.percent) / fullPercent
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -44,18 +44,17 @@
 	return false
 }
 
-// unsupportive reports whether a worker that doesn't answer can't support another holder either: it
-// is gone according to the registry and has never answered this holder, and all earlier ones have
-// ended. A worker that has answered runs nothing any more once the lease that this holder granted
-// has expired.
-func (c *Cell) unsupportive(now time.Time, w *worker) bool {
+// mayConfirmOther reports whether a worker may still accept the orders of another holder. One that
+// the registry doesn't list any more can't if it has answered this holder and the lease that this one
+// granted has expired, or if it has never answered and all earlier holders have ended.
+func (c *Cell) mayConfirmOther(now time.Time, w *worker) bool {
 	if !c.gone(w) {
-		return false
+		return true
 	}
 	if w.epochAccepted {
-		return c.active && w.leaseExpired(now)
+		return !c.active || !w.leaseExpired(now)
 	}
-	return !c.earlierEndedAt.IsZero()
+	return c.earlierEndedAt.IsZero()
 }
 
 // askEarlierHoldersIfDue begins to ask whether the earlier holders have ended; the caller holds
