--- a/cmd/zinniashore/soakfaults_test.go
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -269,8 +269,12 @@
 	case "worker leaves":
 		s.register(w)
 		time.Sleep(soakDrain + f.length/4)
-		s.remove(w)
-		s.hide(w)
+		if f.variant >= 4 {
+			s.leave(w, f.length/2)
+		} else {
+			s.remove(w)
+			s.hide(w)
+		}
 		s.addWorker(w.domain, rand.New(rand.NewPCG(f.number, 0)))
 	case "worker crashes":
 		s.remove(w)
--- a/cmd/zinniashore/soakproxy_test.go
+++ b/cmd/zinniashore/soakproxy_test.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// reset breaks all connections.
+func (l *soakLink) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.abortAll()
+}
+
+// abortAll breaks all connections; the caller holds the mutex.
 func (l *soakLink) abortAll() {
 	for pair := range l.conns {
 		pair.abort()
--- a/cmd/zinniashore/soakworker_test.go
+++ b/cmd/zinniashore/soakworker_test.go
@@ -22,9 +22,11 @@
 	stop                context.CancelFunc
 	links               map[string]*soakLink
 	draining, gone      bool
-	hidden              int
-	sequence            int
-	capacity            soakSize
+	// closing is true once the address refuses connections for good.
+	closing  bool
+	hidden   int
+	sequence int
+	capacity soakSize
 }
 
 // workerConnection is a connection to a worker. Connections to two workers may have the
@@ -171,7 +173,7 @@
 		s.mu.Unlock()
 		for _, w := range workers {
 			w.worker.Advance()
-			w.proxy.setOpen(w.worker.Up())
+			w.proxy.setOpen(w.worker.Up() && !s.isClosing(w))
 		}
 		if time.Since(renewed) > soakHeartbeat {
 			renewed = time.Now()
@@ -206,6 +208,27 @@
 	return w
 }
 
+// leave ends a worker as a process does that shuts down: it takes its registration back, closes its
+// listener and its connections, and ends some time later, with everything that runs on it.
+func (s *soak) leave(w *soakWorker, lingering time.Duration) {
+	s.hide(w)
+	s.mu.Lock()
+	w.closing = true
+	s.mu.Unlock()
+	w.proxy.setOpen(false)
+	for _, link := range w.links {
+		link.reset()
+	}
+	time.Sleep(lingering)
+	s.remove(w)
+}
+
+func (s *soak) isClosing(w *soakWorker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.closing
+}
+
 // remove ends a worker with everything that runs on it.
 func (s *soak) remove(w *soakWorker) {
 	s.mu.Lock()
