dispatcher: runs of a worker whose address is taken last until their lease ends

Cause: a process that shuts down closes its listener first. Its address is free from then on, its runs last until the process is gone, and the leases that were granted cover them. exited() decided over lost runs, over what a new holder waits for and over the removal of workers.

Ruled out: a restart under the same id, which the boot of an answer shows.

Change: such a worker is displaced: it has no vote, as no holder can reach it, and its ends can't be read any more, so that nothing waits for the registry. Its runs count until their lease has expired. Two cases of TestCell demanded the fault (tasks started within 500 ms of the takeover); they are replaced by cases with two bounds: not before the lease has expired, and at most 0.5 s after.

--- a/dispatcher/cell_test.go
+++ b/dispatcher/cell_test.go
@@ -310,13 +310,17 @@
 			t.Errorf("tasks of %d jobs were offered, want all 3", len(offered))
 		}
 	}},
-	"tasks of a worker whose address another one has taken start elsewhere at once": {workers: 2, run: func(t *testing.T, s *simulation) {
-		exited := drainAndExit(s, 2*time.Second)
+	"tasks of a worker whose address another one has taken start elsewhere once its lease has expired": {workers: 2, run: func(t *testing.T, s *simulation) {
+		exited := drainAndExit(s, 10*time.Second)
 		exited.closed, exited.replaced = false, true
 		s.unregister(exited)
-		s.runFor(500 * time.Millisecond)
+		s.runFor(3500 * time.Millisecond)
+		if total := len(s.workers[0].running) + len(s.workers[1].running); total != 1 {
+			t.Errorf("%d tasks run 3.5 s after one of two workers was replaced, want 1: the lease of the other run hasn't expired", total)
+		}
+		s.runFor(time.Second)
 		if total := len(s.workers[0].running) + len(s.workers[1].running); total != 2 {
-			t.Errorf("%d tasks run 500 ms after one of two workers was replaced, want 2", total)
+			t.Errorf("%d tasks run 4.5 s after one of two workers was replaced, want 2", total)
 		}
 	}},
 	"a registered worker whose address is closed may still run its tasks": {workers: 2, run: func(t *testing.T, s *simulation) {
@@ -326,17 +330,23 @@
 			t.Errorf("%d tasks run, want 1: the lease of the other run hasn't expired", total)
 		}
 	}},
-	"restored tasks don't wait for a worker whose address another one has taken": {workers: 2, run: func(t *testing.T, s *simulation) {
-		exited := drainAndExit(s, 2*time.Second)
+	"restored tasks wait for the leases of a worker whose address another one has taken, and not for the registry": {workers: 2, run: func(t *testing.T, s *simulation) {
+		exited := drainAndExit(s, 12*time.Second)
 		exited.closed, exited.replaced = false, true
 		for _, f := range s.workers {
 			if f != exited {
 				s.changeHolder(f)
 			}
 		}
+		s.cell.EarlierHoldersEnded(s.now)
+		s.registryUnread = true
+		s.runFor(4 * time.Second)
+		if total := len(s.workers[0].running) + len(s.workers[1].running); total != 1 {
+			t.Errorf("%d tasks run under the new holder after 4 s, want 1: leases of the holder before haven't expired", total)
+		}
 		s.runFor(500 * time.Millisecond)
 		if total := len(s.workers[0].running) + len(s.workers[1].running); total != 2 {
-			t.Errorf("%d tasks run under the new holder, want 2", total)
+			t.Errorf("%d tasks run under the new holder after 4.5 s, want 2", total)
 		}
 	}},
 	"tasks leave a draining worker before it exits": {workers: 2, run: func(t *testing.T, s *simulation) {
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -73,7 +73,7 @@
 // isVoter reports whether the worker counts towards the size of a majority: it is
 // registered, or a holder may have used it, it may still exist, and it may confirm another holder.
 func (c *Cell) isVoter(now time.Time, w *worker) bool {
-	return w.registered || (w.restored || w.stored) && !w.exited() && !c.crashed(w) && c.mayConfirmOther(now, w)
+	return w.registered || (w.restored || w.stored) && !w.displaced() && !c.crashed(w) && c.mayConfirmOther(now, w)
 }
 
 // mayHaveRun reports whether an earlier holder may have started a task on a worker that
@@ -99,11 +99,11 @@
 	}
 	expired := now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
-		if w.epochAccepted || !w.restored || w.exited() {
+		if w.epochAccepted || !w.restored {
 			continue
 		}
 		longRunningWaits = longRunningWaits || !expired
-		waits = waits || !expired || !c.gone(w)
+		waits = waits || !expired || !c.lost(w)
 	}
 	return waits, longRunningWaits
 }
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -169,10 +169,10 @@
 }
 
 // blameCrashed blames the runs of a worker whose lease has expired, if its address refuses
-// connections since it last answered, or it has exited or is gone. A worker that drains may have left as
+// connections since it last answered, or it is lost. A worker that drains may have left as
 // planned. If the worker lists a run again, or its end, the blame is taken back.
 func (c *Cell) blameCrashed(now time.Time, w *worker) {
-	if (w.connectionRefused || w.exited() || c.gone(w)) && w.registration.Phase != PhaseDraining {
+	if (w.connectionRefused || c.lost(w)) && w.registration.Phase != PhaseDraining {
 		c.blameRuns(now, w)
 	}
 }
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -6,16 +6,13 @@
 	"zinniashore.example/recorder"
 )
 
-// expireLeases handles the runs of workers that have exited or whose lease has certainly
-// expired, and removes workers that can't run anything any more.
+// expireLeases handles the runs of workers whose lease has certainly expired, and removes workers
+// that can't run anything any more.
 func (c *Cell) expireLeases(now time.Time) {
 	for id, w := range c.workers {
 		switch {
-		case w.exited():
-			c.blameCrashed(now, w)
-			c.markAllLost(now, w, "another worker has the address")
-		case !w.epochAccepted && c.gone(w):
-			c.handleGone(now, w)
+		case !w.epochAccepted && c.lost(w):
+			c.handleUnheard(now, w)
 		case w.epochAccepted && w.leaseExpired(now):
 			c.handleExpiredLease(now, w)
 		}
@@ -32,14 +29,14 @@
 // handleExpiredLease handles the runs of a worker whose lease has certainly expired.
 // None of them is active any more, but some may be done. A worker lists the ends of its
 // runs until they are acknowledged, whatever happened to the lease. A task that can be
-// done therefore waits for that list, unless the worker is gone.
+// done therefore waits for that list, unless the worker is lost.
 func (c *Cell) handleExpiredLease(now time.Time, w *worker) {
-	gone := c.gone(w)
+	lost := c.lost(w)
 	c.blameCrashed(now, w)
 	for _, r := range w.sortedRuns() {
 		switch {
-		case gone || r.task.step.step.LongRunning:
-			if !gone && r.mayHaveCrashed() {
+		case lost || r.task.step.step.LongRunning:
+			if !lost && r.mayHaveCrashed() {
 				w.expiredYoung = append(w.expiredYoung, r)
 			}
 			c.markLost(now, r, "lease lapsed")
@@ -50,34 +47,28 @@
 	}
 }
 
-// handleGone handles the runs of a worker that is gone and hasn't answered since it
+// handleUnheard handles the runs of a worker that is lost and hasn't answered since it
 // restarted. The restarted worker may have accepted a start with a lease end on the clock
 // of the boot before, which it cuts to its longest lease.
-func (c *Cell) handleGone(now time.Time, w *worker) {
+func (c *Cell) handleUnheard(now time.Time, w *worker) {
 	longest := time.Duration(float64(c.Limits.MaxLeaseDuration)/minClockRate) + leaseExpiryMargin
 	for _, r := range w.sortedRuns() {
 		if now.Sub(r.sentAt) > longest {
-			c.markLost(now, r, "worker is gone")
+			c.markLost(now, r, "worker is lost")
 		}
 	}
 }
 
-func (c *Cell) markAllLost(now time.Time, w *worker, reason string) {
-	for _, r := range w.sortedRuns() {
-		c.markLost(now, r, reason)
-	}
-}
-
-// removable reports whether nothing can run on a worker any more: it has exited, or it
-// is gone and hasn't answered for so long that the leases of its runs have expired.
+// removable reports whether nothing can run on a worker any more: it is lost, and the leases of its
+// runs have expired. One that is only gone may register again for a while.
 func (c *Cell) removable(now time.Time, w *worker) bool {
-	if w.registered || len(w.runs) > 0 || !c.active {
+	if w.registered || len(w.runs) > 0 || !c.active || w.epochAccepted && !w.leaseExpired(now) {
 		return false
 	}
-	if w.exited() {
-		return true
+	if w.displaced() {
+		return w.epochAccepted || now.After(c.earlierLeasesEnd())
 	}
-	if !c.gone(w) || w.epochAccepted && !w.leaseExpired(now) {
+	if !c.gone(w) {
 		return false
 	}
 	unanswered := now.Sub(w.answeredAt)
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -267,10 +267,9 @@
 	return w.epochAccepted && w.minClock(now) > w.leaseEnd+leaseExpiryMargin
 }
 
-// exited reports whether the worker's process has certainly ended: another worker has its
-// address. That an address refuses connections doesn't show it, whether or not the worker was
-// draining: the worker may be cut off, and its runs continue until their lease expires.
-func (w *worker) exited() bool { return w.addressTaken && !w.registered }
+// displaced reports whether another worker has the worker's address, so that no holder can reach
+// it any more. Its process may still be shutting down: its runs last until their lease expires.
+func (w *worker) displaced() bool { return w.addressTaken && !w.registered }
 
 // registrationGrace is how long a worker may be missing from the registry before it
 // counts as gone. Workers whose registrations expired while the store was unavailable
@@ -284,6 +283,10 @@
 	return !w.registered && c.registryReadAt.Sub(w.absentSince) >= registrationGrace
 }
 
+// lost reports whether a worker won't list its runs any more: it is gone or displaced. They may
+// last until their lease expires.
+func (c *Cell) lost(w *worker) bool { return w.displaced() || c.gone(w) }
+
 // crashed reports whether a worker is gone according to the registry and nothing
 // listens at its address. A worker that is only cut off doesn't refuse connections.
 func (c *Cell) crashed(w *worker) bool { return w.connectionRefused && c.gone(w) }
