cmd/zinniashore: a worker whose address is taken while it shuts down

TestWorkerThatShutsDown runs a second case with real processes: another worker listens at the address that the closing one has released.

--- a/cmd/zinniashore/leaving_test.go
+++ b/cmd/zinniashore/leaving_test.go
@@ -57,13 +57,17 @@
 }
 
 // leave announces that the worker leaves, and then shuts it down as a process does: it takes its
-// registration back, closes its address, and ends some time later with what runs there.
-func (w *leavingWorker) leave(d *platformDeployment) {
+// registration back, closes its address, and ends some time later with what runs there. closed, if
+// set, is called once the address is closed.
+func (w *leavingWorker) leave(d *platformDeployment, closed func(address string)) {
 	w.register(d, "draining")
 	time.Sleep(leavingNotice)
 	d.store.Remove("servers/" + w.id)
 	w.proxy.setOpen(false)
 	w.link.reset()
+	if closed != nil {
+		closed(w.proxy.address())
+	}
 	time.Sleep(leavingShutdown)
 	w.worker.SetDown(true)
 	w.worker.Restart()
@@ -76,16 +80,29 @@
 	if output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
-	d := newPlatformDeployment(t, binary)
-	leaving := newLeavingWorker(t, d, "oven-0")
-	newLeavingWorker(t, d, "oven-1")
-	const id = "00000000000000a1"
-	time.Sleep(settleTime)
-	d.submit("edge-0", id, leavingTasks)
-	d.await("started", func() bool { return d.ledger.Running(id+".0.0.0")+d.ledger.Running(id+".0.0.3") == 2 })
-	leaving.leave(d)
-	d.awaitState("edge-0", id, "completed")
-	for _, problem := range d.ledger.Problems() {
-		t.Error(problem)
+	tests := map[string]func(address string){
+		"its address refuses connections": nil,
+		"another worker takes its address": func(address string) {
+			other := &standin.PlatformWorker{ID: "oven-2", Ledger: &standin.PlatformLedger{}}
+			if _, err := standin.Listen(t.Context(), address, other); err != nil {
+				t.Error(err)
+			}
+		},
+	}
+	for name, closed := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newPlatformDeployment(t, binary)
+			leaving := newLeavingWorker(t, d, "oven-0")
+			newLeavingWorker(t, d, "oven-1")
+			const id = "00000000000000a1"
+			time.Sleep(settleTime)
+			d.submit("edge-0", id, leavingTasks)
+			d.await("started", func() bool { return d.ledger.Running(id+".0.0.0")+d.ledger.Running(id+".0.0.3") == 2 })
+			leaving.leave(d, closed)
+			d.awaitState("edge-0", id, "completed")
+			for _, problem := range d.ledger.Problems() {
+				t.Error(problem)
+			}
+		})
 	}
 }
