dispatcher: an end that is listed ends its run, whatever became of the job

What callers saw: log lines 'task_lost ... never started' for runs that had started and whose end had just been logged as 'stopped'; the capacity of such a run was taken until the next poll that was sent after the stop was accepted (up to 1 s), or for good if the stop never was. No second run follows from it.

Cause: handleEnd returned before removeRun when the task was unknown, which it is once the final state of the job, or of the occurrence, is stored.

Ruled out: a double acknowledgement or a second start; the task of a final job is never enqueued.

Change: the end always removes its run; what it means for the task (applyEnding) is left out if there is none.

--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -143,20 +143,27 @@
 	w.lastEnd = number
 }
 
-// handleEnd applies the end of a run that a worker reported.
+// handleEnd applies the end of a run that a worker reported. The task is nil if its job or occurrence
+// has ended before.
 func (c *Cell) handleEnd(now time.Time, w *worker, row EndedRow) {
 	key := runKey{task: row.Task, run: row.Run}
 	delete(w.orphanedRuns, key)
 	r := w.runs[key]
-	t := c.task(now, row.Task)
 	c.recordEnd(w, row)
-	if t == nil {
-		return
-	}
-	c.clearCrash(t, row.Run)
 	if r != nil && row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
+	if t := c.task(now, row.Task); t != nil {
+		c.applyEnding(now, w, t, row)
+	}
+	if r != nil {
+		c.removeRun(now, r)
+	}
+}
+
+// applyEnding applies to a task how one of its runs ended.
+func (c *Cell) applyEnding(now time.Time, w *worker, t *task, row EndedRow) {
+	c.clearCrash(t, row.Run)
 	switch row.Ending {
 	case EndingDone:
 		w.consecutiveFailures = 0
@@ -164,9 +171,6 @@
 	case EndingFailed:
 		c.taskFailed(now, t, w, row.Run)
 	}
-	if r != nil {
-		c.removeRun(now, r)
-	}
 }
 
 // recordEnd records the end of a run that a worker listed.
