dispatcher: a new holder waits until a worker has listed all of its ends

What callers saw (test): after a change of the holder, tasks that are done start again: 200 of 700 on a worker with more than 500 ends that aren't acknowledged.

Cause: a worker lists 500 ends at a time, and mayHaveRun took it as heard after its first answer. The same holder is safe since it keeps the runs whose ends it hasn't read.

Ruled out: the acknowledgement (each listing is acknowledged up to what is stored); the running rows, which are complete in each answer.

Change: tasks that an earlier holder may have started wait until the worker's boot has listed all of its ends once, or is lost; long-running tasks, which aren't done, don't.

--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -77,8 +77,8 @@
 }
 
 // mayHaveRun reports whether an earlier holder may have started a task on a worker that
-// hasn't answered this holder yet, so that a run of the task may be active there or be
-// done.
+// hasn't told this holder all of its runs yet, so that a run of the task may be active there or
+// be done.
 func (c *Cell) mayHaveRun(now time.Time, t *task) bool {
 	j := t.job()
 	if !j.restored || j.job.Accepted.After(c.earlierStartsEnd()) {
@@ -92,14 +92,19 @@
 }
 
 // unansweredWorkers reports whether a task of a restored job, and whether a long-running
-// one, has to wait for the answer of a worker that an earlier holder used.
+// one, has to wait for the answer of a worker that an earlier holder used, or for the rest of
+// its ends.
 func (c *Cell) unansweredWorkers(now time.Time) (waits, longRunningWaits bool) {
 	if c.pass != nil {
 		return c.pass.waits, c.pass.longRunningWaits
 	}
 	expired := now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
-		if w.epochAccepted || !w.restored {
+		switch {
+		case !w.restored:
+			continue
+		case w.epochAccepted:
+			waits = waits || !w.endsListed && !c.lost(w)
 			continue
 		}
 		longRunningWaits = longRunningWaits || !expired
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -106,7 +106,7 @@
 		c.stop(r)
 	}
 	w.noteBoot(now)
-	w.epochAccepted = false
+	w.epochAccepted, w.endsListed = false, false
 	w.lastEnd, w.acknowledgedEnd = 0, 0
 	w.leaseEnd = 0
 	w.orphanedRuns = map[runKey]time.Time{}
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -87,6 +87,7 @@
 	if sent.After(w.answeredAt) && sent.After(c.resumedAt) {
 		w.answeredAt, w.heardAt = sent, now
 	}
+	w.endsListed = w.endsListed || !listing.MoreEnds
 	c.handleEnds(now, w, listing.Ended)
 	c.handleRunning(now, sent, listedAt, w, listing)
 	c.observeTails(now, w)
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -182,6 +182,8 @@
 	leaseEnd time.Duration
 	// epochAccepted is true if the worker has accepted this holder's epoch.
 	epochAccepted bool
+	// endsListed is true once the worker's boot has listed all of its ends in one answer.
+	endsListed bool
 	// answeredAt is when the newest answered poll was sent, heardAt when its answer was
 	// handled.
 	answeredAt, heardAt time.Time
