dispatcher: runs of a worker that shuts down last until their lease ends, also if its next process is up

What callers saw (test): two runs of a task on workers that are up, under one holder. A worker that drains or has taken its registration back is succeeded by a process under its id while its runs last; the holder starts each of them again.

Cause: handleRestart took a new boot of an id, told by the registry (SetWorker) or by a poll, for the end of all runs of the earlier boot. That holds for a crash, not for an exit: the earlier process takes its registration back and closes its listener first, and ends with its runs later. The runs that it hadn't listed were given up as soon as the next process had accepted their stop. A new holder that read the earlier process as draining from the store took the answer of the next one for that of the worker.

Ruled out: answers of the earlier process that come late (handled by their boot); polls over an old connection (each names its boot, or the boot in the answer counts).

Change: if the earlier process drained, wasn't registered, or isn't the one that is registered, its runs count (and take capacity) until the lease that this holder granted has certainly expired; a new holder waits until the leases of earlier holders have. After a crash nothing waits longer than before: the earlier process is registered as ready then, or its registration has expired, and mostly its lease too.

Not covered: a holder that is told of neither draining nor the removal, as the history of its watch was compacted; and a second change of the holder within the lease.

--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -92,23 +92,20 @@
 }
 
 // unansweredWorkers reports whether a task of a restored job, and whether a long-running
-// one, has to wait for the answer of a worker that an earlier holder used, or for the rest of
-// its ends.
+// one, has to wait for the answer of a worker that an earlier holder used, for the rest of its
+// ends, or for the leases of a process of it that no longer answers.
 func (c *Cell) unansweredWorkers(now time.Time) (waits, longRunningWaits bool) {
 	if c.pass != nil {
 		return c.pass.waits, c.pass.longRunningWaits
 	}
 	expired := now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
-		switch {
-		case !w.restored:
-			continue
-		case w.epochAccepted:
-			waits = waits || !w.endsListed && !c.lost(w)
+		if !w.restored {
 			continue
 		}
-		longRunningWaits = longRunningWaits || !expired
-		waits = waits || !expired || !c.lost(w)
+		leased := !expired && (!w.epochAccepted || w.succeeded())
+		longRunningWaits = longRunningWaits || leased
+		waits = waits || leased || !w.endsListed && !c.lost(w)
 	}
 	return waits, longRunningWaits
 }
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -28,7 +28,7 @@
 }
 
 // AwaitsEarlierHolders reports whether it matters that the earlier holders aren't known to have
-// ended: a worker that one of them used hasn't answered, or no worker is left.
+// ended: a worker that one of them used hasn't answered, or only another process of it, or no worker is left.
 func (c *Cell) AwaitsEarlierHolders(now time.Time) bool {
 	if !c.earlierEndedAt.IsZero() {
 		return false
@@ -36,8 +36,9 @@
 	if !c.active && !c.hasVoters(now) {
 		return true
 	}
+	expired := c.active && now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
-		if w.restored && !w.epochAccepted {
+		if w.restored && (!w.epochAccepted || w.succeeded() && !expired) {
 			return true
 		}
 	}
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -25,12 +25,12 @@
 		w.stored = false
 	}
 	restarted := registration.Boot != w.registration.Boot && registration.Boot > w.boot
-	w.registration = registration
-	w.registered = true
-	w.exitsAfter = now.Add(registration.Remaining)
 	if w.boot != 0 && restarted {
 		c.setBoot(now, w, registration.Boot)
 	}
+	w.registration = registration
+	w.registered = true
+	w.exitsAfter = now.Add(registration.Remaining)
 }
 
 // RestoreWorker adds a worker on which tasks of an earlier holder may run, whether or
@@ -45,6 +45,9 @@
 	}
 	w.stored = w.registration.equivalent(registration)
 	w.restored = true
+	if registration.Phase == PhaseDraining {
+		w.drainedBoot = registration.Boot
+	}
 }
 
 func newWorker() *worker {
@@ -90,20 +93,23 @@
 	w.bootSince = now
 }
 
-// handleRestart resets the state of a restarted worker and marks its runs as lost.
+// handleRestart resets the state of a restarted worker and marks its runs as lost, those of a process that
+// may still be shutting down once their lease has expired.
 func (c *Cell) handleRestart(now time.Time, w *worker) {
 	c.record(recorder.Event{Kind: KindWorker, VM: w.registration.ID, Detail: "started anew"})
 	c.blameRuns(now, w)
+	c.keepRuns(now, w)
 	for _, r := range w.sortedRuns() {
-		if r.observed {
+		switch {
+		case r.observed && r.lastsUntil.IsZero():
 			c.markLost(now, r, "worker started anew")
-			continue
+		case !r.observed:
+			// The restarted worker may have accepted the start, or may still get it: it first
+			// has to stop or refuse it.
+			r.phase = phaseUnknown
+			r.stopAcceptedAt = time.Time{}
+			c.stop(r)
 		}
-		// The restarted worker may have accepted the start, or may still get it: it first
-		// has to stop or refuse it.
-		r.phase = phaseUnknown
-		r.stopAcceptedAt = time.Time{}
-		c.stop(r)
 	}
 	w.noteBoot(now)
 	w.epochAccepted, w.endsListed = false, false
@@ -114,6 +120,19 @@
 	w.awaitedEnds = map[int64]EndedRow{}
 }
 
+// keepRuns keeps the runs of a process that may still be shutting down until their lease has expired.
+func (c *Cell) keepRuns(now time.Time, w *worker) {
+	if !w.epochAccepted || !w.mayShutDown() {
+		return
+	}
+	expiry := w.leaseExpiry(now)
+	for _, r := range w.runs {
+		if r.lastsUntil.IsZero() {
+			r.lastsUntil = expiry
+		}
+	}
+}
+
 func (w *worker) sortedRuns() []*run {
 	runs := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -287,7 +287,7 @@
 		return // a run that isn't listed may be among the ends that follow
 	}
 	for _, r := range w.sortedRuns() {
-		if !listed[runKey{task: r.task.id, run: r.number}] {
+		if r.lastsUntil.IsZero() && !listed[runKey{task: r.task.id, run: r.number}] {
 			c.handleUnlisted(now, sent, r)
 		}
 	}
@@ -302,6 +302,7 @@
 func (r *run) update(now, listedAt time.Time, row RunningRow) {
 	r.missedPolls = 0
 	r.observed = true
+	r.lastsUntil = time.Time{}
 	r.listedAt = listedAt
 	if r.phase == phaseSent || r.phase == phaseUnknown {
 		r.phase = phaseConfirmed
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -10,6 +10,7 @@
 // that can't run anything any more.
 func (c *Cell) expireLeases(now time.Time) {
 	for id, w := range c.workers {
+		c.expireKeptRuns(now, w)
 		switch {
 		case !w.epochAccepted && c.lost(w):
 			c.handleUnheard(now, w)
@@ -26,6 +27,20 @@
 	}
 }
 
+// expireKeptRuns handles the runs that an earlier process of the worker had and whose lease has expired.
+// One that it hasn't listed may be on the present process.
+func (c *Cell) expireKeptRuns(now time.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		switch {
+		case r.lastsUntil.IsZero() || !now.After(r.lastsUntil):
+		case r.observed:
+			c.markLost(now, r, "lease of an earlier process lapsed")
+		default:
+			r.lastsUntil = time.Time{}
+		}
+	}
+}
+
 // handleExpiredLease handles the runs of a worker whose lease has certainly expired.
 // None of them is active any more, but some may be done. A worker lists the ends of its
 // runs until they are acknowledged, whatever happened to the lease. A task that can be
@@ -35,6 +50,7 @@
 	c.blameCrashed(now, w)
 	for _, r := range w.sortedRuns() {
 		switch {
+		case !r.lastsUntil.IsZero():
 		case lost || r.task.step.step.LongRunning:
 			if !lost && r.mayHaveCrashed() {
 				w.expiredYoung = append(w.expiredYoung, r)
@@ -53,7 +69,7 @@
 func (c *Cell) handleUnheard(now time.Time, w *worker) {
 	longest := time.Duration(float64(c.Limits.MaxLeaseDuration)/minClockRate) + leaseExpiryMargin
 	for _, r := range w.sortedRuns() {
-		if now.Sub(r.sentAt) > longest {
+		if r.lastsUntil.IsZero() && now.Sub(r.sentAt) > longest {
 			c.markLost(now, r, "worker is lost")
 		}
 	}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -38,6 +38,9 @@
 	checkpoint                 string
 	percent                    int
 	usage                      int64
+	// lastsUntil is set if an earlier process of the worker, which may still be shutting down,
+	// has the run: its lease has certainly expired then.
+	lastsUntil time.Time
 	// endAwaited is true once the lease on the run has expired, so that the run is no
 	// longer active, but may be done.
 	endAwaited bool
@@ -166,6 +169,9 @@
 	absentSince time.Time
 	// restored is true if an earlier holder used the worker.
 	restored bool
+	// drainedBoot is the boot that an earlier holder has last known, if that was draining; 0
+	// if it wasn't, or the boot is unknown.
+	drainedBoot int64
 	// boot is the boot time in Unix milliseconds that the worker last reported; 0 if
 	// unknown. bootSince is when this boot was first seen: an earlier poll may have been
 	// answered by the boot before.
@@ -269,6 +275,25 @@
 	return w.epochAccepted && w.minClock(now) > w.leaseEnd+leaseExpiryMargin
 }
 
+// leaseExpiry returns when the lease on the worker's runs has certainly expired.
+func (w *worker) leaseExpiry(now time.Time) time.Time {
+	left := max(w.leaseEnd+leaseExpiryMargin-w.minClock(now), 0)
+	return now.Add(time.Duration(float64(left) / minClockRate))
+}
+
+// mayShutDown reports whether a new process of the worker doesn't show that the earlier one has ended:
+// the earlier one drains, has taken its registration back, or isn't the one that is registered.
+func (w *worker) mayShutDown() bool {
+	r := w.registration
+	return r.Phase == PhaseDraining || !w.registered || r.Boot != 0 && r.Boot != w.boot
+}
+
+// succeeded reports whether another process than the one that an earlier holder saw draining, which
+// may still be shutting down, answers as the worker.
+func (w *worker) succeeded() bool {
+	return w.epochAccepted && w.drainedBoot != 0 && w.boot != 0 && w.boot != w.drainedBoot
+}
+
 // displaced reports whether another worker has the worker's address, so that no holder can reach
 // it any more. Its process may still be shutting down: its runs last until their lease expires.
 func (w *worker) displaced() bool { return w.addressTaken && !w.registered }
--- a/dispatcher/successor_test.go
+++ b/dispatcher/successor_test.go
@@ -50,6 +50,19 @@
 		s.drain(earlier)
 		s.register(s.succeed(earlier))
 	},
+	"it drained, and the holder changes": func(s *simulation, earlier *fakeWorker) {
+		s.drain(earlier)
+		s.runFor(200 * time.Millisecond)
+		next := s.succeed(earlier)
+		s.changeHolder(next, s.workers[1], s.workers[2])
+	},
+	"it drained, and the holder changes after the earlier one has ended": func(s *simulation, earlier *fakeWorker) {
+		s.drain(earlier)
+		s.runFor(200 * time.Millisecond)
+		next := s.succeed(earlier)
+		s.changeHolder(next, s.workers[1], s.workers[2])
+		s.cell.EarlierHoldersEnded(s.now)
+	},
 	"the next one starts anew as well": func(s *simulation, earlier *fakeWorker) {
 		s.drain(earlier)
 		next := s.succeed(earlier)
