dispatcher: the log tells why a task starts again, and what was known of its worker

Changes no decision. An on-call engineer who sees a second start couldn't tell why the first run had been given up if the line task_lost was left out by the limiter (100 lines a second of a kind), nor what was last known of its worker: phase, registration, address, boot, lease, last answer.

--- a/dispatcher/absence.go
+++ b/dispatcher/absence.go
@@ -70,6 +70,46 @@
 	return fmt.Sprintf("%s, %s, last answered poll: %s, lease expired: %t", registry, address, age(now, w.answeredAt), w.leaseExpired(now))
 }
 
+// describe describes, for logs, what is known of a worker: as what it was last registered, and since when it
+// hasn't been registered or answered.
+func (c *Cell) describe(now time.Time, w *worker) string {
+	phase := w.registration.Phase
+	if phase == "" {
+		phase = "phase unknown"
+	}
+	return fmt.Sprintf("worker: %s at %s, boot %d (registered %d), %s", phase, w.registration.Address, w.boot, w.registration.Boot, c.absence(now, w))
+}
+
+// describe describes, for logs, what is known of a run.
+func (r *run) describe(now time.Time) string {
+	return fmt.Sprintf("%s, last listed: %s, %s", r.phase, age(now, r.listedAt), r.ageAtLastAnswer())
+}
+
+// otherRuns describes, for logs, the run that a task has while another one is adopted, or its last one.
+func (t *task) otherRuns() string {
+	switch last := t.lastRun; {
+	case len(t.runs) > 0:
+		other := t.runs[0]
+		return fmt.Sprintf("beside run %d on %s (%s)", other.number, other.worker.registration.ID, other.phase)
+	case last.reason != "":
+		return fmt.Sprintf("after run %d on %s: %s", last.number, last.worker, last.reason)
+	}
+	return ""
+}
+
+// earlierRuns describes, for logs, why a task may start although it may have run before: how its last run
+// ended. It is empty for a first start.
+func (c *Cell) earlierRuns(now time.Time, t *task) string {
+	last := t.lastRun
+	switch {
+	case last.reason != "":
+		return fmt.Sprintf("after run %d on %s, removed %s ago: %s", last.number, last.worker, age(now, last.at), last.reason)
+	case t.job().restored && !t.job().job.Accepted.After(c.earlierStartsEnd()):
+		return "accepted under an earlier holder, no run of which is listed"
+	}
+	return ""
+}
+
 // age returns how long ago a time was, or "never" for the zero time.
 func age(now, since time.Time) string {
 	if since.IsZero() {
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if answer != AnswerAccepted {
-		c.record(recorder.Event{Kind: KindStartFailed, VM: w.registration.ID, Task: order.Task.String(), Attempt: int(order.Run), Key: order.Task.Job, Detail: string(answer)})
+		c.record(recorder.Event{Kind: KindStartFailed, VM: w.registration.ID, Task: order.Task.String(), Attempt: int(order.Run), Key: order.Task.Job, Detail: string(answer) + "; " + c.describe(now, w)})
 	}
 	if r.blameOnAnswer && (answer == AnswerAccepted || answer == AnswerUnknown) {
 		c.blame(now, r)
@@ -50,7 +50,7 @@
 		}
 	case AnswerFenced:
 		c.superseded = true
-		c.removeRun(now, r)
+		c.removeRun(now, r, string(answer))
 	default:
 		c.handleRefusedStart(now, r, answer)
 	}
@@ -67,7 +67,7 @@
 	case AnswerInvalid, AnswerTicket, AnswerLate, AnswerStaleRun:
 		r.task.notBefore = now.Add(failureBackoff)
 	}
-	c.removeRun(now, r)
+	c.removeRun(now, r, string(answer))
 }
 
 // HandleStopAnswer applies a worker's answer to a stop.
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -19,7 +20,9 @@
 		c.workers[registration.ID] = w
 		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: "registered at " + registration.Address})
 	} else if w.registration.Phase != registration.Phase {
-		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: string(registration.Phase)})
+		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: string(registration.Phase) + " at " + registration.Address})
+	} else if w.registration.Address != registration.Address {
+		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: "now at " + registration.Address + "; " + c.describe(now, w)})
 	}
 	if !w.registration.equivalent(registration) {
 		w.stored = false
@@ -63,7 +66,7 @@
 	}
 	w.registered = false
 	w.absentSince = now
-	c.record(recorder.Event{Kind: KindWorker, VM: id, Detail: "no longer registered"})
+	c.record(recorder.Event{Kind: KindWorker, VM: id, Detail: fmt.Sprintf("no longer registered, %d runs; %s", len(w.runs), c.describe(now, w))})
 }
 
 // RegistryRead records that all changes of the registry up to a time have been applied.
@@ -96,7 +99,7 @@
 // handleRestart resets the state of a restarted worker and marks its runs as lost, those of a process that
 // may still be shutting down once their lease has expired.
 func (c *Cell) handleRestart(now time.Time, w *worker) {
-	c.record(recorder.Event{Kind: KindWorker, VM: w.registration.ID, Detail: "started anew"})
+	c.record(recorder.Event{Kind: KindWorker, VM: w.registration.ID, Detail: fmt.Sprintf("started anew, %d runs, kept: %t; %s", len(w.runs), w.keepsRuns(), c.describe(now, w))})
 	c.blameRuns(now, w)
 	c.keepRuns(now, w)
 	for _, r := range w.sortedRuns() {
@@ -120,9 +123,12 @@
 	w.awaitedEnds = map[int64]EndedRow{}
 }
 
+// keepsRuns reports whether the runs of the worker's process last after another one has answered.
+func (w *worker) keepsRuns() bool { return w.epochAccepted && w.mayShutDown() }
+
 // keepRuns keeps the runs of a process that may still be shutting down until their lease has expired.
 func (c *Cell) keepRuns(now time.Time, w *worker) {
-	if !w.epochAccepted || !w.mayShutDown() {
+	if !w.keepsRuns() {
 		return
 	}
 	expiry := w.leaseExpiry(now)
@@ -148,8 +154,8 @@
 	if r.blameOnAnswer {
 		c.blame(now, r)
 	}
-	c.record(recorder.Event{Kind: KindLost, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: reason + "; " + r.ageAtLastAnswer()})
-	c.removeRun(now, r)
+	c.record(recorder.Event{Kind: KindLost, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: reason + "; " + r.describe(now) + "; " + c.describe(now, r.worker)})
+	c.removeRun(now, r, reason)
 }
 
 // ageAtLastAnswer tells how long before the newest answered poll of its worker the run was
@@ -165,8 +171,9 @@
 	return "started " + age.String() + " before the last answered poll"
 }
 
-// removeRun removes a run from its worker and its task. The task may start again.
-func (c *Cell) removeRun(now time.Time, r *run) {
+// removeRun removes a run from its worker and its task, for a reason that is empty if the run was never
+// sent. The task may start again.
+func (c *Cell) removeRun(now time.Time, r *run, reason string) {
 	w := r.worker
 	key := runKey{task: r.task.id, run: r.number}
 	if w.runs[key] != r {
@@ -186,6 +193,9 @@
 	}
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
 	r.task.job().running--
+	if reason != "" {
+		r.task.lastRun = removedRun{number: r.number, worker: w.registration.ID, reason: reason, at: now}
+	}
 	c.enqueue(now, r.task)
 }
 
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -239,12 +239,12 @@
 func (c *Cell) withdraw(r *run) {
 	queued := r.task.queued
 	r.task.queued = true
-	c.removeRun(r.sentAt, r)
+	c.removeRun(r.sentAt, r, "")
 	r.task.queued = queued
 }
 
 func (c *Cell) startOrder(now time.Time, r *run, checkpoint string) StartOrder {
-	c.record(recorder.Event{Kind: KindStart, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job})
+	c.record(recorder.Event{Kind: KindStart, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: c.earlierRuns(now, r.task)})
 	return StartOrder{
 		Worker:     r.worker.registration,
 		Task:       r.task.id,
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -158,7 +158,7 @@
 		c.applyEnding(now, w, t, row)
 	}
 	if r != nil {
-		c.removeRun(now, r)
+		c.removeRun(now, r, string(row.Ending))
 	}
 }
 
@@ -346,7 +346,7 @@
 		return nil
 	}
 	surplus := len(t.runs) > 0
-	c.record(recorder.Event{Kind: KindAdopted, VM: w.registration.ID, Task: row.Task.String(), Attempt: int(row.Run), Key: row.Task.Job})
+	c.record(recorder.Event{Kind: KindAdopted, VM: w.registration.ID, Task: row.Task.String(), Attempt: int(row.Run), Key: row.Task.Job, Detail: t.otherRuns()})
 	r := c.addRun(t, w, row.Run, phaseConfirmed, now)
 	if surplus {
 		c.stop(r)
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"time"
 
 	"zinniashore.example/recorder"
@@ -47,6 +48,7 @@
 // done therefore waits for that list, unless the worker is lost.
 func (c *Cell) handleExpiredLease(now time.Time, w *worker) {
 	lost := c.lost(w)
+	c.reportExpiry(now, w, lost)
 	c.blameCrashed(now, w)
 	for _, r := range w.sortedRuns() {
 		switch {
@@ -63,6 +65,19 @@
 	}
 }
 
+// reportExpiry records that the lease on runs of a worker has expired that counted as active until now.
+func (c *Cell) reportExpiry(now time.Time, w *worker, lost bool) {
+	expired := 0
+	for _, r := range w.runs {
+		if r.lastsUntil.IsZero() && (lost || !r.endAwaited) {
+			expired++
+		}
+	}
+	if expired > 0 {
+		c.record(recorder.Event{Kind: KindWorker, VM: w.registration.ID, Detail: fmt.Sprintf("lease lapsed on %d runs, lost: %t; %s", expired, lost, c.describe(now, w))})
+	}
+}
+
 // handleUnheard handles the runs of a worker that is lost and hasn't answered since it
 // restarted. The restarted worker may have accepted a start with a lease end on the clock
 // of the boot before, which it cuts to its longest lease.
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -64,6 +64,15 @@
 	blameOnAnswer bool
 }
 
+// removedRun is what logs tell of a run that isn't counted any more. The zero value is none.
+type removedRun struct {
+	number int64
+	worker string
+	// reason is why the run was removed, at at.
+	reason string
+	at     time.Time
+}
+
 // task is a task of an occurrence.
 type task struct {
 	id   TaskID
@@ -77,8 +86,9 @@
 	crashes       []Crash
 	storedCrashes int
 	checkpoint    string
-	// runs are the runs that may be active on workers.
-	runs []*run
+	// runs are the runs that may be active on workers, lastRun the one that was removed last.
+	runs    []*run
+	lastRun removedRun
 	// queued is true while the task is in the cell's ready list.
 	queued bool
 	// notBefore is the earliest time of the next start after a failure.
