dispatcher: whether an earlier holder can have started a job doesn't depend on two clocks

What callers saw (test): a new holder starts tasks that run already, on a worker that hasn't answered it yet, if the VM that accepted the job had a time of day that was more than 3 s ahead of the holder's.

Cause: mayHaveRun compared the job's time stamp with the time of day at which earlier holders had ended, and allowed 3 s of difference; the platform's clocks may jump by 5 s. All jobs reach a holder marked as possibly started, so nothing else protects them.

Ruled out: jobs that a peer delivers as new (restored false): no caller outside tests does that; jobs submitted long before and delivered late, which wait as before.

Change: the holder notes up to when it has read the jobs of its cell from the store (the watch's Read, as for the registry), by its own steady clock. A job that it gets later was stored after that time; if earlier holders had ended by then, it waits for no worker. What is found by a look-up, or was loaded, may have been started. maxClockDifference is gone. A holder that can't read the store, with a worker of the earlier holder that doesn't answer, holds up the jobs that peers deliver meanwhile: they could have been started.

--- a/dispatcher/absence.go
+++ b/dispatcher/absence.go
@@ -104,7 +104,7 @@
 	switch {
 	case last.reason != "":
 		return fmt.Sprintf("after run %d on %s, removed %s ago: %s", last.number, last.worker, age(now, last.at), last.reason)
-	case t.job().restored && !t.job().job.Accepted.After(c.earlierStartsEnd()):
+	case c.mayBeStarted(t.job()):
 		return "accepted under an earlier holder, no run of which is listed"
 	}
 	return ""
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -21,9 +21,6 @@
 	// expired.
 	leaseExpiryMargin = 50 * time.Millisecond
 
-	// maxClockDifference is how far the times of day of two VMs may differ.
-	maxClockDifference = 3 * time.Second
-
 	// maxRunsPerEpoch is how many run numbers are available under each epoch.
 	maxRunsPerEpoch = 1 << 20
 
@@ -127,6 +124,9 @@
 	resumedAt time.Time
 	// registryReadAt is the time up to which the changes of the registry are known.
 	registryReadAt time.Time
+	// jobsReadAt is the time up to which the jobs that the store has in the cell are known; zero
+	// before it is known.
+	jobsReadAt time.Time
 	// superseded is true once a worker has answered that it has seen a newer epoch.
 	superseded bool
 	// termCheckedAt is when the newest check of the store began that showed that no other
@@ -208,6 +208,8 @@
 		occurrences: map[int]*occurrenceState{},
 		finished:    map[int]bool{},
 		restored:    restored,
+
+		acceptedAfter: c.jobsReadAt,
 	}
 	j.due = j.job.Accepted.Add(j.job.Queue.Target + time.Duration(j.job.Queue.Stretch*float64(criticalPath(job.Steps))))
 	c.jobs[job.ID] = j
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -80,8 +80,7 @@
 // hasn't told this holder all of its runs yet, so that a run of the task may be active there or
 // be done.
 func (c *Cell) mayHaveRun(now time.Time, t *task) bool {
-	j := t.job()
-	if !j.restored || j.job.Accepted.After(c.earlierStartsEnd()) {
+	if !c.mayBeStarted(t.job()) {
 		return false
 	}
 	waits, longRunningWaits := c.unansweredWorkers(now)
@@ -110,10 +109,10 @@
 	return waits, longRunningWaits
 }
 
-// earlierStartsEnd returns the time of day after which no earlier holder can have started
-// a task. It includes the difference between the clocks of two VMs.
-func (c *Cell) earlierStartsEnd() time.Time {
-	return c.earlierOrdersEnd().Add(maxClockDifference)
+// mayBeStarted reports whether an earlier holder may have started a task of a job: it may have acted since
+// the job was accepted. The times of day of two VMs may differ, so that of the acceptance doesn't count.
+func (c *Cell) mayBeStarted(j *jobState) bool {
+	return j.restored && !j.acceptedAfter.After(c.earlierOrdersEnd())
 }
 
 // earlierOrdersEnd returns when earlier holders have certainly stopped sending orders.
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -200,6 +200,7 @@
 // the cell is superseded.
 func (r *Runner) load(ctx context.Context) error {
 	for {
+		began := r.Clock.Now()
 		stored, err := r.Archive.Load(ctx)
 		checked := r.Clock.Now()
 		if err == nil {
@@ -207,6 +208,7 @@
 		}
 		if err == nil {
 			r.restore(stored, checked)
+			r.JobsRead(began)
 			return nil
 		}
 		if errors.Is(err, ErrSuperseded) {
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -329,6 +329,9 @@
 	if !s.registryUnread {
 		s.cell.RegistryRead(s.now)
 	}
+	if !s.storeDown {
+		s.cell.JobsRead(s.now)
+	}
 	s.answerStarts()
 	s.pollAll()
 	s.findJobs()
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -83,6 +83,21 @@
 func (c *Cell) AddFound(now time.Time, job Job, progress *Progress) {
 	delete(c.departed, job.ID)
 	c.AddJob(now, job, progress, true)
+	c.jobs[job.ID].acceptedAfter = time.Time{}
+}
+
+// JobsRead records that all jobs are known that the store had in the cell at a time.
+func (c *Cell) JobsRead(until time.Time) {
+	if until.After(c.jobsReadAt) {
+		c.jobsReadAt = until
+	}
+}
+
+// JobsRead records that all jobs have been passed that the store had in the cell at a time.
+func (r *Runner) JobsRead(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Cell.JobsRead(until)
 }
 
 // findUnknownJobs looks up the jobs that aren't looked up already; the caller holds mu.
--- a/heldcells.go
+++ b/heldcells.go
@@ -131,7 +131,7 @@
 		},
 		{
 			Prefix: archiver.JobPrefix(cell), Wait: jobWait, BatchDelay: jobBatchPause,
-			Handler: &storedJobs{cell: cell, runner: runner},
+			Handler: &storedJobs{cell: cell, runner: runner}, Read: runner.JobsRead,
 		},
 	}
 	for i := range watches {
