dispatcher: random exits of workers, with tasks that last long

TestRandomExits: workers drain, take their registration back while their runs last, close their listener, lose their address to another worker, or are succeeded under their id; beside it crashes, late and lost answers, lists of one to four ends, an unavailable store, pauses and changes of the holder, tasks of up to 15 s.

--- a/dispatcher/successor_test.go
+++ b/dispatcher/successor_test.go
@@ -7,6 +7,9 @@
 	"zinniashore.example/dispatcher"
 )
 
+// earlierSuffix marks the ids of processes that have a successor; the holder doesn't know them.
+const earlierSuffix = " (earlier)"
+
 // succeed puts a new process of a worker, under its id and address, in the place of one that shuts down.
 // The runs of the earlier process last, and the holder doesn't reach it any more.
 func (s *simulation) succeed(earlier *fakeWorker) *fakeWorker {
@@ -16,7 +19,8 @@
 	next.running, next.highestRun = map[dispatcher.TaskID]*fakeRun{}, map[dispatcher.TaskID]int64{}
 	next.registration.Phase, next.registration.Remaining = dispatcher.PhaseReady, 0
 	next.registration.Boot = next.reportedBoot()
-	earlier.registration.ID += " (earlier)"
+	earlier.registration.ID += earlierSuffix
+	delete(s.registered, earlier)
 	for i, f := range s.workers {
 		if f == earlier {
 			s.workers[i] = &next
