--- a/dispatcher/unlistedend_test.go
+++ b/dispatcher/unlistedend_test.go
@@ -11,11 +11,11 @@
 // after the first answer of a worker, which lists only a part of its ends.
 func TestEndsBeyondListingOfNewHolder(t *testing.T) {
 	s := newSimulation(1)
-	s.workers[0].maxListedEnds = 500
-	s.workers[0].registration.Capacity = dispatcher.Size{MilliProcessors: 800000, Megabytes: 8000000}
+	s.workers[0].maxListedEnds = 50
+	s.workers[0].registration.Capacity = dispatcher.Size{MilliProcessors: 80000, Megabytes: 800000}
 	s.changeHolder(s.workers...)
 	s.runFor(200 * time.Millisecond)
-	s.submit(plainJob(jobID, 700, 200*time.Millisecond, 1))
+	s.submit(plainJob(jobID, 70, 200*time.Millisecond, 1))
 	s.step(50 * time.Millisecond)
 	s.workers[0].answersLost = true
 	s.runFor(time.Second)
