zinniashore: requests in progress are answered before the process exits

Cause: a stopping process waits until no request is in progress, for at most the shutdown grace less 1.5 s, then one second more, and closes the rest. A request may wait up to 2.85 s for a store or a holder that doesn't answer, and requests are taken on open connections until then.

Ruled out: requests that answer in time, which the shutdown waits for.

Change: at the end of the wait the requests in progress end as if their time was over: they are answered with what is known (503, or 504 for a job that may be stored).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -72,6 +72,9 @@
 	// StoreReached reports whether the store can be reached. While it can't, a job
 	// is refused before a write is sent to the store, which could commit later.
 	StoreReached func() bool
+	// Serving, if set, ends when the requests in progress must be answered at once, since the
+	// process is about to exit.
+	Serving context.Context
 
 	inFlight atomic.Int64
 	// refusals limits the log lines about unknown queues; refusalLimiter returns it.
@@ -100,6 +103,9 @@
 	timeout := platform.ClientTimeout(request, max(queue.Timeout, defaultTimeout))
 	ctx, cancel := context.WithTimeout(request.Context(), max(timeout-answerMargin, answerMargin))
 	defer cancel()
+	if a.Serving != nil {
+		defer context.AfterFunc(a.Serving, cancel)()
+	}
 	switch {
 	case rest == "" && request.Method == http.MethodGet:
 		a.pending(ctx, w, queue)
--- a/scheduler.go
+++ b/scheduler.go
@@ -65,6 +65,8 @@
 	store          *platform.Store
 	listeners      []*httpListener
 	draining       atomic.Bool
+	// endRequests makes the acceptor answer the requests in progress at once.
+	endRequests context.CancelFunc
 }
 
 // Listen builds the components and binds the addresses.
@@ -135,8 +137,11 @@
 		Peers: &otherHolders{self: s.Settings.Process, home: s.Settings.FailureDomain, claimer: s.claimer, peers: s.peerClient},
 	}
 	s.intake = acceptor.NewIntake(s.Clock, archive)
+	serving, endRequests := context.WithCancel(context.Background())
+	s.endRequests = endRequests
 	s.acceptor = &acceptor.Acceptor{
-		Clock: s.Clock, Configurations: s.configurations, Intake: s.intake, StoreReached: s.prober.StoreReached,
+		Serving: serving,
+		Clock:   s.Clock, Configurations: s.configurations, Intake: s.intake, StoreReached: s.prober.StoreReached,
 		Jobs: &jobRouter{
 			home: s.Settings.FailureDomain, self: s.Settings.Process, claimer: s.claimer, heldCells: s.heldCells,
 			archiver: archive, peers: s.peerClient, selector: selector,
@@ -213,6 +218,7 @@
 	for s.Clock.Now().Before(end) && (s.Clock.Now().Before(lameDuckEnd) || s.acceptor.InFlight() > 0) {
 		s.Clock.Sleep(drainPollInterval)
 	}
+	s.endRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	for _, l := range s.listeners {
