cmd/zinniashore: test processes reserve their ports against each other

Seen: with two soaks at once, a process of met "address already in use". Cause: freePorts kept the reserved ports in the memory of one test process; two processes could choose the same free ports before either bound them. Change: each reservation also locks a byte of one file below the temporary directory; the locks end with the test process. The ports move to a file of their own.

--- a/cmd/zinniashore/platform_test.go
+++ b/cmd/zinniashore/platform_test.go
@@ -6,15 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -45,48 +42,6 @@
 	callers   map[string]string
 }
 
-const (
-	// firstTestPort and testPorts give a range below the ephemeral ports of the kernel,
-	// so that a restarted process finds its ports free.
-	firstTestPort = 20000
-	testPorts     = 10000
-	// portsPerProcess is the number of ports of a process: clients, readiness, peers and
-	// metrics.
-	portsPerProcess = 4
-)
-
-// reservedPorts are the ports that were given to deployments of this test process, which
-// run in parallel and bind them later.
-var reservedPorts sync.Map
-
-// freePorts returns the first of portsPerProcess consecutive ports that are free and that
-// no other deployment gets.
-func freePorts(t *testing.T) int {
-	t.Helper()
-	for range 200 {
-		first := firstTestPort + portsPerProcess*rand.IntN(testPorts/portsPerProcess)
-		if !portsFree(first) {
-			continue
-		}
-		if _, taken := reservedPorts.LoadOrStore(first, true); !taken {
-			return first
-		}
-	}
-	t.Fatal("no free ports")
-	return 0
-}
-
-func portsFree(first int) bool {
-	for port := first; port < first+portsPerProcess; port++ {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			return false
-		}
-		defer listener.Close()
-	}
-	return true
-}
-
 func newPlatformDeployment(t *testing.T, binary string) *platformDeployment {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
