platform, dispatcher: only a whole listing tells that a run has ended

A poll answered by 200 without a listing (no body, null, no boot) was a listing without runs: after two of them the runs of the worker counted as lost, and their tasks started again while they lasted. A run whose row couldn't be read counted as not listed, with the same result; an end whose row couldn't be read was acknowledged with the next one, so that a task that was done started again.

Cause: a listing was taken as complete whatever was left out of it, and absence from it as an end. Ruled out: bodies that are cut off where the answer tells its length, or within the object, were unclear before.

A row that can't be read, unless it names a task that this system can't have named, makes the listing incomplete: no run counts as ended because it isn't listed, and ends are handled but not acknowledged until a listing is whole.

--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -102,7 +102,7 @@
 		if !w.restored {
 			continue
 		}
-		leased := !expired && (!w.epochAccepted || w.succeeded())
+		leased := !expired && (!w.epochAccepted || w.succeeded() || w.listedIncompletely)
 		longRunningWaits = longRunningWaits || leased
 		waits = waits || leased || !w.endsListed && !c.lost(w)
 	}
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -87,8 +87,9 @@
 	if sent.After(w.answeredAt) && sent.After(c.resumedAt) {
 		w.answeredAt, w.heardAt = sent, now
 	}
-	w.endsListed = w.endsListed || !listing.MoreEnds
-	c.handleEnds(now, w, listing.Ended)
+	w.listedIncompletely = listing.Incomplete
+	w.endsListed = w.endsListed || !listing.MoreEnds && !listing.Incomplete
+	c.handleEnds(now, w, listing)
 	c.handleRunning(now, sent, listedAt, w, listing)
 	c.observeTails(now, w)
 	c.activate(now)
@@ -109,11 +110,11 @@
 
 // handleEnds handles the new ends of a listing, in the order of their numbers. An end of
 // a job that isn't known yet keeps the later ones from being acknowledged, but not from
-// being handled.
-func (c *Cell) handleEnds(now time.Time, w *worker, rows []EndedRow) {
-	slices.SortFunc(rows, func(a, b EndedRow) int { return int(a.Number - b.Number) })
-	awaiting := false
-	for _, row := range rows {
+// being handled. So does an incomplete listing, in which any end may be missing.
+func (c *Cell) handleEnds(now time.Time, w *worker, listing Listing) {
+	slices.SortFunc(listing.Ended, func(a, b EndedRow) int { return int(a.Number - b.Number) })
+	awaiting := listing.Incomplete
+	for _, row := range listing.Ended {
 		if row.Number <= w.lastEnd {
 			continue
 		}
@@ -283,8 +284,8 @@
 		}
 	}
 	w.endTrial(now)
-	if listing.MoreEnds {
-		return // a run that isn't listed may be among the ends that follow
+	if listing.MoreEnds || listing.Incomplete {
+		return // a run that isn't listed may be among what is missing
 	}
 	for _, r := range w.sortedRuns() {
 		if r.lastsUntil.IsZero() && !listed[runKey{task: r.task.id, run: r.number}] {
--- a/dispatcher/saver.go
+++ b/dispatcher/saver.go
@@ -105,7 +105,7 @@
 	for {
 		r.mu.Lock()
 		w := r.Cell.workers[id]
-		pending := w != nil && w.lastEnd > w.acknowledgedEnd
+		pending := w != nil && (w.lastEnd > w.acknowledgedEnd || w.listedIncompletely)
 		stored := r.stored
 		r.mu.Unlock()
 		if !pending {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -219,7 +219,9 @@
 	handledAhead map[int64]bool
 	// awaitedEnds holds the listed ends of jobs that aren't known yet, by number.
 	awaitedEnds map[int64]EndedRow
-	runs        map[runKey]*run
+	// listedIncompletely is true if the newest listing was incomplete.
+	listedIncompletely bool
+	runs               map[runKey]*run
 	// used is the capacity that runs take. It excludes the processors of best-effort
 	// tasks, for which idleProcessors applies.
 	used Size
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -101,6 +101,9 @@
 	Ended   []EndedRow
 	// MoreEnds is true if the worker may have more ends than Ended contains.
 	MoreEnds bool
+	// Incomplete is true if the worker may have listed runs or ends that Running and Ended
+	// don't contain, because they couldn't be read.
+	Incomplete bool
 }
 
 // Answer is a worker's answer to an order.
