dispatcher: a successor shows no crash either if the registrations don't tell the boot

That a worker drained or took its registration back was read from its last registration, which the next process overwrites before a poll finds the new boot. Now it is noted (left) until a new boot answers, or the same one registers as ready. TestSuccessorWhileRunsLast, 'its registrations don't tell the boot', failed before with four tasks that ran twice, and passes.

TestWorkerThatShutsDown runs a third case with real processes: the worker's next process takes its address.

--- a/cmd/zinniashore/leaving_test.go
+++ b/cmd/zinniashore/leaving_test.go
@@ -59,20 +59,29 @@
 // leave announces that the worker leaves, and then shuts it down as a process does: it takes its
 // registration back, closes its address, and ends some time later with what runs there. closed, if
 // set, is called once the address is closed.
-func (w *leavingWorker) leave(d *platformDeployment, closed func(address string)) {
+func (w *leavingWorker) leave(t *testing.T, d *platformDeployment, closed func(*testing.T, *platformDeployment, *leavingWorker)) {
+	t.Helper()
 	w.register(d, "draining")
 	time.Sleep(leavingNotice)
 	d.store.Remove("servers/" + w.id)
 	w.proxy.setOpen(false)
 	w.link.reset()
 	if closed != nil {
-		closed(w.proxy.address())
+		closed(t, d, w)
 	}
 	time.Sleep(leavingShutdown)
 	w.worker.SetDown(true)
 	w.worker.Restart()
 }
 
+// listen starts another worker at the address that the worker has closed.
+func (w *leavingWorker) listen(t *testing.T, other *standin.PlatformWorker) {
+	t.Helper()
+	if _, err := standin.Listen(t.Context(), w.proxy.address(), other); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestWorkerThatShutsDown guards against two runs of a task: a worker that leaves has taken its
 // registration back and closed its address, but hasn't ended yet.
 func TestWorkerThatShutsDown(t *testing.T) {
@@ -80,13 +89,14 @@
 	if output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
-	tests := map[string]func(address string){
+	tests := map[string]func(*testing.T, *platformDeployment, *leavingWorker){
 		"its address refuses connections": nil,
-		"another worker takes its address": func(address string) {
-			other := &standin.PlatformWorker{ID: "oven-2", Ledger: &standin.PlatformLedger{}}
-			if _, err := standin.Listen(t.Context(), address, other); err != nil {
-				t.Error(err)
-			}
+		"another worker takes its address": func(t *testing.T, _ *platformDeployment, w *leavingWorker) {
+			w.listen(t, &standin.PlatformWorker{ID: "oven-2", Ledger: &standin.PlatformLedger{}})
+		},
+		"its next process takes its address": func(t *testing.T, d *platformDeployment, w *leavingWorker) {
+			w.listen(t, &standin.PlatformWorker{ID: w.id, Length: leavingLength, Ledger: d.ledger})
+			w.register(d, "ready")
 		},
 	}
 	for name, closed := range tests {
@@ -98,7 +108,7 @@
 			time.Sleep(settleTime)
 			d.submit("edge-0", id, leavingTasks)
 			d.await("started", func() bool { return d.ledger.Running(id+".0.0.0")+d.ledger.Running(id+".0.0.3") == 2 })
-			leaving.leave(d, closed)
+			leaving.leave(t, d, closed)
 			d.awaitState("edge-0", id, "completed")
 			for _, problem := range d.ledger.Problems() {
 				t.Error(problem)
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -33,6 +33,7 @@
 	}
 	w.registration = registration
 	w.registered = true
+	w.noteLeaving()
 	w.exitsAfter = now.Add(registration.Remaining)
 }
 
@@ -64,7 +65,7 @@
 	if !known || !w.registered {
 		return
 	}
-	w.registered = false
+	w.registered, w.left = false, true
 	w.absentSince = now
 	c.record(recorder.Event{Kind: KindWorker, VM: id, Detail: fmt.Sprintf("no longer registered, %d runs; %s", len(w.runs), c.describe(now, w))})
 }
@@ -94,6 +95,19 @@
 	}
 	w.boot = boot
 	w.bootSince = now
+	w.left = false
+	w.noteLeaving()
+}
+
+// noteLeaving notes what the registration tells of the process that was last heard: whether it drains, or
+// is back as ready.
+func (w *worker) noteLeaving() {
+	switch {
+	case w.registration.Phase == PhaseDraining || !w.registered:
+		w.left = true
+	case w.registration.Boot != 0 && w.registration.Boot == w.boot:
+		w.left = false
+	}
 }
 
 // handleRestart resets the state of a restarted worker and marks its runs as lost, those of a process that
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -178,6 +178,9 @@
 	// registered is true while the registry lists the worker. stored is true if the
 	// store lists it as a worker on which tasks may run.
 	registered, stored bool
+	// left is true once the process of the worker that was last heard has drained, or has not
+	// been registered, unless it has registered as ready since.
+	left bool
 	// absentSince is when the registry was first seen without the worker.
 	absentSince time.Time
 	// restored is true if an earlier holder used the worker.
@@ -299,8 +302,8 @@
 // mayShutDown reports whether a new process of the worker doesn't show that the earlier one has ended:
 // the earlier one drains, has taken its registration back, or isn't the one that is registered.
 func (w *worker) mayShutDown() bool {
-	r := w.registration
-	return r.Phase == PhaseDraining || !w.registered || r.Boot != 0 && r.Boot != w.boot
+	registered := w.registration.Boot
+	return w.left || registered != 0 && registered != w.boot
 }
 
 // succeeded reports whether another process than the one that an earlier holder saw draining, which
--- a/dispatcher/successor_test.go
+++ b/dispatcher/successor_test.go
@@ -43,6 +43,14 @@
 		s.runFor(300 * time.Millisecond)
 		s.register(next)
 	},
+	"its registrations don't tell the boot": func(s *simulation, earlier *fakeWorker) {
+		earlier.registration.Boot = 0
+		s.drain(earlier)
+		s.unregister(earlier)
+		next := s.succeed(earlier)
+		next.registration.Boot = 0
+		s.register(next)
+	},
 	"it took its registration back": func(s *simulation, earlier *fakeWorker) {
 		s.unregister(earlier)
 		s.runFor(50 * time.Millisecond)
