--- a/dispatcher/partreturn_test.go
+++ b/dispatcher/partreturn_test.go
@@ -58,3 +58,52 @@
 		t.Error("an old record takes the task back from the cell that runs it")
 	}
 }
+
+// TestReturnBeforeAnswer guards against tasks that no cell runs: a job or part that has left its cell is there again
+// before the holder handles the answer to the save by which it left.
+func TestReturnBeforeAnswer(t *testing.T) {
+	part := longRunningJob(jobID, 2, 1500)
+	part.Part, part.Home = []dispatcher.TaskID{{Job: jobID, Index: 1}}, "graz-b"
+	tests := map[string]struct {
+		job   dispatcher.Job
+		leave func(s *simulation)
+	}{
+		"a part": {job: part, leave: func(s *simulation) {
+			if id, found := s.cell.NextToReturn(s.now); found {
+				s.cell.ReturnPart(id)
+			}
+		}},
+		"a job": {job: plainJob(jobID, 1, 10*time.Second, 1), leave: func(s *simulation) {
+			if id, _, found := s.cell.NextToRelocate(s.now); found {
+				s.cell.Relocate(s.now, id, "graz-b")
+			}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newActiveSimulation(2)
+			s.submit(test.job)
+			s.runFor(500 * time.Millisecond)
+			leaveAll(s)
+			s.runFor(10 * time.Second)
+			test.leave(s)
+			batch := s.cell.NextBatch(s.now, 4)
+			if batch == nil || batch.Return == nil && batch.Relocation == nil {
+				t.Fatal("nothing leaves the cell")
+			}
+			s.archive.save(s.cell.Epoch, batch)
+			s.archive.jobs[jobID] = s.jobs[jobID]
+			s.cell.AddJob(s.now, s.jobs[jobID], nil, true)
+			s.cell.BatchStored(s.now, batch)
+			back := s.workers[0]
+			back.reboot()
+			back.registration.Phase, back.reachable, back.closed = dispatcher.PhaseReady, true, false
+			s.register(back)
+			s.runFor(8 * time.Second)
+			if len(back.running) != 1 {
+				t.Errorf("%d tasks run, want 1", len(back.running))
+			}
+			requireNoViolations(t, s)
+		})
+	}
+}
