dispatcher: look up a job that comes back while it leaves its cell

Seen: in TestReturnBeforeAnswer a part that was given back and delegated again, and a job that was relocated and came back, run in no cell.

Cause: a record of a job that the cell still knows, as the answer to the save by which the job left hasn't been handled, was ignored; when the answer was handled the job was removed. Nothing delivers the record a second time but a change of the holder. It takes an answer that is handled later than the other cell's save is seen: after a pause of the holder either may come first.

Ruled out: the record after the answer (the cell looks up departed jobs).

Change: a record that arrives while the job leaves is remembered, and once the job has left it is looked up in the store.

TestReturnBeforeAnswer failed in both cases (no task ran) and passes, as do the tests of parts, returns and relocations.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -189,6 +189,7 @@
 // in the store first.
 func (c *Cell) AddJob(now time.Time, job Job, progress *Progress, restored bool) {
 	if j, known := c.jobs[job.ID]; known {
+		j.deliveredAgain = j.deliveredAgain || j.relocating
 		c.extendPart(now, j, &job)
 		return
 	}
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -103,9 +103,13 @@
 	return true
 }
 
-// relocated removes a job whose relocation, or the return of whose part, is stored.
+// relocated removes a job whose relocation, or the return of whose part, is stored. If it may have come
+// back already, it is looked up in the store.
 func (c *Cell) relocated(now time.Time, id string) {
 	c.departed[id] = now
+	if j := c.jobs[id]; j != nil && j.deliveredAgain {
+		c.unknownJobs[id] = now.Add(-unknownJobTimeout)
+	}
 	delete(c.jobs, id)
 	delete(c.dirty, id)
 	delete(c.upcoming, id)
@@ -128,7 +132,7 @@
 // resume continues a job that isn't relocated.
 func (c *Cell) resume(now time.Time, id string) {
 	j := c.jobs[id]
-	j.relocating = false
+	j.relocating, j.deliveredAgain = false, false
 	if j.cancelDeferred {
 		c.Cancel(now, id)
 	}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -158,6 +158,9 @@
 	// relocating is true while the job is being relocated to another cell: nothing of it starts.
 	// cancelDeferred is true if it was cancelled meanwhile.
 	relocating, cancelDeferred bool
+	// deliveredAgain is true if a record of the job arrived while it was being relocated: the job may
+	// have come back since.
+	deliveredAgain bool
 	// returnedAt holds the revisions of the newest records by which other cells have given parts
 	// back, unstoredReturns the cells whose tasks the store still has as delegated.
 	returnedAt      map[string]int64
