archiver: red test: a relocation is repeated after the job has come back

TestRelocationRepeatedAfterReturn: a save whose answer was lost moves the job again, with the progress it had before: its tasks that were done meanwhile would run again.

--- a/archiver/relocation_test.go
+++ b/archiver/relocation_test.go
@@ -114,3 +114,25 @@
 		t.Errorf("the store holds %d items of a cell without a name (%v), want none", len(items), err)
 	}
 }
+
+// TestRelocationRepeatedAfterReturn guards against tasks that run a second time: the save of a relocation whose
+// answer was lost was repeated after the new cell had relocated the job back, with its progress.
+func TestRelocationRepeatedAfterReturn(t *testing.T) {
+	a, store := newArchiver(t)
+	acceptPlain(t, a)
+	archive := startTerm(t, a, store)
+	first := relocationBatch()
+	mustSave(t, archive, first)
+	back := relocationBatch()
+	back.Relocation.Cell = cell
+	back.Relocation.Job.Progress = &dispatcher.Progress{State: dispatcher.StateRunning, Finished: []int{0}}
+	mustSave(t, startTermOf(t, a, store, otherCell), back)
+	mustSave(t, archive, first)
+	if home, err := a.Cell(t.Context(), jobID); home != cell || err != nil {
+		t.Errorf("the job's cell is %q (%v), want %q", home, err, cell)
+	}
+	stored, found, err := archive.Find(t.Context(), jobID)
+	if err != nil || !found || stored.Job.Progress == nil {
+		t.Errorf("the cell finds %+v (%v, %v), want the job with its progress", stored, found, err)
+	}
+}
