archiver: don't repeat a relocation after the job has come back

Seen: in TestRelocationRepeatedAfterReturn a job that was relocated and came back with its progress is moved again, with the progress from before: in the other cell what was done meanwhile would run a second time.

Cause: the repeated save of a relocation whose answer was lost was recognised by the job's cell alone. A job that has come back has the old one. It takes a save that stays unanswered for as long as the other cell needs to lose its workers, as in an outage of the store while failure domains drain one after the other.

Ruled out: the late execution of the first save (conditional on the id's revision), and a job that has moved on to a third cell (TestRepeatedRelocation).

Change: the revision of the job's id at the first attempt is kept; once it has changed the job has left.

The test failed before the change and passes, as do the tests of the package with -race.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -225,6 +225,10 @@
 	// activeEpoch is the newest epoch under which a holder of the cell became active, as far
 	// as it is known.
 	activeEpoch int64
+	// relocation is the relocation that was last saved, relocatedFrom the revision of the job's id at
+	// the first attempt.
+	relocation    *dispatcher.Relocation
+	relocatedFrom int64
 }
 
 // saveMessage is the value that each save of a cell writes.
--- a/archiver/save.go
+++ b/archiver/save.go
@@ -63,14 +63,21 @@
 	return err
 }
 
-// addRelocation adds the rows that move a job to another cell, unless it has left this one: an earlier
-// save whose answer was lost has moved it. A job that has been cancelled through the store isn't moved.
+// addRelocation adds the rows that move a job to another cell, unless it has left this one, and perhaps
+// come back: an earlier save whose answer was lost has moved it. A job that has been cancelled through the
+// store isn't moved.
 func (a *CellArchive) addRelocation(ctx context.Context, transaction *platform.Transaction, r *dispatcher.Relocation) error {
 	id := r.Job.ID
 	home, err := a.Archiver.Store.Get(ctx, idPrefix+id)
-	if err != nil || string(home.Value) != a.Cell {
+	if err != nil {
 		return err
 	}
+	if a.relocation != r {
+		a.relocation, a.relocatedFrom = r, home.Revision
+	}
+	if string(home.Value) != a.Cell || home.Revision != a.relocatedFrom {
+		return nil
+	}
 	record, err := dispatcher.EncodeJob(r.Job)
 	if err != nil {
 		return err
