cmd/zinniashore: long cases of the soak, nearer to the users' runs

The soak's tasks lasted 1.55 s at most, so that none of them was active any more when the effect of a fault came 2 s later, and its workers were few and left one at a time. Change: -soak.long (soakCase.long) runs tasks of up to 6 s with estimates of 0.1 to 6.4 s, up to 16 a step, on eight workers a domain. The stand-in has Freeze, Fits, LateEvery and RefuseEvery for that. The checks are the same; the time to settle is 60 s in long cases, whose jobs last longer. Plans and tasks of the other cases stay as they are.

--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -24,6 +24,7 @@
 	soakProcesses = flag.Int("soak.processes", 0, "number of processes of each seed; 0 leaves it to the seed")
 	soakDeadly    = flag.Bool("soak.deadly", false, "submit jobs with a task that crashes each worker that starts it")
 	soakChanges   = flag.Bool("soak.changes", false, "only change the configuration and make the store silent, with calm times between")
+	soakLong      = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, beside long outages of the store")
 	soakLogs      = flag.String("soak.logs", "", "directory in which the logs of failed seeds are kept; by default one below the temporary directory")
 )
 
@@ -66,6 +67,8 @@
 	deadly bool
 	// changes leaves out all faults but silences of the store and changes of the configuration.
 	changes bool
+	// long adds what soakLongKinds and soakOutageKinds name to tasks of seconds on many workers.
+	long bool
 }
 
 // soakCases run in CI. A seed that failed once has its cause as its name.
@@ -96,6 +99,7 @@
 	t      *testing.T
 	seed   uint64
 	deadly bool
+	long   bool
 	binary string
 	logs   string
 	began  time.Time
@@ -149,7 +153,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &soak{
-		t: t, seed: c.seed, deadly: c.deadly, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
+		t: t, seed: c.seed, deadly: c.deadly, long: c.long, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
 		callers: map[workerConnection]string{}, jobs: map[string]*soakJob{}, innocent: map[string]bool{}, absences: map[string][]soakSpan{},
 		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, versions: soakVersions{shown: map[string][]soakShown{}},
 	}
@@ -166,11 +170,12 @@
 		}
 		s.addProcess(fmt.Sprintf("edge-%d", i), domain)
 	}
-	for range 4 {
+	first, second := s.workerCounts()
+	for range first {
 		s.addWorker("graz-a", rng)
 	}
 	if len(s.processes) > 3 {
-		for range 3 {
+		for range second {
 			s.addWorker("graz-b", rng)
 		}
 	}
@@ -235,7 +240,7 @@
 	}
 	s.mu.Unlock()
 	states := map[string]string{}
-	for len(open) > 0 && time.Since(s.lastFault(ended)) < soakSettle && time.Since(ended) < soakLongest {
+	for len(open) > 0 && time.Since(s.lastFault(ended)) < s.settleTime() && time.Since(ended) < soakLongest {
 		for id, job := range open {
 			job.mu.Lock()
 			acknowledged := !job.cancelAcknowledged.IsZero()
@@ -272,7 +277,7 @@
 		cases = map[string]soakCase{}
 		for i := range *soakSeeds {
 			seed := *soakFirst + uint64(i)
-			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges}
+			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong}
 		}
 	}
 	names := make([]string, 0, len(cases))
--- a/cmd/zinniashore/soakclient_test.go
+++ b/cmd/zinniashore/soakclient_test.go
@@ -93,13 +93,18 @@
 // sized gives the tasks of each step a size that follows from the job's id.
 func (j *soakJob) sized() *soakJob {
 	for i := range j.steps {
-		hash := hashOf(fmt.Sprint(j.id, i))
-		j.steps[i].CPU = 250 << (hash % 4)
-		j.steps[i].MemoryMB = 100 << (hash / 4 % 6)
+		size := stepSize(j.id, i)
+		j.steps[i].CPU, j.steps[i].MemoryMB = size.processors, size.megabytes
 	}
 	return j
 }
 
+// stepSize returns the size of the tasks of a step.
+func stepSize(job string, step int) soakSize {
+	hash := hashOf(fmt.Sprint(job, step))
+	return soakSize{processors: 250 << (hash % 4), megabytes: 100 << (hash / 4 % 6)}
+}
+
 // soakClient sends calls over connections that it keeps until they end.
 type soakClient struct {
 	s       *soak
@@ -184,12 +189,15 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(100+c.rng.IntN(500)) * time.Millisecond):
+		case <-time.After(time.Duration(100+c.rng.IntN(500)) * time.Millisecond * c.s.callSpacing()):
 		}
 		switch choice := c.rng.IntN(10); {
 		case choice < 4 || len(c.jobs) == 0:
 			c.next++
 			job := randomJob(c.next, c.s.deadly, c.rng)
+			if c.s.long {
+				job.enlarge(c.rng)
+			}
 			c.s.addJob(job)
 			c.jobs = append(c.jobs, job)
 			c.submit(job)
--- a/cmd/zinniashore/soakconfig_test.go
+++ b/cmd/zinniashore/soakconfig_test.go
@@ -111,7 +111,7 @@
 var soakConfigurationFaults = map[string]bool{
 	"kill a process": false, "kill a holder": false, "freeze a process": false, "freeze a holder": false,
 	"store refuses a process": false, "link to the store": false,
-	"store unavailable": true, "store loses answers": true, "store silent": true, "store's connections silent": true, "kill all processes": true,
+	"store unavailable": true, "store loses answers": true, "store silent": true, "store away": true, "store's connections silent": true, "kill all processes": true,
 }
 
 // informed reports whether nothing has kept a process from having the configuration: no such
--- a/cmd/zinniashore/soakfaults_test.go
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -57,7 +57,11 @@
 	plan := drawFaults(rand.New(rand.NewPCG(seed, 1<<32)), soakKinds, soakFaultEvery, length)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 2<<32)), soakFleetKinds, soakFleetEvery, length)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3<<32)), soakSeriesKinds, soakSeriesEvery, length)...)
-	return append(plan, drawFaults(rand.New(rand.NewPCG(seed, 4<<32)), soakSilentKinds, soakSilentEvery, length)...)
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 4<<32)), soakSilentKinds, soakSilentEvery, length)...)
+	if c.long {
+		plan = append(plan, longFaults(seed, length)...)
+	}
+	return plan
 }
 
 // drawFaults draws faults that begin once in each interval on average.
@@ -137,7 +141,7 @@
 			span.to = time.Now()
 		}()
 	}
-	if s.injectProcess(f, p) || s.injectStore(f, p) || s.injectSeries(f, p) {
+	if s.injectProcess(f, p) || s.injectStore(f, p) || s.injectSeries(f, p) || s.injectLong(f, p) {
 		return
 	}
 	s.injectWorker(f, p)
--- a/cmd/zinniashore/soakinformed_test.go
+++ b/cmd/zinniashore/soakinformed_test.go
@@ -28,12 +28,15 @@
 	"store loses answers":        {allProcesses: true},
 	"store silent":               {allProcesses: true},
 	"store's connections silent": {allProcesses: true},
+	"store away":                 {allProcesses: true},
 	"store refuses a process":    {},
 	"link to the store":          {},
 	"freeze a process":           {delaysOrders: true},
 	"freeze a holder":            {delaysOrders: true},
 	"link to a worker":           {delaysOrders: true},
 	"links to all workers":       {delaysOrders: true},
+	"workers frozen":             {allProcesses: true, delaysOrders: true},
+	"calls carried out late":     {allProcesses: true, delaysOrders: true},
 }
 
 // undisturbed returns the begin of the last span before a time which is as long as given
--- a/cmd/zinniashore/soakworker_test.go
+++ b/cmd/zinniashore/soakworker_test.go
@@ -52,7 +52,7 @@
 	s.mu.Unlock()
 	w.worker = &standin.PlatformWorker{
 		ID: w.id, Ledger: s.ledger, MaxLease: soakMaxLease, ClockRate: 1 - 0.02*rng.Float64(),
-		LengthOf:    func(task string) time.Duration { return time.Duration(50+hashOf(task)%1500) * time.Millisecond },
+		LengthOf:    s.lengthOf,
 		LongRunning: func(task string) bool { return strings.HasPrefix(task, "ff") },
 		OutcomeOf: func(task string, run int64) string {
 			if hashOf(fmt.Sprint(task, run))%20 == 0 {
@@ -63,6 +63,9 @@
 		CrashedBy: crashesWorkers, CrashTime: soakCrash, StopTime: soakStop,
 		Caller: func(remote string) string { return s.caller(workerConnection{w.id, remote}) },
 	}
+	if s.refusesExcess() {
+		w.worker.Fits = fitsWorker
+	}
 	ctx, stop := context.WithCancel(s.ctx)
 	bound, err := standin.Listen(ctx, "127.0.0.1:0", w.worker)
 	if err != nil {
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -36,6 +36,9 @@
 	MaxLease time.Duration
 	// ClockRate is the rate of the worker's clock; 0 means 1.
 	ClockRate float64
+	// Fits, if set, reports whether a task fits beside those that run; a start of one that
+	// doesn't is refused.
+	Fits func(task string, running []string) bool
 	// Caller, if set, names the process at the remote address of a call.
 	Caller func(remote string) string
 	// Ledger records the runs of all workers.
@@ -48,6 +51,7 @@
 	connections    map[string]workerConnection
 	down           bool
 	crashedUntil   time.Time
+	frozenUntil    time.Time
 	lapsed         bool
 	booted         time.Time
 	epoch          int64
@@ -68,6 +72,20 @@
 	DelayEvery int
 	// Delay is the delay of these answers.
 	Delay time.Duration
+	// LateEvery carries out every LateEvery-th call Late after its arrival and loses its
+	// answer, if above 0.
+	LateEvery int
+	// Late is how long these calls are held back.
+	Late time.Duration
+	// RefuseEvery refuses every RefuseEvery-th call with status 503, if above 0; nothing of
+	// it is carried out.
+	RefuseEvery int
+}
+
+// platformCallFaults are the faults that apply to a call.
+type platformCallFaults struct {
+	refused, drop bool
+	late, delay   time.Duration
 }
 
 type platformRun struct {
@@ -215,15 +233,21 @@
 	}
 	call := strings.TrimPrefix(r.URL.Path, "/api/")
 	deadline := time.Now().Add(time.Duration(command.Wait) * time.Millisecond)
-	life, drop, delay := w.admit(r.RemoteAddr)
+	life, faults := w.admit(r.RemoteAddr)
+	if faults.refused {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(faults.late)
 	for {
+		w.awaitThaw()
 		answer, status, wait := w.execute(call, command, life)
-		if answer == nil || drop && !wait {
+		if answer == nil || faults.drop && !wait {
 			dropConnection(rw)
 			return
 		}
 		if !wait || time.Now().After(deadline) {
-			time.Sleep(delay)
+			time.Sleep(faults.delay)
 			rw.Header().Set("Content-Type", "application/json")
 			rw.WriteHeader(status)
 			// The error is ignored: the client may have disconnected.
@@ -234,20 +258,47 @@
 	}
 }
 
+// Freeze stops the worker for a time: calls are carried out once it has passed, while the
+// clock and what runs go on.
+func (w *PlatformWorker) Freeze(length time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if until := time.Now().Add(length); until.After(w.frozenUntil) {
+		w.frozenUntil = until
+	}
+}
+
+// awaitThaw waits until the worker isn't frozen.
+func (w *PlatformWorker) awaitThaw() {
+	for {
+		w.mu.Lock()
+		remaining := time.Until(w.frozenUntil)
+		w.mu.Unlock()
+		if remaining <= 0 {
+			return
+		}
+		time.Sleep(remaining)
+	}
+}
+
 // admit returns the life of the worker that a call from a remote address belongs to, and
-// which faults apply to the call.
-func (w *PlatformWorker) admit(remote string) (life int, drop bool, delay time.Duration) {
+// the faults that apply to the call.
+func (w *PlatformWorker) admit(remote string) (int, platformCallFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls++
-	drop = w.faults.DropEvery > 0 && w.calls%w.faults.DropEvery == 0
-	if w.faults.DelayEvery > 0 && w.calls%w.faults.DelayEvery == 0 {
-		delay = w.faults.Delay
+	hits := func(every int) bool { return every > 0 && w.calls%every == 0 }
+	faults := platformCallFaults{refused: hits(w.faults.RefuseEvery), drop: hits(w.faults.DropEvery)}
+	if hits(w.faults.DelayEvery) {
+		faults.delay = w.faults.Delay
+	}
+	if hits(w.faults.LateEvery) {
+		faults.late, faults.drop = w.faults.Late, true
 	}
 	if c, tracked := w.connections[remote]; tracked {
-		return c.life, drop, delay
+		return c.life, faults
 	}
-	return w.life, drop, delay
+	return w.life, faults
 }
 
 func (w *PlatformWorker) rate() float64 {
@@ -312,6 +363,8 @@
 	case run != nil && run.number == command.Run:
 	case run != nil || command.Run <= w.highestRun[command.Task]:
 		return w.conflict("old")
+	case !w.fits(command.Task):
+		return w.conflict("room")
 	default:
 		length, outcome := w.Length, "done"
 		if w.LengthOf != nil {
@@ -336,6 +389,18 @@
 	return map[string]any{"clock-ms": w.clock()}, http.StatusOK, false
 }
 
+// fits reports whether a task fits beside those that run; the caller holds the mutex.
+func (w *PlatformWorker) fits(task string) bool {
+	if w.Fits == nil {
+		return true
+	}
+	running := make([]string, 0, len(w.runs))
+	for other := range w.runs {
+		running = append(running, other)
+	}
+	return w.Fits(task, running)
+}
+
 func (w *PlatformWorker) stop(command platformCommand) {
 	w.highestRun[command.Task] = max(w.highestRun[command.Task], command.Run)
 	if run := w.runs[command.Task]; run != nil && run.number == command.Run {
