cmd/zinniashore: gangs and rarer faults in the long cases of the soak

One end as done that was acknowledged represents the gang, so that a start of any of its tasks after it is reported; so is a task that waits in vain while nothing disturbs the system. A job may be shown as given up after crashes of as many workers as before; a worker that crashes under several tasks of a gang counts once.

--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -129,6 +129,7 @@
 	// busy delays the stand-ins as well.
 	longestPause time.Duration
 	domains      map[string]string
+	gangs        soakGangs
 	versions     soakVersions
 }
 
--- a/cmd/zinniashore/soakcheck_test.go
+++ b/cmd/zinniashore/soakcheck_test.go
@@ -106,6 +106,17 @@
 	return h
 }
 
+// outcomes returns how many runs ended in each way.
+func (h *soakHistory) outcomes() map[string]int {
+	counts := map[string]int{}
+	for _, runs := range h.runs {
+		for _, r := range runs {
+			counts[r.outcome]++
+		}
+	}
+	return counts
+}
+
 // describe returns the history of a task, with times since the start of the soak.
 func (h *soakHistory) describe(task string, began time.Time) string {
 	since := func(t time.Time) string {
@@ -136,6 +147,7 @@
 		s.checkRuns(h, task, runs)
 		s.checkTask(h, task, runs)
 		s.checkCrashes(task, runs)
+		s.checkGang(h, task, runs)
 	}
 	for epoch, callers := range h.callers {
 		if len(callers) > 1 {
@@ -217,7 +229,7 @@
 		for _, before := range job.steps[step].After {
 			for i := range job.steps[before].Count {
 				needed := fmt.Sprintf("%s.%s.%d.%d", fields[0], fields[1], before, i)
-				if !doneBefore(h.runs[needed], run.start) {
+				if !s.doneBefore(h, needed, run.start) {
 					s.report(fmt.Sprintf("ORDER: run %d of %s started before %s was done", run.run, task, needed), task, needed)
 				}
 			}
@@ -225,10 +237,13 @@
 	}
 }
 
-func doneBefore(runs []*soakRun, t time.Time) bool {
-	for _, r := range runs {
-		if r.outcome == "done" && !r.end.IsZero() && r.end.Before(t) {
-			return true
+// doneBefore reports whether a task, or another one of its gang, was done before a time.
+func (s *soak) doneBefore(h *soakHistory, task string, t time.Time) bool {
+	for _, member := range s.gangs.members(task) {
+		for _, r := range h.runs[member] {
+			if r.outcome == "done" && !r.end.IsZero() && r.end.Before(t) {
+				return true
+			}
 		}
 	}
 	return false
@@ -243,7 +258,7 @@
 	switch state {
 	case "completed":
 		for _, task := range tasks {
-			if s.ledger.Done(task) == 0 {
+			if s.countDone(task) == 0 {
 				s.report(fmt.Sprintf("MIXED: %s shows %s as completed, and %s isn't done", process, job.id, task), task)
 			}
 		}
@@ -267,7 +282,7 @@
 
 func (s *soak) hasFailed(tasks []string) bool {
 	for _, task := range tasks {
-		if s.countEnds(task, "failed") >= soakAttempts {
+		if s.countFailed(task) >= soakAttempts {
 			return true
 		}
 	}
@@ -279,13 +294,15 @@
 func (s *soak) mayBeGivenUp(job *soakJob) bool {
 	h := newSoakHistory(s.ledger.Events(), s.domainOf)
 	for _, task := range job.tasks() {
-		crashes := 0
-		for _, r := range h.runs[task] {
-			if r.outcome == "crashed" && r.end.Sub(r.start) < soakYoung {
-				crashes++
+		crashed := map[soakLife]bool{}
+		for _, member := range s.gangs.members(task) {
+			for _, r := range h.runs[member] {
+				if r.outcome == "crashed" && r.end.Sub(r.start) < soakYoung {
+					crashed[soakLife{r.worker, r.life}] = true
+				}
 			}
 		}
-		if crashes >= soakGivenUp {
+		if len(crashed) >= soakGivenUp {
 			s.noteGivenUp(job)
 			return true
 		}
--- a/cmd/zinniashore/soakclient_test.go
+++ b/cmd/zinniashore/soakclient_test.go
@@ -34,6 +34,7 @@
 	EstimateMS  int   `json:"estimate-ms,omitempty"`
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"long-running,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
 }
 
 // soakJob is a job and what clients know of it.
@@ -197,6 +198,7 @@
 			job := randomJob(c.next, c.s.deadly, c.rng)
 			if c.s.long {
 				job.enlarge(c.rng)
+				c.s.gangs.add(job)
 			}
 			c.s.addJob(job)
 			c.jobs = append(c.jobs, job)
--- a/cmd/zinniashore/soakfaults_test.go
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -59,7 +59,7 @@
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3<<32)), soakSeriesKinds, soakSeriesEvery, length)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 4<<32)), soakSilentKinds, soakSilentEvery, length)...)
 	if c.long {
-		plan = append(plan, longFaults(seed, length)...)
+		return longPlan(plan, seed, length)
 	}
 	return plan
 }
--- a/cmd/zinniashore/soaklong_test.go
+++ b/cmd/zinniashore/soaklong_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	// shortest one and a multiple of that of other faults.
 	soakShortestOutage = 6 * time.Second
 	soakOutageStretch  = 5
+	// soakSparse is how many times fewer faults half of the long cases have.
+	soakSparse = 5
 	// soakLongestHold is the longest time for which a worker holds back a call.
 	soakLongestHold = 4 * time.Second
 )
@@ -46,9 +49,13 @@
 	soakOutageKinds = []soakKind{{"store away", 1}}
 )
 
-// longFaults returns the faults that a long case adds.
-func longFaults(seed uint64, length time.Duration) []soakFault {
-	plan := drawFaults(rand.New(rand.NewPCG(seed, 6<<32)), soakLongKinds, soakLongEvery, length)
+// longPlan adds the faults of a long case to a plan. Half of these cases have few faults, so that
+// most leases last.
+func longPlan(plan []soakFault, seed uint64, length time.Duration) []soakFault {
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 6<<32)), soakLongKinds, soakLongEvery, length)...)
+	if seed/4%2 == 1 {
+		plan = slices.DeleteFunc(plan, func(f soakFault) bool { return f.number%soakSparse != 0 })
+	}
 	if seed%4 < 2 {
 		return plan
 	}
@@ -101,8 +108,12 @@
 		if rng.IntN(soakManyEvery) == 0 {
 			j.steps[i].Count = 1 + rng.IntN(soakManyTasks)
 		}
-		if !j.longRunning() {
-			j.steps[i].EstimateMS = 100 << rng.IntN(7)
+		if j.longRunning() {
+			continue
+		}
+		j.steps[i].EstimateMS = 100 << rng.IntN(7)
+		if rng.IntN(soakGangEvery) == 0 {
+			j.steps[i].Count, j.steps[i].Gang = 2+rng.IntN(soakGangTasks-1), true
 		}
 	}
 }
--- a/cmd/zinniashore/soakreport_test.go
+++ b/cmd/zinniashore/soakreport_test.go
@@ -67,6 +67,7 @@
 	s.t.Logf("seed %d: %d processes, %d faults, %d jobs (%d accepted, %d refused, %d given up), %d tasks started, %d starts on shrunk workers, %d versions, %d answers checked for them, %s, longest pause %s", s.seed, len(s.processes),
 		len(plan), len(s.jobs), accepted, refused, len(s.innocent), len(history.runs), history.shrunk, len(s.versions.acknowledged), s.versions.checked, time.Since(s.began).Round(time.Second), s.longestPause.Round(time.Millisecond))
 	s.mu.Unlock()
+	s.t.Logf("seed %d: ends of runs %v, %d tasks of gangs done", s.seed, history.outcomes(), s.gangs.done(history))
 	if accepted == 0 || len(history.runs) == 0 {
 		s.t.Errorf("seed %d: nothing ran", s.seed)
 	}
--- a/cmd/zinniashore/soakworker_test.go
+++ b/cmd/zinniashore/soakworker_test.go
@@ -63,6 +63,9 @@
 		CrashedBy: crashesWorkers, CrashTime: soakCrash, StopTime: soakStop,
 		Caller: func(remote string) string { return s.caller(workerConnection{w.id, remote}) },
 	}
+	if s.long {
+		w.worker.Gangs = s.gangs.platform()
+	}
 	if s.refusesExcess() {
 		w.worker.Fits = fitsWorker
 	}
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -39,6 +39,8 @@
 	// Fits, if set, reports whether a task fits beside those that run; a start of one that
 	// doesn't is refused.
 	Fits func(task string, running []string) bool
+	// Gangs, if set, are the gangs that tasks of this worker and of others belong to.
+	Gangs *PlatformGangs
 	// Caller, if set, names the process at the remote address of a call.
 	Caller func(remote string) string
 	// Ledger records the runs of all workers.
@@ -92,6 +94,27 @@
 	number  int64
 	endsAt  time.Time
 	outcome string
+	// gang is nil for a run that belongs to none.
+	gang *platformGang
+}
+
+// due returns when and how a run ends while the lease lasts.
+func (r *platformRun) due(task string) (time.Time, string) {
+	if r.gang == nil {
+		return r.endsAt, r.outcome
+	}
+	end, outcome := r.gang.due(task)
+	if r.outcome == "stopped" && r.endsAt.Before(end) {
+		return r.endsAt, r.outcome
+	}
+	return end, outcome
+}
+
+// end notes how a run has ended.
+func (r *platformRun) end(end time.Time, outcome string) {
+	if r.gang != nil && outcome != "done" {
+		r.gang.leave(end)
+	}
 }
 
 type platformEnd struct {
@@ -138,6 +161,7 @@
 	w.boot()
 	w.endDueRuns()
 	for task, run := range w.runs {
+		run.end(time.Now(), "crashed")
 		w.Ledger.endRun(task, "crashed")
 		w.record(PlatformEvent{Time: time.Now(), Kind: "end", Task: task, Run: run.number, Outcome: "crashed"})
 	}
@@ -377,7 +401,8 @@
 		if w.LongRunning != nil && w.LongRunning(command.Task) {
 			endsAt = time.Now().Add(time.Hour)
 		}
-		w.runs[command.Task] = &platformRun{number: command.Run, endsAt: endsAt, outcome: outcome}
+		gang := w.Gangs.join(command.Task, command.Run, length, outcome)
+		w.runs[command.Task] = &platformRun{number: command.Run, endsAt: endsAt, outcome: outcome, gang: gang}
 		w.Ledger.startRun(command.Task)
 		w.record(PlatformEvent{Time: time.Now(), Kind: "start", Task: command.Task, Run: command.Run, Epoch: command.Epoch, Caller: command.caller})
 		if w.CrashedBy != nil && w.CrashedBy(command.Task) {
@@ -404,7 +429,9 @@
 func (w *PlatformWorker) stop(command platformCommand) {
 	w.highestRun[command.Task] = max(w.highestRun[command.Task], command.Run)
 	if run := w.runs[command.Task]; run != nil && run.number == command.Run {
-		if end := time.Now().Add(w.StopTime); end.Before(run.endsAt) {
+		due, _ := run.due(command.Task)
+		run.endsAt = due
+		if end := time.Now().Add(w.StopTime); end.Before(due) {
 			run.endsAt = end
 		}
 		run.outcome = "stopped"
@@ -420,7 +447,7 @@
 		w.record(PlatformEvent{Time: leaseEnd, Kind: "lapsed"})
 	}
 	for task, run := range w.runs {
-		end, outcome := run.endsAt, run.outcome
+		end, outcome := run.due(task)
 		if leaseEnd.Before(end) {
 			end, outcome = leaseEnd, "lapsed"
 		}
@@ -428,6 +455,7 @@
 			continue
 		}
 		delete(w.runs, task)
+		run.end(end, outcome)
 		w.highestRun[task] = max(w.highestRun[task], run.number)
 		w.endCount++
 		w.unacknowledged = append(w.unacknowledged, platformEnd{number: w.endCount, task: task, run: run.number, outcome: outcome})
