dispatcher: red test: a waiting larger task hides places, and runs move for parts

Two more cases of what may happen to a long-running task that is sent to a cell full of short tasks.

--- a/dispatcher/waitingtask_test.go
+++ b/dispatcher/waitingtask_test.go
@@ -183,7 +183,7 @@
 // in a cell that is full of such tasks, while other cells start one short task after another.
 func TestLongRunningTaskBesideFullCells(t *testing.T) {
 	const home, other = "graz-a", "graz-b"
-	const blockingID = "00000000000000f0"
+	const blockingID, largeID = "00000000000000f0", "00000000000000f1"
 	tests := map[string]struct {
 		// fill fills the cells.
 		fill func(c *connectedCells)
@@ -204,6 +204,15 @@
 			},
 			wantHome: 2, wantOther: 1,
 		},
+		"a larger task waits in the other cell": {
+			fill: func(c *connectedCells) {
+				c.add(home, longRunningJob(blockingID, 2, 1900))
+				c.add(other, longRunningJob(otherID, 1, 1900))
+				c.add(other, longRunningJob(largeID, 1, 3000))
+				c.addShort(other)
+			},
+			wantHome: 2, wantOther: 2,
+		},
 		"both full of short tasks": {
 			fill: func(c *connectedCells) {
 				c.addShort(home)
@@ -237,3 +246,26 @@
 		})
 	}
 }
+
+// TestPartWaitsForShortTasks guards against long-running tasks that are stopped to make room for
+// a delegated one, although short tasks are about to do so.
+func TestPartWaitsForShortTasks(t *testing.T) {
+	s := newActiveSimulation(1)
+	s.submit(longRunningJob(jobID, 1, 1900))
+	s.submit(plainJob(shortPrefix+"000000000000001", 2, 3*time.Second, 1))
+	s.advance(500 * time.Millisecond)
+	part := longRunningJob(otherID, 1, 1900)
+	part.Part = []dispatcher.TaskID{{Job: otherID}}
+	s.add(part, false)
+	for range 40 {
+		s.advance(50 * time.Millisecond)
+		if id, _, moves := s.cell.NextToMove(s.now); moves {
+			t.Fatalf("%s is to be moved for the part", id)
+		}
+	}
+	s.advance(3 * time.Second)
+	if got := s.running[part.Part[0]]; got != 1 {
+		t.Errorf("the delegated task has %d runs, want 1", got)
+	}
+	requireNoViolations(t, s)
+}
