dispatcher: long-running tasks go to cells whose short tasks will make room

What callers saw: LOST: a long-running task "doesn't run, with capacity for it", after half of a failure domain's workers have left while its processes restarted.

Cause: a task that found no place at home was sent to a cell with a place free at that moment only, as long as some worker at home could have run it with all of its capacity free (Capable). In busy cells short tasks take each place as it becomes free, so the task waited at home without end, behind long-running tasks. The later places that a cell reports, beside its long-running tasks, were asked for only if the home cell had no such worker at all. They were also reduced by each waiting task, even one that fits nowhere there.

Change: the waiting long-running tasks are assigned, in their order, to what the long-running tasks of the cell leave. A task that gets nothing at home may go to a later place of another cell; there it comes first and gets a worker reserved. Later places are what remains after the same assignment. A part that will get a place stops no other run meanwhile.

Cost: short tasks wait while workers are reserved.

--- a/dispatcher/capacity.go
+++ b/dispatcher/capacity.go
@@ -9,7 +9,7 @@
 	// subtracted: they found no place in this cell.
 	Places int
 	// LaterPlaces is the number of tasks of the step that could start once all tasks that aren't
-	// long-running have ended, less the long-running tasks that wait.
+	// long-running have ended, beside the long-running tasks that wait and fit.
 	LaterPlaces int
 	// Load is the share of the cell's processors that running and waiting tasks take.
 	Load float64
@@ -27,7 +27,6 @@
 		taken += w.registration.Capacity.MilliProcessors - w.idleProcessors()
 		if c.healthy(now, w) && w.hasLabel(step.Label) {
 			free.Places += c.places(w, step)
-			free.LaterPlaces += w.laterPlaces(step)
 		}
 	}
 	for _, t := range c.ready {
@@ -35,14 +34,11 @@
 			continue
 		}
 		taken += t.step.step.Size.MilliProcessors
-		if t.step.step.LongRunning {
-			free.LaterPlaces--
-		}
 		if t.step.step.kind() == step.kind() && now.Sub(t.readyAt) < tickInterval {
 			free.Places--
 		}
 	}
-	free.Places, free.LaterPlaces = max(0, free.Places), max(0, free.LaterPlaces)
+	free.Places, free.LaterPlaces = max(0, free.Places), c.laterPlaces(now, service, step)
 	free.Load = float64(taken) / float64(max(capacity, 1))
 	return free
 }
@@ -66,27 +62,6 @@
 	return kindShort
 }
 
-// laterPlaces returns the number of tasks of a step that fit into the capacity of a worker that its
-// long-running tasks leave.
-func (w *worker) laterPlaces(step *Step) int {
-	remaining := w.registration.Capacity
-	for _, r := range w.runs {
-		if s := r.task.step.step; s.LongRunning {
-			remaining = remaining.Minus(s.Size)
-		}
-	}
-	limit := maxPlaces
-	if step.WorkerLimit > 0 {
-		limit = min(limit, step.WorkerLimit)
-	}
-	count := 0
-	for count < limit && remaining.Holds(step.Size) {
-		remaining = remaining.Minus(step.Size)
-		count++
-	}
-	return count
-}
-
 // maxPlaces bounds the places that are counted per worker.
 const maxPlaces = 100
 
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -169,7 +169,7 @@
 func (c *Cell) unplaceablePart(now time.Time, t *task) bool {
 	return t.job().job.Part != nil && t.step.step.LongRunning && !t.remote && len(t.runs) == 0 && !t.job().state.Final() &&
 		!t.notBefore.After(now) && now.Sub(t.readyAt) >= delegationDelay && !c.mayHaveRun(now, t) &&
-		c.selectWorker(now, t) == nil && !c.pendingStopsFreeCapacity(t)
+		c.selectWorker(now, t) == nil && !c.pendingStopsFreeCapacity(t) && !c.willHavePlaceAsPart(now, t)
 }
 
 // pendingStopsFreeCapacity reports whether a task will fit on a worker once its
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -38,7 +38,7 @@
 	if !delegates {
 		id, job, moves = r.Cell.NextToMove(now)
 	}
-	later := (delegates || moves) && !r.Cell.Capable(now, id)
+	later := delegates && !r.Cell.WillHavePlace(now, id) || moves && !r.Cell.Capable(now, id)
 	r.mu.Unlock()
 	if !delegates && !moves {
 		return r.relocateOnce(ctx)
