dispatcher: red test: tasks with a limit wait in a cell that has no worker for them

A cell counts its later places for a step without regard to the tasks of the same step that it runs as a part.

--- a/dispatcher/waitingtask_test.go
+++ b/dispatcher/waitingtask_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -111,11 +113,11 @@
 func (c *connectedCells) FindCell(_ context.Context, cell, service string, step dispatcher.Step, later bool) (string, int) {
 	time.Sleep(5 * time.Millisecond)
 	best, places := "", 0
-	for name, runner := range c.runners {
+	for _, name := range slices.Sorted(maps.Keys(c.runners)) {
 		if name == cell {
 			continue
 		}
-		free := runner.FreeCapacity(service, step)
+		free := c.runners[name].FreeCapacity(service, step)
 		count := free.Places
 		if count == 0 && later {
 			count = free.LaterPlaces
@@ -247,6 +249,28 @@
 	}
 }
 
+// TestLimitedTasksBesideFullCells guards against tasks that are sent to a cell whose only worker
+// runs as many tasks of their step as it may, and that wait there without end.
+func TestLimitedTasksBesideFullCells(t *testing.T) {
+	const home, second, third = "graz-a", "graz-b", "graz-c"
+	synctest.Test(t, func(t *testing.T) {
+		c := newConnectedCells(t, home, second, third)
+		c.add(home, longRunningJob("00000000000000f0", 2, 1900))
+		c.addShort(second)
+		c.addShort(third)
+		time.Sleep(2 * time.Second)
+		limited := longRunningJob(jobID, 2, 1000)
+		limited.Steps[0].WorkerLimit = 1
+		c.add(home, limited)
+		time.Sleep(6 * time.Second)
+		for _, cell := range []string{second, third} {
+			if got := c.workers[cell].countRuns(); got != 1 {
+				t.Errorf("%d tasks run in %s, want 1", got, cell)
+			}
+		}
+	})
+}
+
 // TestPartWaitsForShortTasks guards against long-running tasks that are stopped to make room for
 // a delegated one, although short tasks are about to do so.
 func TestPartWaitsForShortTasks(t *testing.T) {
