dispatcher: later places of a cell count once for tasks with a limit

Cause: a cell counts later places for a step by its size and its limit a worker, not by the tasks of the step that it runs already as a part. More tasks with a limit are sent than the cell has workers for, and a part can't be delegated again.

Ruled out: that the cell had no capacity (the worker had two long-running tasks and up to 14 short ones). That the step has a limit is read from where its tasks ran; the log doesn't tell it.

Change: for a step with a limit, a cell that runs a part of the job is left out when later places are asked for. Free places count as before: the same flaw there is older and stays.

go test ./dispatcher -run TestLimitedTasksBesideFullCells before: 0 tasks run in the third cell, want 1; after: passes.

--- a/cellselector.go
+++ b/cellselector.go
@@ -62,10 +62,12 @@
 }
 
 // FindCell implements dispatcher.OtherCells.
-func (s *cellSelector) FindCell(ctx context.Context, cell, service string, step dispatcher.Step, later bool) (string, int) {
+func (s *cellSelector) FindCell(ctx context.Context, leftOut []string, service string, step dispatcher.Step, later bool) (string, int) {
 	step.Count = 1
 	found := s.freeCapacities(ctx, service, step)
-	delete(found, cell)
+	for _, cell := range leftOut {
+		delete(found, cell)
+	}
 	best, places := mostPlaces(found, func(free dispatcher.FreeCapacity) int { return free.Places })
 	if places == 0 && later {
 		return mostPlaces(found, func(free dispatcher.FreeCapacity) int { return free.LaterPlaces })
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -39,11 +39,12 @@
 		id, job, moves = r.Cell.NextToMove(now)
 	}
 	later := delegates && !r.Cell.WillHavePlace(now, id) || moves && !r.Cell.Capable(now, id)
+	partCells := r.Cell.PartCells(now, id)
 	r.mu.Unlock()
 	if !delegates && !moves {
 		return r.relocateOnce(ctx)
 	}
-	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step], later)
+	cell, places := r.findCell(ctx, job.Queue.Service, job.Steps[id.Step], later, partCells)
 	delegated := false
 	r.mu.Lock()
 	switch now = r.Clock.Now(); {
@@ -62,6 +63,20 @@
 	return true
 }
 
+// findCell returns another cell with capacity for tasks of a step, and for how many. The later
+// places of a cell that runs a part of the job don't show which workers have as many tasks of
+// the step as they may, so that they don't count for a step with a limit.
+func (r *Runner) findCell(ctx context.Context, service string, step Step, later bool, partCells []string) (string, int) {
+	home := []string{r.Cell.Name}
+	if !later || step.WorkerLimit == 0 || len(partCells) == 0 {
+		return r.OtherCells.FindCell(ctx, home, service, step, later)
+	}
+	if cell, places := r.OtherCells.FindCell(ctx, home, service, step, false); places > 0 {
+		return cell, places
+	}
+	return r.OtherCells.FindCell(ctx, append(home, partCells...), service, step, true)
+}
+
 // relocateOnce offers the next job that no worker of the cell can run to the other cells. It reports
 // whether there was one.
 func (r *Runner) relocateOnce(ctx context.Context) bool {
@@ -71,7 +86,7 @@
 	if !found {
 		return r.returnOnce()
 	}
-	cell, places := r.OtherCells.FindCell(ctx, r.Cell.Name, job.Queue.Service, job.Steps[id.Step], true)
+	cell, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, job.Steps[id.Step], true)
 	r.mu.Lock()
 	if places == 0 {
 		r.Cell.RelocationUnplaced(r.Clock.Now(), id)
