dispatcher: a holder acts while the store confirms its term

Cause: the new holder acts only with a majority. Workers that have left count until the registry has lacked them for 3 s: "doesn't act: 8 of 16 workers confirm it, active: false", while all earlier holders were known to have ended and the store answered.

Ruled out: a holder that isn't there (it had adopted the runs at 15.9 s); workers that don't answer (those that stay did).

Change: a question to the store that shows that no newer term has begun counts like a majority, for as long (MaxConfirmationAge from when it was sent, not across a suspension). A later holder begins its term after that and already allows earlier ones as much after it has become active, so what it waits for stays as it was. A new holder may become active by it only once all earlier ones have certainly ended. Without a majority the store is asked each second; while it is away a majority is needed as before. What a process answers to the question whether it holds a cell is unchanged.

go test ./dispatcher -run 'TestLeasesWhileWorkersLeave|TestStoreTerm' before: TestLeasesWhileWorkersLeave fails (half leave, the holder changes), TestStoreTermBounds fails where the store confirms the term; after: pass.

--- a/dispatcher/absence.go
+++ b/dispatcher/absence.go
@@ -21,7 +21,7 @@
 // reportInactivity records, from time to time, why the holder doesn't act: which of the workers
 // that count towards a majority haven't confirmed its epoch recently.
 func (c *Cell) reportInactivity(now time.Time) {
-	if c.Confirmed(now) {
+	if c.mayAct(now) {
 		c.inactiveSince = time.Time{}
 		return
 	}
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -42,13 +42,13 @@
 }
 
 // activate makes the cell active once a majority of the workers has accepted its
-// epoch, or if no worker is left and all earlier holders have ended.
+// epoch, or if all earlier holders have ended and the store confirms the term or no worker is left.
 func (c *Cell) activate(now time.Time) {
 	if c.active {
 		return
 	}
-	abandoned := !c.hasVoters(now) && !c.earlierEndedAt.IsZero() && !c.registryReadAt.IsZero()
-	if abandoned || c.hasVoters(now) && c.majority(now, c.vouches) {
+	alone := !c.earlierEndedAt.IsZero() && !c.registryReadAt.IsZero()
+	if alone && (c.storeConfirms(now) || !c.hasVoters(now)) || c.hasVoters(now) && c.majority(now, c.vouches) {
 		c.active = true
 		c.activeAt = now
 		c.record(recorder.Event{Kind: KindCell, Detail: "active"})
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -96,7 +96,7 @@
 // job. Of the tasks that have waited in this cell for delegationDelay, it is the one
 // whose last offer is longest ago.
 func (c *Cell) NextToDelegate(now time.Time) (TaskID, Job, bool) {
-	if c.pendingPart != nil || !c.Confirmed(now) {
+	if c.pendingPart != nil || !c.mayAct(now) {
 		return TaskID{}, Job{}, false
 	}
 	var longest *task
@@ -142,7 +142,7 @@
 // capacity is needed for a part that another cell delegated, since a delegated part
 // can't be delegated again.
 func (c *Cell) NextToMove(now time.Time) (TaskID, Job, bool) {
-	if !c.Confirmed(now) {
+	if !c.mayAct(now) {
 		return TaskID{}, Job{}, false
 	}
 	for _, id := range c.Workers() {
--- a/dispatcher/majority_test.go
+++ b/dispatcher/majority_test.go
@@ -61,7 +61,7 @@
 	if earlier.Confirmed(s.now) {
 		t.Errorf("the earlier holder is confirmed %v after the later one was", limits.MaxConfirmationAge)
 	}
-	if !earlier.TermCheckDue() {
+	if !earlier.TermCheckDue(s.now) {
 		t.Error("the earlier holder doesn't ask the store about its term")
 	}
 }
--- a/dispatcher/partreturn.go
+++ b/dispatcher/partreturn.go
@@ -30,7 +30,7 @@
 // NextToReturn returns the id of a job of which this cell runs a part and of which no worker of the
 // cell could run a waiting task. Nothing of the part may be active.
 func (c *Cell) NextToReturn(now time.Time) (string, bool) {
-	if c.pendingReturn != nil || !c.Confirmed(now) {
+	if c.pendingReturn != nil || !c.mayAct(now) {
 		return "", false
 	}
 	for _, t := range c.ready {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -28,11 +28,11 @@
 	if c.superseded || !c.active {
 		return orders
 	}
-	if c.Confirmed(now) {
+	if c.mayAct(now) {
 		c.drainWorkers(now)
 	}
 	orders.Stops = c.planStops(now)
-	if c.Confirmed(now) {
+	if c.mayAct(now) {
 		orders.Starts = c.planStarts(now)
 		orders.Throttles = c.planThrottles(now)
 	}
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -23,7 +23,7 @@
 // free, with its job, which may be relocated to another cell: nothing of it is active here or elsewhere. Of
 // several it is the one whose last offer is longest ago.
 func (c *Cell) NextToRelocate(now time.Time) (TaskID, Job, bool) {
-	if c.pendingRelocation != nil || !c.Confirmed(now) {
+	if c.pendingRelocation != nil || !c.mayAct(now) {
 		return TaskID{}, Job{}, false
 	}
 	var longest *task
--- a/dispatcher/remoteholder_test.go
+++ b/dispatcher/remoteholder_test.go
@@ -362,7 +362,7 @@
 // checkTerm asks the store whether the holder's term is the newest, if that is due.
 func (h *remoteHolder) checkTerm() {
 	n := h.n
-	if h.checkingTerm || h.storeOut() || !h.cell.TermCheckDue() {
+	if h.checkingTerm || h.storeOut() || !h.cell.TermCheckDue(h.now()) {
 		return
 	}
 	h.checkingTerm = true
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -343,7 +343,7 @@
 // checkTerm asks the store whether the holder's term is still the newest, if that is due.
 func (s *simulation) checkTerm() {
 	switch {
-	case s.storeDown || !s.cell.TermCheckDue():
+	case s.storeDown || !s.cell.TermCheckDue(s.now):
 	case s.archive.epoch == s.cell.Epoch:
 		s.cell.TermChecked(s.now)
 	default:
--- a/dispatcher/term.go
+++ b/dispatcher/term.go
@@ -15,9 +15,30 @@
 	return w.epochAccepted && !w.bootedAt.After(c.termCheckedAt)
 }
 
-// TermCheckDue reports whether a restarted worker counts only after the store has been
-// asked whether the holder's term is still the newest.
-func (c *Cell) TermCheckDue() bool {
+// termCheckInterval separates questions to the store about the term while no majority of the
+// workers confirms the holder.
+const termCheckInterval = time.Second
+
+// storeConfirms reports whether the store has recently confirmed that the holder's term is the
+// newest. A holder of a newer term waits for MaxConfirmationAge, and for the leases that were
+// granted until then, before it takes runs of this one for ended.
+func (c *Cell) storeConfirms(now time.Time) bool {
+	return c.termCheckedAt.After(c.resumedAt) && now.Sub(c.termCheckedAt) < c.Limits.MaxConfirmationAge
+}
+
+// mayAct reports whether no other holder can have become active for longer than this one's
+// orders are allowed for: a majority of the workers or the store has recently confirmed it.
+func (c *Cell) mayAct(now time.Time) bool {
+	return c.active && !c.superseded && (c.Confirmed(now) || c.storeConfirms(now))
+}
+
+// TermCheckDue reports whether the store has to be asked whether the holder's term is still the
+// newest: a restarted worker counts only after that, or no majority of the workers confirms the
+// holder.
+func (c *Cell) TermCheckDue(now time.Time) bool {
+	if now.Sub(c.termCheckedAt) >= termCheckInterval && !c.Confirmed(now) && (c.active || !c.earlierEndedAt.IsZero()) {
+		return true
+	}
 	for _, w := range c.workers {
 		if w.epochAccepted && w.bootedAt.After(c.termCheckedAt) {
 			return true
@@ -38,7 +59,7 @@
 
 // checkTermIfDue begins a check of the term; the caller holds mu.
 func (r *Runner) checkTermIfDue(ctx context.Context) {
-	if r.checkingTerm || !r.Cell.TermCheckDue() {
+	if r.checkingTerm || !r.Cell.TermCheckDue(r.Clock.Now()) {
 		return
 	}
 	r.checkingTerm = true
@@ -50,7 +71,7 @@
 	began := r.Clock.Now()
 	err := r.Archive.CheckTerm(ctx)
 	if err != nil {
-		klog.InfoS("The store didn't confirm the term after a restart of a worker", "cell", r.Cell.Name, "err", err)
+		klog.InfoS("The store didn't confirm the term", "cell", r.Cell.Name, "err", err)
 	}
 	if err != nil && !errors.Is(err, ErrSuperseded) {
 		r.sleep(ctx, storeRetryDelay)
