dispatcher: the next holder learns of a process of a worker that may still be shutting down

What callers saw (test): two runs of a task after a change of the holder.

Cause: the stored list of workers had one process for an id, and the newer one replaced the other at once.

Change: the list also tells the boot of an earlier process of which the holder counts runs (earlier_boot), or of which an earlier holder may have; the next process gets starts once that is stored. A new holder waits, as for a draining one, until the leases of earlier holders have expired.

--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -225,7 +225,7 @@
 	}
 	c.removedWorkers -= b.removedWorkers
 	for _, registration := range b.Workers {
-		if w := c.workers[registration.ID]; w != nil && w.registration.equivalent(registration) {
+		if w := c.workers[registration.ID]; w != nil && w.toStore().equivalent(registration) {
 			w.stored = true
 		}
 	}
@@ -262,7 +262,7 @@
 func (c *Cell) usedWorkers() []Registration {
 	workers := make([]Registration, 0, len(c.workers))
 	for _, id := range c.Workers() {
-		workers = append(workers, c.workers[id].registration)
+		workers = append(workers, c.workers[id].toStore())
 	}
 	return workers
 }
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -36,9 +36,8 @@
 	if !c.active && !c.hasVoters(now) {
 		return true
 	}
-	expired := c.active && now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
-		if w.restored && (!w.epochAccepted || w.succeeded() && !expired) {
+		if w.restored && (!w.epochAccepted || w.succeeded()) {
 			return true
 		}
 	}
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -31,6 +31,7 @@
 	if w.boot != 0 && restarted {
 		c.setBoot(now, w, registration.Boot)
 	}
+	w.stored = w.stored && (w.registered || w.earlierBoot == 0)
 	w.registration = registration
 	w.registered = true
 	w.noteLeaving()
@@ -47,11 +48,15 @@
 		w.absentSince = now
 		c.workers[registration.ID] = w
 	}
-	w.stored = w.registration.equivalent(registration)
 	w.restored = true
-	if registration.Phase == PhaseDraining {
+	switch {
+	case registration.EarlierBoot != 0:
+		w.drainedBoot = registration.EarlierBoot
+	case registration.Phase == PhaseDraining:
 		w.drainedBoot = registration.Boot
 	}
+	w.registration.EarlierBoot = 0
+	w.stored = w.toStore().equivalent(registration)
 }
 
 func newWorker() *worker {
@@ -149,8 +154,10 @@
 	for _, r := range w.runs {
 		if r.lastsUntil.IsZero() {
 			r.lastsUntil = expiry
+			w.earlierBoot = w.boot
 		}
 	}
+	w.stored = w.stored && !(w.registered && w.earlierBoot != 0)
 }
 
 func (w *worker) sortedRuns() []*run {
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -325,6 +325,7 @@
 	Labels        []string `json:"labels,omitempty"`
 	Boot          int64    `json:"boot,omitempty"`
 	Draining      bool     `json:"draining,omitempty"`
+	EarlierBoot   int64    `json:"earlier_boot,omitempty"`
 }
 
 // EncodeWorkers returns the stored form of the workers that a cell uses, in JSON.
@@ -333,7 +334,7 @@
 	for i, w := range workers {
 		messages[i] = workerMessage{
 			ID: w.ID, Address: w.Address, FailureDomain: w.FailureDomain, Service: w.Service, Labels: w.Labels, Boot: w.Boot,
-			Draining: w.Phase == PhaseDraining,
+			Draining: w.Phase == PhaseDraining, EarlierBoot: w.EarlierBoot,
 		}
 	}
 	return json.Marshal(messages)
@@ -350,6 +351,7 @@
 	for i, m := range messages {
 		workers[i] = Registration{
 			ID: m.ID, Address: m.Address, FailureDomain: m.FailureDomain, Service: m.Service, Labels: m.Labels, Boot: m.Boot,
+			EarlierBoot: m.EarlierBoot,
 		}
 		if m.Draining {
 			workers[i].Phase = PhaseDraining
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -188,9 +188,10 @@
 	absentSince time.Time
 	// restored is true if an earlier holder used the worker.
 	restored bool
-	// drainedBoot is the boot that an earlier holder has last known, if that was draining; 0
-	// if it wasn't, or the boot is unknown.
-	drainedBoot int64
+	// drainedBoot is the boot that an earlier holder has last known, if that was draining, or one
+	// that was shutting down then; 0 if there is none, it is unknown, or its leases have expired.
+	// earlierBoot is that of which this holder counts runs although another boot has answered.
+	drainedBoot, earlierBoot int64
 	// boot is the boot time in Unix milliseconds that the worker last reported; 0 if
 	// unknown. bootSince is when this boot was first seen: an earlier poll may have been
 	// answered by the boot before.
@@ -315,6 +316,16 @@
 	return w.epochAccepted && w.drainedBoot != 0 && w.boot != 0 && w.boot != w.drainedBoot
 }
 
+// toStore returns the registration as it is stored for the next holder.
+func (w *worker) toStore() Registration {
+	r := w.registration
+	r.EarlierBoot = w.earlierBoot
+	if r.EarlierBoot == 0 && w.drainedBoot != r.Boot {
+		r.EarlierBoot = w.drainedBoot
+	}
+	return r
+}
+
 // displaced reports whether another worker has the worker's address, so that no holder can reach
 // it any more. Its process may still be shutting down: its runs last until their lease expires.
 func (w *worker) displaced() bool { return w.addressTaken && !w.registered }
--- a/dispatcher/successor_test.go
+++ b/dispatcher/successor_test.go
@@ -75,6 +75,23 @@
 		s.changeHolder(next, s.workers[1], s.workers[2])
 		s.cell.EarlierHoldersEnded(s.now)
 	},
+	"it drained, and the holder changes once the next one is stored": func(s *simulation, earlier *fakeWorker) {
+		s.drain(earlier)
+		next := s.succeed(earlier)
+		s.register(next)
+		s.runFor(500 * time.Millisecond)
+		s.changeHolder(next, s.workers[1], s.workers[2])
+	},
+	"it took its registration back, and the holder changes twice": func(s *simulation, earlier *fakeWorker) {
+		s.unregister(earlier)
+		next := s.succeed(earlier)
+		s.register(next)
+		for range 2 {
+			s.runFor(500 * time.Millisecond)
+			s.changeHolder(next, s.workers[1], s.workers[2])
+			s.cell.EarlierHoldersEnded(s.now)
+		}
+	},
 	"the next one starts anew as well": func(s *simulation, earlier *fakeWorker) {
 		s.drain(earlier)
 		next := s.succeed(earlier)
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -36,6 +36,9 @@
 	Labels []string
 	// Boot is when the worker's process started, in Unix milliseconds.
 	Boot int64
+	// EarlierBoot is the boot of an earlier process of the worker that may still be shutting down
+	// while its runs last; 0 if there is none. Only the stored list of a cell's workers tells it.
+	EarlierBoot int64
 }
 
 // HasLabel reports whether the worker has a label.
@@ -43,10 +46,10 @@
 	return slices.Contains(r.Labels, label)
 }
 
-// equivalent reports whether another registration has the same address and agrees on
-// whether the worker is draining.
+// equivalent reports whether another registration has the same address and earlier process and
+// agrees on whether the worker is draining.
 func (r Registration) equivalent(other Registration) bool {
-	return r.Address == other.Address && (r.Phase == PhaseDraining) == (other.Phase == PhaseDraining)
+	return r.Address == other.Address && r.EarlierBoot == other.EarlierBoot && (r.Phase == PhaseDraining) == (other.Phase == PhaseDraining)
 }
 
 // Ending is how a run ended.
