dispatcher: cells with a part of a job count if the home cell can't run its tasks

Change: it is left out only while the home cell could run the task, which then waits there for the next offer. TestLimitedTasksInCellOfPart, "no worker of home can run it": failed, passes.

--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -39,7 +39,10 @@
 		id, job, moves = r.Cell.NextToMove(now)
 	}
 	later := delegates && !r.Cell.WillHavePlace(now, id) || moves && !r.Cell.Capable(now, id)
-	partCells := r.Cell.PartCells(now, id)
+	var partCells []string
+	if r.Cell.Capable(now, id) {
+		partCells = r.Cell.PartCells(now, id)
+	}
 	r.mu.Unlock()
 	if !delegates && !moves {
 		return r.relocateOnce(ctx)
@@ -65,7 +68,8 @@
 
 // findCell returns another cell with capacity for tasks of a step, and for how many. The later
 // places of a cell that runs a part of the job don't show which workers have as many tasks of
-// the step as they may, so that they don't count for a step with a limit.
+// the step as they may. So they don't count for a step with a limit that this cell could run:
+// partCells are the cells with parts then, and empty otherwise.
 func (r *Runner) findCell(ctx context.Context, service string, step Step, later bool, partCells []string) (string, int) {
 	home := []string{r.Cell.Name}
 	if !later || step.WorkerLimit == 0 || len(partCells) == 0 {
