dispatcher: a new holder waits for the ends of a worker that answers unregistered

Cause: such a worker counted as lost, and the wait for its ends ended with the leases of the earlier holders. Ruled out: a worker that is silent (its lease expires).

Change: the wait ends only once the lease that this holder granted has expired, too. TestPartOfListingUnregistered failed before (done tasks ran again) and passes; TestPartOfListing guards what mended.

--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -92,7 +92,8 @@
 
 // unansweredWorkers reports whether a task of a restored job, and whether a long-running
 // one, has to wait for the answer of a worker that an earlier holder used, for the rest of its
-// ends, or for the leases of a process of it that no longer answers.
+// ends, or for the leases of a process of it that no longer answers. A worker that has answered lists
+// more ends while its lease lasts, also if it isn't registered.
 func (c *Cell) unansweredWorkers(now time.Time) (waits, longRunningWaits bool) {
 	if c.pass != nil {
 		return c.pass.waits, c.pass.longRunningWaits
@@ -104,7 +105,8 @@
 		}
 		leased := !expired && (!w.epochAccepted || w.succeeded() || w.listedIncompletely)
 		longRunningWaits = longRunningWaits || leased
-		waits = waits || leased || !w.endsListed && !c.lost(w)
+		listsMore := !c.lost(w) || w.epochAccepted && !w.leaseExpired(now)
+		waits = waits || leased || !w.endsListed && listsMore
 	}
 	return waits, longRunningWaits
 }
