cmd/zinniashore: a fixed case of the soak for workers that leave under long tasks

TestSoak gets as a long case: a worker drains, takes its registration back and closes its address while tasks of seconds run on it.

--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -92,6 +92,9 @@
 	// A process served a dropped route, as its watch had been sent into a silence of the store.
 	// Failed once with the timeouts of 6dd1be6.
 	"changes beside silences of the store": {seed: 9004, length: 24 * time.Second, changes: true},
+	// A worker that had closed its address counted as left while its tasks ran. Failed on
+	// c917b2a.
+	"worker leaves while long tasks run": {seed: 740029, length: 20 * time.Second, long: true},
 }
 
 // soak is one run of the deployment under the faults of a seed.
