--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -95,8 +95,8 @@
 	c.activate(now)
 }
 
-// handleEarlierBoot applies a late answer of an earlier boot of a worker. Its runs have ended
-// with that boot, but what was done is done.
+// handleEarlierBoot applies a late answer of an earlier boot of a worker. What it lists as active
+// may have ended since, but what was done is done.
 func (c *Cell) handleEarlierBoot(now time.Time, w *worker, rows []EndedRow) {
 	for _, row := range rows {
 		t := c.task(now, row.Task)
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -152,8 +152,8 @@
 	due time.Time
 	// restored is true if an earlier holder may have started tasks of the job.
 	restored bool
-	// acceptedAfter is a time at which the store didn't have the job in this cell; zero if none
-	// is known.
+	// acceptedAfter is a time at which the store didn't have the job in this cell, or nothing of it
+	// ran there; zero if none is known.
 	acceptedAfter time.Time
 	// relocating is true while the job is being relocated to another cell: nothing of it starts.
 	// cancelDeferred is true if it was cancelled meanwhile.
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -93,7 +93,8 @@
 	}
 }
 
-// JobsRead records that all jobs have been passed that the store had in the cell at a time.
+// JobsRead records that all jobs have been passed that the store had in the cell at a time, other
+// than those that can't be decoded.
 func (r *Runner) JobsRead(until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
