dispatcher, standin: files by one concept, and plainer comments

Change: what tells whether an earlier process of a worker may still be shutting down is in dispatcher/shutdown.go; the stand-in's faults and its connections are in files of their own. Functions are moved unchanged; comments and one flag's help are reworded. No decision, check or bound changes.

--- a/cmd/zinniashore/ports_test.go
+++ b/cmd/zinniashore/ports_test.go
@@ -41,7 +41,7 @@
 })
 
 // freePorts returns the first of portsPerProcess consecutive ports that are free and that
-// no other deployment gets, whichever test process it belongs to.
+// no other deployment gets, of this or another test process.
 func freePorts(t *testing.T) int {
 	t.Helper()
 	for range portTries {
--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -24,7 +24,7 @@
 	soakProcesses = flag.Int("soak.processes", 0, "number of processes of each seed; 0 leaves it to the seed")
 	soakDeadly    = flag.Bool("soak.deadly", false, "submit jobs with a task that crashes each worker that starts it")
 	soakChanges   = flag.Bool("soak.changes", false, "only change the configuration and make the store silent, with calm times between")
-	soakLong      = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, beside long outages of the store")
+	soakLong      = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, and have long outages of the store")
 	soakLogs      = flag.String("soak.logs", "", "directory in which the logs of failed seeds are kept; by default one below the temporary directory")
 )
 
--- a/cmd/zinniashore/soakgangs_test.go
+++ b/cmd/zinniashore/soakgangs_test.go
@@ -52,14 +52,14 @@
 	return task[:max(strings.LastIndex(task, "."), 0)]
 }
 
-// size returns the number of tasks of the gang that a task belongs to; 0 for none.
+// size returns the number of tasks in the gang of a task; 0 if it has none.
 func (g *soakGangs) size(task string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.sizes[stepOf(task)]
 }
 
-// members returns the tasks of the gang that a task belongs to; the task alone if there is none.
+// members returns the tasks in the gang of a task; the task alone if it has none.
 func (g *soakGangs) members(task string) []string {
 	size := g.size(task)
 	if size == 0 {
--- a/cmd/zinniashore/soaklong_test.go
+++ b/cmd/zinniashore/soaklong_test.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// fitsWorker reports whether a task fits on a worker beside those that run there.
+// fitsWorker reports whether a task fits on a worker together with those that run there.
 func fitsWorker(task string, running []string) bool {
 	used := taskSize(task)
 	for _, other := range running {
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -104,17 +104,6 @@
 	w.noteLeaving()
 }
 
-// noteLeaving notes what the registration tells of the process that was last heard: whether it drains, or
-// is back as ready.
-func (w *worker) noteLeaving() {
-	switch {
-	case w.registration.Phase == PhaseDraining || !w.registered:
-		w.left = true
-	case w.registration.Boot != 0 && w.registration.Boot == w.boot:
-		w.left = false
-	}
-}
-
 // handleRestart resets the state of a restarted worker and marks its runs as lost, those of a process that
 // may still be shutting down once their lease has expired.
 func (c *Cell) handleRestart(now time.Time, w *worker) {
@@ -142,24 +131,6 @@
 	w.awaitedEnds = map[int64]EndedRow{}
 }
 
-// keepsRuns reports whether the runs of the worker's process last after another one has answered.
-func (w *worker) keepsRuns() bool { return w.epochAccepted && w.mayShutDown() }
-
-// keepRuns keeps the runs of a process that may still be shutting down until their lease has expired.
-func (c *Cell) keepRuns(now time.Time, w *worker) {
-	if !w.keepsRuns() {
-		return
-	}
-	expiry := w.leaseExpiry(now)
-	for _, r := range w.runs {
-		if r.lastsUntil.IsZero() {
-			r.lastsUntil = expiry
-			w.earlierBoot = w.boot
-		}
-	}
-	w.stored = w.stored && !(w.registered && w.earlierBoot != 0)
-}
-
 func (w *worker) sortedRuns() []*run {
 	runs := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -28,29 +28,6 @@
 	}
 }
 
-// expireKeptRuns handles the runs that an earlier process of the worker had and whose lease has expired.
-// One that it hasn't listed may be on the present process.
-func (c *Cell) expireKeptRuns(now time.Time, w *worker) {
-	kept := false
-	for _, r := range w.sortedRuns() {
-		switch {
-		case r.lastsUntil.IsZero():
-		case !now.After(r.lastsUntil):
-			kept = true
-		case r.observed:
-			c.markLost(now, r, "lease of an earlier process lapsed")
-		default:
-			r.lastsUntil = time.Time{}
-		}
-	}
-	if !kept {
-		w.earlierBoot = 0
-	}
-	if c.active && now.After(c.earlierLeasesEnd()) {
-		w.drainedBoot = 0
-	}
-}
-
 // handleExpiredLease handles the runs of a worker whose lease has certainly expired.
 // None of them is active any more, but some may be done. A worker lists the ends of its
 // runs until they are acknowledged, whatever happened to the lease. A task that can be
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -297,39 +297,6 @@
 	return w.epochAccepted && w.minClock(now) > w.leaseEnd+leaseExpiryMargin
 }
 
-// leaseExpiry returns when the lease on the worker's runs has certainly expired.
-func (w *worker) leaseExpiry(now time.Time) time.Time {
-	left := max(w.leaseEnd+leaseExpiryMargin-w.minClock(now), 0)
-	return now.Add(time.Duration(float64(left) / minClockRate))
-}
-
-// mayShutDown reports whether a new process of the worker doesn't show that the earlier one has ended:
-// the earlier one drains, has taken its registration back, or isn't the one that is registered.
-func (w *worker) mayShutDown() bool {
-	registered := w.registration.Boot
-	return w.left || registered != 0 && registered != w.boot
-}
-
-// succeeded reports whether another process than the one that an earlier holder saw draining, which
-// may still be shutting down, answers as the worker.
-func (w *worker) succeeded() bool {
-	return w.epochAccepted && w.drainedBoot != 0 && w.boot != 0 && w.boot != w.drainedBoot
-}
-
-// toStore returns the registration as it is stored for the next holder.
-func (w *worker) toStore() Registration {
-	r := w.registration
-	r.EarlierBoot = w.earlierBoot
-	if r.EarlierBoot == 0 && w.drainedBoot != r.Boot {
-		r.EarlierBoot = w.drainedBoot
-	}
-	return r
-}
-
-// displaced reports whether another worker has the worker's address, so that no holder can reach
-// it any more. Its process may still be shutting down: its runs last until their lease expires.
-func (w *worker) displaced() bool { return w.addressTaken && !w.registered }
-
 // registrationGrace is how long a worker may be missing from the registry before it
 // counts as gone. Workers whose registrations expired while the store was unavailable
 // register again within two seconds; the watch of the registry lags behind.
@@ -342,10 +309,6 @@
 	return !w.registered && c.registryReadAt.Sub(w.absentSince) >= registrationGrace
 }
 
-// lost reports whether a worker won't list its runs any more: it is gone or displaced. They may
-// last until their lease expires.
-func (c *Cell) lost(w *worker) bool { return w.displaced() || c.gone(w) }
-
 // crashed reports whether a worker is gone according to the registry and nothing
 // listens at its address. A worker that is only cut off doesn't refuse connections.
 func (c *Cell) crashed(w *worker) bool { return w.connectionRefused && c.gone(w) }
--- a/standin/platformgangs.go
+++ b/standin/platformgangs.go
@@ -12,8 +12,7 @@
 type PlatformGangs struct {
 	// Timeout is how long a task of a gang waits for the others.
 	Timeout time.Duration
-	// Size returns the number of tasks of the gang that a task belongs to; 0 for a task that
-	// belongs to none.
+	// Size returns the number of tasks in the gang of a task; 0 for a task without one.
 	Size func(task string) int
 
 	mu    sync.Mutex
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -64,32 +63,6 @@
 	endCount       int64
 }
 
-// PlatformWorkerFaults are the faults that a PlatformWorker injects.
-type PlatformWorkerFaults struct {
-	// DropEvery loses the answer of every DropEvery-th call after the call was carried
-	// out, if above 0.
-	DropEvery int
-	// DelayEvery delays the answer of every DelayEvery-th call by Delay after the call was
-	// carried out, if above 0.
-	DelayEvery int
-	// Delay is the delay of these answers.
-	Delay time.Duration
-	// LateEvery carries out every LateEvery-th call Late after its arrival and loses its
-	// answer, if above 0.
-	LateEvery int
-	// Late is how long these calls are held back.
-	Late time.Duration
-	// RefuseEvery refuses every RefuseEvery-th call with status 503, if above 0; nothing of
-	// it is carried out.
-	RefuseEvery int
-}
-
-// platformCallFaults are the faults that apply to a call.
-type platformCallFaults struct {
-	refused, drop bool
-	late, delay   time.Duration
-}
-
 type platformRun struct {
 	number  int64
 	endsAt  time.Time
@@ -124,12 +97,6 @@
 	outcome string
 }
 
-// workerConnection is an open connection and the life of the worker that accepted it.
-type workerConnection struct {
-	connection net.Conn
-	life       int
-}
-
 type platformCommand struct {
 	Task     string `json:"task"`
 	Run      int64  `json:"run"`
@@ -141,13 +108,6 @@
 	caller string
 }
 
-// SetFaults replaces the faults.
-func (w *PlatformWorker) SetFaults(faults PlatformWorkerFaults) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.faults = faults
-}
-
 // Restart ends all runs without a trace, closes all connections and forgets everything,
 // as a restart under the same id does.
 func (w *PlatformWorker) Restart() {
@@ -175,25 +135,6 @@
 	}
 }
 
-// trackConnection implements connectionTracker.
-func (w *PlatformWorker) trackConnection(connection net.Conn, state http.ConnState) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	remote := connection.RemoteAddr().String()
-	switch state {
-	case http.StateNew:
-		if w.connections == nil {
-			w.connections = map[string]workerConnection{}
-		}
-		w.connections[remote] = workerConnection{connection: connection, life: w.life}
-	case http.StateClosed, http.StateHijacked:
-		// A newer connection may have the same remote address already.
-		if w.connections[remote].connection == connection {
-			delete(w.connections, remote)
-		}
-	}
-}
-
 // SetDown makes the worker break off every call without carrying it out, or carry out
 // calls again.
 func (w *PlatformWorker) SetDown(down bool) {
@@ -282,49 +223,6 @@
 	}
 }
 
-// Freeze stops the worker for a time: calls are carried out once it has passed, while the
-// clock and what runs go on.
-func (w *PlatformWorker) Freeze(length time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if until := time.Now().Add(length); until.After(w.frozenUntil) {
-		w.frozenUntil = until
-	}
-}
-
-// awaitThaw waits until the worker isn't frozen.
-func (w *PlatformWorker) awaitThaw() {
-	for {
-		w.mu.Lock()
-		remaining := time.Until(w.frozenUntil)
-		w.mu.Unlock()
-		if remaining <= 0 {
-			return
-		}
-		time.Sleep(remaining)
-	}
-}
-
-// admit returns the life of the worker that a call from a remote address belongs to, and
-// the faults that apply to the call.
-func (w *PlatformWorker) admit(remote string) (int, platformCallFaults) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.calls++
-	hits := func(every int) bool { return every > 0 && w.calls%every == 0 }
-	faults := platformCallFaults{refused: hits(w.faults.RefuseEvery), drop: hits(w.faults.DropEvery)}
-	if hits(w.faults.DelayEvery) {
-		faults.delay = w.faults.Delay
-	}
-	if hits(w.faults.LateEvery) {
-		faults.late, faults.drop = w.faults.Late, true
-	}
-	if c, tracked := w.connections[remote]; tracked {
-		return c.life, faults
-	}
-	return w.life, faults
-}
-
 func (w *PlatformWorker) rate() float64 {
 	if w.ClockRate == 0 {
 		return 1
