--- a/logger/logger.go
+++ b/logger/logger.go
@@ -30,6 +30,10 @@
 	}
 	logx.SetWriter(Writer{})
 	logx.DisableStat()
+	if !klog.V(infoLevel).Enabled() {
+		// Otherwise the library formats a line for each request of its HTTP client.
+		logx.SetLevel(logx.ErrorLevel)
+	}
 	return nil
 }
 
