dispatcher: waiting long-running tasks cost a plan and a query less

Cause: each waiting long-running task looks at each worker, in each plan and in each query, though all tasks of a step fit the same workers. Now a step that found none is passed over for the rest of that plan or query. The sorted ids of the workers are kept until one is added or removed.

Ruled out: the same for NextToDelegate (213 us before, 193 us after at 220 workers: reverted).

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -92,6 +92,8 @@
 
 	jobs    map[string]*jobState
 	workers map[string]*worker
+	// workerIDs are the ids of the workers in order, nil after a change.
+	workerIDs []string
 	// services are the names of the configured services, nil if all are. unnamed are the
 	// registrations of workers of other services that no holder has used.
 	services map[string]bool
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -1,7 +1,7 @@
 package dispatcher
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -17,7 +17,7 @@
 
 // String returns the id in the form in which logs show it.
 func (t TaskID) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
 // Size is an amount of resources.
--- a/dispatcher/laterplaces.go
+++ b/dispatcher/laterplaces.go
@@ -73,14 +73,17 @@
 // tasks that got some. A task that fits nowhere keeps none from the others.
 func (c *Cell) assignWaiting(now time.Time, all []*laterCapacity, met func(*task) bool) map[*task]bool {
 	assigned := map[*task]bool{}
+	unplaced := map[*stepState]bool{}
 	for _, t := range c.ready {
 		waits := t.step.step.LongRunning && !t.remote && len(t.runs) == 0 && !t.job().state.Final()
-		if !waits || !met(t) || c.mayHaveRun(now, t) {
+		if !waits || unplaced[t.step] || !met(t) || c.mayHaveRun(now, t) {
 			continue
 		}
 		if l := tightest(all, t); l != nil {
 			l.assign(t)
 			assigned[t] = true
+		} else {
+			unplaced[t.step] = true // the capacities only shrink
 		}
 	}
 	return assigned
--- a/dispatcher/load_test.go
+++ b/dispatcher/load_test.go
@@ -10,10 +10,10 @@
 )
 
 // The size of the loaded cell: workers of 16 processors, and jobs of each kind whose
-// tasks take all capacity and leave about 1,500 tasks without a place.
+// tasks take all capacity and leave about 15 tasks a worker without a place.
 const (
 	loadedWorkers       = 98
-	loadedJobsPerKind   = 20
+	workersPerLoadedJob = 5
 	longRunningPerJob   = 10
 	shortPerStep        = 64
 	bestEffortPerStep   = 64
@@ -34,8 +34,8 @@
 	next     int
 }
 
-func newLoadedCell() *loadedCell {
-	s := newSimulation(loadedWorkers)
+func newLoadedCell(workers int) *loadedCell {
+	s := newSimulation(workers)
 	s.submitLoad()
 	s.runFor(2 * time.Second)
 	s.changeHolder(s.workers...)
@@ -53,7 +53,7 @@
 	}
 	s.changeHolder(s.workers...)
 	s.cell.Recorder = discard{}
-	for i := range loadedJobsPerKind {
+	for i := range (len(s.workers) + workersPerLoadedJob - 1) / workersPerLoadedJob {
 		serving := longRunningJob(fmt.Sprintf("%016x", 3*i), longRunningPerJob, 3500)
 		serving.Steps[0].Image = images[i%len(images)]
 		s.submit(serving)
@@ -113,7 +113,7 @@
 
 // TestLoadedCell checks the size of the cell of the benchmarks.
 func TestLoadedCell(t *testing.T) {
-	l := newLoadedCell()
+	l := newLoadedCell(loadedWorkers)
 	running, total := 0, 0
 	for _, f := range l.workers {
 		running += len(f.running)
@@ -138,7 +138,7 @@
 	if placed == 0 || len(differing) > 0 {
 		t.Errorf("new cell: %d tasks placed, choices differ for %v", placed, differing)
 	}
-	l := newLoadedCell()
+	l := newLoadedCell(loadedWorkers)
 	for range 3 * loadedWorkers {
 		l.answerPoll()
 	}
@@ -153,14 +153,14 @@
 }
 
 func BenchmarkPollAnswer(b *testing.B) {
-	l := newLoadedCell()
+	l := newLoadedCell(loadedWorkers)
 	for b.Loop() {
 		l.answerPoll()
 	}
 }
 
 func BenchmarkPollAnswerAndPlan(b *testing.B) {
-	l := newLoadedCell()
+	l := newLoadedCell(loadedWorkers)
 	for b.Loop() {
 		l.answerPoll()
 		l.cell.Plan(l.now)
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 	}
 	if !known {
 		w = newWorker()
-		c.workers[registration.ID] = w
+		c.addWorker(registration.ID, w)
 		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: "registered at " + registration.Address})
 	} else if w.registration.Phase != registration.Phase {
 		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: string(registration.Phase) + " at " + registration.Address})
@@ -46,7 +47,7 @@
 		w = newWorker()
 		w.registration = registration
 		w.absentSince = now
-		c.workers[registration.ID] = w
+		c.addWorker(registration.ID, w)
 	}
 	w.restored = true
 	switch {
@@ -82,14 +83,17 @@
 	}
 }
 
-// Workers returns the ids of the workers to poll.
+func (c *Cell) addWorker(id string, w *worker) {
+	c.workers[id] = w
+	c.workerIDs = nil
+}
+
+// Workers returns the ids of the workers to poll, in order. The caller must not change them.
 func (c *Cell) Workers() []string {
-	ids := make([]string, 0, len(c.workers))
-	for id := range c.workers {
-		ids = append(ids, id)
+	if len(c.workerIDs) != len(c.workers) {
+		c.workerIDs = slices.Sorted(maps.Keys(c.workers))
 	}
-	slices.Sort(ids)
-	return ids
+	return c.workerIDs
 }
 
 // setBoot applies a boot that wasn't seen before. The worker's time of day may have been
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -118,7 +118,10 @@
 // placeOrReserve starts a task, or notes that no worker has capacity for it. In each
 // planning pass a worker is reserved for one suspect and for one long-running task at most.
 func (c *Cell) placeOrReserve(now time.Time, t *task) []StartOrder {
-	placed := c.place(now, t)
+	var placed []StartOrder
+	if !c.pass.unplaced.hasSibling(t) {
+		placed = c.place(now, t)
+	}
 	switch {
 	case len(placed) > 0:
 	case t.suspect():
@@ -136,18 +139,25 @@
 type unplaced struct {
 	// sizes are the sizes of those tasks that any worker of the service may run.
 	sizes []Size
-	steps []*stepState
+	steps map[*stepState]bool
 }
 
 func (u *unplaced) add(t *task) {
 	if t.movedFrom == "" {
-		u.steps = append(u.steps, t.step)
+		if u.steps == nil {
+			u.steps = map[*stepState]bool{}
+		}
+		u.steps[t.step] = true
 	}
 	if t.step.step.unconstrained() {
 		u.sizes = append(u.sizes, t.step.step.Size)
 	}
 }
 
+// hasSibling reports whether a task of the same step found no worker, so that this one, unless it is
+// a suspect, finds none either.
+func (u *unplaced) hasSibling(t *task) bool { return u.steps[t.step] && !t.suspect() }
+
 // covers reports whether no worker can be expected for a task, because a task of the
 // same step, or one of at most its size without constraints, found none. A best-effort
 // task is covered only by its own step, since it takes no processors from the free
@@ -156,7 +166,7 @@
 	if t.step.step.LongRunning || t.suspect() {
 		return false
 	}
-	if slices.Contains(u.steps, t.step) {
+	if u.steps[t.step] {
 		return true
 	}
 	return !t.step.step.BestEffort && slices.ContainsFunc(u.sizes, t.step.step.Size.Holds)
