Cells of racks: a large failure domain has several holders

Cause: one process holds all 220 workers of a domain, with about 480 task starts a second, on 0.8 of a processor; its leases aren't renewed in time. Two other processes of the domain are as strong and take submissions only.

One decider with its exchanges spread over other processes: orders of one epoch would come from many processes.

Change: package partitioner divides each failure domain into cells of 120 workers at most, by racks. The division is stored once, before the first claim, and never changes. Processes share the cells of their domain: each cell held delays the next claim, and while no holder is known a weak process waits for a strong one. A domain with a history keeps its cell, so that nothing changes for the sites so far, which have fewer workers.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -33,6 +33,8 @@
 	// cell gives a part of the job back.
 	returnedInfix = "/returned/"
 
+	// PartitionKey is the key of the division of failure domains into cells.
+	PartitionKey = keyRoot + "partition"
 	// HolderPrefix is the prefix of the keys under which the holders of cells register.
 	HolderPrefix = keyRoot + "holders/"
 	// TermPrefix is the prefix of the keys of the holders' terms, by cell.
--- a/cancellation_test.go
+++ b/cancellation_test.go
@@ -96,7 +96,8 @@
 	}
 	cells := &heldCells{
 		clock: clockwork.NewRealClock(), store: store, workers: platform.NewWorkers(), archiver: &archiver.Archiver{Store: store}, recorder: noEvents{},
-		settings: platform.Settings{MaxGrant: 10 * time.Second, StateRetention: time.Minute},
+		partition: &sharedPartition{},
+		settings:  platform.Settings{MaxGrant: 10 * time.Second, StateRetention: time.Minute},
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- cells.run(ctx, testCell, claimer.Term{Epoch: epoch}) }()
--- a/cellselector.go
+++ b/cellselector.go
@@ -23,10 +23,18 @@
 
 // cellSelector selects cells for jobs by the free capacity of the cells.
 type cellSelector struct {
-	home      string
-	claimer   *claimer.Claimer
-	heldCells *heldCells
-	peers     *relayer.Client
+	failureDomain string
+	partition     *sharedPartition
+	claimer       *claimer.Claimer
+	heldCells     *heldCells
+	peers         *relayer.Client
+}
+
+// homeCell returns one of the cells of the process's own failure domain, a different one for
+// each of many jobs.
+func (s *cellSelector) homeCell() string {
+	cells := s.partition.cells(s.failureDomain)
+	return cells[rand.IntN(len(cells))]
 }
 
 // freeCapacities returns the free capacity of all cells that answer.
@@ -110,19 +118,20 @@
 
 // cellFor returns the cell for a new job. A long-running job is assigned to a cell where
 // its tasks fit, weighted by the capacity that remains free. Any other job is assigned
-// to the home cell if its first step fits there, and otherwise to the cell that fits
-// most of the tasks of that step.
+// to a cell of this process's failure domain if its first step fits there, and otherwise to the
+// cell that fits most of the tasks of that step.
 func (s *cellSelector) cellFor(ctx context.Context, job *dispatcher.Job) string {
 	step := firstStep(job)
 	if step.LongRunning {
 		return s.cellForLongRunning(ctx, job.Queue.Service, step)
 	}
-	if s.fitsHome(ctx, job.Queue.Service, step) {
-		return s.home
+	home := s.homeCell()
+	if s.fits(ctx, home, job.Queue.Service, step) {
+		return home
 	}
 	found := s.freeCapacities(ctx, job.Queue.Service, step)
-	best, known := s.home, found[s.home]
-	_, answered := found[s.home]
+	best, known := home, found[home]
+	_, answered := found[home]
 	for cell, free := range found {
 		if !answered || betterFit(free, known, step.Count) {
 			best, known, answered = cell, free, true
@@ -142,15 +151,15 @@
 	return first
 }
 
-// fitsHome reports whether all tasks of a step fit in the home cell.
-func (s *cellSelector) fitsHome(ctx context.Context, service string, step dispatcher.Step) bool {
-	holder, held := s.claimer.Holder(s.home)
+// fits reports whether all tasks of a step fit in a cell.
+func (s *cellSelector) fits(ctx context.Context, cell, service string, step dispatcher.Step) bool {
+	holder, held := s.claimer.Holder(cell)
 	if !held {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, freeCapacityTimeout)
 	defer cancel()
-	free, err := s.freeCapacity(ctx, s.home, holder, service, step)
+	free, err := s.freeCapacity(ctx, cell, holder, service, step)
 	return err == nil && free.Places >= step.Count
 }
 
@@ -173,7 +182,7 @@
 		total += weight(free, step.Count)
 	}
 	if total == 0 {
-		return s.home
+		return s.homeCell()
 	}
 	draw := rand.IntN(total)
 	for cell, free := range found {
@@ -181,7 +190,7 @@
 			return cell
 		}
 	}
-	return s.home
+	return s.homeCell()
 }
 
 // weight returns the weight of a cell in the random selection: the places that remain if
--- a/cellworkers.go
+++ b/cellworkers.go
@@ -18,6 +18,7 @@
 	store          *platform.Store
 	archiver       *archiver.Archiver
 	configurations *configurations
+	partition      *sharedPartition
 }
 
 // registered reports whether the registry lists more than half of a cell's workers. The
@@ -53,7 +54,7 @@
 			klog.V(1).InfoS("Leaving out a registration that can't be decoded", "worker", registration.ID, "err", err)
 			continue
 		}
-		if registration.FailureDomain == cell && configuration.Services[registration.Service] {
+		if c.partition.contains(cell, registration) && configuration.Services[registration.Service] {
 			ids[registration.ID] = true
 		}
 	}
--- a/claimer/candidacy.go
+++ b/claimer/candidacy.go
@@ -21,6 +21,8 @@
 	graceSince time.Time
 	// wasHolder is set if this process held the cell before it became free.
 	wasHolder bool
+	// claiming is true while this process claims the cell.
+	claiming bool
 	// abandonedSince is when the cell of another failure domain was first seen to be abandoned.
 	abandonedSince time.Time
 }
@@ -52,9 +54,15 @@
 func (k *candidacy) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		expected, free := k.claimable()
-		if free && !k.leftToOthers(ctx) && !k.claim(ctx, expected) {
-			k.backOff(ctx)
-			continue
+		if free && !k.leftToOthers(ctx) {
+			claimed := k.claim(ctx, expected)
+			k.setClaiming(false)
+			if !claimed {
+				k.backOff(ctx)
+				continue
+			}
+		} else if free {
+			k.setClaiming(false)
 		}
 		k.awaitChange(ctx)
 	}
@@ -115,6 +123,7 @@
 	}
 	holder, held := k.holders[k.cell]
 	if held && !k.outside && holder.Process == k.Self.Process && holder.Incarnation != k.Self.Incarnation {
+		k.claiming = true
 		return holder.revision, true
 	}
 	if k.occupied() || k.freeSince.IsZero() {
@@ -124,7 +133,14 @@
 	if !held && !k.wasHolder {
 		pause += expiredClaimDelay
 	}
-	return holder.revision, k.Clock.Now().Sub(k.freeSince) >= pause
+	k.claiming = k.Clock.Now().Sub(k.freeSince) >= pause
+	return holder.revision, k.claiming
+}
+
+func (k *candidacy) setClaiming(claiming bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.claiming = claiming
 }
 
 // leftToLastHolder reports whether the cell is left to its last holder, whose registration has
@@ -163,5 +179,17 @@
 	if k.outside {
 		return k.takeoverPause() + rank*outsideRankDelay + k.weaknessDelay()
 	}
-	return rank*rankDelay + k.weaknessDelay()
+	return rank*rankDelay + k.weaknessDelay() + time.Duration(k.heldHomeCells())*heldCellDelay
+}
+
+// heldHomeCells returns how many other cells of its own failure domain this process holds or is
+// claiming; the caller holds mu.
+func (k *candidacy) heldHomeCells() int {
+	held := 0
+	for _, other := range k.candidacies {
+		if other != k && !other.outside && (other.claiming || k.holders[other.cell].Incarnation == k.Self.Incarnation) {
+			held++
+		}
+	}
+	return held
 }
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -43,6 +43,9 @@
 	// known holder claims a cell, maxWeaknessDelay how much later the weakest one does.
 	weaknessDelay    = 60 * time.Millisecond
 	maxWeaknessDelay = 400 * time.Millisecond
+	// heldCellDelay is how much later a process claims a cell of its own failure domain for each
+	// one that it holds already.
+	heldCellDelay = 200 * time.Millisecond
 	// minClaimRetryDelay is the minimum delay after a failed claim.
 	minClaimRetryDelay = 200 * time.Millisecond
 	// returnGrace is how long a cell is left to its last holder, so that a holder that
@@ -96,8 +99,11 @@
 	Prefix, TermPrefix string
 	// Self is this process.
 	Self Holder
-	// Candidate is the cell of this process's own failure domain.
-	Candidate string
+	// AssumedProcessors is how many processors the strongest candidate is assumed to have while no
+	// holder is known; 0 assumes that none is stronger than this one.
+	AssumedProcessors float64
+	// HomeCells are the cells of this process's own failure domain.
+	HomeCells []string
 	// OtherCells are the cells of other failure domains. This process claims one of them only if
 	// no process of that domain does.
 	OtherCells []string
@@ -250,7 +256,10 @@
 func (c *Claimer) stand() []*candidacy {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.candidacies = []*candidacy{{Claimer: c, cell: c.Candidate}}
+	c.candidacies = nil
+	for _, cell := range c.HomeCells {
+		c.candidacies = append(c.candidacies, &candidacy{Claimer: c, cell: cell})
+	}
 	for _, cell := range c.OtherCells {
 		c.candidacies = append(c.candidacies, &candidacy{Claimer: c, cell: cell, outside: true})
 	}
@@ -260,9 +269,13 @@
 // weaknessDelay returns how long this process waits for a stronger one. A process with few
 // processors is behind as the holder of a large cell.
 func (c *Claimer) weaknessDelay() time.Duration {
-	if c.Self.Processors <= 0 || c.strongest <= c.Self.Processors {
+	strongest := c.strongest
+	if strongest == 0 {
+		strongest = c.AssumedProcessors
+	}
+	if c.Self.Processors <= 0 || strongest <= c.Self.Processors {
 		return 0
 	}
-	delay := float64(weaknessDelay) * (c.strongest/c.Self.Processors - 1)
+	delay := float64(weaknessDelay) * (strongest/c.Self.Processors - 1)
 	return time.Duration(min(delay, float64(maxWeaknessDelay)))
 }
--- a/claimer/renewal_test.go
+++ b/claimer/renewal_test.go
@@ -59,7 +59,7 @@
 	}
 	c := &claimer.Claimer{
 		Store: platform.NewStore(address), Clock: clockwork.NewRealClock(), Prefix: "zinniashore/holders/", TermPrefix: "zinniashore/terms/",
-		Self: claimer.Holder{Process: "edge-1", Address: "127.0.0.1:1", Incarnation: "edge-1/1"}, Candidate: "graz-a",
+		Self: claimer.Holder{Process: "edge-1", Address: "127.0.0.1:1", Incarnation: "edge-1/1"}, HomeCells: []string{"graz-a"},
 		Eligible: func() bool { return true },
 		Hold: func(ctx context.Context, _ string, _ claimer.Term) error {
 			<-ctx.Done()
--- a/cmd/zinniashore/platform_test.go
+++ b/cmd/zinniashore/platform_test.go
@@ -324,6 +324,7 @@
 		"not JSON":            {content: "{", place: "(whole file)"},
 		"no name":             {content: `{}`, place: "node"},
 		"unknown domain":      {content: `{"node":"a","zone":"x","zones":{"graz-a":"s"}}`, place: "zone"},
+		"domain like a cell":  {content: `{"node":"a","zone":"x#1","zones":{"x#1":"s"}}`, place: "zones"},
 		"name for an address": {content: `{"node":"a","zone":"x","zones":{"x":"s"},"listen":{"frontend":"host:1"}}`, place: "listen.frontend"},
 	}
 	for name, test := range tests {
--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -25,6 +25,7 @@
 	soakDeadly    = flag.Bool("soak.deadly", false, "submit jobs with a task that crashes each worker that starts it")
 	soakChanges   = flag.Bool("soak.changes", false, "only change the configuration and make the store silent, with calm times between")
 	soakLong      = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, and have long outages of the store")
+	soakCells     = flag.Bool("soak.cells", false, "divide the workers of each failure domain among two cells")
 	soakLogs      = flag.String("soak.logs", "", "directory in which the logs of failed seeds are kept; by default one below the temporary directory")
 )
 
@@ -69,6 +70,8 @@
 	changes bool
 	// long adds what soakLongKinds and soakOutageKinds name to tasks of seconds on many workers.
 	long bool
+	// cells divides the workers of each failure domain among two cells.
+	cells bool
 }
 
 // soakCases run in CI. A seed that failed once has its cause as its name.
@@ -95,6 +98,7 @@
 	// A worker that had closed its address counted as left while its tasks ran. Failed on
 	// c917b2a.
 	"worker leaves while long tasks run": {seed: 740029, length: 20 * time.Second, long: true},
+	"two cells a failure domain":         {seed: 11, length: soakFixedLength, cells: true},
 }
 
 // soak is one run of the deployment under the faults of a seed.
@@ -103,6 +107,7 @@
 	seed   uint64
 	deadly bool
 	long   bool
+	cells  bool
 	binary string
 	logs   string
 	began  time.Time
@@ -131,9 +136,10 @@
 	// longestPause is the longest time between two steps of advance: a machine that is too
 	// busy delays the stand-ins as well.
 	longestPause time.Duration
-	domains      map[string]string
-	gangs        soakGangs
-	versions     soakVersions
+	// domains and racks are those of the workers, by id.
+	domains, racks map[string]string
+	gangs          soakGangs
+	versions       soakVersions
 }
 
 func (s *soak) addJob(job *soakJob) {
@@ -157,11 +163,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &soak{
-		t: t, seed: c.seed, deadly: c.deadly, long: c.long, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
+		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
 		callers: map[workerConnection]string{}, jobs: map[string]*soakJob{}, innocent: map[string]bool{}, absences: map[string][]soakSpan{},
-		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, versions: soakVersions{shown: map[string][]soakShown{}},
+		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, racks: map[string]string{}, versions: soakVersions{shown: map[string][]soakShown{}},
 	}
 	s.configure(c.seed)
+	if s.cells {
+		s.store.Put("zinniashore/partition", []byte(`{"failure_domains":{"graz-a":{"cells":2,"racks":["r1-1","r1-2"]},"graz-b":{"cells":2,"racks":["r1-1","r1-2"]}}}`))
+	}
 	rng := rand.New(rand.NewPCG(c.seed, 0))
 	processes := 3 + rng.IntN(3)
 	if *soakProcesses > 0 {
@@ -219,7 +228,7 @@
 		w.worker.Advance()
 	}
 	s.mu.Unlock()
-	history := newSoakHistory(s.ledger.Events(), s.domainOf)
+	history := newSoakHistory(s.ledger.Events(), s.cellOf)
 	s.checkHistory(history)
 	s.conclude(plan, history)
 }
@@ -281,7 +290,7 @@
 		cases = map[string]soakCase{}
 		for i := range *soakSeeds {
 			seed := *soakFirst + uint64(i)
-			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong}
+			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells}
 		}
 	}
 	names := make([]string, 0, len(cases))
--- a/cmd/zinniashore/soakcheck_test.go
+++ b/cmd/zinniashore/soakcheck_test.go
@@ -292,7 +292,7 @@
 // mayBeGivenUp reports whether so many workers crashed under young runs of a task that its
 // job may be shown as failed, whatever the cause.
 func (s *soak) mayBeGivenUp(job *soakJob) bool {
-	h := newSoakHistory(s.ledger.Events(), s.domainOf)
+	h := newSoakHistory(s.ledger.Events(), s.cellOf)
 	for _, task := range job.tasks() {
 		crashed := map[soakLife]bool{}
 		for _, member := range s.gangs.members(task) {
--- a/cmd/zinniashore/soakworker_test.go
+++ b/cmd/zinniashore/soakworker_test.go
@@ -17,6 +17,7 @@
 // soakWorker is a worker that is registered under an id.
 type soakWorker struct {
 	id, domain, address string
+	rack                string
 	worker              *standin.PlatformWorker
 	proxy               *soakProxy
 	stop                context.CancelFunc
@@ -44,8 +45,12 @@
 func (s *soak) addWorker(domain string, rng *rand.Rand) {
 	s.mu.Lock()
 	s.created++
-	w := &soakWorker{id: fmt.Sprintf("i-%d", s.created), domain: domain, links: map[string]*soakLink{}, capacity: soakCapacity}
+	w := &soakWorker{id: fmt.Sprintf("i-%d", s.created), domain: domain, rack: "r1-1", links: map[string]*soakLink{}, capacity: soakCapacity}
+	if s.cells {
+		w.rack = fmt.Sprintf("r1-%d", 1+s.created%2)
+	}
 	s.domains[w.id] = domain
+	s.racks[w.id] = w.rack
 	for _, p := range s.processes {
 		w.links[p.name] = &soakLink{}
 	}
@@ -136,7 +141,7 @@
 	}
 	at := time.Now()
 	revision := s.store.Put("servers/"+w.id, fmt.Appendf(nil, `{"service":"shop","address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"cold-remaining-ms":0,`+
-		`"capacity":{"cpu":%d,"mem-mb":%d,"gpu":0},"labels":["a","r1-1"],"seq":%d,"born":%d}`, w.address, w.domain, state, w.capacity.processors, w.capacity.megabytes, w.sequence, w.worker.Born()))
+		`"capacity":{"cpu":%d,"mem-mb":%d,"gpu":0},"labels":["a",%q],"seq":%d,"born":%d}`, w.address, w.domain, state, w.capacity.processors, w.capacity.megabytes, w.rack, w.sequence, w.worker.Born()))
 	s.capacities[w.id] = append(s.capacities[w.id], soakRegistered{at: at, revision: revision, size: w.capacity})
 }
 
@@ -259,6 +264,13 @@
 	return w
 }
 
+// cellOf returns a name for the cell of a worker.
+func (s *soak) cellOf(worker string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.domains[worker] + " " + s.racks[worker]
+}
+
 func (s *soak) domainOf(worker string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -34,6 +34,9 @@
 	Capacity Size
 	// Labels are the worker's labels, its rack among them.
 	Labels []string
+	// Rack is the label of the worker's rack, empty if unknown. The stored list of a cell's
+	// workers doesn't contain it.
+	Rack string
 	// Boot is when the worker's process started, in Unix milliseconds.
 	Boot int64
 	// EarlierBoot is the boot of an earlier process of the worker that may still be shutting down
--- a/heldcells.go
+++ b/heldcells.go
@@ -51,6 +51,8 @@
 	archiver *archiver.Archiver
 	recorder dispatcher.Recorder
 	selector *cellSelector
+	// partition tells which workers belong to a cell.
+	partition *sharedPartition
 
 	// peers sends requests to earlier holders.
 	peers *relayer.Client
@@ -127,7 +129,7 @@
 	watches := []watcher.Watcher{
 		{
 			Prefix: platform.RegistrationPrefix, Wait: registrationWait, BatchDelay: registrationBatchPause,
-			Handler: &registrations{cell: cell, runner: runner}, Read: runner.RegistryRead,
+			Handler: &registrations{cell: cell, partition: h.partition, runner: runner}, Read: runner.RegistryRead,
 		},
 		{
 			Prefix: archiver.JobPrefix(cell), Wait: jobWait, BatchDelay: jobBatchPause,
@@ -173,10 +175,11 @@
 	}
 }
 
-// registrations passes the workers of a failure domain to the runner of its cell.
+// registrations passes the workers of a cell to its runner.
 type registrations struct {
-	cell   string
-	runner *dispatcher.Runner
+	cell      string
+	partition *sharedPartition
+	runner    *dispatcher.Runner
 }
 
 func (r *registrations) decode(item platform.Item) (dispatcher.Registration, bool) {
@@ -185,7 +188,7 @@
 		klog.ErrorS(err, "Skipping a registration that can't be decoded", "worker", registration.ID)
 		return registration, false
 	}
-	return registration, registration.FailureDomain == r.cell
+	return registration, r.partition.contains(r.cell, registration)
 }
 
 // Replace implements watcher.Handler.
--- a/jobrouter.go
+++ b/jobrouter.go
@@ -37,13 +37,14 @@
 
 // jobRouter routes calls about jobs to the processes that hold the cells of the jobs.
 type jobRouter struct {
-	home      string
-	self      string
-	claimer   *claimer.Claimer
-	heldCells *heldCells
-	archiver  *archiver.Archiver
-	peers     *relayer.Client
-	selector  *cellSelector
+	failureDomain string
+	self          string
+	partition     *sharedPartition
+	claimer       *claimer.Claimer
+	heldCells     *heldCells
+	archiver      *archiver.Archiver
+	peers         *relayer.Client
+	selector      *cellSelector
 
 	// unaccepted limits the cancellations of unaccepted jobs that are stored.
 	unaccepted *rate.Limiter
@@ -115,9 +116,11 @@
 
 // State implements acceptor.JobService.
 func (r *jobRouter) State(ctx context.Context, id string) (dispatcher.State, error) {
-	if runner := r.heldCells.Runner(r.home); runner != nil {
-		if state, known := runner.State(id); known {
-			return state, nil
+	for _, home := range r.partition.cells(r.failureDomain) {
+		if runner := r.heldCells.Runner(home); runner != nil {
+			if state, known := runner.State(id); known {
+				return state, nil
+			}
 		}
 	}
 	cell, err := r.cell(ctx, id)
@@ -184,7 +187,7 @@
 	if !r.unaccepted.AllowN(r.heldCells.clock.Now(), 1) {
 		return "", errTooManyCancellations
 	}
-	cell, err := r.archiver.CancelUnaccepted(ctx, r.home, id)
+	cell, err := r.archiver.CancelUnaccepted(ctx, r.partition.cells(r.failureDomain)[0], id)
 	if err != nil {
 		return "", err
 	}
--- a/otherholders.go
+++ b/otherholders.go
@@ -10,10 +10,11 @@
 
 // otherHolders are the processes that hold the cells of other failure domains.
 type otherHolders struct {
-	self    string
-	home    string
-	claimer *claimer.Claimer
-	peers   *relayer.Client
+	self          string
+	failureDomain string
+	partition     *sharedPartition
+	claimer       *claimer.Claimer
+	peers         *relayer.Client
 }
 
 var _ prober.Peers = (*otherHolders)(nil)
@@ -24,7 +25,7 @@
 	answers := make(chan storeStatus, len(cells))
 	queried := 0
 	for cell, holder := range cells {
-		if cell == o.home || holder.Process == o.self {
+		if o.partition.in(cell, o.failureDomain) || holder.Process == o.self {
 			continue
 		}
 		queried++
--- /dev/null
+++ b/partitioner/partitioner_test.go
@@ -0,0 +1,141 @@
+package partitioner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"zinniashore.example/partitioner"
+	"zinniashore.example/platform"
+	"zinniashore.example/standin"
+)
+
+const (
+	partitionKey = "zinniashore/partition"
+	termPrefix   = "zinniashore/terms/"
+	domain       = "graz-a"
+	waitLimit    = 15 * time.Second
+)
+
+func startStore(t *testing.T) (*standin.PlatformStore, *platform.Store) {
+	t.Helper()
+	store := &standin.PlatformStore{}
+	address, err := standin.Listen(t.Context(), "127.0.0.1:0", store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store, platform.NewStore(address)
+}
+
+// register registers workers of a failure domain, 20 in a rack.
+func register(store *standin.PlatformStore, from, to int) {
+	for i := from; i < to; i++ {
+		store.Put(fmt.Sprintf("%si-%03d", platform.RegistrationPrefix, i), fmt.Appendf(nil,
+			`{"service":"shop","address":"127.0.0.1:%d","zone":%q,"state":"ready","capacity":{"cpu":64000,"mem-mb":250000},"labels":["a","r1-%d"]}`,
+			10000+i, domain, i/20))
+	}
+}
+
+func newPartitioner(store *platform.Store) *partitioner.Partitioner {
+	return &partitioner.Partitioner{Store: store, Clock: clockwork.NewRealClock(), Key: partitionKey, TermPrefix: termPrefix}
+}
+
+// partition runs several processes that find out the partition and returns what each found.
+func partition(t *testing.T, store *platform.Store, processes int) []partitioner.Partition {
+	t.Helper()
+	found := make(chan partitioner.Partition, processes)
+	for range processes {
+		go func() {
+			p, err := newPartitioner(store).Partition(t.Context())
+			if err != nil {
+				t.Error(err)
+			}
+			found <- p
+		}()
+	}
+	var all []partitioner.Partition
+	for range processes {
+		select {
+		case p := <-found:
+			all = append(all, p)
+		case <-time.After(waitLimit):
+			t.Fatal("a process does not find out the partition")
+		}
+	}
+	return all
+}
+
+// TestPartitionOfManyProcesses guards against two processes that divide a failure domain
+// differently while its workers register.
+func TestPartitionOfManyProcesses(t *testing.T) {
+	t.Parallel()
+	store, client := startStore(t)
+	register(store, 0, 90)
+	go func() {
+		time.Sleep(700 * time.Millisecond)
+		register(store, 90, 220)
+	}()
+	for _, p := range partition(t, client, 8) {
+		if got, want := p.Cells(domain), []string{"graz-a#1", "graz-a#2"}; !slices.Equal(got, want) {
+			t.Errorf("the cells are %q, want %q", got, want)
+		}
+	}
+}
+
+// TestPartitionLasts guards against a worker that changes its cell after a restart of all
+// processes: the cells stay as stored, whatever is registered then.
+func TestPartitionLasts(t *testing.T) {
+	t.Parallel()
+	store, client := startStore(t)
+	register(store, 0, 100)
+	before := partition(t, client, 1)[0]
+	register(store, 100, 500)
+	after := partition(t, client, 1)[0]
+	if got, want := after.Cells(domain), before.Cells(domain); !slices.Equal(got, want) {
+		t.Errorf("the cells are %q after the restart and %q before", got, want)
+	}
+}
+
+// TestPartitionOfUsedCell guards against jobs that nobody runs any more, as their cell was divided
+// by a newer version of this program.
+func TestPartitionOfUsedCell(t *testing.T) {
+	t.Parallel()
+	store, client := startStore(t)
+	register(store, 0, 220)
+	store.Put(termPrefix+domain, []byte("{}"))
+	if got := partition(t, client, 1)[0].Cells(domain); !slices.Equal(got, []string{domain}) {
+		t.Errorf("the cells are %q, want the one that has a term", got)
+	}
+}
+
+// TestPartitionWithoutWorkers guards against a process that never becomes ready since no worker
+// has registered.
+func TestPartitionWithoutWorkers(t *testing.T) {
+	t.Parallel()
+	_, client := startStore(t)
+	if got := partition(t, client, 1)[0].Cells(domain); !slices.Equal(got, []string{domain}) {
+		t.Errorf("the cells are %q, want one of the domain's name", got)
+	}
+}
+
+// TestMalformedPartition guards against a process that takes a partition that it can't read
+// for none: it must not claim any cell.
+func TestMalformedPartition(t *testing.T) {
+	t.Parallel()
+	store, client := startStore(t)
+	register(store, 0, 20)
+	store.Put(partitionKey, []byte(`{"failure_domains":{"graz-a":{"cells":0}}}`))
+	found := make(chan struct{})
+	go func() {
+		defer close(found)
+		_, _ = newPartitioner(client).Partition(t.Context())
+	}()
+	select {
+	case <-found:
+		t.Error("a partition without cells was taken")
+	case <-time.After(2 * time.Second):
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +20,7 @@
 	"zinniashore.example/archiver"
 	"zinniashore.example/claimer"
 	"zinniashore.example/meter"
+	"zinniashore.example/partitioner"
 	"zinniashore.example/platform"
 	"zinniashore.example/prober"
 	"zinniashore.example/recorder"
@@ -63,6 +63,8 @@
 	peerServer     *grpc.Server
 	peerListener   net.Listener
 	store          *platform.Store
+	partition      *sharedPartition
+	partitioner    *partitioner.Partitioner
 	listeners      []*httpListener
 	draining       atomic.Bool
 	// endRequests makes the acceptor answer the requests in progress at once.
@@ -107,10 +109,14 @@
 func (s *Scheduler) build() {
 	s.store = platform.NewStore(s.Settings.StoreAddress)
 	archive := &archiver.Archiver{Store: s.store}
+	s.partition = &sharedPartition{}
+	s.partitioner = &partitioner.Partitioner{
+		Store: s.store, Clock: s.Clock, Key: archiver.PartitionKey, TermPrefix: archiver.TermPrefix,
+	}
 	s.configurations = &configurations{clock: s.Clock, suspendedTime: suspendedTime}
 	s.heldCells = &heldCells{
 		clock: s.Clock, settings: s.Settings, store: s.store, workers: platform.NewWorkers(), archiver: archive,
-		services: map[string]bool{},
+		services: map[string]bool{}, partition: s.partition,
 		recorder: &eventLog{clock: s.Clock, scope: s.meter.Scope, recorder: &recorder.Recorder{
 			Clock: s.Clock, Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Capacity: timeLineCapacity,
 		}},
@@ -119,46 +125,62 @@
 	s.peerClient = &relayer.Client{}
 	s.heldCells.peers = s.peerClient
 	s.claimer = &claimer.Claimer{
-		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix, Candidate: s.Settings.FailureDomain,
-		OtherCells: otherDomains(s.Settings),
+		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix,
 		Self: claimer.Holder{
 			Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Address: s.Settings.PeerAddress,
 			Incarnation: uuid.NewString(), Processors: s.Settings.Processors,
 		},
+		AssumedProcessors: 1,
+
 		Hold:       s.heldCells.run,
 		Eligible:   func() bool { return !s.draining.Load() },
 		Holds:      s.queryHolder,
-		HasWorkers: (&cellWorkers{store: s.store, archiver: archive, configurations: s.configurations}).registered,
+		HasWorkers: (&cellWorkers{store: s.store, archiver: archive, configurations: s.configurations, partition: s.partition}).registered,
+	}
+	selector := &cellSelector{
+		failureDomain: s.Settings.FailureDomain, partition: s.partition, claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient,
 	}
-	selector := &cellSelector{home: s.Settings.FailureDomain, claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient}
 	s.heldCells.selector = selector
 	s.prober = &prober.Prober{
 		Store: s.store, Clock: s.Clock,
-		Peers: &otherHolders{self: s.Settings.Process, home: s.Settings.FailureDomain, claimer: s.claimer, peers: s.peerClient},
+		Peers: &otherHolders{self: s.Settings.Process, failureDomain: s.Settings.FailureDomain, partition: s.partition, claimer: s.claimer, peers: s.peerClient},
 	}
 	s.intake = acceptor.NewIntake(s.Clock, archive)
 	serving, endRequests := context.WithCancel(context.Background())
 	s.endRequests = endRequests
 	s.acceptor = &acceptor.Acceptor{
 		Serving: serving,
-		Clock:   s.Clock, Configurations: s.configurations, Intake: s.intake, StoreReached: s.prober.StoreReached,
+		Clock:   s.Clock, Configurations: dividedConfigurations{s.configurations, s.partition}, Intake: s.intake, StoreReached: s.prober.StoreReached,
 		Jobs: &jobRouter{
-			home: s.Settings.FailureDomain, self: s.Settings.Process, claimer: s.claimer, heldCells: s.heldCells,
+			failureDomain: s.Settings.FailureDomain, self: s.Settings.Process, partition: s.partition, claimer: s.claimer, heldCells: s.heldCells,
 			archiver: archive, peers: s.peerClient, selector: selector,
 			unaccepted: rate.NewLimiter(unacceptedPerSecond, unacceptedBurst),
 		},
 	}
 }
 
-// otherDomains returns the failure domains other than that of this process.
-func otherDomains(settings platform.Settings) []string {
-	return slices.DeleteFunc(slices.Clone(settings.FailureDomains), func(domain string) bool { return domain == settings.FailureDomain })
+// claimCells claims cells until ctx ends, once the division of the failure domains into cells is
+// known.
+func (s *Scheduler) claimCells(ctx context.Context) error {
+	partition, err := s.partitioner.Partition(ctx)
+	if err != nil {
+		return err
+	}
+	s.claimer.HomeCells = partition.Cells(s.Settings.FailureDomain)
+	for _, domain := range s.Settings.FailureDomains {
+		if domain != s.Settings.FailureDomain {
+			s.claimer.OtherCells = append(s.claimer.OtherCells, partition.Cells(domain)...)
+		}
+	}
+	s.partition.set(partition)
+	return s.claimer.Run(ctx)
 }
 
 // Ready reports whether the process accepts calls.
 func (s *Scheduler) Ready() bool {
 	_, known := s.configurations.Configuration()
-	return known && !s.draining.Load() && !s.prober.Isolated()
+	_, divided := s.partition.get()
+	return known && divided && !s.draining.Load() && !s.prober.Isolated()
 }
 
 func (s *Scheduler) serveReadiness(w http.ResponseWriter, q *http.Request) {
@@ -186,7 +208,7 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	configuration := s.configurationWatch()
-	roles := []func(context.Context) error{configuration.Run, s.claimer.Run, s.intake.Run, s.prober.Run}
+	roles := []func(context.Context) error{configuration.Run, s.claimCells, s.intake.Run, s.prober.Run}
 	for _, run := range roles {
 		group.Go(func() error { return run(running) })
 	}
--- a/watches_test.go
+++ b/watches_test.go
@@ -75,7 +75,7 @@
 	clock := clockwork.NewRealClock()
 	ofCell := func(prefix string) func(*testing.T, *platform.Store) func(string) string {
 		return func(t *testing.T, store *platform.Store) func(string) string {
-			cells := &heldCells{clock: clock, store: store}
+			cells := &heldCells{clock: clock, store: store, partition: &sharedPartition{}}
 			runner := dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), clock, nil, unreachableArchive{})
 			for _, w := range cells.watches("graz-a", runner) {
 				if w.Prefix == prefix {
@@ -101,7 +101,7 @@
 			key: archiver.HolderPrefix + "graz-a", bound: holderBound,
 			follow: func(t *testing.T, store *platform.Store) func(string) string {
 				c := &claimer.Claimer{
-					Store: store, Clock: clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix, Candidate: "graz-b",
+					Store: store, Clock: clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix, HomeCells: []string{"graz-b"},
 					Eligible: func() bool { return false },
 				}
 				go func() { _ = c.Run(t.Context()) }()
