Queries of free capacity are bounded

Callers: a submission waited for up to 300 ms for two rounds of queries where the holder of its cell was behind; the shortest objective is 250 ms beside the work.

Cause: each query had 150 ms, every process sent one for each submission whatever was unanswered, and the holder worked on queries whose callers had given up. What fails by timeout under load added load.

Change: a submission waits 40 ms for a cell of its domain and then 50 ms for all cells; the query itself lasts 150 ms, since a call given up early closes its connection. The holder drops queries whose caller has left.

--- a/cellselector.go
+++ b/cellselector.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -14,8 +13,13 @@
 )
 
 const (
-	// freeCapacityTimeout bounds the query of a cell's free capacity.
-	freeCapacityTimeout = 150 * time.Millisecond
+	// homePatience and otherPatience are how long a submission waits for the free capacity of a home
+	// cell, and then for that of all cells. Together they take a small part of the shortest objective of
+	// a queue; a holder that takes longer is behind, and another cell serves the job better.
+	homePatience  = 40 * time.Millisecond
+	otherPatience = 50 * time.Millisecond
+	// delegationPatience is how long a holder waits for the free capacity of the other cells.
+	delegationPatience = 150 * time.Millisecond
 	// homeLoadMargin is how much higher the load of the home cell may be before a job
 	// moves to another cell that fits as many of its tasks.
 	homeLoadMargin = 0.15
@@ -28,6 +32,7 @@
 	claimer       *claimer.Claimer
 	heldCells     *heldCells
 	peers         *relayer.Client
+	capacities    *capacityQueries
 }
 
 // homeCell returns one of the cells of the process's own failure domain, a different one for
@@ -37,42 +42,10 @@
 	return cells[rand.IntN(len(cells))]
 }
 
-// freeCapacities returns the free capacity of all cells that answer.
-func (s *cellSelector) freeCapacities(ctx context.Context, service string, step dispatcher.Step) map[string]dispatcher.FreeCapacity {
-	ctx, cancel := context.WithTimeout(ctx, freeCapacityTimeout)
-	defer cancel()
-	var mu sync.Mutex
-	var waiting sync.WaitGroup
-	found := map[string]dispatcher.FreeCapacity{}
-	for cell, holder := range s.claimer.Cells() {
-		waiting.Add(1)
-		go func() {
-			defer waiting.Done()
-			free, err := s.freeCapacity(ctx, cell, holder, service, step)
-			if err != nil {
-				klog.V(1).InfoS("Reading the free capacity of a cell failed", "cell", cell, "err", err)
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			found[cell] = free
-		}()
-	}
-	waiting.Wait()
-	return found
-}
-
-func (s *cellSelector) freeCapacity(ctx context.Context, cell string, holder claimer.Holder, service string, step dispatcher.Step) (dispatcher.FreeCapacity, error) {
-	if runner := s.heldCells.Runner(cell); runner != nil {
-		return runner.FreeCapacity(service, step), nil
-	}
-	return s.peers.FreeCapacity(ctx, holder.Address, cell, service, step)
-}
-
 // FindCell implements dispatcher.OtherCells.
 func (s *cellSelector) FindCell(ctx context.Context, leftOut []string, service string, step dispatcher.Step, later bool) (string, int) {
 	step.Count = 1
-	found := s.freeCapacities(ctx, service, step)
+	found := s.capacities.askAll(ctx, delegationPatience, service, step)
 	for _, cell := range leftOut {
 		delete(found, cell)
 	}
@@ -129,7 +102,7 @@
 	if s.fits(ctx, home, job.Queue.Service, step) {
 		return home
 	}
-	found := s.freeCapacities(ctx, job.Queue.Service, step)
+	found := s.capacities.askAll(ctx, otherPatience, job.Queue.Service, step)
 	best, known := home, found[home]
 	_, answered := found[home]
 	for cell, free := range found {
@@ -157,10 +130,9 @@
 	if !held {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, freeCapacityTimeout)
-	defer cancel()
-	free, err := s.freeCapacity(ctx, cell, holder, service, step)
-	return err == nil && free.Places >= step.Count
+	found := s.capacities.ask(ctx, map[string]claimer.Holder{cell: holder}, homePatience, service, step)
+	free, answered := found[cell]
+	return answered && free.Places >= step.Count
 }
 
 // betterFit reports whether the candidate cell fits more tasks of a step than the
@@ -176,7 +148,7 @@
 // arrive together see the same free capacity and would otherwise all be assigned to the
 // same cell.
 func (s *cellSelector) cellForLongRunning(ctx context.Context, service string, step dispatcher.Step) string {
-	found := s.freeCapacities(ctx, service, step)
+	found := s.capacities.askAll(ctx, homePatience+otherPatience, service, step)
 	total := 0
 	for _, free := range found {
 		total += weight(free, step.Count)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -120,6 +120,9 @@
 	if runner == nil {
 		return &relayerpb.RoomAnswer{}, nil
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, status.FromContextError(err).Err() // the caller has given up
+	}
 	capacity := runner.FreeCapacity(request.GetService(), dispatcher.Step{
 		Count: int(request.GetCount()),
 		Size: dispatcher.Size{
--- a/scheduler.go
+++ b/scheduler.go
@@ -139,6 +139,7 @@
 	}
 	selector := &cellSelector{
 		failureDomain: s.Settings.FailureDomain, partition: s.partition, claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient,
+		capacities: &capacityQueries{claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient},
 	}
 	s.heldCells.selector = selector
 	s.prober = &prober.Prober{
