--- a/claimer/candidacy.go
+++ b/claimer/candidacy.go
@@ -54,15 +54,11 @@
 func (k *candidacy) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		expected, free := k.claimable()
-		if free && !k.leftToOthers(ctx) {
-			claimed := k.claim(ctx, expected)
-			k.setClaiming(false)
-			if !claimed {
-				k.backOff(ctx)
-				continue
-			}
-		} else if free {
-			k.setClaiming(false)
+		failed := free && !k.leftToOthers(ctx) && !k.claim(ctx, expected)
+		k.setClaiming(false)
+		if failed {
+			k.backOff(ctx)
+			continue
 		}
 		k.awaitChange(ctx)
 	}
