dispatcher: one stored job can't end the process of each holder that reads it

Operators of similar systems told us that one malformed message took a process down. Here it could: a stored or delivered job whose step depends on a missing one, or whose progress or part names a task below 0, makes the holder index out of range; the record stays, so each next holder ends as well. A job of which very many occurrences are due at once takes all memory in the same way, and clients may submit it.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -243,9 +243,13 @@
 	return longest
 }
 
+// maxOpenOccurrences is how many occurrences of a job may be open at a time. Others that are due
+// wait, so that a job with any number of them takes bounded memory.
+const maxOpenOccurrences = 100
+
 // beginOccurrences begins the occurrences of a job that are due.
 func (c *Cell) beginOccurrences(now time.Time, j *jobState) {
-	for j.nextDue < j.job.Occurrences && !now.Before(j.job.Due(j.nextDue)) {
+	for j.nextDue < j.job.Occurrences && j.openOccurrences < maxOpenOccurrences && !now.Before(j.job.Due(j.nextDue)) {
 		if !j.finished[j.nextDue] {
 			c.beginOccurrence(now, j, j.nextDue)
 		}
@@ -272,6 +276,7 @@
 		o.steps = append(o.steps, s)
 	}
 	j.occurrences[number] = o
+	j.openOccurrences++
 	c.enqueueReadySteps(now, o)
 	return o
 }
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 )
@@ -129,6 +130,38 @@
 	Accepted time.Time
 }
 
+// contains reports whether the job has a task.
+func (j *Job) contains(id TaskID) bool {
+	return id.Occurrence >= 0 && id.Occurrence < j.Occurrences &&
+		id.Step >= 0 && id.Step < len(j.Steps) &&
+		id.Index >= 0 && id.Index < j.Steps[id.Step].Count
+}
+
+// JobRecordError reports a stored job that can't be run.
+type JobRecordError struct {
+	// Job is the id of the job, Step the number of the step, Dependency the step that it can't
+	// depend on.
+	Job              string
+	Step, Dependency int
+}
+
+// Error implements error.
+func (e *JobRecordError) Error() string {
+	return fmt.Sprintf("job %s: step %d depends on step %d, which is not an earlier one", e.Job, e.Step, e.Dependency)
+}
+
+// validate returns a *JobRecordError if a step depends on one that isn't an earlier step.
+func (j *Job) validate() error {
+	for i, step := range j.Steps {
+		for _, dependency := range step.After {
+			if dependency < 0 || dependency >= i {
+				return &JobRecordError{Job: j.ID, Step: i, Dependency: dependency}
+			}
+		}
+	}
+	return nil
+}
+
 // Due returns when an occurrence is due.
 func (j *Job) Due(occurrence int) time.Time {
 	if !j.Timed {
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -184,8 +184,7 @@
 // finished.
 func (c *Cell) task(now time.Time, id TaskID) *task {
 	j, known := c.jobs[id.Job]
-	if !known || id.Occurrence >= j.job.Occurrences || id.Step >= len(j.job.Steps) ||
-		id.Index >= j.job.Steps[id.Step].Count || j.finished[id.Occurrence] {
+	if !known || !j.job.contains(id) || j.finished[id.Occurrence] {
 		return nil
 	}
 	o, begun := j.occurrences[id.Occurrence]
@@ -232,6 +231,7 @@
 		return
 	}
 	j.finished[o.number] = true
+	j.openOccurrences--
 	if len(j.finished) == j.job.Occurrences && !j.state.Final() {
 		c.finish(now, j, StateCompleted)
 	}
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -280,7 +280,7 @@
 	return json.Marshal(m)
 }
 
-// DecodeJob decodes the stored form of a job.
+// DecodeJob decodes the stored form of a job. It returns a *JobRecordError for one that can't be run.
 func DecodeJob(content []byte) (Job, error) {
 	var m jobRecordMessage
 	if err := json.Unmarshal(content, &m); err != nil {
@@ -314,7 +314,7 @@
 			Image: s.Image, TailTarget: s.TailTargetNS, BestEffort: s.BestEffort, MaxUnavailable: s.MaxUnavailable,
 		})
 	}
-	return j, nil
+	return j, j.validate()
 }
 
 type workerMessage struct {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -148,6 +148,8 @@
 	finished map[int]bool
 	// nextDue is the number of the next occurrence to begin.
 	nextDue int
+	// openOccurrences counts the occurrences that have begun and aren't done.
+	openOccurrences int
 	// due is the deadline that the queue's objective sets for the job.
 	due time.Time
 	// restored is true if an earlier holder may have started tasks of the job.
