--- a/scheduler.go
+++ b/scheduler.go
@@ -38,6 +38,9 @@
 	// lameDuckPeriod is how long new calls may still arrive after readiness has been
 	// withdrawn.
 	lameDuckPeriod = 2500 * time.Millisecond
+	// wholeProcessor is how many processors the strongest process is assumed to have until a holder
+	// is known.
+	wholeProcessor = 1
 	// exitReserve is the part of the shutdown grace that is reserved for the process to
 	// exit.
 	exitReserve = 1500 * time.Millisecond
@@ -130,12 +133,11 @@
 			Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Address: s.Settings.PeerAddress,
 			Incarnation: uuid.NewString(), Processors: s.Settings.Processors,
 		},
-		AssumedProcessors: 1,
-
-		Hold:       s.heldCells.run,
-		Eligible:   func() bool { return !s.draining.Load() },
-		Holds:      s.queryHolder,
-		HasWorkers: (&cellWorkers{store: s.store, archiver: archive, configurations: s.configurations, partition: s.partition}).registered,
+		AssumedProcessors: wholeProcessor,
+		Hold:              s.heldCells.run,
+		Eligible:          func() bool { return !s.draining.Load() },
+		Holds:             s.queryHolder,
+		HasWorkers:        (&cellWorkers{store: s.store, archiver: archive, configurations: s.configurations, partition: s.partition}).registered,
 	}
 	selector := &cellSelector{
 		failureDomain: s.Settings.FailureDomain, partition: s.partition, claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient,
