partitioner: one attempt a function; a query of capacities ends with its caller

A read of the stored division that is repeated right after it was stored, in place of a loop with three outcomes. A submission whose client has left no longer waits for the answers of holders.

--- a/capacityquery.go
+++ b/capacityquery.go
@@ -33,7 +33,7 @@
 }
 
 // ask returns the free capacity of the cells whose holders answer within patience. It returns
-// as soon as all have answered.
+// as soon as all have answered, or ctx ends.
 func (q *capacityQueries) ask(ctx context.Context, cells map[string]claimer.Holder, patience time.Duration, service string, step dispatcher.Step) map[string]dispatcher.FreeCapacity {
 	answers := make(chan capacityAnswer, len(cells))
 	awaited := 0
@@ -57,6 +57,8 @@
 			}
 		case <-limit.C:
 			return found
+		case <-ctx.Done():
+			return found
 		}
 	}
 	return found
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -52,24 +52,15 @@
 func (p *Partitioner) Partition(ctx context.Context) (Partition, error) {
 	var registry settling
 	for ctx.Err() == nil {
-		partition, found, err := p.read(ctx)
-		if err == nil && found {
+		partition, found, err := p.attempt(ctx, &registry)
+		if found {
 			klog.InfoS("Failure domains divided into cells", "partition", partition.describe())
 			return partition, nil
 		}
-		var settled bool
-		if err == nil {
-			settled, err = p.readRegistry(ctx, &registry)
-		}
-		if err == nil && settled {
-			err = p.divide(ctx, registry.workers)
-		}
 		pause := readInterval
 		if err != nil {
 			klog.ErrorS(err, "Reading or storing the division into cells failed; retrying")
 			pause = retryDelay + rand.N(retryDelay)
-		} else if settled {
-			continue
 		}
 		select {
 		case <-ctx.Done():
@@ -79,6 +70,23 @@
 	return Partition{}, ctx.Err()
 }
 
+// attempt returns the stored partition, and whether there is one. If there is none and the workers
+// have registered, it stores one first.
+func (p *Partitioner) attempt(ctx context.Context, registry *settling) (Partition, bool, error) {
+	partition, found, err := p.read(ctx)
+	if found || err != nil {
+		return partition, found, err
+	}
+	settled, err := p.readRegistry(ctx, registry)
+	if err != nil || !settled {
+		return Partition{}, false, err
+	}
+	if err := p.divide(ctx, registry.workers); err != nil {
+		return Partition{}, false, err
+	}
+	return p.read(ctx)
+}
+
 // read returns the stored partition, and whether there is one.
 func (p *Partitioner) read(ctx context.Context) (Partition, bool, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, p.Clock, callTimeout)
