partitioner: one process reads the registry

Cause: each of 299 processes read all 3,000 registrations, about 1 MB, four times a second until the workers had settled. That fills the store's link, each read ran out after 1 s and was repeated, for ever. At 147 machines and 1,100 workers it still worked, 1 s later than needed.

Change: one process, which writes a key with a lease of 8 s, reads the registry and stores the division; the others read a prefix with one small record. The read has 5 s. If that process ends, its key expires and another one takes over; two at once would do no harm, as the division is stored on condition that there is none.

TestRegistryIsReadByOneProcess before: 170 reads of 40 processes, want at most 12. TestLostDivider is new.

--- a/partitioner/partition.go
+++ b/partitioner/partition.go
@@ -12,9 +12,9 @@
 // maxCellWorkers is the number of workers above which a failure domain has more cells.
 const maxCellWorkers = 120
 
-// CellSeparator separates the name of a failure domain from the number of a cell. No name of a
+// cellSeparator separates the name of a failure domain from the number of a cell. No name of a
 // failure domain contains it.
-const CellSeparator = "#"
+const cellSeparator = "#"
 
 // Partition is the division of failure domains into cells. The zero value has one cell in
 // each domain, of the domain's name.
@@ -74,7 +74,7 @@
 }
 
 func cellName(domain string, number int) string {
-	return fmt.Sprintf("%s%s%d", domain, CellSeparator, number+1)
+	return fmt.Sprintf("%s%s%d", domain, cellSeparator, number+1)
 }
 
 // Cell returns the cell of a worker. The racks that were known are dealt out in turn; a rack
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -26,15 +26,22 @@
 	// maxSettlingTime is how long the workers may take to register. A domain without
 	// workers by then has one cell.
 	maxSettlingTime = 4 * time.Second
-	// callTimeout bounds a call of the store.
-	callTimeout = time.Second
+	// callTimeout bounds a call of the store, registryTimeout one that reads the whole registry,
+	// which is long where there are thousands of workers.
+	callTimeout     = time.Second
+	registryTimeout = 5 * time.Second
+	// dividerTTL is how long one process may take to divide the domains before another one does.
+	dividerTTL = 8 * time.Second
+	// dividerSuffix is appended to the key of the partition to get the key of the process that
+	// divides the domains.
+	dividerSuffix = "/divider"
 )
 
 // Store is the subset of platform.Store that a Partitioner uses.
 type Store interface {
-	Get(ctx context.Context, key string) (platform.Item, error)
 	List(ctx context.Context, prefix string) ([]platform.Item, int64, error)
 	Commit(ctx context.Context, transaction platform.Transaction) (int64, error)
+	Grant(ctx context.Context, ttl time.Duration) (int64, time.Duration, error)
 }
 
 // Partitioner reads the stored partition, or stores one. Its exported fields are set before
@@ -46,13 +53,13 @@
 	Key, TermPrefix string
 }
 
-// Partition returns the stored partition. If there is none, it waits until the workers have
-// registered, and stores the division of their failure domains, unless another process is
-// first. It retries until it succeeds or ctx ends.
+// Partition returns the stored partition. If there is none, one process waits until the workers
+// have registered, and stores the division of their failure domains: the registry is too large to
+// be read by all of them. Partition retries until it succeeds or ctx ends.
 func (p *Partitioner) Partition(ctx context.Context) (Partition, error) {
-	var registry settling
+	var d divider
 	for ctx.Err() == nil {
-		partition, found, err := p.attempt(ctx, &registry)
+		partition, found, err := p.attempt(ctx, &d)
 		if found {
 			klog.InfoS("Failure domains divided into cells", "partition", partition.describe())
 			return partition, nil
@@ -70,33 +77,83 @@
 	return Partition{}, ctx.Err()
 }
 
-// attempt returns the stored partition, and whether there is one. If there is none and the workers
-// have registered, it stores one first.
-func (p *Partitioner) attempt(ctx context.Context, registry *settling) (Partition, bool, error) {
-	partition, found, err := p.read(ctx)
+// attempt returns the stored partition, and whether there is one. If there is none, this process is
+// the divider and the workers have registered, it stores one first.
+func (p *Partitioner) attempt(ctx context.Context, d *divider) (Partition, bool, error) {
+	partition, found, err := p.read(ctx, d)
 	if found || err != nil {
 		return partition, found, err
 	}
-	settled, err := p.readRegistry(ctx, registry)
+	if !d.divides(p.Clock.Now()) {
+		return Partition{}, false, p.becomeDivider(ctx, d)
+	}
+	settled, err := p.readRegistry(ctx, &d.registry)
 	if err != nil || !settled {
 		return Partition{}, false, err
 	}
-	if err := p.divide(ctx, registry.workers); err != nil {
+	if err := p.divide(ctx, d.registry.workers); err != nil {
 		return Partition{}, false, err
 	}
-	return p.read(ctx)
+	return p.read(ctx, d)
+}
+
+// divider is the state of a process that may divide the failure domains.
+type divider struct {
+	// other is true if another process divides them.
+	other bool
+	// until is when this process's time as the divider ends, zero if it isn't the divider.
+	until    time.Time
+	registry settling
 }
 
+func (d *divider) divides(now time.Time) bool { return now.Before(d.until) }
+
 // read returns the stored partition, and whether there is one.
-func (p *Partitioner) read(ctx context.Context) (Partition, bool, error) {
+func (p *Partitioner) read(ctx context.Context, d *divider) (Partition, bool, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, p.Clock, callTimeout)
 	defer cancel()
-	item, err := p.Store.Get(ctx, p.Key)
-	if err != nil || item.Revision == 0 {
+	items, _, err := p.Store.List(ctx, p.Key)
+	if err != nil {
 		return Partition{}, false, err
 	}
-	partition, err := decode(item.Value)
-	return partition, err == nil, err
+	d.other = false
+	for _, item := range items {
+		switch item.Key {
+		case p.Key:
+			partition, err := decode(item.Value)
+			return partition, err == nil, err
+		case p.Key + dividerSuffix:
+			d.other = !d.divides(p.Clock.Now())
+		}
+	}
+	return Partition{}, false, nil
+}
+
+// becomeDivider makes this process the divider unless another one is.
+func (p *Partitioner) becomeDivider(ctx context.Context, d *divider) error {
+	if d.other {
+		return nil
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, p.Clock, callTimeout)
+	defer cancel()
+	began := p.Clock.Now()
+	lease, _, err := p.Store.Grant(ctx, dividerTTL)
+	if err != nil {
+		return err
+	}
+	key := p.Key + dividerSuffix
+	_, err = p.Store.Commit(ctx, platform.Transaction{
+		Expect: []platform.Expectation{{Key: key}},
+		Writes: []platform.Item{{Key: key, Lease: lease}},
+	})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil // another process is the divider
+	}
+	if err == nil {
+		*d = divider{until: began.Add(dividerTTL)}
+	}
+	return err
 }
 
 // settling is what the registry has shown so far.
@@ -109,7 +166,7 @@
 
 // readRegistry reads the registered workers and reports whether they are complete.
 func (p *Partitioner) readRegistry(ctx context.Context, s *settling) (bool, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, p.Clock, callTimeout)
+	ctx, cancel := clockwork.WithTimeout(ctx, p.Clock, registryTimeout)
 	defer cancel()
 	items, _, err := p.Store.List(ctx, platform.RegistrationPrefix)
 	if err != nil {
--- a/partitioner/partitioner_test.go
+++ b/partitioner/partitioner_test.go
@@ -1,8 +1,11 @@
 package partitioner_test
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,3 +142,56 @@
 	case <-time.After(2 * time.Second):
 	}
 }
+
+// countingStore counts the lists of the registry.
+type countingStore struct {
+	*platform.Store
+	lists atomic.Int64
+}
+
+func (c *countingStore) List(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
+	if prefix == platform.RegistrationPrefix {
+		c.lists.Add(1)
+	}
+	return c.Store.List(ctx, prefix)
+}
+
+// TestRegistryIsReadByOneProcess guards against a store whose link is full since each of hundreds of
+// processes reads thousands of registrations again and again, so that no process ever starts.
+func TestRegistryIsReadByOneProcess(t *testing.T) {
+	t.Parallel()
+	const processes, most = 40, 12
+	store, client := startStore(t)
+	register(store, 0, 220)
+	counting := &countingStore{Store: client}
+	var waiting sync.WaitGroup
+	for range processes {
+		waiting.Go(func() {
+			p := newPartitioner(client)
+			p.Store = counting
+			if _, err := p.Partition(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	waiting.Wait()
+	if lists := counting.lists.Load(); lists > most {
+		t.Errorf("%d processes read the registry %d times, want at most %d", processes, lists, most)
+	}
+}
+
+// TestLostDivider guards against processes that wait for ever for one that ended before it had
+// divided the failure domains.
+func TestLostDivider(t *testing.T) {
+	t.Parallel()
+	store, client := startStore(t)
+	register(store, 0, 220)
+	store.Put(partitionKey+"/divider", nil)
+	go func() {
+		time.Sleep(500 * time.Millisecond)
+		store.Remove(partitionKey + "/divider")
+	}()
+	if got := partition(t, client, 3)[0].Cells(domain); len(got) != 2 {
+		t.Errorf("the cells are %q, want two", got)
+	}
+}
