platform: a write without a value reaches the store as an empty one

A nil slice is null in JSON, which the store refuses. (log: "transaction: refused with status 400")

Our stand-in took null; it now refuses it as the platform does.

--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -144,7 +144,7 @@
 	key := p.Key + dividerSuffix
 	_, err = p.Store.Commit(ctx, platform.Transaction{
 		Expect: []platform.Expectation{{Key: key}},
-		Writes: []platform.Item{{Key: key, Lease: lease}},
+		Writes: []platform.Item{{Key: key, Value: []byte("{}"), Lease: lease}},
 	})
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -280,6 +281,10 @@
 	if !readMessage(w, r, &transaction) {
 		return
 	}
+	if slices.ContainsFunc(transaction.Writes, func(item platformItem) bool { return item.Value == nil }) {
+		http.Error(w, "a value is null or missing", http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conflict, current := false, []platformItem{}
