--- a/claimer/spread_test.go
+++ b/claimer/spread_test.go
@@ -35,7 +35,7 @@
 }
 
 // TestCellsAreSpread guards against a process that holds all cells of its failure domain while
-// others that are as strong hold none, and against a weak holder beside strong candidates.
+// others that are as strong hold none, and against a weak holder where there are strong candidates.
 func TestCellsAreSpread(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
--- a/heldcells.go
+++ b/heldcells.go
@@ -51,7 +51,7 @@
 	archiver *archiver.Archiver
 	recorder dispatcher.Recorder
 	selector *cellSelector
-	// partition tells which workers belong to a cell.
+	// partition maps workers to cells.
 	partition *sharedPartition
 
 	// peers sends requests to earlier holders.
--- a/partitioner/partition.go
+++ b/partitioner/partition.go
@@ -1,6 +1,6 @@
 // Package partitioner divides the workers of each failure domain into cells that one
 // process each can hold. The division is stored once and never changes, so that all
-// processes compute the cell of a worker alike and no worker is in two cells.
+// processes compute the same cell for a worker and no worker is in two cells.
 package partitioner
 
 import (
@@ -78,7 +78,7 @@
 }
 
 // Cell returns the cell of a worker. The racks that were known are dealt out in turn; a rack
-// that was added since belongs to a cell by a hash of its name.
+// that was added since is assigned by a hash of its name.
 func (p Partition) Cell(w Worker) string {
 	d := p.domains[w.FailureDomain]
 	if d.cells <= 1 {
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -30,7 +30,7 @@
 	// which is long where there are thousands of workers.
 	callTimeout     = time.Second
 	registryTimeout = 5 * time.Second
-	// largeRegistry is the number of workers above which only one process goes on reading the registry.
+	// largeRegistry is the number of workers above which a single process polls the registry.
 	largeRegistry = 300
 	// dividerTTL is how long one process may take to divide the domains before another one does.
 	dividerTTL = 8 * time.Second
@@ -57,7 +57,7 @@
 
 // Partition returns the stored partition. If there is none, it waits until the workers have
 // registered, and stores the division of their failure domains, unless another process is first. A
-// registry of many workers is read on by one process only, since it would fill the store's link.
+// large registry is polled by a single process, since its reads would fill the store's link.
 // Partition retries until it succeeds or ctx ends.
 func (p *Partitioner) Partition(ctx context.Context) (Partition, error) {
 	var d divider
--- a/sharedpartition.go
+++ b/sharedpartition.go
@@ -31,7 +31,7 @@
 	return partition.Cells(failureDomain)
 }
 
-// contains reports whether a worker belongs to a cell.
+// contains reports whether a worker is in a cell.
 func (s *sharedPartition) contains(cell string, worker dispatcher.Registration) bool {
 	partition, _ := s.get()
 	return partition.Cell(partitioner.Worker{FailureDomain: worker.FailureDomain, Rack: worker.Rack}) == cell
