archiver: the cancellation of an unaccepted job has a value

A client hands a job in at a process that is paused, leaves after 300 ms, and cancels it elsewhere.

Cause, as far as runs show one: the record that keeps a late submission out had an empty value.

Ruled out by a run each on, all held: the process stopped 0.2, 0.5, 1 and 2 ms after the submission was sent; the holder stopped; the cancellation sent to the holder; a store that takes 50 ms a write, with a stop after 3 ms; a store that drops empty values; four runs of the case as it stands.

Change: the record holds a marker that no cell is called by. Empty values of earlier versions still count as cancellations.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -18,7 +18,8 @@
 const (
 	keyRoot = "zinniashore/"
 	// idPrefix is the prefix of the keys that map accepted jobs to their cells. The value of a
-	// job that was cancelled before it could be accepted is empty.
+	// job that was cancelled before it could be accepted is unacceptedValue; earlier versions
+	// stored an empty one.
 	idPrefix = keyRoot + "ids/"
 	// jobPrefix is the prefix of the keys of live jobs, by cell.
 	jobPrefix = keyRoot + "jobs/"
@@ -105,7 +106,7 @@
 		id := strings.TrimPrefix(item.Key, idPrefix)
 		switch {
 		case item.Revision == 0:
-		case len(item.Value) == 0:
+		case homeCell(item) == "":
 			exists.Cancelled[id] = true
 		default:
 			exists.IDs[id] = true
@@ -120,7 +121,10 @@
 func (a *Archiver) CancelUnaccepted(ctx context.Context, cell, id string) (string, error) {
 	_, err := a.Store.Commit(ctx, platform.Transaction{
 		Expect: []platform.Expectation{{Key: idPrefix + id}},
-		Writes: []platform.Item{{Key: idPrefix + id}, {Key: cancellationKey(cell, id), Value: []byte(unacceptedValue)}},
+		Writes: []platform.Item{
+			{Key: idPrefix + id, Value: []byte(unacceptedValue)},
+			{Key: cancellationKey(cell, id), Value: []byte(unacceptedValue)},
+		},
 	})
 	var conflict *platform.ConflictError
 	if !errors.As(err, &conflict) {
@@ -128,7 +132,7 @@
 	}
 	for _, item := range conflict.Items {
 		if item.Key == idPrefix+id {
-			return string(item.Value), nil
+			return homeCell(item), nil
 		}
 	}
 	return "", err
@@ -138,7 +142,16 @@
 // accepted.
 func (a *Archiver) Cell(ctx context.Context, id string) (string, error) {
 	item, err := a.Store.Get(ctx, idPrefix+id)
-	return string(item.Value), err
+	return homeCell(item), err
+}
+
+// homeCell returns the cell that an item under idPrefix names, or an empty string if the item doesn't
+// exist or its job was cancelled before it could be accepted.
+func homeCell(item platform.Item) string {
+	if string(item.Value) == unacceptedValue {
+		return ""
+	}
+	return string(item.Value)
 }
 
 // State returns the state of an accepted job as it is stored. A job without stored
@@ -199,12 +212,13 @@
 		if home, err = a.Store.Get(ctx, idPrefix+id); err != nil {
 			return err
 		}
-		if len(home.Value) == 0 {
+		cell := homeCell(home)
+		if cell == "" {
 			return nil // its state has expired
 		}
 		_, err = a.Store.Commit(ctx, platform.Transaction{
 			Expect: []platform.Expectation{{Key: home.Key, Revision: home.Revision}},
-			Writes: []platform.Item{cancellationItem(string(home.Value), id)},
+			Writes: []platform.Item{cancellationItem(cell, id)},
 		})
 		if !errors.As(err, &conflict) {
 			return err
--- a/archiver/change.go
+++ b/archiver/change.go
@@ -47,7 +47,8 @@
 	return &dispatcher.ReturnedPart{Cell: from, Crashes: progress.Crashes, Revision: item.Revision}, err
 }
 
-// unacceptedValue is the value of the cancellation of a job that wasn't accepted before.
+// unacceptedValue is the value of the cancellation of a job that wasn't accepted before. It isn't
+// empty, so that no store can take the write for one without a value.
 const unacceptedValue = `{"unaccepted":true}`
 
 // cancellationKey returns the key that marks a job of a cell as cancelled.
