Evacuation of a failure domain

Cause: nothing read op/evacuate/<domain>.

A new process applies evacuations before it uses a worker.

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -95,7 +95,7 @@
 
 // healthy reports whether starts may be sent to a worker at all.
 func (c *Cell) healthy(now time.Time, w *worker) bool {
-	return w.registered && w.stored && w.epochAccepted && w.registration.Phase == PhaseReady && w.freeCapacityKnown() &&
+	return c.takesStarts(w) && w.stored && w.epochAccepted && w.freeCapacityKnown() &&
 		!now.Before(w.quarantinedUntil) && now.Sub(w.answeredAt) <= unresponsiveTimeout+c.Limits.PollWait
 }
 
--- a/dispatcher/capacity.go
+++ b/dispatcher/capacity.go
@@ -20,7 +20,7 @@
 	var free FreeCapacity
 	var capacity, taken int64
 	for _, w := range c.workers {
-		if !w.registered || w.registration.Service != service || w.registration.Phase != PhaseReady {
+		if !c.takesStarts(w) || w.registration.Service != service {
 			continue
 		}
 		capacity += w.registration.Capacity.MilliProcessors
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -53,6 +53,7 @@
 	KindPartFailed   recorder.Kind = "part_given_up"
 	KindRelocated    recorder.Kind = "job_relocated"
 	KindOrphaned     recorder.Kind = "task_stray"
+	KindEvacuation   recorder.Kind = "evacuation"
 	KindWorker       recorder.Kind = "worker"
 	KindCell         recorder.Kind = "cell"
 )
@@ -98,6 +99,8 @@
 	// registrations of workers of other services that no holder has used.
 	services map[string]bool
 	unnamed  map[string]Registration
+	// evacuated are the failure domains on whose workers nothing may start.
+	evacuated FailureDomains
 	// removedWorkers counts the workers that are removed here and still listed in the
 	// store.
 	removedWorkers int
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -57,11 +57,13 @@
 }
 
 // capable reports whether a worker of the cell could run a task if all of its capacity were free. A
-// worker that may register again counts, as its capacity may not be known.
+// worker that may register again counts, as its capacity may not be known. One of an evacuated failure
+// domain doesn't: nobody knows when the domain is taken back.
 func (c *Cell) capable(t *task) bool {
 	step := t.step.step
 	for _, w := range c.workers {
-		suitable := w.registration.Phase != PhaseDraining && w.registration.Service == t.job().job.Queue.Service && w.hasLabel(step.Label)
+		suitable := w.registration.Phase != PhaseDraining && !c.evacuated.Contains(w.registration.FailureDomain) &&
+			w.registration.Service == t.job().job.Queue.Service && w.hasLabel(step.Label)
 		large := w.registered && w.registration.Capacity.Holds(step.Size)
 		if suitable && (large || !w.registered && !c.gone(w)) {
 			return true
--- a/dispatcher/reservation.go
+++ b/dispatcher/reservation.go
@@ -13,7 +13,7 @@
 	var best *worker
 	var maxFree int64
 	for _, w := range c.workers {
-		if w.reservedFor != nil || !w.registered || w.registration.Phase != PhaseReady || !w.fitsEventually(t) {
+		if w.reservedFor != nil || !c.takesStarts(w) || !w.fitsEventually(t) {
 			continue
 		}
 		if free := w.freeCapacity().MilliProcessors; best == nil || free > maxFree || free == maxFree && w.registration.ID < best.registration.ID {
--- /dev/null
+++ b/evacuator/evacuator.go
@@ -0,0 +1,60 @@
+// Package evacuator follows which failure domains the operators have evacuated. No task starts
+// on the workers of an evacuated domain until the operators take the domain back.
+package evacuator
+
+import (
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"zinniashore.example/dispatcher"
+	"zinniashore.example/platform"
+)
+
+// Tracker derives the evacuated failure domains from the keys that operators write. Its exported
+// fields are set before the first call.
+type Tracker struct {
+	// Changed is called with the evacuated domains after each change.
+	Changed func(dispatcher.FailureDomains)
+
+	mu      sync.Mutex
+	domains dispatcher.FailureDomains
+}
+
+// Replace implements watcher.Handler.
+func (t *Tracker) Replace(items []platform.Item) {
+	var names []string
+	for _, item := range items {
+		if name, found := platform.DecodeEvacuation(item.Key); found {
+			names = append(names, name)
+		}
+	}
+	t.set(dispatcher.NewFailureDomains(names...))
+}
+
+// Apply implements watcher.Handler.
+func (t *Tracker) Apply(event platform.Event) {
+	name, found := platform.DecodeEvacuation(event.Key)
+	if !found {
+		return
+	}
+	t.mu.Lock()
+	domains := t.domains.With(name)
+	if event.Removed {
+		domains = t.domains.Without(name)
+	}
+	t.mu.Unlock()
+	t.set(domains)
+}
+
+// set replaces the evacuated domains and passes a change on.
+func (t *Tracker) set(domains dispatcher.FailureDomains) {
+	t.mu.Lock()
+	changed := !t.domains.Equal(domains)
+	t.domains = domains
+	t.mu.Unlock()
+	if changed {
+		klog.InfoS("Evacuated failure domains changed", "evacuated", domains.Names())
+		t.Changed(domains)
+	}
+}
--- a/heldcells.go
+++ b/heldcells.go
@@ -61,6 +61,8 @@
 	runners map[string]heldCell
 	// services are the names of the configured services, empty before they are known.
 	services map[string]bool
+	// evacuated are the evacuated failure domains. They are known once services are.
+	evacuated dispatcher.FailureDomains
 	// yielded holds, by cell, the epoch before which this process doesn't hold it any more.
 	yielded map[string]int64
 }
@@ -153,6 +155,7 @@
 		h.runners = map[string]heldCell{}
 	}
 	h.runners[cell] = held
+	held.runner.SetEvacuated(h.evacuated)
 	held.runner.SetServices(h.services)
 	return true
 }
@@ -167,6 +170,16 @@
 	}
 }
 
+// setEvacuated sets the evacuated failure domains.
+func (h *heldCells) setEvacuated(evacuated dispatcher.FailureDomains) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evacuated = evacuated
+	for _, held := range h.runners {
+		held.runner.SetEvacuated(evacuated)
+	}
+}
+
 func (h *heldCells) unset(cell string, runner *dispatcher.Runner) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/scheduler.go
+++ b/scheduler.go
@@ -19,6 +19,7 @@
 	"zinniashore.example/acceptor"
 	"zinniashore.example/archiver"
 	"zinniashore.example/claimer"
+	"zinniashore.example/evacuator"
 	"zinniashore.example/meter"
 	"zinniashore.example/partitioner"
 	"zinniashore.example/platform"
@@ -56,6 +57,7 @@
 
 	meter          *meter.Meter
 	configurations *configurations
+	evacuations    *evacuator.Tracker
 	claimer        *claimer.Claimer
 	heldCells      *heldCells
 	acceptor       *acceptor.Acceptor
@@ -125,6 +127,7 @@
 		}},
 	}
 	s.configurations.changed = s.heldCells.setServices
+	s.evacuations = &evacuator.Tracker{Changed: s.heldCells.setEvacuated}
 	s.peerClient = &relayer.Client{}
 	s.heldCells.peers = s.peerClient
 	s.claimer = &claimer.Claimer{
@@ -196,11 +199,13 @@
 	}
 }
 
-// configurationWatch returns the watch that keeps the configuration up to date.
+// configurationWatch returns the watch of the operators' keys. A cell uses no worker before its service
+// is known, so evacuations come first: none is unknown when the first task starts.
 func (s *Scheduler) configurationWatch() watcher.Watcher {
 	return watcher.Watcher{
-		Store: s.store, Clock: s.Clock, Prefix: platform.OperatorPrefix, Handler: s.configurations,
-		Read: s.configurations.read, Wait: configurationWait,
+		Store: s.store, Clock: s.Clock, Prefix: platform.OperatorPrefix,
+		Handler: watcher.Handlers{s.evacuations, s.configurations},
+		Read:    s.configurations.read, Wait: configurationWait,
 	}
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -41,6 +41,23 @@
 	Apply(event platform.Event)
 }
 
+// Handlers passes items and changes to several handlers, in their order.
+type Handlers []Handler
+
+// Replace implements Handler.
+func (h Handlers) Replace(items []platform.Item) {
+	for _, handler := range h {
+		handler.Replace(items)
+	}
+}
+
+// Apply implements Handler.
+func (h Handlers) Apply(event platform.Event) {
+	for _, handler := range h {
+		handler.Apply(event)
+	}
+}
+
 // Watcher lists and watches the keys under a prefix. Its exported fields are set before
 // Run.
 type Watcher struct {
