evacuator: operators evacuate failure domains

Operators of `zinniashore serve` had no way to ask that no task start in a failure domain. The request is a document under watched/evacuations/, written by compare-and-swap and followed through the process's one watch. It is unknown, not empty, until the mirror was read, so a restarted process starts nothing before that.

Workers of such a domain have the states `evacuated` or `unknown` for the placer, and tasks wait with the reason `evacuated` and the names of the domains. The owner also sends no start that was recorded or assembled before. A start whose answer is missing is not sent again: the next full answer of the worker decides whether the task runs on or is stopped and waits. A failure in an evacuated cell doesn't put its task at fault sooner. New jobs go to cells of other domains that can run them.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/configurer"
+	"zinniashore.example/evacuator"
 	"zinniashore.example/keeper"
 	"zinniashore.example/recorder"
 	"zinniashore.example/submitter"
@@ -81,6 +82,8 @@
 	Submitter Submitter
 	// Cells assigns jobs to cells.
 	Cells Cells
+	// Evacuator records evacuations.
+	Evacuator Evacuator
 	// Status reports the state of this process and its cells.
 	Status Reporter
 	// TimeLine provides the merged time line.
@@ -126,6 +129,8 @@
 		{method: http.MethodGet, path: "/status", handle: a.getStatus},
 		{method: http.MethodGet, path: "/timeline", handle: a.getTimeLine},
 		{method: http.MethodPost, path: "/vms/:vm/release", handle: a.releaseVM},
+		{method: http.MethodPost, path: "/failure_domains/:domain/evacuate", handle: a.beginEvacuation},
+		{method: http.MethodPost, path: "/failure_domains/:domain/take_back", handle: a.endEvacuation},
 	}
 	var routes []rest.Route
 	for _, h := range handlers {
@@ -196,13 +201,14 @@
 	var conflict *submitter.ConflictError
 	var notFound *submitter.NotFoundError
 	var unknown *configurer.UnknownVMError
+	var unknownDomain *evacuator.UnknownDomainError
 	var alive *configurer.AliveError
 	switch {
 	case errors.As(err, &invalid):
 		return failureAnswer(http.StatusUnprocessableEntity, CodeRejected, err.Error(), true)
 	case errors.As(err, &conflict), errors.As(err, &alive):
 		return failureAnswer(http.StatusConflict, CodeConflict, err.Error(), true)
-	case errors.As(err, &notFound), errors.As(err, &unknown):
+	case errors.As(err, &notFound), errors.As(err, &unknown), errors.As(err, &unknownDomain):
 		return failureAnswer(http.StatusNotFound, CodeNotFound, err.Error(), true)
 	case errors.As(err, &unavailable):
 		return failureAnswer(http.StatusServiceUnavailable, CodeUnavailable, err.Error(), true)
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -21,6 +21,7 @@
 
 	"zinniashore.example/administrator"
 	"zinniashore.example/configurer"
+	"zinniashore.example/evacuator"
 	"zinniashore.example/keeper"
 	"zinniashore.example/placer"
 	"zinniashore.example/recorder"
@@ -83,13 +84,15 @@
 		Clock: clock, Keeper: k, Mirror: mirror, Recorder: r, Metrics: tally.NoopScope,
 		Process: "c1-1", VM: "c1", FailureDomain: "curepipe", FailureDomains: []string{"curepipe"},
 	}
+	fixed := clockwork.NewFakeClockAt(testTime)
+	e := &evacuator.Evacuator{Keeper: k, Mirror: mirror, Clock: fixed, Recorder: r, FailureDomains: []string{"curepipe", "phoenix"}}
 	c.Follow()
+	e.Follow()
 	ctx := t.Context()
 	go func() { _ = mirror.Run(ctx) }()
 	go func() { _ = c.Run(ctx) }()
-	fixed := clockwork.NewFakeClockAt(testTime)
 	a := &administrator.Administrator{
-		Clock: fixed, Configurer: c, Submitter: &submitter.Submitter{Keeper: k, Clock: fixed}, Cells: cells{},
+		Clock: fixed, Configurer: c, Submitter: &submitter.Submitter{Keeper: k, Clock: fixed}, Cells: cells{}, Evacuator: e,
 		Status: reporter{}, TimeLine: &recorder.Collector{Recorder: r}, Peers: unreachablePeer{}, FailureDomains: []string{"curepipe"},
 		Tokens: administrator.Tokens{
 			Operators:     append(operators, administrator.Token{Name: "ada", Secret: operatorSecret}),
@@ -181,7 +184,10 @@
 		{mokaSecret, "GET", "/v1/admin/jobs/moka/rolls-1204", ""},
 		{mokaSecret, "POST", "/v1/admin/jobs/moka/rolls-1204/cancel", ""},
 		{mokaSecret, "POST", "/v1/admin/jobs/moka/none/cancel", ""},
+		{operatorSecret, "POST", "/v1/admin/failure_domains/phoenix/evacuate", ""},
+		{operatorSecret, "POST", "/v1/admin/failure_domains/none/evacuate", ""},
 		{operatorSecret, "GET", "/v1/admin/status", ""},
+		{operatorSecret, "POST", "/v1/admin/failure_domains/phoenix/take_back", ""},
 		{operatorSecret, "GET", "/v1/admin/timeline?task=rolls-1204-0&limit=10", ""},
 		{operatorSecret, "GET", "/v1/admin/timeline?limit=x", ""},
 		{operatorSecret, "POST", "/v1/admin/vms/c9/release", ""},
@@ -227,6 +233,8 @@
 		"cancellation of another":        {secret: stockwerkSecret, method: "POST", path: "/v1/admin/jobs/moka/n/cancel", want: 403},
 		"look at a job of another":       {secret: stockwerkSecret, method: "GET", path: "/v1/admin/jobs/moka/n", want: 403},
 		"release by an organisation":     {secret: mokaSecret, method: "POST", path: "/v1/admin/vms/c1/release", want: 403},
+		"evacuation by an organisation":  {secret: mokaSecret, method: "POST", path: "/v1/admin/failure_domains/curepipe/evacuate", want: 403},
+		"its end by an organisation":     {secret: mokaSecret, method: "POST", path: "/v1/admin/failure_domains/curepipe/take_back", want: 403},
 		"unknown field":                  {secret: operatorSecret, method: "POST", path: "/v1/admin/changes", body: `{"id": "x", "force": true}`, want: 400},
 		"two bodies":                     {secret: operatorSecret, method: "POST", path: "/v1/admin/changes", body: `{"id": "x"}{}`, want: 400},
 		"body too large":                 {secret: operatorSecret, method: "POST", path: "/v1/admin/changes", body: `{"id": "` + strings.Repeat("x", 1<<20) + `"}`, want: 413},
@@ -305,6 +313,49 @@
 	}
 }
 
+// TestEvacuate checks that the client's calls evacuate a failure domain and take it back
+// once each even if answers are lost or calls repeated, and that the status and the time
+// line show it.
+func TestEvacuate(t *testing.T) {
+	s := newSystem(t)
+	client := s.client(operatorSecret)
+	s.store.SetFaults(standin.StoreFaults{Outage: true})
+	_, err := client.Evacuate(t.Context(), "phoenix")
+	var refused *administrator.CallError
+	if !errors.As(err, &refused) || refused.Code != administrator.CodeUnavailable || !refused.NotDone {
+		t.Errorf("Evacuate during an outage of the store: %v, want unavailable and not done", err)
+	}
+	s.store.SetFaults(standin.StoreFaults{LoseAnswers: 1})
+	for range 2 {
+		m, err := client.Evacuate(t.Context(), "phoenix")
+		if err != nil || m != (administrator.EvacuationMessage{FailureDomain: "phoenix", Evacuated: true, Since: testTime, Operator: "ada"}) {
+			t.Errorf("Evacuate: %+v, %v", m, err)
+		}
+	}
+	if _, err := client.Evacuate(t.Context(), "curepipe"); err != nil {
+		t.Fatal(err)
+	}
+	status, err := client.Status(t.Context(), "")
+	if err != nil || len(status.Evacuations) != 2 || status.Evacuations[0].FailureDomain != "curepipe" || status.Evacuations[1].FailureDomain != "phoenix" {
+		t.Errorf("Status: %+v, %v, want both failure domains evacuated", status.Evacuations, err)
+	}
+	for range 2 {
+		if m, err := client.TakeBack(t.Context(), "curepipe"); err != nil || m.Evacuated {
+			t.Errorf("TakeBack: %+v, %v", m, err)
+		}
+	}
+	status, err = client.Status(t.Context(), "")
+	if err != nil || len(status.Evacuations) != 1 || status.Evacuations[0].FailureDomain != "phoenix" {
+		t.Errorf("Status: %+v, %v, want phoenix evacuated", status.Evacuations, err)
+	}
+	for kind, want := range map[recorder.Kind]int{evacuator.EventBegun: 2, evacuator.EventEnded: 1} {
+		line, err := client.TimeLine(t.Context(), recorder.Filter{Kind: kind})
+		if err != nil || len(line.Events) != want {
+			t.Errorf("time line of %s: %v, %v, want %d events", kind, line.Events, err, want)
+		}
+	}
+}
+
 // fuzzOperators is high enough that the rate limits of the operators, which take turns,
 // do not slow down a fuzzing run.
 const fuzzOperators = 500
--- a/administrator/client.go
+++ b/administrator/client.go
@@ -117,6 +117,20 @@
 	return m, err
 }
 
+// Evacuate requests that no task start in a failure domain. The call is idempotent.
+func (c *Client) Evacuate(ctx context.Context, failureDomain string) (EvacuationMessage, error) {
+	var m EvacuationMessage
+	err := c.call(ctx, http.MethodPost, failureDomainPath(failureDomain)+"/evacuate", nil, &m)
+	return m, err
+}
+
+// TakeBack ends the evacuation of a failure domain. The call is idempotent.
+func (c *Client) TakeBack(ctx context.Context, failureDomain string) (EvacuationMessage, error) {
+	var m EvacuationMessage
+	err := c.call(ctx, http.MethodPost, failureDomainPath(failureDomain)+"/take_back", nil, &m)
+	return m, err
+}
+
 // TimeLine returns the events that match the filter.
 func (c *Client) TimeLine(ctx context.Context, filter recorder.Filter) (recorder.TimeLine, error) {
 	var text json.RawMessage
@@ -145,6 +159,10 @@
 	return "/jobs/" + url.PathEscape(organisation) + "/" + url.PathEscape(name)
 }
 
+func failureDomainPath(failureDomain string) string {
+	return "/failure_domains/" + url.PathEscape(failureDomain)
+}
+
 func (c *Client) call(ctx context.Context, method, path string, message, result any) error {
 	var body io.Reader
 	if message != nil {
--- a/administrator/status.go
+++ b/administrator/status.go
@@ -11,6 +11,7 @@
 
 	"zinniashore.example/administrator/administratorpb"
 	"zinniashore.example/configurer"
+	"zinniashore.example/evacuator"
 	"zinniashore.example/placer"
 )
 
@@ -131,9 +132,11 @@
 	Revisions []Revision
 	// Quotas are the quotas and their usage.
 	Quotas []QuotaUse
+	// Evacuations are the evacuations, sorted by failure domain.
+	Evacuations []evacuator.Evacuation
 	// Unreached are the sorted names of the entry VMs that did not answer.
 	Unreached []string
-	// StoreError is the error for which Revisions is missing, or empty.
+	// StoreError is the error for which Revisions or Evacuations is missing, or empty.
 	StoreError string
 }
 
@@ -179,6 +182,11 @@
 	reports[len(peers)] = a.Status.Report(ctx, organisation)
 	status := Status{}
 	status.Revisions, status.StoreError = a.revisions(ctx)
+	evacuations, err := a.Evacuator.List(ctx)
+	if err != nil {
+		status.StoreError = err.Error()
+	}
+	status.Evacuations = evacuations
 	requests.Wait()
 	for _, report := range reports {
 		status.Report = status.merge(report)
--- a/administrator/statusmessage.go
+++ b/administrator/statusmessage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zinniashore.example/decoder"
+	"zinniashore.example/evacuator"
 	"zinniashore.example/placer"
 	"zinniashore.example/recorder"
 )
@@ -76,6 +77,15 @@
 	Since         time.Time `json:"since"`
 }
 
+// EvacuationMessage states whether a failure domain is evacuated, so that no task starts
+// there.
+type EvacuationMessage struct {
+	FailureDomain string    `json:"failure_domain"`
+	Evacuated     bool      `json:"evacuated"`
+	Since         time.Time `json:"since,omitzero"`
+	Operator      string    `json:"operator,omitempty"`
+}
+
 // StatusMessage is the state of the system.
 type StatusMessage struct {
 	Running     []RunningMessage    `json:"running"`
@@ -85,6 +95,7 @@
 	Quarantined []QuarantineMessage `json:"quarantined"`
 	Leases      []LeaseMessage      `json:"leases"`
 	CutOff      []CutOffMessage     `json:"cut_off"`
+	Evacuations []EvacuationMessage `json:"evacuations"`
 	Unreached   []string            `json:"unreached"`
 	StoreError  string              `json:"store_error,omitempty"`
 }
@@ -161,7 +172,7 @@
 	m := StatusMessage{
 		Running: []RunningMessage{}, Waiting: []WaitingMessage{}, Revisions: []RevisionMessage{},
 		Quotas: []QuotaMessage{}, Quarantined: []QuarantineMessage{}, Leases: []LeaseMessage{},
-		CutOff: []CutOffMessage{}, Unreached: append([]string{}, s.Unreached...), StoreError: s.StoreError,
+		CutOff: []CutOffMessage{}, Evacuations: []EvacuationMessage{}, Unreached: append([]string{}, s.Unreached...), StoreError: s.StoreError,
 	}
 	for _, t := range s.Running {
 		m.Running = append(m.Running, RunningMessage(t))
@@ -184,9 +195,16 @@
 	for _, c := range s.CutOff {
 		m.CutOff = append(m.CutOff, CutOffMessage(c))
 	}
+	for _, e := range s.Evacuations {
+		m.Evacuations = append(m.Evacuations, evacuationMessage(e))
+	}
 	return m
 }
 
+func evacuationMessage(e evacuator.Evacuation) EvacuationMessage {
+	return EvacuationMessage{FailureDomain: e.FailureDomain, Evacuated: true, Since: e.Since, Operator: e.Operator}
+}
+
 func sizeJSON(s placer.Size) SizeMessage {
 	return SizeMessage{
 		Processors:   json.Number(decoder.FormatThousandths(s.Processors)),
--- a/cells.go
+++ b/cells.go
@@ -24,11 +24,13 @@
 }
 
 // cellChooser assigns each job to the cell with the smallest backlog relative to its
-// capacity.
+// capacity. A cell of an evacuated failure domain is chosen only if no other can run the job.
 type cellChooser struct {
 	cells   []owner.Cell
 	workers workerList
 	mirror  *keeper.Mirror
+	// evacuations are the failure domains in which no task may start.
+	evacuations owner.Evacuations
 }
 
 // Choose implements administrator.Cells. A job that fits no worker is assigned to the
@@ -38,10 +40,7 @@
 	workers := c.workers.list()
 	var chosen string
 	minLoad := 0.0
-	for _, cell := range c.cells {
-		if len(job.FailureDomains) > 0 && !slices.Contains(job.FailureDomains, cell.FailureDomain) {
-			continue
-		}
+	for _, cell := range c.preferredCells(job, workers) {
 		load := cellLoad(backlogs[cell.ID], capacity(workers, cell, job.Size))
 		if chosen == "" || load < minLoad {
 			chosen, minLoad = cell.ID, load
@@ -53,6 +52,26 @@
 	return chosen, nil
 }
 
+// preferredCells returns the cells in the failure domains of a job. It leaves out those of
+// evacuated failure domains if another one has a worker that is large enough.
+func (c *cellChooser) preferredCells(job submitter.Job, workers []owner.WorkerVM) []owner.Cell {
+	var allowed, open []owner.Cell
+	for _, cell := range c.cells {
+		if len(job.FailureDomains) > 0 && !slices.Contains(job.FailureDomains, cell.FailureDomain) {
+			continue
+		}
+		allowed = append(allowed, cell)
+		evacuated, _ := c.evacuations.Evacuated(cell.FailureDomain)
+		if !evacuated && capacity(workers, cell, job.Size) > 0 {
+			open = append(open, cell)
+		}
+	}
+	if len(open) > 0 {
+		return open
+	}
+	return allowed
+}
+
 // cellLoad returns the backlog relative to the capacity. A cell without capacity has a
 // higher load than any other.
 func cellLoad(backlog, capacity int64) float64 {
--- a/cmd/zinniashore/main.go
+++ b/cmd/zinniashore/main.go
@@ -43,6 +43,7 @@
 	Status   *operator.StatusCommand   `arg:"subcommand:status" help:"show what runs, what waits and why"`
 	Timeline *operator.TimelineCommand `arg:"subcommand:timeline" help:"show the merged time line of all processes"`
 	Release  *operator.ReleaseCommand  `arg:"subcommand:release" help:"declare an entry VM gone for good"`
+	Evacuate *operator.EvacuateCommand `arg:"subcommand:evacuate" help:"let no task start in a failure domain, or take it back"`
 
 	Verbose int `arg:"-v,--verbose" default:"0" help:"level of the log"`
 }
@@ -82,6 +83,7 @@
 		{a.Status != nil, a.Status},
 		{a.Timeline != nil, a.Timeline},
 		{a.Release != nil, a.Release},
+		{a.Evacuate != nil, a.Evacuate},
 	}
 	for _, c := range commands {
 		if c.given {
--- a/operator/status.go
+++ b/operator/status.go
@@ -58,11 +58,14 @@
 		fmt.Fprintln(out)
 	}
 	if m.StoreError != "" {
-		fmt.Fprintf(out, "revisions unknown: %s\n", m.StoreError)
+		fmt.Fprintf(out, "revisions or evacuations unknown: %s\n", m.StoreError)
 	}
 	for _, c := range m.CutOff {
 		fmt.Fprintf(out, "failure domain %s is cut off from %s since %s\n", c.FailureDomain, c.SeenBy, c.Since.Format(time.RFC3339))
 	}
+	for _, e := range m.Evacuations {
+		fmt.Fprintf(out, "failure domain %s is evacuated by %s since %s\n", e.FailureDomain, e.Operator, e.Since.Format(time.RFC3339))
+	}
 	if len(m.Unreached) > 0 {
 		fmt.Fprintf(out, "VMs not reached: %s\n", strings.Join(m.Unreached, ", "))
 	}
--- a/owner/batch.go
+++ b/owner/batch.go
@@ -57,13 +57,15 @@
 	b.stops = append(b.stops, w.orphans...)
 	b.forgets = w.forgettable
 	w.orphans, w.forgettable = nil, nil
-	granting := c.tenure.valid()
+	granting, open := c.tenure.valid(), c.domainOpen()
 	for _, t := range tasks {
 		ref := commander.Ref{Task: t.record.id, Attempt: t.record.attempt}
 		switch {
-		case t.phase == phaseStarting && granting:
-			t.startSent = true
+		case t.phase == phaseStarting && granting && open:
+			t.startSent, t.startUnclear = true, false
 			b.starts = append(b.starts, c.startCommand(t))
+		case t.phase == phaseStarting && t.startSent && !open && b.renew:
+			t.startUnclear = true
 		case t.phase == phaseStopping && t.stop == stopEvict && t.record.class == placer.ClassBatch:
 			b.evictions = append(b.evictions, ref)
 		case t.phase == phaseStopping:
@@ -143,11 +145,12 @@
 }
 
 // executeStarts sends the starts of a batch. Each is sent only if the session has been
-// valid without a gap since the cell was acquired. All starts carry the lease of the batch,
+// valid without a gap since the cell was acquired, and if the failure domain is not
+// evacuated. All starts carry the lease of the batch,
 // so those that are left when the next renewal is due wait for the next batch.
 func (c *cell) executeStarts(w *workerView, b batch, sent time.Time, handle func(commander.Answer, error, bool) error) error {
 	for i, start := range b.starts {
-		if !c.tenure.valid() || i > 0 && c.now().Sub(sent) >= c.owner.Renewal {
+		if !c.tenure.valid() || !c.domainOpen() || i > 0 && c.now().Sub(sent) >= c.owner.Renewal {
 			return nil
 		}
 		answer, err := c.owner.Commander.Start(c.ctx, b.address, b.header, start)
--- a/owner/cell.go
+++ b/owner/cell.go
@@ -51,6 +51,8 @@
 	committing  bool
 	writingJob  bool
 	waitReasons map[string]placer.Waiting
+	// evacuated is true if the failure domain was evacuated at the last step.
+	evacuated   bool
 	publication publication
 	// inheritedEndpoints are the endpoints that an earlier owner published, by task.
 	inheritedEndpoints map[string]publisher.Endpoint
@@ -205,6 +207,7 @@
 		c.syncJobs()
 		c.syncServices()
 		c.advanceDrains(now)
+		c.syncEvacuation()
 		c.decide(now)
 		c.commit()
 		c.publish(now)
@@ -279,7 +282,7 @@
 	c.failures.releaseProbe(t.record.id, t.worker())
 	t.record = t.record.withoutPlacement(checkpoint)
 	t.address = ""
-	t.startSent = false
+	t.startSent, t.startUnclear = false, false
 	t.leavingSince = time.Time{}
 	t.throttle, t.appliedThrottle = 1, 1
 	t.setPhase(phaseWaiting, now)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -39,6 +39,11 @@
 	// KindWorkerQuarantined is recorded when a worker is quarantined because tasks
 	// fail on it.
 	KindWorkerQuarantined recorder.Kind = "worker_quarantined"
+	// KindCellEvacuated is recorded when the owner of a cell stops to start tasks because
+	// the failure domain is evacuated.
+	KindCellEvacuated recorder.Kind = "cell_evacuated"
+	// KindCellReopened is recorded when the evacuation of a cell has ended for its owner.
+	KindCellReopened recorder.Kind = "cell_reopened"
 )
 
 // Defaults of the settings of Owner.
@@ -213,6 +218,8 @@
 	Workers WorkerList
 	// Workloads provides services and quotas; it may be nil.
 	Workloads Workloads
+	// Evacuations provides the evacuated failure domains; if nil, there are none.
+	Evacuations Evacuations
 	// Decider decides which task runs where; if nil, a placer.Placer is used.
 	Decider Decider
 	// Learner receives usage and run times; it may be nil.
--- a/owner/task.go
+++ b/owner/task.go
@@ -49,7 +49,10 @@
 	phase  phase
 	since  time.Time
 	// startSent is true if a start of the attempt may have reached its worker.
-	startSent       bool
+	startSent bool
+	// startUnclear is true if the next full answer of the worker decides whether the start
+	// has reached it, because the start may not be sent again.
+	startUnclear    bool
 	stop            stopKind
 	address         string
 	throttle        float64
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -84,6 +84,14 @@
 
 // workerState returns the state of a worker for the placer.
 func (c *cell) workerState(w *workerView, now time.Time) placer.WorkerState {
+	if state := c.workerHealth(w, now); state != placer.WorkerReady {
+		return state
+	}
+	return c.domainState()
+}
+
+// workerHealth returns the state of a worker regardless of evacuations.
+func (c *cell) workerHealth(w *workerView, now time.Time) placer.WorkerState {
 	switch {
 	case !w.listed || !w.reachable():
 		return placer.WorkerUnreachable
@@ -245,6 +253,12 @@
 		switch t.phase {
 		case phaseResolving, phaseRunning, phaseDraining:
 			c.endAttempt(t, t.record.checkpoint, "not known to worker")
+		case phaseStarting:
+			// A start that is still on its way may take effect until the worker has
+			// confirmed the stop.
+			if t.startUnclear {
+				c.requestStop(t, stopEvict)
+			}
 		}
 	}
 }
@@ -320,11 +334,12 @@
 	t.retryAt = now.Add(c.owner.ProbeWait)
 }
 
-// countReady returns the number of workers that accept new tasks.
+// countReady returns the number of workers that accept new tasks unless they are
+// evacuated. An evacuation does not make a failure the fault of its task.
 func (c *cell) countReady(now time.Time) int {
 	count := 0
 	for _, w := range c.workers {
-		if c.workerState(w, now) == placer.WorkerReady {
+		if c.workerHealth(w, now) == placer.WorkerReady {
 			count++
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -191,7 +191,7 @@
 }
 
 func (s *search) explain(queued *QueuedTask, failure placementFailure) Waiting {
-	if !queued.Borrowing {
+	if !queued.Borrowing || failure.code == ReasonEvacuated {
 		return Waiting{Task: queued.Task.ID, Code: failure.code, Detail: failure.detail}
 	}
 	limit := s.ledger.quotas[queued.Task.Organisation]
@@ -217,7 +217,7 @@
 		failure.code = code
 	}
 	failure.ledgerChanges = s.ledger.changes
-	failure.detail = waitingDetail(s.ledger, queued.Task, queued.Size, failure.code)
+	failure.code, failure.detail = waitingReason(s.ledger, queued.Task, queued.Size, failure.code)
 	if len(queued.Task.Excluded) == 0 {
 		s.failures[key] = failure
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -20,6 +20,16 @@
 	return placer.Worker{ID: id, FailureDomain: "graz-a", Rack: "r1", Capacity: capacity, State: placer.WorkerReady}
 }
 
+func inState(w placer.Worker, state placer.WorkerState) placer.Worker {
+	w.State = state
+	return w
+}
+
+func inDomain(w placer.Worker, failureDomain string) placer.Worker {
+	w.FailureDomain = failureDomain
+	return w
+}
+
 func waitingTask(id string, declared placer.Size) placer.Task {
 	return placer.Task{ID: id, Template: "sort", Class: placer.ClassBatch, Declared: declared, State: placer.TaskWaiting}
 }
@@ -101,6 +111,45 @@
 		},
 		want: []string{"evict c w2", "a waits: capacity: waits until 1 evicted tasks have left w2"},
 	},
+	"nothing starts on evacuated workers, and what runs there goes on": {
+		snapshot: placer.Snapshot{
+			Now:     noon,
+			Workers: []placer.Worker{inState(worker("w1", size(64, 250)), placer.WorkerEvacuated)},
+			Quotas:  []placer.Quota{{Organisation: "y", Limit: size(1, 1)}},
+			Tasks: []placer.Task{
+				placedTask("b", "w1", size(60, 8)),
+				with(waitingTask("a", size(8, 8)), func(t *placer.Task) { t.Urgent = true }),
+				with(waitingTask("d", size(8, 8)), func(t *placer.Task) { t.Organisation = "y" }),
+				waitingTask("c", size(96, 8)),
+			},
+		},
+		want: []string{
+			"a waits: evacuated: an operator has evacuated graz-a",
+			"c waits: never: needs 96 processors, the largest worker of the cell has 64",
+			"d waits: evacuated: an operator has evacuated graz-a",
+		},
+	},
+	"all failure domains of a task are evacuated": {
+		snapshot: placer.Snapshot{
+			Workers: []placer.Worker{
+				inState(worker("w1", size(64, 250)), placer.WorkerEvacuated),
+				inState(inDomain(worker("w2", size(64, 250)), "graz-b"), placer.WorkerEvacuated),
+				inDomain(worker("w3", size(64, 250)), "graz-c"),
+			},
+			Tasks: []placer.Task{
+				with(waitingTask("a", size(8, 8)), func(t *placer.Task) { t.FailureDomains = []string{"graz-a", "graz-b"} }),
+				waitingTask("b", size(8, 8)),
+			},
+		},
+		want: []string{"start b w3", "a waits: evacuated: an operator has evacuated graz-a and graz-b"},
+	},
+	"nothing starts while evacuations are not known": {
+		snapshot: placer.Snapshot{
+			Workers: []placer.Worker{inState(worker("w1", size(64, 250)), placer.WorkerUnknown)},
+			Tasks:   []placer.Task{waitingTask("a", size(8, 8))},
+		},
+		want: []string{"a waits: evacuated: it is not known yet whether an operator has evacuated graz-a"},
+	},
 	"sizes that are not learned cause no resizing and no evictions": {
 		snapshot: placer.Snapshot{
 			Now:     noon,
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -57,6 +57,9 @@
 	ReasonInterference ReasonCode = "interference"
 	// ReasonUnresolved marks a task whose last attempt may still run.
 	ReasonUnresolved ReasonCode = "unresolved"
+	// ReasonEvacuated marks a task that waits because the failure domains of the workers
+	// that could accept it are evacuated.
+	ReasonEvacuated ReasonCode = "evacuated"
 )
 
 // Waiting explains why a task was not started.
--- a/placer/property_test.go
+++ b/placer/property_test.go
@@ -45,7 +45,8 @@
 func drawWorkers(t *rapid.T) []placer.Worker {
 	var workers []placer.Worker
 	states := []placer.WorkerState{placer.WorkerReady, placer.WorkerReady, placer.WorkerReady,
-		placer.WorkerLeaving, placer.WorkerUnreachable, placer.WorkerQuarantined}
+		placer.WorkerLeaving, placer.WorkerUnreachable, placer.WorkerQuarantined,
+		placer.WorkerEvacuated, placer.WorkerUnknown}
 	for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
 		capacity := size(int64(rapid.SampledFrom([]int{8, 16, 64}).Draw(t, "capacity")), 64)
 		capacity.Accelerators = int64(rapid.SampledFrom([]int{0, 0, 4}).Draw(t, "accelerators"))
--- a/placer/reason.go
+++ b/placer/reason.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -56,31 +57,59 @@
 	return strings.Join(task.FailureDomains, " or ")
 }
 
-// waitingDetail describes why no worker admitted a task.
-func waitingDetail(l *ledger, task *Task, size Size, code ReasonCode) string {
+// waitingReason returns the reason why no worker admitted a task, in general and in
+// detail. The filters gave the reason code.
+func waitingReason(l *ledger, task *Task, size Size, code ReasonCode) (ReasonCode, string) {
 	if code == ReasonInterference {
-		return "the workers with room run services that it would slow down"
+		return code, "the workers with room run services that it would slow down"
 	}
-	var best Size
-	usable, notReady, excluded := 0, 0, 0
+	counts := countWorkers(l, task)
+	switch {
+	case counts.usable > 0:
+		return ReasonCapacity, fmt.Sprintf("needs %s; the most that is free on a worker of %s is %s",
+			formatSize(size), domainsText(task), formatSize(counts.best.Max(Size{})))
+	case len(counts.unknown) > 0:
+		return ReasonEvacuated, "it is not known yet whether an operator has evacuated " + joinDomains(counts.unknown)
+	case len(counts.evacuated) > 0:
+		return ReasonEvacuated, "an operator has evacuated " + joinDomains(counts.evacuated)
+	}
+	return ReasonCapacity, fmt.Sprintf("needs %s; of the workers of %s, %d are not ready and %d are excluded for it",
+		formatSize(size), domainsText(task), counts.notReady, counts.excluded)
+}
+
+// workerCounts are the workers in the failure domains of a task, by what keeps the task
+// from them.
+type workerCounts struct {
+	usable, notReady, excluded int
+	// best is the most of each resource that is free on a usable worker.
+	best Size
+	// evacuated and unknown are the failure domains of the workers in these states.
+	evacuated, unknown map[string]bool
+}
+
+func countWorkers(l *ledger, task *Task) workerCounts {
+	counts := workerCounts{evacuated: map[string]bool{}, unknown: map[string]bool{}}
 	for _, info := range l.workers {
 		switch {
 		case !inDomains(task, info.worker):
 		case slices.Contains(task.Excluded, info.worker.ID):
-			excluded++
+			counts.excluded++
+		case info.worker.State == WorkerEvacuated:
+			counts.evacuated[info.worker.FailureDomain] = true
+		case info.worker.State == WorkerUnknown:
+			counts.unknown[info.worker.FailureDomain] = true
 		case info.worker.State != WorkerReady:
-			notReady++
+			counts.notReady++
 		default:
-			usable++
-			best = best.Max(info.free)
+			counts.usable++
+			counts.best = counts.best.Max(info.free)
 		}
 	}
-	if usable == 0 {
-		return fmt.Sprintf("needs %s; of the workers of %s, %d are not ready and %d are excluded for it",
-			formatSize(size), domainsText(task), notReady, excluded)
-	}
-	return fmt.Sprintf("needs %s; the most that is free on a worker of %s is %s",
-		formatSize(size), domainsText(task), formatSize(best.Max(Size{})))
+	return counts
+}
+
+func joinDomains(domains map[string]bool) string {
+	return strings.Join(slices.Sorted(maps.Keys(domains)), " and ")
 }
 
 func formatSize(size Size) string {
--- a/placer/snapshot.go
+++ b/placer/snapshot.go
@@ -90,6 +90,12 @@
 	WorkerUnreachable WorkerState = "unreachable"
 	// WorkerQuarantined accepts no new tasks because tasks failed there.
 	WorkerQuarantined WorkerState = "quarantined"
+	// WorkerEvacuated accepts no new tasks because an operator has evacuated its failure
+	// domain; its tasks continue.
+	WorkerEvacuated WorkerState = "evacuated"
+	// WorkerUnknown accepts no new tasks because it is not known yet whether its failure
+	// domain is evacuated.
+	WorkerUnknown WorkerState = "unknown"
 )
 
 // Worker is a VM that runs tasks.
--- a/roles.go
+++ b/roles.go
@@ -5,6 +5,7 @@
 	"zinniashore.example/configurer"
 	"zinniashore.example/deduper"
 	"zinniashore.example/estimator"
+	"zinniashore.example/evacuator"
 	"zinniashore.example/keeper"
 	"zinniashore.example/lister"
 	"zinniashore.example/owner"
@@ -63,6 +64,13 @@
 		FailureDomains: s.Settings.FailureDomains,
 		Peers:          s.listedPeers,
 	}
+	s.evacuator = &evacuator.Evacuator{
+		Keeper:         s.keeper("evacuator"),
+		Mirror:         s.mirror,
+		Clock:          s.Clock,
+		Recorder:       s.recorder,
+		FailureDomains: s.Settings.FailureDomains,
+	}
 	s.buildOwner()
 	s.buildRouter()
 	s.buildAdministrator()
@@ -109,6 +117,7 @@
 		Cells:         ownerCells(s.Settings.Cells),
 		Workers:       workerList{lister: s.lister},
 		Workloads:     workloads{configurer: s.configurer, cells: s.Settings.Cells},
+		Evacuations:   s.evacuator,
 		Decider:       &placer.Placer{},
 		Learner:       usageLearner{estimator: &estimator.Estimator{}},
 		TaskLease:     s.Settings.Tasks.Lease,
@@ -141,7 +150,8 @@
 		Clock:      s.Clock,
 		Configurer: releasingConfigurer{Configurer: s.configurer, seater: s.seater},
 		Submitter:  &submitter.Submitter{Keeper: s.keeper("submitter"), Clock: s.Clock},
-		Cells:      &cellChooser{cells: ownerCells(s.Settings.Cells), workers: workerList{lister: s.lister}, mirror: s.mirror},
+		Cells:      &cellChooser{cells: ownerCells(s.Settings.Cells), workers: workerList{lister: s.lister}, mirror: s.mirror, evacuations: s.evacuator},
+		Evacuator:  s.evacuator,
 		Status: &reporter{
 			clock:         s.Clock,
 			process:       s.Settings.Process,
--- a/server.go
+++ b/server.go
@@ -20,6 +20,7 @@
 	"zinniashore.example/administrator"
 	"zinniashore.example/configurer"
 	"zinniashore.example/deduper"
+	"zinniashore.example/evacuator"
 	"zinniashore.example/keeper"
 	"zinniashore.example/lister"
 	"zinniashore.example/loader"
@@ -53,6 +54,7 @@
 	seater         *seater.Seater
 	deduper        *deduper.Deduper
 	configurer     *configurer.Configurer
+	evacuator      *evacuator.Evacuator
 	owner          *owner.Owner
 	router         *router.Router
 	administrator  *administrator.Administrator
@@ -145,6 +147,7 @@
 
 func (s *Server) subscribe() {
 	s.configurer.Follow()
+	s.evacuator.Follow()
 	s.mirror.Subscribe(publisher.Prefix, func(entries []keeper.Entry) {
 		s.router.SetEndpoints(decodeEndpoints(entries))
 	})
