--- a/cmd/zinniashore/main.go
+++ b/cmd/zinniashore/main.go
@@ -29,7 +29,7 @@
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run the process of an entry VM"`
 	Schedule *scheduleCommand `arg:"subcommand:schedule" help:"run the process of an entry VM on the users' platform"`
 	Story    *storyCommand    `arg:"subcommand:story" help:"merge the lines of several logs that name an id"`
-	Check    *checkCommand    `arg:"subcommand:check" help:"check settings and templates, start nothing"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"check settings and templates, or a configuration of the platform; start nothing"`
 	Trial    *trialCommand    `arg:"subcommand:trial" help:"run the main job on embedded stand-ins and sum it up"`
 	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in of the platform; for trials and tests only"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"put a bounded load on entry VMs of this machine"`
@@ -43,6 +43,7 @@
 	Status   *operator.StatusCommand   `arg:"subcommand:status" help:"show what runs, what waits and why"`
 	Timeline *operator.TimelineCommand `arg:"subcommand:timeline" help:"show the merged time line of all processes"`
 	Release  *operator.ReleaseCommand  `arg:"subcommand:release" help:"declare an entry VM gone for good"`
+	Evacuate *operator.EvacuateCommand `arg:"subcommand:evacuate" help:"let no task start in a failure domain, or take it back"`
 
 	Verbose int `arg:"-v,--verbose" default:"0" help:"level of the log"`
 }
@@ -82,6 +83,7 @@
 		{a.Status != nil, a.Status},
 		{a.Timeline != nil, a.Timeline},
 		{a.Release != nil, a.Release},
+		{a.Evacuate != nil, a.Evacuate},
 	}
 	for _, c := range commands {
 		if c.given {
