--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -1,5 +1,6 @@
-// Package evacuator records the failure domains in which operators have asked that no
-// task start, and follows these records for the process.
+// Package evacuator follows the failure domains in which operators have asked that no task
+// start. An Evacuator also records these requests, for the product's own interface; on the
+// users' platform the operators write them, and a Tracker follows them.
 package evacuator
 
 import (
--- a/evacuator/tracker.go
+++ b/evacuator/tracker.go
@@ -1,5 +1,3 @@
-// Package evacuator follows which failure domains the operators have evacuated. No task starts
-// on the workers of an evacuated domain until the operators take the domain back.
 package evacuator
 
 import (
@@ -11,7 +9,7 @@
 	"zinniashore.example/platform"
 )
 
-// Tracker derives the evacuated failure domains from the keys that operators write. Its exported
+// Tracker follows, on the users' platform, the keys by which operators evacuate failure domains. Its exported
 // fields are set before the first call.
 type Tracker struct {
 	// Changed is called with the evacuated domains after each change.
