throttler: limits on the clients of a listener

Clients that hold requests open take an entry VM's memory and descriptors without a bound. Each limit has a counter and a rate-limited log line.

Once the last free connection is taken, the one that has waited longest for a request is closed, so that idle connections keep no others out.

--- /dev/null
+++ b/throttler/connection.go
@@ -0,0 +1,154 @@
+package throttler
+
+import (
+	"bytes"
+	"container/list"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+)
+
+const (
+	// headerPiece limits a read while a header is expected. What follows the end of the header
+	// in the same read isn't checked, and net/http parses it before the next read if the client
+	// pipelines its requests.
+	headerPiece = 1 << 10
+	// headerSlack is what net/http reads of a header beyond MaxHeaderBytes.
+	headerSlack = 4 << 10
+)
+
+// headerEnd ends a header.
+var headerEnd = []byte("\r\n\r\n")
+
+// HeaderError reports a header of too many lines.
+type HeaderError struct {
+	// Lines is the number of lines that were received.
+	Lines int
+}
+
+// Error implements error.
+func (e *HeaderError) Error() string { return fmt.Sprintf("header of %d lines or more", e.Lines) }
+
+// connection applies the limits to an accepted connection. Its header is only accessed by the
+// goroutine that serves the connection.
+type connection struct {
+	net.Conn
+	throttler *Throttler
+	closed    atomic.Bool
+	header    headerProgress
+	// place is the place in the list of waiting connections, nil if it has none. The list's lock
+	// guards it.
+	place *list.Element
+}
+
+// headerProgress is what has been received of the header of a request.
+type headerProgress struct {
+	// expected is true until a header has been read completely.
+	expected     bool
+	bytes, lines int
+	// ended is true once the end of the header was received.
+	ended bool
+	// tail holds the last bytes, since a read may split the end of the header.
+	tail []byte
+}
+
+// trackState is the hook of a server for the states of its connections.
+func (t *Throttler) trackState(c net.Conn, state http.ConnState) {
+	limited, ok := c.(*connection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew, http.StateIdle:
+		limited.header = headerProgress{expected: true, tail: limited.header.tail[:0]}
+		t.waiting.add(limited)
+	case http.StateActive:
+		limited.header.expected = false
+		t.waiting.remove(limited)
+	case http.StateClosed, http.StateHijacked:
+		t.waiting.remove(limited)
+	}
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(p []byte) (int, error) {
+	if c.header.expected && len(p) > headerPiece {
+		p = p[:headerPiece]
+	}
+	n, err := c.Conn.Read(p)
+	// net/http reads a single byte in the background and ends that read by a deadline in
+	// the past.
+	if err != nil && len(p) > 1 && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.reportSlow()
+	}
+	if !c.header.expected || n == 0 {
+		return n, err
+	}
+	if c.header.add(p[:n]); c.header.lines > c.throttler.Limits.HeaderLines {
+		c.throttler.report(LimitHeader, c.RemoteAddr())
+		return 0, &HeaderError{Lines: c.header.lines}
+	}
+	if c.header.bytes >= c.throttler.Limits.HeaderBytes+headerSlack && !c.header.ended {
+		c.throttler.report(LimitHeader, c.RemoteAddr())
+	}
+	return n, err
+}
+
+// reportSlow reports a read that timed out, unless the connection was idle.
+func (c *connection) reportSlow() {
+	switch {
+	case !c.header.expected:
+		c.throttler.report(LimitBodyTime, c.RemoteAddr())
+	case c.header.bytes > 0:
+		c.throttler.report(LimitHeaderTime, c.RemoteAddr())
+	}
+}
+
+// add counts the lines of a header up to its end.
+func (h *headerProgress) add(received []byte) {
+	h.bytes += len(received)
+	if h.ended {
+		return
+	}
+	const kept = 3 // one less than the length of headerEnd
+	earlier := len(h.tail)
+	h.tail = append(h.tail, received[:min(len(received), kept)]...)
+	if at := bytes.Index(h.tail, headerEnd); at >= 0 {
+		h.ended = true
+		received = received[:at+len(headerEnd)-earlier]
+	} else if at := bytes.Index(received, headerEnd); at >= 0 {
+		h.ended = true
+		received = received[:at]
+	}
+	h.lines += bytes.Count(received, []byte("\n"))
+	if len(received) > kept {
+		h.tail = append(h.tail[:0], received[len(received)-kept:]...)
+	} else {
+		h.tail = append(h.tail[:0], h.tail[max(0, len(h.tail)-kept):]...)
+	}
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(p []byte) (int, error) {
+	if limit := c.throttler.Limits.AnswerTime; limit > 0 {
+		if err := c.SetWriteDeadline(c.throttler.Clock.Now().Add(limit)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.throttler.report(LimitAnswerTime, c.RemoteAddr())
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.throttler.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
