--- a/loader/loader.go
+++ b/loader/loader.go
@@ -24,6 +24,10 @@
 	minDuration         = 10 * time.Millisecond
 	maxDuration         = 24 * time.Hour
 	minRenewalsPerLease = 2
+	maxConnections      = 1_000_000
+	maxHeaderLines      = 10_000
+	maxRequestBytes     = 16 << 30
+	bodiesPerBudget     = 4
 )
 
 // Load reads and checks a settings file. If the content is faulty, the error is a
@@ -55,6 +59,7 @@
 		Tasks:          readTasks(section(root, "tasks")),
 		Shutdown:       readShutdown(section(root, "shutdown")),
 	}
+	settings.Limits = readLimits(section(root, "limits"), settings.Requests)
 	settings.Cells = readCells(root, settings)
 	settings.Tokens = readTokens(root)
 	checkDomains(root, settings)
@@ -70,13 +75,15 @@
 	if err != nil {
 		return Settings{}
 	}
+	requests := readRequests(empty)
 	return Settings{
 		Store:    readStore(empty),
 		Platform: readPlatform(empty),
 		Seats:    readSeats(empty),
-		Requests: readRequests(empty),
+		Requests: requests,
 		Tasks:    readTasks(empty),
 		Shutdown: readShutdown(empty),
+		Limits:   readLimits(empty, requests),
 	}
 }
 
@@ -200,6 +207,30 @@
 	return Shutdown{Limit: o.Duration("limit", durationLimits(30*time.Second))}
 }
 
+func readLimits(o *decoder.Object, requests Requests) Limits {
+	// A large request uses at most half of the memory, and a body takes twice its length.
+	minRequestBytes := bodiesPerBudget * requests.BodyBytes
+	connections := func(field string, defaultValue int64) int {
+		return int(o.Integer(field, decoder.Integer{Default: defaultValue, Min: 1, Max: maxConnections}))
+	}
+	limits := Limits{
+		Connections:               connections("connections", 2048),
+		AdministrationConnections: connections("administration_connections", 128),
+		PeerConnections:           connections("peer_connections", 256),
+		RequestBytes:              o.Bytes("requests", decoder.Bytes{Default: max(16<<20, minRequestBytes), Min: minRequestBytes, Max: maxRequestBytes}),
+		HeaderBytes:               int(o.Bytes("header", decoder.Bytes{Default: 16 << 10, Min: 1 << 10, Max: 1 << 20})),
+		HeaderLines:               int(o.Integer("header_lines", decoder.Integer{Default: 100, Min: 10, Max: maxHeaderLines})),
+		HeaderTime:                o.Duration("header_time", durationLimits(5*time.Second)),
+		RequestTime:               o.Duration("request_time", durationLimits(10*time.Second)),
+		AnswerTime:                o.Duration("answer_time", durationLimits(10*time.Second)),
+		IdleTime:                  o.Duration("idle_time", durationLimits(time.Minute)),
+	}
+	if limits.RequestTime < limits.HeaderTime {
+		o.Reject("request_time", "is shorter than header_time", fmt.Sprintf("at least %v", limits.HeaderTime))
+	}
+	return limits
+}
+
 func durationLimits(defaultValue time.Duration) decoder.Duration {
 	return decoder.Duration{Default: defaultValue, Min: minDuration, Max: maxDuration}
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -39,8 +39,11 @@
 			old: `"seats":`,
 			new: `"cells": [{"id": "a", "failure_domain": "graz-a"}, {"id": "a", "failure_domain": "graz-c"}], "seats":`,
 		},
-		"short secret": {old: `0123456789abcdef`, new: `hush-hush`},
-		"not JSON":     {old: `"seats": {"count": 3}`, new: `"seats": {"count": }`},
+		"header time above request time": {old: `"seats":`, new: `"limits": {"header_time": "20s"}, "seats":`},
+		"bodies above their memory":      {old: `"seats":`, new: `"requests": {"body": "8MiB"}, "limits": {"requests": "16MiB"}, "seats":`},
+		"no connections":                 {old: `"seats":`, new: `"limits": {"connections": 0}, "seats":`},
+		"short secret":                   {old: `0123456789abcdef`, new: `hush-hush`},
+		"not JSON":                       {old: `"seats": {"count": 3}`, new: `"seats": {"count": }`},
 	}
 	golden := goldie.New(t, goldie.WithNameSuffix(".txt"))
 	for name, test := range tests {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -27,6 +27,8 @@
 	Tasks Tasks
 	// Shutdown limits the graceful shutdown.
 	Shutdown Shutdown
+	// Limits limits what clients can take up.
+	Limits Limits
 	// Tokens authenticate callers and operators.
 	Tokens []Token
 }
@@ -116,6 +118,22 @@
 	Limit time.Duration
 }
 
+// Limits limits what clients can take up.
+type Limits struct {
+	// Connections, AdministrationConnections and PeerConnections are the numbers of connections
+	// that callers, clients of the administration API and peers may have open.
+	Connections, AdministrationConnections, PeerConnections int
+	// RequestBytes is the memory for the requests in progress.
+	RequestBytes int64
+	// HeaderBytes and HeaderLines limit the header of a request.
+	HeaderBytes, HeaderLines int
+	// HeaderTime is how long a client may take to send a header, RequestTime a header and its
+	// body, and AnswerTime to read a part of an answer.
+	HeaderTime, RequestTime, AnswerTime time.Duration
+	// IdleTime is how long a connection may stay open without a request.
+	IdleTime time.Duration
+}
+
 // TokenRole is what a token authorizes its bearer to do.
 type TokenRole string
 
