All listeners limit their clients

Clients that stop within a request held memory and descriptors of an entry VM without a bound.

The connections and the memory for requests follow from memory-mb and max-fds, in serve from the section limits of the settings. A body that finds no memory is refused with 503 and Retry-After before anything of the request has run. The memory limit of the garbage collector becomes half of the VM's memory, at least 48 MB as before: open connections alone take more than that on a VM of 184 MB.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/logger"
 	"zinniashore.example/platform"
+	"zinniashore.example/throttler"
 )
 
 const (
@@ -172,12 +174,12 @@
 		return
 	}
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		refuseBody(w, err)
 		return
 	}
-	job, err := platform.DecodeJob(body)
+	job, err := decodeJob(request, body)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		refuseBody(w, err)
 		return
 	}
 	job.ID = id
@@ -186,6 +188,31 @@
 	a.accept(ctx, w, job)
 }
 
+// decodeJob decodes a body once the request has taken the memory for it.
+func decodeJob(request *http.Request, body []byte) (dispatcher.Job, error) {
+	bytes, err := platform.MeasureJob(body)
+	if err != nil {
+		return dispatcher.Job{}, err
+	}
+	if err := throttler.Reserve(request, bytes); err != nil {
+		return dispatcher.Job{}, err
+	}
+	return platform.DecodeJob(body)
+}
+
+// refuseBody answers a request whose body wasn't read or decoded.
+func refuseBody(w http.ResponseWriter, err error) {
+	var refused *throttler.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		refuse(w, http.StatusServiceUnavailable)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		http.Error(w, "the body arrived too slowly", http.StatusRequestTimeout)
+	default:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
 func (a *Acceptor) accept(ctx context.Context, w http.ResponseWriter, job dispatcher.Job) {
 	record, err := dispatcher.EncodeJob(job)
 	if err != nil {
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -6,16 +6,20 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/acceptor"
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/platform"
+	"zinniashore.example/throttler"
 )
 
 type fakeConfigurations struct{ age time.Duration }
@@ -115,3 +119,42 @@
 		})
 	}
 }
+
+// TestBodyLimits guards against an answer that suggests a retry though the job may run, and
+// against a job that is stored after its body was refused: the acceptor has no intake.
+func TestBodyLimits(t *testing.T) {
+	const budget = 256 << 10
+	tests := map[string]struct {
+		body       string
+		err        error
+		want       int
+		retryAfter bool
+	}{
+		"a body above the memory":     {body: strings.Repeat(" ", budget/2), want: http.StatusServiceUnavailable, retryAfter: true},
+		"decoding above the memory":   {body: `{"phases":[` + strings.Repeat(`{},`, 900) + `{}]}`, want: http.StatusServiceUnavailable, retryAfter: true},
+		"too many steps":              {body: `{"phases":[` + strings.Repeat(`{},`, 2000) + `{}]}`, want: http.StatusBadRequest},
+		"a body that is sent slowly":  {body: "{", err: os.ErrDeadlineExceeded, want: http.StatusRequestTimeout},
+		"a body with a wrong task":    {body: `{"phases":[{"count":0}]}`, want: http.StatusBadRequest},
+		"a body whose client is gone": {body: "{", err: io.ErrUnexpectedEOF, want: http.StatusBadRequest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := &acceptor.Acceptor{
+				Clock: clockwork.NewRealClock(), Configurations: fakeConfigurations{}, Jobs: fakeJobs{},
+				StoreReached: func() bool { return true },
+			}
+			limited := throttler.New("callers", throttler.Limits{}, throttler.NewBudget(budget), clockwork.NewRealClock(), tally.NoopScope)
+			body := io.Reader(strings.NewReader(test.body))
+			if test.err != nil {
+				body = io.MultiReader(body, iotest.ErrReader(test.err))
+			}
+			request := httptest.NewRequest(http.MethodPost, "/quotes/00000000000000a1", body)
+			request.Host = "shop.example"
+			answer := httptest.NewRecorder()
+			limited.Server(a).Handler.ServeHTTP(answer, request)
+			if answer.Code != test.want || (answer.Header().Get("Retry-After") != "") != test.retryAfter {
+				t.Errorf("status %d, Retry-After %q; want %d", answer.Code, answer.Header().Get("Retry-After"), test.want)
+			}
+		})
+	}
+}
--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -19,6 +19,7 @@
 	"zinniashore.example/keeper"
 	"zinniashore.example/recorder"
 	"zinniashore.example/submitter"
+	"zinniashore.example/throttler"
 )
 
 const (
@@ -26,6 +27,8 @@
 
 	// maxBodyBytes is the maximum size of a request body.
 	maxBodyBytes = 1 << 20
+	// retryAfter is the Retry-After header of a refusal, in seconds.
+	retryAfter = "1"
 )
 
 // Configurer changes and shows the configuration.
@@ -155,6 +158,9 @@
 
 func writeAnswer(w http.ResponseWriter, a answer) {
 	w.Header().Set("Content-Type", "application/json")
+	if failure, failed := a.message.(ErrorMessage); failed && failure.NotDone && a.code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
 	w.WriteHeader(a.code)
 	if err := json.NewEncoder(w).Encode(a.message); err != nil {
 		klog.V(1).InfoS("Failed to write the response of an administration call", "err", err)
@@ -174,6 +180,10 @@
 		}
 		err = errors.New("more than one value")
 	}
+	var refused *throttler.RefusedError
+	if errors.As(err, &refused) {
+		return failureAnswer(http.StatusServiceUnavailable, CodeUnavailable, err.Error(), true), false
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return failureAnswer(http.StatusRequestEntityTooLarge, CodeBody, err.Error(), true), false
--- /dev/null
+++ b/clientlimits.go
@@ -0,0 +1,95 @@
+package zinniashore
+
+import (
+	"time"
+
+	"zinniashore.example/loader"
+	"zinniashore.example/throttler"
+)
+
+const (
+	// headerTimeout is how long a client may take to send a header.
+	headerTimeout = 5 * time.Second
+	// requestTimeout is how long a client may take to send a header and its body. A client may
+	// wait 3 s for the answer to a body of a few kilobytes.
+	requestTimeout = 10 * time.Second
+	answerTimeout  = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	// maxHeaderBytes and maxHeaderLines limit the memory of a header: net/http takes some 100
+	// bytes for each line, however short it is.
+	maxHeaderBytes = 16 << 10
+	maxHeaderLines = 100
+
+	// assumedMemory and assumedDescriptors are those of the platform's smallest VM.
+	assumedMemory      = 184 << 20
+	assumedDescriptors = 4100
+	// fileDescriptors are reserved for files.
+	fileDescriptors = 200
+	// connectionBytes is the memory of a connection without a request.
+	connectionBytes = 16 << 10
+	// minRequestBytes is the least memory for requests in progress. Half of it holds one job of the
+	// largest size.
+	minRequestBytes = 12 << 20
+)
+
+// Shares of the memory of a VM and of its descriptors beyond fileDescriptors.
+const (
+	requestMemoryDivisor    = 8
+	connectionMemoryDivisor = 3
+	// outgoingDivisor gives the share of connections to workers, peers and the store.
+	outgoingDivisor  = 6
+	peerDivisor      = 32
+	readinessDivisor = 32
+	metricsDivisor   = 64
+)
+
+// vmShares is how the memory and the descriptors of a VM are divided.
+type vmShares struct {
+	// clients, readiness, metrics and peers are the connections that a listener accepts.
+	clients, readiness, metrics, peers int
+	// requestBytes is the memory for requests in progress.
+	requestBytes int64
+}
+
+// vmLimits divides the memory, in bytes, and the descriptors of a VM. Zero means unknown.
+func vmLimits(memory, descriptors int64) vmShares {
+	if memory == 0 {
+		memory = assumedMemory
+	}
+	if descriptors == 0 {
+		descriptors = assumedDescriptors
+	}
+	sockets := descriptors - fileDescriptors
+	shares := vmShares{
+		readiness:    max(1, int(sockets/readinessDivisor)),
+		metrics:      max(1, int(sockets/metricsDivisor)),
+		peers:        max(1, int(sockets/peerDivisor)),
+		requestBytes: max(minRequestBytes, memory/requestMemoryDivisor),
+	}
+	rest := sockets - sockets/outgoingDivisor - int64(shares.readiness+shares.metrics+shares.peers)
+	shares.clients = int(min(rest, memory/connectionMemoryDivisor/connectionBytes))
+	return shares
+}
+
+// clientLimits returns the limits of a listener of the users' platform.
+func clientLimits(connections int) throttler.Limits {
+	return throttler.Limits{
+		Connections: connections, HeaderBytes: maxHeaderBytes, HeaderLines: maxHeaderLines,
+		HeaderTime: headerTimeout, RequestTime: requestTimeout, AnswerTime: answerTimeout, IdleTime: idleTimeout,
+	}
+}
+
+// peerLimits returns the limits of the listener of peers. gRPC detects peers that stop reading
+// by its keepalive.
+func peerLimits(connections int) throttler.Limits {
+	return throttler.Limits{Connections: connections}
+}
+
+// configuredLimits returns the limits of a listener of the product's own interface.
+func configuredLimits(settings loader.Limits, connections int) throttler.Limits {
+	return throttler.Limits{
+		Connections: connections, HeaderBytes: settings.HeaderBytes, HeaderLines: settings.HeaderLines,
+		HeaderTime: settings.HeaderTime, RequestTime: settings.RequestTime,
+		AnswerTime: settings.AnswerTime, IdleTime: settings.IdleTime,
+	}
+}
--- /dev/null
+++ b/clientlimits_test.go
@@ -0,0 +1,33 @@
+package zinniashore
+
+import "testing"
+
+// TestVMLimits guards against listeners that together exceed the descriptors or the memory of a
+// VM, and against a limit that ordinary clients reach.
+func TestVMLimits(t *testing.T) {
+	tests := map[string]struct {
+		memoryMB, descriptors int64
+		minClients            int
+	}{
+		"smallest VM of the platform": {memoryMB: 184, descriptors: 4100, minClients: 2800},
+		"largest VM of the platform":  {memoryMB: 536, descriptors: 8192, minClients: 6000},
+		"unknown":                     {minClients: 2800},
+		"least settings":              {memoryMB: 64, descriptors: 300, minClients: 50},
+		"much memory":                 {memoryMB: 1 << 16, descriptors: 4100, minClients: 2800},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			limits := vmLimits(test.memoryMB<<20, test.descriptors)
+			if limits.clients < test.minClients {
+				t.Errorf("%d clients, want at least %d", limits.clients, test.minClients)
+			}
+			total := int64(limits.clients + limits.readiness + limits.metrics + limits.peers)
+			if test.descriptors > 0 && total+fileDescriptors >= test.descriptors {
+				t.Errorf("%d connections and %d files of %d descriptors", total, fileDescriptors, test.descriptors)
+			}
+			if memory := int64(limits.clients)*connectionBytes + limits.requestBytes; test.memoryMB > 0 && memory > test.memoryMB<<20/2 {
+				t.Errorf("%d bytes for clients, want at most half of %d MB", memory, test.memoryMB)
+			}
+		})
+	}
+}
--- a/cmd/zinniashore/schedule.go
+++ b/cmd/zinniashore/schedule.go
@@ -22,9 +22,10 @@
 	// scheduleGCPercent trades memory for processor time, since the VMs of the platform
 	// have more memory to spare than processor time.
 	scheduleGCPercent = 200
-	// scheduleMemoryLimit is the memory, in bytes, above which the garbage collector
-	// runs more often.
-	scheduleMemoryLimit = 48 << 20
+	// minScheduleMemoryLimit is the least memory, in bytes, above which the garbage collector
+	// runs more often. The limit is half of the memory of the VM, because open connections
+	// alone take more than 48 MB on a VM of 184 MB.
+	minScheduleMemoryLimit = 48 << 20
 )
 
 // scheduleCommand runs the process of an entry VM on the users' platform.
@@ -54,7 +55,7 @@
 	}
 	defer closeLog()
 	debug.SetGCPercent(scheduleGCPercent)
-	debug.SetMemoryLimit(scheduleMemoryLimit)
+	debug.SetMemoryLimit(max(minScheduleMemoryLimit, settings.Memory/2))
 	go func() {
 		for range reload {
 			checkChangedSettings(file)
--- a/httplistener.go
+++ b/httplistener.go
@@ -13,12 +13,10 @@
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/router"
+	"zinniashore.example/throttler"
 )
 
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
-
 	// forcedQuitDelay is how long go-zero waits after a signal before it kills the
 	// process. It exceeds every graceful shutdown.
 	forcedQuitDelay = 24 * time.Hour
@@ -31,22 +29,22 @@
 	server   *http.Server
 }
 
-// listenHTTP binds the address. The routes are served once serve is called.
-func listenHTTP(name, address string, routes []rest.Route) (*httpListener, error) {
-	handler, err := restHandler(name, func(server *rest.Server) { server.AddRoutes(routes) })
+// listenHTTP binds the address. The handler serves within the limits of t once serve is called.
+func listenHTTP(address string, t *throttler.Throttler, handler http.Handler) (*httpListener, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", address)
+	return &httpListener{name: t.Name, listener: t.Listener(listener), server: t.Server(handler)}, nil
+}
+
+// listenREST binds the address. The routes are served once serve is called.
+func listenREST(address string, t *throttler.Throttler, routes []rest.Route) (*httpListener, error) {
+	handler, err := restHandler(t.Name, func(server *rest.Server) { server.AddRoutes(routes) })
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-	return &httpListener{name: name, listener: listener, server: server}, nil
+	return listenHTTP(address, t, handler)
 }
 
 // restHandler returns a go-zero server as a handler; add registers its routes. The
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -25,6 +25,8 @@
 	pingInterval    = 10 * time.Second
 	pingTimeout     = 2 * time.Second
 	minPingInterval = 5 * time.Second
+	// handshakeTimeout ends a connection that sends nothing. The default of gRPC is two minutes.
+	handshakeTimeout = 5 * time.Second
 
 	minRedialDelay  = 100 * time.Millisecond
 	maxRedialDelay  = time.Second
@@ -62,6 +64,7 @@
 func NewGRPCServer(s *Server) *grpc.Server {
 	server := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}))
 	relayerpb.RegisterRelayerServer(server, s)
 	return server
--- a/router/server.go
+++ b/router/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"zinniashore.example/throttler"
 )
 
 // Headers of the requests of callers and of the answers to them.
@@ -40,6 +42,8 @@
 	routePrefixParts = 6
 
 	answerTimeout = 5 * time.Second
+	// bodyRetryAfter is when a body that found no memory may be sent again.
+	bodyRetryAfter = time.Second
 )
 
 // Middlewares returns the middleware settings of the rest server. All middlewares but
@@ -74,16 +78,19 @@
 	request, err := r.parse(w, q, organisation, vars["service"])
 	var badRequest *badRequestError
 	if errors.As(err, &badRequest) {
-		r.refuse(w, badRequest.status, badRequest.detail)
+		r.write(w, Response{
+			Outcome: OutcomeNotRun, RetrySafe: true, Status: badRequest.status, Detail: badRequest.detail, RetryAfter: badRequest.retryAfter,
+		})
 		return
 	}
 	r.write(w, r.Handle(q.Context(), request))
 }
 
-// badRequestError reports a request that cannot be parsed.
+// badRequestError reports a request that cannot be read or parsed.
 type badRequestError struct {
-	status int
-	detail string
+	status     int
+	detail     string
+	retryAfter time.Duration
 }
 
 // Error implements error.
@@ -126,6 +133,10 @@
 	if errors.As(err, &tooLong) {
 		return nil, &badRequestError{status: http.StatusRequestEntityTooLarge, detail: "body too long"}
 	}
+	var refused *throttler.RefusedError
+	if errors.As(err, &refused) {
+		return nil, &badRequestError{status: http.StatusServiceUnavailable, detail: "no memory for the body", retryAfter: bodyRetryAfter}
+	}
 	if err != nil {
 		return nil, &badRequestError{status: http.StatusBadRequest, detail: "body not read"}
 	}
--- a/router/server_test.go
+++ b/router/server_test.go
@@ -10,11 +10,14 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 
 	"zinniashore.example/router"
 	"zinniashore.example/standin"
+	"zinniashore.example/throttler"
 )
 
 // tokenAuthorizer implements router.Authorizer and admits a single token.
@@ -127,3 +130,21 @@
 		t.Errorf("outcome = %q, want not_run", got)
 	}
 }
+
+// TestBodyMemory guards against a body that is read without memory for it, and against a refusal
+// that doesn't say that nothing has run.
+func TestBodyMemory(t *testing.T) {
+	r := &router.Router{Clock: clockwork.NewRealClock()}
+	limited := throttler.New("callers", throttler.Limits{}, throttler.NewBudget(128<<10), clockwork.NewRealClock(), tally.NoopScope)
+	server := httptest.NewServer(limited.Server(newServer(t, r).Config.Handler).Handler)
+	t.Cleanup(server.Close)
+	answer, err := http.Post(server.URL+"/v1/organisations/stockwerk/services/shop", "text/plain", strings.NewReader(strings.Repeat("b", 256<<10)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	outcome, retryAfter := answer.Header.Get(router.HeaderOutcome), answer.Header.Get("Retry-After")
+	if answer.StatusCode != http.StatusServiceUnavailable || outcome != string(router.OutcomeNotRun) || retryAfter == "" {
+		t.Errorf("status %d, outcome %q, Retry-After %q; want 503, not_run and a delay", answer.StatusCode, outcome, retryAfter)
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -25,6 +25,7 @@
 	"zinniashore.example/prober"
 	"zinniashore.example/recorder"
 	"zinniashore.example/relayer"
+	"zinniashore.example/throttler"
 	"zinniashore.example/watcher"
 )
 
@@ -78,11 +79,16 @@
 func (s *Scheduler) Listen() error {
 	s.meter = meter.New(s.Settings.Process, s.Settings.FailureDomain)
 	s.build()
+	limits := vmLimits(s.Settings.Memory, s.Settings.Descriptors)
+	budget := throttler.NewBudget(limits.requestBytes)
+	throttle := func(name string, connections int) *throttler.Throttler {
+		return throttler.New(name, clientLimits(connections), budget, s.Clock, s.meter.Scope)
+	}
 	listener, err := net.Listen("tcp", s.Settings.PeerAddress)
 	if err != nil {
 		return err
 	}
-	s.peerListener = listener
+	s.peerListener = throttler.New("peers", peerLimits(limits.peers), budget, s.Clock, s.meter.Scope).Listener(listener)
 	s.peerServer = relayer.NewGRPCServer(&relayer.Server{
 		Cells: s.heldCells, ReachesStore: s.prober.StoreReached, Incarnation: s.claimer.Self.Incarnation,
 	})
@@ -92,20 +98,22 @@
 	}
 	served := []struct {
 		name, address string
+		connections   int
 		handler       http.Handler
 	}{
-		{"callers", s.Settings.ClientAddress, callers},
-		{"readiness", s.Settings.ReadinessAddress, http.HandlerFunc(s.serveReadiness)},
-		{"metrics", s.Settings.MetricsAddress, s.meter.Handler},
+		{"callers", s.Settings.ClientAddress, limits.clients, callers},
+		{"readiness", s.Settings.ReadinessAddress, limits.readiness, http.HandlerFunc(s.serveReadiness)},
+		{"metrics", s.Settings.MetricsAddress, limits.metrics, s.meter.Handler},
 	}
 	for _, l := range served {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := listenHTTP(l.address, throttle(l.name, l.connections), l.handler)
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		s.listeners = append(s.listeners, &httpListener{name: l.name, listener: listener, server: server})
+		s.listeners = append(s.listeners, listener)
 	}
+	klog.InfoS("Limits on clients", "connections", limits.clients, "readinessConnections", limits.readiness,
+		"metricsConnections", limits.metrics, "peerConnections", limits.peers, "requestBytes", limits.requestBytes)
 	return nil
 }
 
--- a/server.go
+++ b/server.go
@@ -29,6 +29,7 @@
 	"zinniashore.example/recorder"
 	"zinniashore.example/router"
 	"zinniashore.example/seater"
+	"zinniashore.example/throttler"
 )
 
 const (
@@ -72,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	s.peerListener = listener
+	s.peerListener = s.throttler("peers", nil, peerLimits(s.Settings.Limits.PeerConnections)).Listener(listener)
 	s.buildShared()
 	s.buildRoles()
 	if err := s.listenHTTP(); err != nil {
@@ -102,12 +103,16 @@
 }
 
 func (s *Server) listenHTTP() error {
-	callers, err := listenHTTP("callers", s.Settings.Addresses.Callers, append(s.router.Routes(), s.readiness()))
+	limits := s.Settings.Limits
+	budget := throttler.NewBudget(limits.RequestBytes)
+	callersThrottler := s.throttler("callers", budget, configuredLimits(limits, limits.Connections))
+	callers, err := listenREST(s.Settings.Addresses.Callers, callersThrottler, append(s.router.Routes(), s.readiness()))
 	if err != nil {
 		return err
 	}
 	routes := append(s.administrator.Routes(), s.readiness(), s.scrape())
-	administration, err := listenHTTP("administration", s.Settings.Addresses.Administration, routes)
+	administrationThrottler := s.throttler("administration", budget, configuredLimits(limits, limits.AdministrationConnections))
+	administration, err := listenREST(s.Settings.Addresses.Administration, administrationThrottler, routes)
 	if err != nil {
 		return err
 	}
@@ -116,6 +121,10 @@
 	return nil
 }
 
+func (s *Server) throttler(name string, budget *throttler.Budget, limits throttler.Limits) *throttler.Throttler {
+	return throttler.New(name, limits, budget, s.Clock, s.meter.Scope)
+}
+
 // readiness returns the route of the readiness probe of the platform's load balancer.
 func (s *Server) readiness() rest.Route {
 	return rest.Route{Method: http.MethodGet, Path: "/readyz", Handler: func(w http.ResponseWriter, _ *http.Request) {
@@ -131,6 +140,7 @@
 
 func (s *Server) servePeers() {
 	s.peers = grpc.NewServer(
+		grpc.ConnectionTimeout(s.Settings.Limits.HeaderTime),
 		grpc.UnaryInterceptor(s.recorder.UnaryServerInterceptor()),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime:             minPeerPingInterval,
