dispatcher: tasks wait for a place in the rack of their data or group

Change: with a remote-factor above 1, a pass forecasts the places of each rack that is full and tasks want, and package delayer decides for each task or gang whether it waits. Waiting tasks aren't among those without a worker, so that they hold back none. Gangs that are rack-local start in one rack if one has the places. The holder learns run times from the ends that it sees. Three kinds of events tell when a task begins to wait, and where it starts.

Evidence: the new tests pass with -race. TestRandomRackWaits passed 1,500 cases.

The tests of simulated cells get a remote factor and a ratio of actual to estimated run times; both are off unless a test sets them.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -53,6 +53,9 @@
 	KindPartFailed   recorder.Kind = "part_given_up"
 	KindRelocated    recorder.Kind = "job_relocated"
 	KindOrphaned     recorder.Kind = "task_stray"
+	KindRackWait     recorder.Kind = "task_rack_wait"
+	KindRackLocal    recorder.Kind = "task_rack_wait_local"
+	KindRackRemote   recorder.Kind = "task_rack_wait_remote"
 	KindWorker       recorder.Kind = "worker"
 	KindCell         recorder.Kind = "cell"
 )
@@ -62,7 +65,7 @@
 	Record(event recorder.Event) recorder.Timestamp
 }
 
-// Limits are the durations that govern a Cell.
+// Limits are the durations and factors that govern a Cell.
 type Limits struct {
 	// LeaseDuration is how long a worker's lease on its runs lasts. All holders of a
 	// cell must use the same value.
@@ -76,6 +79,9 @@
 	MaxConfirmationAge time.Duration
 	// StateRetention is how long the state of a final job is kept.
 	StateRetention time.Duration
+	// RemoteFactor is how many times as long a task takes outside the rack of its data or of its
+	// group; 0 if unknown. Tasks wait for a rack only if it is above 1.
+	RemoteFactor float64
 }
 
 // Cell is the state of a cell under one epoch. Its exported fields are set before the
@@ -139,6 +145,8 @@
 	// headrooms estimates the headroom of long-running tasks and the effect of
 	// co-located tasks on it.
 	headrooms *estimator.Headrooms
+	// runTimes learns the run times of tasks.
+	runTimes *estimator.Ratios
 	// pendingPart is the part of a job that is being delegated to another cell, until
 	// it is stored.
 	pendingPart *Part
@@ -169,6 +177,7 @@
 		dirty:     map[string]bool{},
 		upcoming:  map[string]*jobState{},
 		headrooms: estimator.NewHeadrooms(),
+		runTimes:  estimator.NewRatios(),
 
 		unknownJobs: map[string]time.Time{},
 		absentJobs:  map[string]time.Time{},
--- a/dispatcher/fakeworker_test.go
+++ b/dispatcher/fakeworker_test.go
@@ -55,7 +55,7 @@
 		return dispatcher.AnswerStaleRun
 	}
 	w.epoch = o.Epoch
-	ending, length := dispatcher.EndingDone, w.simulation.runTime(o.Task)
+	ending, length := dispatcher.EndingDone, w.simulation.runTimeOn(w, o.Task)
 	if w.fails {
 		ending = dispatcher.EndingFailed
 	}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -119,11 +119,11 @@
 // planning pass a worker is reserved for one suspect and for one long-running task at most.
 func (c *Cell) placeOrReserve(now time.Time, t *task) []StartOrder {
 	var placed []StartOrder
-	if !c.pass.unplaced.hasSibling(t) {
+	if !c.pass.unplaced.hasSibling(t) && !c.keepsAwaitingRack(now, t) {
 		placed = c.place(now, t)
 	}
 	switch {
-	case len(placed) > 0:
+	case len(placed) > 0, c.pass.awaiting == t:
 	case t.suspect():
 		c.pass.reservedForTrial = c.pass.reservedForTrial || c.reserveForTrial(now, t)
 	default:
@@ -222,21 +222,12 @@
 			}
 		}
 	}
-	number := c.Epoch*maxRunsPerEpoch + c.lastRun + 1
-	var started []*run
-	for _, member := range members {
-		w := c.selectWorker(now, member)
-		if w == nil {
-			for _, r := range started {
-				c.withdraw(r)
-			}
-			return nil
-		}
-		r := c.addRun(member, w, number, phaseSent, now)
-		r.throttleAccepted = true
-		started = append(started, r)
+	started := c.addRuns(now, t, members)
+	if len(started) == 0 {
+		return nil
 	}
 	c.lastRun++
+	c.endRackWait(now, t, started)
 	checkpoint := t.checkpoint
 	orders := make([]StartOrder, len(started))
 	for i, r := range started {
--- a/dispatcher/planning.go
+++ b/dispatcher/planning.go
@@ -22,6 +22,10 @@
 	// reserved is true once a worker is reserved for a long-running task, reservedForTrial
 	// once one is for a suspect.
 	reserved, reservedForTrial bool
+	// racks are the forecasts of the racks that tasks wait for.
+	racks rackForecasts
+	// awaiting is the task that was last decided to wait for a rack.
+	awaiting *task
 }
 
 // runHeadroom is the remaining headroom of a long-running task that runs an image.
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -159,6 +159,7 @@
 		c.applyEnding(now, w, t, row)
 	}
 	if r != nil {
+		c.learnRunTime(now, r, row.Ending)
 		c.removeRun(now, r, string(row.Ending))
 	}
 }
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -130,7 +130,10 @@
 	// startAnswerDelay is how long after a start its answer is handled. lateAnswers are the
 	// answers that are on their way.
 	startAnswerDelay time.Duration
-	lateAnswers      []lateAnswer
+	// remoteFactor is how many times as long a task takes outside the rack of its data; 0 is unknown to
+	// the holder. runTimeRatio is the ratio of the actual to the estimated run time; 0 is 1.
+	remoteFactor, runTimeRatio float64
+	lateAnswers                []lateAnswer
 }
 
 // startFate is what happens to a start order.
@@ -236,7 +239,9 @@
 // changeHolder starts a new holder with the given registered workers.
 func (s *simulation) changeHolder(listed ...*fakeWorker) {
 	s.archive.epoch++
-	s.cell = dispatcher.NewCell("graz-a", s.archive.epoch, limits, s.events)
+	held := limits
+	held.RemoteFactor = s.remoteFactor
+	s.cell = dispatcher.NewCell("graz-a", s.archive.epoch, held, s.events)
 	s.cell.TermChecked(s.now)
 	s.archive.load(s.cell, s.now)
 	clear(s.registered)
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -102,6 +102,8 @@
 	refusedAt time.Time
 	// readyAt is when the task was last enqueued.
 	readyAt time.Time
+	// rackWait is the task's wait for a rack, that of the first member for a gang.
+	rackWait rackWait
 	// remote is true if another cell runs the task. delegatedTo is that cell if this
 	// cell delegated the task.
 	remote      bool
@@ -123,6 +125,8 @@
 	openTasks int
 	// ready is true once all steps that the step depends on are done.
 	ready bool
+	// groupRack is the rack in which the gang was last started as a whole, empty if there is none.
+	groupRack string
 }
 
 // occurrenceState is the state of one repetition of a job's steps.
@@ -152,6 +156,9 @@
 	openOccurrences int
 	// due is the deadline that the queue's objective sets for the job.
 	due time.Time
+	// restAfter holds, for each step, the estimated run time of the longest chain of steps that
+	// follows it; nil until it is needed.
+	restAfter []time.Duration
 	// restored is true if an earlier holder may have started tasks of the job.
 	restored bool
 	// acceptedAfter is a time at which the store didn't have the job in this cell, or nothing of it
--- a/heldcells.go
+++ b/heldcells.go
@@ -106,6 +106,7 @@
 		PollWait:           pollWait,
 		MaxConfirmationAge: maxConfirmationAge,
 		StateRetention:     h.settings.StateRetention,
+		RemoteFactor:       h.settings.RemoteFactor,
 	}
 	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: term.Epoch}
 	runner := dispatcher.NewRunner(dispatcher.NewCell(cell, term.Epoch, limits, h.recorder), h.clock, h.workers, archive)
