--- a/clientlimits.go
+++ b/clientlimits.go
@@ -37,8 +37,9 @@
 	requestMemoryDivisor    = 8
 	connectionMemoryDivisor = 3
 	// outgoingDivisor gives the share of connections to workers, peers and the store.
-	outgoingDivisor  = 6
-	peerDivisor      = 32
+	outgoingDivisor = 6
+	// peerDivisor leaves room for a connection from each of some hundreds of entry VMs.
+	peerDivisor      = 8
 	readinessDivisor = 32
 	metricsDivisor   = 64
 )
