--- a/dispatcher/capacity_test.go
+++ b/dispatcher/capacity_test.go
@@ -46,8 +46,8 @@
 			s.runFor(200 * time.Millisecond)
 			for _, job := range test.submit {
 				s.submit(job)
-				s.runFor(300 * time.Millisecond) // the first job has its places before the next one
 			}
+			s.runFor(300 * time.Millisecond)
 			if free := s.cell.FreeCapacity(s.now, testService, &test.step); free.Places != test.want {
 				t.Errorf("places = %d, want %d (load %.2f)", free.Places, test.want, free.Load)
 			}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -74,7 +74,6 @@
 // capacity for them.
 func (c *Cell) planStarts(now time.Time) []StartOrder {
 	c.dropFromReady(func(t *task) bool { return t.done || t.remote || len(t.runs) > 0 || t.job().state.Final() })
-	c.rankLongRunning()
 	slices.SortStableFunc(c.ready, func(a, b *task) int { return compareTasks(now, a, b) })
 	for _, w := range c.workers {
 		w.reservedFor = nil
@@ -179,8 +178,8 @@
 }
 
 // compareTasks orders tasks: suspects first, then by priority, then long-running tasks first
-// (of these the delegated ones, which no other cell can take, then those of the jobs with the fewest
-// active tasks), then those whose objective can still be met, then by the deadline of the objective.
+// (of these the delegated ones, which no other cell can take), then those whose objective can
+// still be met, then by the deadline of the objective.
 func compareTasks(now time.Time, a, b *task) int {
 	if order := trueFirst(a.suspect(), b.suspect()); order != 0 {
 		return order
@@ -195,9 +194,6 @@
 	if order := trueFirst(ja.job.Part != nil, jb.job.Part != nil); order != 0 {
 		return order
 	}
-	if order := cmp.Compare(a.rank, b.rank); order != 0 {
-		return order
-	}
 	if order := trueFirst(!now.After(ja.due), !now.After(jb.due)); order != 0 {
 		return order
 	}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -100,9 +100,6 @@
 	movedAt   time.Time
 	// refusedAt is when no other cell had capacity for the task.
 	refusedAt time.Time
-	// rank is, for a waiting long-running task, the number of tasks of its step that are active or come
-	// before it; 0 for any other task.
-	rank int
 	// readyAt is when the task was last enqueued.
 	readyAt time.Time
 	// rackWait is the task's wait for a rack, that of the first member for a gang.
