dispatcher: new work goes to slow workers last

A fifth of the workers that runs five times slower got as many new short tasks as others, and these tasks ended late.

Package rater learns the speed of each worker from the progress that polls list, the ends of runs and the tail latencies of long-running tasks, relative to the same work on other workers: a lower median over several runs, confirmed for 1 s. Samples last 4 s; after that the worker is probed with one run at a time. The score of a worker falls by the share of a run's time that it is expected to lose there. A worker whose registration says that it is cold counts as twice as slow until it is warm; the store isn't told. The settings bounds.checkpoint-s and bounds.restore-ms are read and checked; the latter keeps the time of a restore out of the measured progress.

Evidence: TestWorkAvoidsSlowWorkers finds the 4 slow ones of 20 workers within 3 s; with the weight of the term set to 0, 48 tasks of 1,020 start on them in 17 s, with it at most the 32 probes that the test allows. TestColdWorkers: 14 starts on the cold worker without the term, none with it. TestThrottledRunsTellNothing fails without the check of the throttle level.

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -125,7 +125,7 @@
 // scoreWorker returns the score of a worker for a task; higher is better.
 func scoreWorker(w *worker, t *task) float64 {
 	step := t.step.step
-	score := 0.0
+	score := weightSlow * w.speed.lostShare
 	if step.DataRack != "" && w.hasLabel(step.DataRack) {
 		score += weightDataRack
 	}
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zinniashore.example/estimator"
+	"zinniashore.example/rater"
 	"zinniashore.example/recorder"
 )
 
@@ -54,6 +55,7 @@
 	KindRelocated    recorder.Kind = "job_relocated"
 	KindOrphaned     recorder.Kind = "task_stray"
 	KindWorker       recorder.Kind = "worker"
+	KindWorkerSpeed  recorder.Kind = "worker_speed"
 	KindCell         recorder.Kind = "cell"
 )
 
@@ -76,6 +78,9 @@
 	MaxConfirmationAge time.Duration
 	// StateRetention is how long the state of a final job is kept.
 	StateRetention time.Duration
+	// CheckpointInterval is the time between two checkpoints of a run, RestoreTime how long one
+	// takes to be restored; both are 0 if unknown.
+	CheckpointInterval, RestoreTime time.Duration
 }
 
 // Cell is the state of a cell under one epoch. Its exported fields are set before the
@@ -151,6 +156,9 @@
 	pendingReturn *PartReturn
 	// pass is the planning pass while the ready tasks are placed, else nil.
 	pass *planningPass
+	// speeds learns the speeds of the workers, which were last rated at ratedAt.
+	speeds  *rater.Rater
+	ratedAt time.Time
 	// storing is true while a batch is being written to the store.
 	storing bool
 }
@@ -169,6 +177,7 @@
 		dirty:     map[string]bool{},
 		upcoming:  map[string]*jobState{},
 		headrooms: estimator.NewHeadrooms(),
+		speeds:    rater.New(),
 
 		unknownJobs: map[string]time.Time{},
 		absentJobs:  map[string]time.Time{},
--- a/dispatcher/fakeworker_test.go
+++ b/dispatcher/fakeworker_test.go
@@ -63,6 +63,7 @@
 		ending, length = dispatcher.EndingFailed, w.failsAfter
 	}
 	r := &fakeRun{task: o.Task, number: o.Run, startedAt: w.simulation.now, endsAt: w.simulation.now.Add(length), ending: ending}
+	w.setWork(r, length, o.Checkpoint)
 	w.simulation.runStarted(w, r)
 	w.simulation.checkCapacity(w, r, capacity)
 	w.running[o.Task] = r
@@ -107,7 +108,7 @@
 		listing.MoreEnds = true
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(w.running), compareIDs) {
-		listing.Running = append(listing.Running, dispatcher.RunningRow{Task: id, Run: w.running[id].number})
+		listing.Running = append(listing.Running, w.progressRow(dispatcher.RunningRow{Task: id, Run: w.running[id].number}))
 	}
 	return listing, dispatcher.AnswerAccepted
 }
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -37,6 +37,7 @@
 	w.registered = true
 	w.noteLeaving()
 	w.exitsAfter = now.Add(registration.Remaining)
+	w.speed.coldUntil = now.Add(registration.Cold)
 }
 
 // RestoreWorker adds a worker on which tasks of an earlier holder may run, whether or
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -28,6 +28,7 @@
 	if c.superseded || !c.active {
 		return orders
 	}
+	c.rateWorkers(now)
 	if c.mayAct(now) {
 		c.drainWorkers(now)
 	}
@@ -233,7 +234,8 @@
 			return nil
 		}
 		r := c.addRun(member, w, number, phaseSent, now)
-		r.throttleAccepted = true
+		r.throttleAccepted, r.startKnown = true, true
+		c.noteProbe(now, w)
 		started = append(started, r)
 	}
 	c.lastRun++
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -20,6 +20,7 @@
 		}
 		if c.removable(now, w) {
 			delete(c.workers, id)
+			c.speeds.Forget(id)
 			c.workerIDs = nil
 			if w.stored {
 				c.removedWorkers++
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -39,6 +39,7 @@
 	endsAt    time.Time
 	ending    dispatcher.Ending
 	stopping  bool
+	progress  fakeProgress
 }
 
 // fakeWorker follows the platform's rules for workers.
@@ -74,13 +75,15 @@
 	// fails makes each run fail at its end. failsAfter, if set, is how soon each run fails.
 	fails      bool
 	failsAfter time.Duration
+	// slowdown is how much longer runs take on the worker; 0 is 1.
+	slowdown float64
 }
 
 func (w *fakeWorker) end(r *fakeRun, ending dispatcher.Ending) {
 	delete(w.running, r.task)
 	w.highestRun[r.task] = max(w.highestRun[r.task], r.number)
 	w.endCount++
-	w.ended = append(w.ended, dispatcher.EndedRow{Number: w.endCount, Task: r.task, Run: r.number, Ending: ending})
+	w.ended = append(w.ended, dispatcher.EndedRow{Number: w.endCount, Task: r.task, Run: r.number, Ending: ending, Checkpoint: w.checkpoint(r)})
 	w.simulation.runEnded(w, r, ending)
 }
 
@@ -131,6 +134,8 @@
 	// answers that are on their way.
 	startAnswerDelay time.Duration
 	lateAnswers      []lateAnswer
+	// speeds makes runs progress at the speed of their workers; nil lists no progress.
+	speeds *speeds
 }
 
 // startFate is what happens to a start order.
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"zinniashore.example/rater"
 )
 
 // runPhase is the phase of a run as the holder knows it.
@@ -62,6 +64,11 @@
 	// blameOnAnswer is true if the worker has restarted since the start was sent. The run is
 	// to blame unless the answer shows that the start didn't reach the worker.
 	blameOnAnswer bool
+	// startKnown is true if this holder sent the start. track measures the run's progress;
+	// trackLost is true once a part of that told nothing of the worker's speed.
+	startKnown bool
+	track      rater.Track
+	trackLost  bool
 }
 
 // removedRun is what logs tell of a run that isn't counted any more. The zero value is none.
@@ -265,6 +272,8 @@
 	exitsAfter, drainStoppedAt time.Time
 	// throttledAt is when the throttle levels of the worker's runs were last computed.
 	throttledAt time.Time
+	// speed is what planning uses of the worker's speed.
+	speed workerSpeed
 }
 
 type runKey struct {
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -30,6 +30,8 @@
 	// Remaining is for how long at least the worker runs on if it drains, from when it
 	// registered that.
 	Remaining time.Duration
+	// Cold is for how long the worker runs slower, from when it registered that.
+	Cold time.Duration
 	// Capacity is the total capacity of the worker.
 	Capacity Size
 	// Labels are the worker's labels, its rack among them.
--- /dev/null
+++ b/dispatcher/workerspeed.go
@@ -0,0 +1,195 @@
+package dispatcher
+
+import (
+	"fmt"
+	"time"
+
+	"zinniashore.example/rater"
+	"zinniashore.example/recorder"
+)
+
+const (
+	// weightSlow is the weight of the share of a run's time that it is expected to lose on a
+	// slow worker. A worker twice as slow weighs about as much as a remote data rack; none
+	// weighs more than one on which the task has failed.
+	weightSlow = -19.0
+	// coldSlowdown is the assumed slowdown of a worker that has registered as cold.
+	coldSlowdown = 2.0
+	// ratingInterval separates the ratings of all workers.
+	ratingInterval = 250 * time.Millisecond
+	// maxListingGap is the longest time between two listings of a worker, beyond the wait of a
+	// poll, after which a listed end tells when its run has ended.
+	maxListingGap = 500 * time.Millisecond
+	// startupUnit is the time that progress of the startup of a long-running task is related to.
+	startupUnit = time.Second
+)
+
+// workerSpeed is what planning uses of the speed of a worker.
+type workerSpeed struct {
+	// lostShare is the share of a run's time that is expected to be lost there: 0 on a normal
+	// worker, 0.8 on one five times slower.
+	lostShare float64
+	// coldUntil is until when the worker is cold, by its registration.
+	coldUntil time.Time
+}
+
+// slowed returns a workerSpeed with a slowdown, which is 1 on a normal worker.
+func (s workerSpeed) slowed(slowdown float64) workerSpeed {
+	s.lostShare = 1 - 1/slowdown
+	return s
+}
+
+// observeSpeed passes what a listing tells about the speed of the worker to the rater. It precedes
+// the handling of the listing.
+func (c *Cell) observeSpeed(now time.Time, w *worker, listing Listing) {
+	if !w.epochAccepted || listing.Clock < w.clock {
+		return
+	}
+	for _, row := range listing.Running {
+		if r := w.runs[runKey{task: row.Task, run: row.Run}]; r != nil {
+			c.observeProgress(now, r, listing.Clock, row)
+		}
+	}
+	if listing.Clock-w.clock > c.Limits.PollWait+maxListingGap {
+		return
+	}
+	for _, row := range listing.Ended {
+		if r := w.runs[runKey{task: row.Task, run: row.Run}]; r != nil && row.Ending == EndingDone && row.Number > w.lastEnd {
+			c.observeEnd(now, r, listing.Clock)
+		}
+	}
+}
+
+// observeProgress passes the listed progress or tail latency of a run to the rater.
+func (c *Cell) observeProgress(now time.Time, r *run, clock time.Duration, row RunningRow) {
+	step := r.task.step.step
+	if step.LongRunning && row.Percent >= fullPercent {
+		c.observeTail(now, r, row)
+		return
+	}
+	if r.phase == phaseSent {
+		return
+	}
+	if !r.showsSpeed() || row.Percent >= fullPercent {
+		r.track, r.trackLost = rater.Track{}, true
+		return
+	}
+	if !r.track.Open() && r.restoring(now, c.Limits.RestoreTime) {
+		return
+	}
+	work := r.work()
+	usual := 0.0
+	if r.track.Open() {
+		usual, _ = c.speeds.Usual(now, work)
+	}
+	track, pace, window := r.startedTrack().Advance(clock, row.Percent, r.workUnit(), usual)
+	r.track = track
+	c.observePace(now, r, work, pace, window)
+}
+
+// observeEnd passes the pace of a run that was done to the rater.
+func (c *Cell) observeEnd(now time.Time, r *run, clock time.Duration) {
+	if !r.showsSpeed() || r.task.step.step.LongRunning {
+		return
+	}
+	if pace, window, told := r.startedTrack().End(clock, r.workUnit()); told {
+		c.observePace(now, r, r.work(), pace, window)
+	}
+}
+
+// observeTail passes the tail latency of a long-running task to the rater, unless best-effort
+// tasks beside it lengthen that.
+func (c *Cell) observeTail(now time.Time, r *run, row RunningRow) {
+	if r.task.step.step.TailTarget == 0 || row.Usage <= 0 || r.worker.bestEffortRuns > 0 {
+		return
+	}
+	work := r.work()
+	work.Measure = rater.MeasureTail
+	latency := time.Duration(row.Usage) * time.Millisecond
+	c.observePace(now, r, work, float64(r.task.step.step.TailTarget)/float64(latency), 0)
+}
+
+func (c *Cell) observePace(now time.Time, r *run, work rater.Work, pace float64, window time.Duration) {
+	if pace > 0 {
+		c.speeds.Observe(now, rater.Sample{Worker: r.worker.registration.ID, Run: r.number, Work: work, Pace: pace, Window: window})
+	}
+}
+
+// showsSpeed reports whether the progress of a run depends on the speed of its worker and on
+// nothing that other runs of the same work don't have. Members of a gang wait for each other, tasks
+// away from their data are slower, and best-effort tasks get what other tasks leave.
+func (r *run) showsSpeed() bool {
+	step := r.task.step.step
+	switch {
+	case r.phase != phaseConfirmed || step.Gang || step.RackLocal || r.workUnit() <= 0:
+		return false
+	case step.DataRack != "" && !r.worker.hasLabel(step.DataRack):
+		return false
+	case step.BestEffort:
+		return r.startKnown && r.throttleAccepted && r.throttle == fullPercent && r.worker.idleProcessors() >= 0
+	}
+	return true
+}
+
+// restoring reports whether a run may still be restoring a checkpoint.
+func (r *run) restoring(now time.Time, restoreTime time.Duration) bool {
+	return (r.task.checkpoint != "" || !r.startKnown) && now.Sub(r.sentAt) <= restoreTime
+}
+
+// startedTrack returns the track of the run, which begins with the run if that started from the
+// beginning under this holder.
+func (r *run) startedTrack() rater.Track {
+	if r.track.Open() || r.trackLost || !r.startKnown || r.task.checkpoint != "" {
+		return r.track
+	}
+	return rater.NewTrack(r.worker.clock + r.sentAt.Sub(r.worker.clockAt))
+}
+
+// workUnit is the time that the progress of a run is related to.
+func (r *run) workUnit() time.Duration {
+	if r.task.step.step.LongRunning {
+		return startupUnit
+	}
+	return r.task.step.step.Estimate
+}
+
+func (r *run) work() rater.Work {
+	step := r.task.step.step
+	work := rater.Work{Queue: r.task.job().job.Queue.Name, Image: step.Image, Job: r.task.id.Job, Step: r.task.id.Step, Measure: rater.MeasureProgress}
+	if step.LongRunning {
+		work.Measure = rater.MeasureStartup
+	}
+	return work
+}
+
+// rateWorkers updates the speeds of the workers, at most once in each ratingInterval.
+func (c *Cell) rateWorkers(now time.Time) {
+	if now.Sub(c.ratedAt) < ratingInterval {
+		return
+	}
+	c.ratedAt = now
+	for _, id := range c.Workers() {
+		w := c.workers[id]
+		rating, changed := c.speeds.Rate(now, id)
+		if changed {
+			c.record(recorder.Event{Kind: KindWorkerSpeed, VM: id, Detail: fmt.Sprintf("%s, %.1f times slower than others", rating.Status, rating.Slowdown)})
+		}
+		w.setSlowdown(now, rating.Slowdown)
+	}
+}
+
+// setSlowdown applies the learned slowdown of a worker, which is at least coldSlowdown while the
+// worker is cold.
+func (w *worker) setSlowdown(now time.Time, learned float64) {
+	if now.Before(w.speed.coldUntil) {
+		learned = max(learned, coldSlowdown)
+	}
+	w.speed = w.speed.slowed(learned)
+}
+
+// noteProbe tells the rater of a start. A worker that is probed gets no further one soon.
+func (c *Cell) noteProbe(now time.Time, w *worker) {
+	id := w.registration.ID
+	c.speeds.Started(now, id)
+	w.setSlowdown(now, c.speeds.Current(id).Slowdown)
+}
--- a/heldcells.go
+++ b/heldcells.go
@@ -106,6 +106,8 @@
 		PollWait:           pollWait,
 		MaxConfirmationAge: maxConfirmationAge,
 		StateRetention:     h.settings.StateRetention,
+		CheckpointInterval: h.settings.CheckpointInterval,
+		RestoreTime:        h.settings.RestoreTime,
 	}
 	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: term.Epoch}
 	runner := dispatcher.NewRunner(dispatcher.NewCell(cell, term.Epoch, limits, h.recorder), h.clock, h.workers, archive)
--- /dev/null
+++ b/rater/track.go
@@ -0,0 +1,65 @@
+package rater
+
+import "time"
+
+const (
+	// minWindow is the least time over which progress is measured.
+	minWindow = 500 * time.Millisecond
+	// minPoints is the progress, in percent, that is expected in a window. Progress comes in
+	// whole percents, so that less would make equal runs look unequal.
+	minPoints = 6
+	// jitter is added to the time of a run from start to end. It covers the time that an order
+	// and the news of an end take, which would otherwise rule the pace of very short runs.
+	jitter      = 50 * time.Millisecond
+	fullPercent = 100
+)
+
+// Track is the start of the current window in which the progress of a run is measured, on the
+// worker's clock. The zero value has none.
+type Track struct {
+	open    bool
+	percent int
+	clock   time.Duration
+	// whole is true if the window begins with the run.
+	whole bool
+}
+
+// NewTrack returns the track of a run that started from the beginning.
+func NewTrack(clock time.Duration) Track { return Track{open: true, clock: clock, whole: true} }
+
+// Open reports whether the track has a window.
+func (t Track) Open() bool { return t.open }
+
+// Advance applies a listed progress. estimate is the declared run time, usual the usual pace of
+// the work or 0 if that isn't known. It returns the pace of the window and its length once that
+// tells something; the window then begins anew.
+func (t Track) Advance(clock time.Duration, percent int, estimate time.Duration, usual float64) (next Track, pace float64, window time.Duration) {
+	next = Track{open: true, percent: percent, clock: clock}
+	window = clock - t.clock
+	switch {
+	case !t.open || percent < t.percent:
+		return next, 0, 0
+	case window < minWindow:
+		return t, 0, 0
+	}
+	points := float64(percent - t.percent)
+	expected := usual * window.Seconds() / estimate.Seconds() * fullPercent
+	if max(points, expected) < minPoints {
+		return t, 0, 0
+	}
+	if points < minPoints {
+		points += 0.5 // the listed percents are rounded down
+	}
+	return next, points / fullPercent * estimate.Seconds() / window.Seconds(), window
+}
+
+// End returns the pace of the window that ends with the run, and false if that tells nothing.
+func (t Track) End(clock, estimate time.Duration) (pace float64, window time.Duration, told bool) {
+	window = clock - t.clock
+	points := fullPercent - t.percent
+	if !t.open || window <= 0 || !t.whole && (points < minPoints || window < minWindow) {
+		return 0, 0, false
+	}
+	window += jitter
+	return float64(points) / fullPercent * estimate.Seconds() / window.Seconds(), window, true
+}
