rater: compares steps on few workers with other jobs; plans without progress stay the same

Tasks of a step are packed next to each other, so that most workers of the step may be slow ones; their median then made none of them slow: a long-running job with 4 of its 6 workers slow stayed there. If two workers of a step reach the pace of other jobs, that pace is now the usual one. A long-running task was a probe of a slow worker; now it isn't.

The changes of a worker's speed are events of their own kinds, so that the counters tell them apart (worker_slow, worker_probed, worker_normal).

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -125,7 +125,10 @@
 // scoreWorker returns the score of a worker for a task; higher is better.
 func scoreWorker(w *worker, t *task) float64 {
 	step := t.step.step
-	score := weightSlow * w.speed.lostShare
+	score := 0.0
+	if w.speed.doubtfulShare > 0 {
+		score += weightSlow * w.speed.lostShareOf(t)
+	}
 	if step.DataRack != "" && w.hasLabel(step.DataRack) {
 		score += weightDataRack
 	}
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -55,7 +55,9 @@
 	KindRelocated    recorder.Kind = "job_relocated"
 	KindOrphaned     recorder.Kind = "task_stray"
 	KindWorker       recorder.Kind = "worker"
-	KindWorkerSpeed  recorder.Kind = "worker_speed"
+	KindWorkerSlow   recorder.Kind = "worker_slow"
+	KindWorkerProbed recorder.Kind = "worker_probed"
+	KindWorkerNormal recorder.Kind = "worker_normal"
 	KindCell         recorder.Kind = "cell"
 )
 
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -73,7 +73,7 @@
 		c.setBoot(now, w, listing.Boot)
 	}
 	c.withdrawCrash(w)
-	c.observeSpeed(now, w, listing)
+	c.observeEnds(now, w, listing)
 	listedAt := w.latestTime(now, listing.Clock)
 	if listing.Clock >= w.clock || !w.epochAccepted {
 		w.clock = listing.Clock
@@ -279,6 +279,7 @@
 		}
 		if r != nil {
 			delete(w.orphanedRuns, key)
+			c.observeProgress(now, r, listing.Clock, row)
 			r.update(now, listedAt, row)
 			c.clearCrash(r.task, r.number)
 			c.clearCrashes(r)
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -248,6 +248,8 @@
 	// bestEffortRuns counts the runs of best-effort tasks, servingRuns those of
 	// long-running tasks with a latency target.
 	bestEffortRuns, servingRuns int
+	// speed is what planning uses of the worker's speed.
+	speed workerSpeed
 	// fullUntil delays starts after the worker answered that it has no capacity.
 	fullUntil time.Time
 	// expiredYoung are the runs of long-running tasks that were young when their lease had
@@ -272,8 +274,6 @@
 	exitsAfter, drainStoppedAt time.Time
 	// throttledAt is when the throttle levels of the worker's runs were last computed.
 	throttledAt time.Time
-	// speed is what planning uses of the worker's speed.
-	speed workerSpeed
 }
 
 type runKey struct {
--- a/dispatcher/workerspeed.go
+++ b/dispatcher/workerspeed.go
@@ -24,33 +24,45 @@
 	startupUnit = time.Second
 )
 
+// speedKinds are the kinds of the events for a worker's new status.
+var speedKinds = map[rater.Status]recorder.Kind{
+	rater.StatusSlow: KindWorkerSlow, rater.StatusProbed: KindWorkerProbed, rater.StatusNormal: KindWorkerNormal,
+}
+
 // workerSpeed is what planning uses of the speed of a worker.
 type workerSpeed struct {
 	// lostShare is the share of a run's time that is expected to be lost there: 0 on a normal
 	// worker, 0.8 on one five times slower.
 	lostShare float64
+	// doubtfulShare is the same by what was last known of a worker that is being probed, otherwise
+	// it equals lostShare.
+	doubtfulShare float64
 	// coldUntil is until when the worker is cold, by its registration.
 	coldUntil time.Time
 }
 
-// slowed returns a workerSpeed with a slowdown, which is 1 on a normal worker.
-func (s workerSpeed) slowed(slowdown float64) workerSpeed {
+// slowed returns a workerSpeed with a slowdown and the one that was last known; both are 1 on a normal
+// worker.
+func (s workerSpeed) slowed(slowdown, former float64) workerSpeed {
 	s.lostShare = 1 - 1/slowdown
+	s.doubtfulShare = 1 - 1/max(slowdown, former)
 	return s
 }
 
-// observeSpeed passes what a listing tells about the speed of the worker to the rater. It precedes
-// the handling of the listing.
-func (c *Cell) observeSpeed(now time.Time, w *worker, listing Listing) {
-	if !w.epochAccepted || listing.Clock < w.clock {
-		return
-	}
-	for _, row := range listing.Running {
-		if r := w.runs[runKey{task: row.Task, run: row.Run}]; r != nil {
-			c.observeProgress(now, r, listing.Clock, row)
-		}
+// lostShareOf returns the share of its time that a run of a task is expected to lose. Long-running
+// tasks don't probe a worker.
+func (s workerSpeed) lostShareOf(t *task) float64 {
+	if t.step.step.LongRunning {
+		return s.doubtfulShare
 	}
-	if listing.Clock-w.clock > c.Limits.PollWait+maxListingGap {
+	return s.lostShare
+}
+
+// observeEnds passes what the ends in a listing tell about the speed of the worker to the rater. It
+// precedes the handling of the listing.
+func (c *Cell) observeEnds(now time.Time, w *worker, listing Listing) {
+	gap := listing.Clock - w.clock
+	if !w.epochAccepted || gap < 0 || gap > c.Limits.PollWait+maxListingGap {
 		return
 	}
 	for _, row := range listing.Ended {
@@ -62,13 +74,15 @@
 
 // observeProgress passes the listed progress or tail latency of a run to the rater.
 func (c *Cell) observeProgress(now time.Time, r *run, clock time.Duration, row RunningRow) {
-	step := r.task.step.step
-	if step.LongRunning && row.Percent >= fullPercent {
+	if clock < r.worker.clock {
+		return // a newer listing has been handled
+	}
+	if r.task.step.step.LongRunning && row.Percent >= fullPercent {
 		c.observeTail(now, r, row)
 		return
 	}
 	if r.phase == phaseSent {
-		return
+		return // update confirms the run
 	}
 	if !r.showsSpeed() || row.Percent >= fullPercent {
 		r.track, r.trackLost = rater.Track{}, true
@@ -172,24 +186,25 @@
 		w := c.workers[id]
 		rating, changed := c.speeds.Rate(now, id)
 		if changed {
-			c.record(recorder.Event{Kind: KindWorkerSpeed, VM: id, Detail: fmt.Sprintf("%s, %.1f times slower than others", rating.Status, rating.Slowdown)})
+			c.record(recorder.Event{Kind: speedKinds[rating.Status], VM: id, Detail: fmt.Sprintf("%.1f times slower than others", rating.Former)})
 		}
-		w.setSlowdown(now, rating.Slowdown)
+		w.setSpeed(now, rating)
 	}
 }
 
-// setSlowdown applies the learned slowdown of a worker, which is at least coldSlowdown while the
+// setSpeed applies the learned rating of a worker. The slowdown is at least coldSlowdown while the
 // worker is cold.
-func (w *worker) setSlowdown(now time.Time, learned float64) {
+func (w *worker) setSpeed(now time.Time, learned rater.Rating) {
+	least := 1.0
 	if now.Before(w.speed.coldUntil) {
-		learned = max(learned, coldSlowdown)
+		least = coldSlowdown
 	}
-	w.speed = w.speed.slowed(learned)
+	w.speed = w.speed.slowed(max(learned.Slowdown, least), learned.Former)
 }
 
 // noteProbe tells the rater of a start. A worker that is probed gets no further one soon.
 func (c *Cell) noteProbe(now time.Time, w *worker) {
 	id := w.registration.ID
 	c.speeds.Started(now, id)
-	w.setSlowdown(now, c.speeds.Current(id).Slowdown)
+	w.setSpeed(now, c.speeds.Current(id))
 }
--- a/dispatcher/workerspeed_test.go
+++ b/dispatcher/workerspeed_test.go
@@ -70,10 +70,13 @@
 
 // busiest returns the fifth of the workers whose ids come first, which get work first.
 func (s *speedSimulation) busiest() []*fakeWorker {
-	workers := slices.SortedFunc(slices.Values(s.workers), func(a, b *fakeWorker) int {
+	return s.byID()[:slowWorkers]
+}
+
+func (s *speedSimulation) byID() []*fakeWorker {
+	return slices.SortedFunc(slices.Values(s.workers), func(a, b *fakeWorker) int {
 		return strings.Compare(a.registration.ID, b.registration.ID)
 	})
-	return workers[:slowWorkers]
 }
 
 func (s *speedSimulation) slow(workers []*fakeWorker, factor float64) {
@@ -94,11 +97,11 @@
 	return slow, all
 }
 
-// speedEvents returns the changes of workers' speeds whose detail contains a text.
-func (s *simulation) speedEvents(text string) int {
+// foundSlow returns how often a worker was found slow.
+func (s *simulation) foundSlow() int {
 	count := 0
 	for _, event := range s.events.recorded {
-		if event.Kind == dispatcher.KindWorkerSpeed && strings.Contains(event.Detail, text) {
+		if event.Kind == dispatcher.KindWorkerSlow {
 			count++
 		}
 	}
@@ -114,8 +117,8 @@
 	s.stream(5*time.Second, interval)
 	s.slow(s.busiest(), slowWorkerFactor)
 	s.stream(3*time.Second, interval)
-	if s.speedEvents("slow") < slowWorkers {
-		t.Fatalf("%d workers found slow after 3 s, want %d", s.speedEvents("slow"), slowWorkers)
+	if s.foundSlow() < slowWorkers {
+		t.Fatalf("%d workers found slow after 3 s, want %d", s.foundSlow(), slowWorkers)
 	}
 	s.stream(slowSpan-3*time.Second, interval)
 	slow, all := s.startsOnSlow()
@@ -173,8 +176,8 @@
 			}
 			change(s)
 			s.stream(20*time.Second, 200*time.Millisecond)
-			if count := s.speedEvents(""); count > 0 {
-				t.Errorf("%d changes of speeds, want none", count)
+			if count := s.foundSlow(); count > 0 {
+				t.Errorf("%d workers found slow, want none", count)
 			}
 			for _, event := range s.events.recorded {
 				if event.Kind == dispatcher.KindStop {
@@ -254,7 +257,7 @@
 	if throttled == 0 {
 		t.Error("no run was throttled")
 	}
-	if count := s.speedEvents("slow"); count > 0 {
+	if count := s.foundSlow(); count > 0 {
 		t.Errorf("%d workers found slow, want none", count)
 	}
 }
@@ -279,13 +282,13 @@
 		s.changeHolder(s.workers...)
 		s.stream(2*time.Second, 200*time.Millisecond)
 	}
-	if count := s.speedEvents("slow"); count > 0 {
+	if count := s.foundSlow(); count > 0 {
 		t.Errorf("%d workers found slow, want none", count)
 	}
 	s.slow(s.busiest(), slowWorkerFactor)
 	s.changeHolder(s.workers...)
 	s.stream(4*time.Second, 200*time.Millisecond)
-	if count := s.speedEvents("slow"); count < slowWorkers {
+	if count := s.foundSlow(); count < slowWorkers {
 		t.Errorf("%d workers found slow by the new holder, want %d", count, slowWorkers)
 	}
 	s.slow(s.busiest(), 1)
--- a/rater/group.go
+++ b/rater/group.go
@@ -11,6 +11,9 @@
 	// rack is slow.
 	minWorkers     = 3
 	minStepWorkers = 5
+	// minNormalWorkers is how many workers have to reach the pace of other jobs at a step for the
+	// others to count as slow rather than the estimate as wrong.
+	minNormalWorkers = 2
 	// medianAge is how long a computed median is used.
 	medianAge = 200 * time.Millisecond
 )
@@ -24,7 +27,11 @@
 
 // groups returns the groups in which the work is compared, the narrowest first.
 func (w Work) groups() []groupKey {
-	return []groupKey{w.stepGroup(), {queue: w.Queue, image: w.Image, measure: w.Measure}}
+	return []groupKey{w.stepGroup(), w.classGroup()}
+}
+
+func (w Work) classGroup() groupKey {
+	return groupKey{queue: w.Queue, image: w.Image, measure: w.Measure}
 }
 
 func (w Work) stepGroup() groupKey { return groupKey{job: w.Job, step: w.Step, measure: w.Measure} }
@@ -83,15 +90,18 @@
 	return g.usual, g.usual > 0
 }
 
-// best returns the highest pace of any worker.
-func (g *group) best(now time.Time) float64 {
-	best := 0.0
+// best returns the pace that a number of workers reach, which is 1 or 2.
+func (g *group) best(now time.Time, workers int) float64 {
+	var first, second float64
 	for _, p := range g.paces {
 		if !now.After(p.until) {
-			best = max(best, p.value)
+			first, second = max(first, p.value), max(second, min(first, p.value))
 		}
 	}
-	return best
+	if workers > 1 {
+		return second
+	}
+	return first
 }
 
 func (g *group) prune(now time.Time) {
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -52,6 +52,16 @@
 	Status Status
 	// Slowdown is how much longer a run is expected to take than on a normal worker; at least 1.
 	Slowdown float64
+	// Former is the slowdown that was last known of a worker that isn't normal; at least 1.
+	Former float64
+}
+
+// normal is the rating of a normal worker.
+var normal = Rating{Status: StatusNormal, Slowdown: 1, Former: 1}
+
+// slow returns the rating of a slow worker.
+func slow(slowdown float64) Rating {
+	return Rating{Status: StatusSlow, Slowdown: slowdown, Former: slowdown}
 }
 
 // Work identifies the work of a run. Runs of the same step are compared first, then those of the
@@ -102,6 +112,8 @@
 	rating  Rating
 	// slowSince is since when a normal worker looks slow.
 	slowSince time.Time
+	// unrated is true if samples have come since the last Rate.
+	unrated bool
 	// shownAt is when the newest sample came that could be compared.
 	shownAt time.Time
 	// probedSince is when the worker became StatusProbed, probeStartedAt when the probing run
@@ -126,10 +138,11 @@
 func (r *Rater) Observe(now time.Time, s Sample) {
 	w, known := r.workers[s.Worker]
 	if !known {
-		w = &worker{samples: map[int64]timedSample{}, rating: Rating{Status: StatusNormal, Slowdown: 1}}
+		w = &worker{samples: map[int64]timedSample{}, rating: normal}
 		r.workers[s.Worker] = w
 	}
 	w.samples[s.Run] = timedSample{Sample: s, at: now}
+	w.unrated = true
 	for _, key := range s.Work.groups() {
 		r.group(key).add(now, s)
 	}
@@ -137,14 +150,8 @@
 
 // Usual returns the usual pace of a kind of work, and false if it isn't known.
 func (r *Rater) Usual(now time.Time, work Work) (float64, bool) {
-	for _, key := range work.groups() {
-		if g, known := r.groups[key]; known {
-			if pace, enough := g.median(now); enough {
-				return pace, true
-			}
-		}
-	}
-	return 0, false
+	c := r.comparison(now, work)
+	return c.usual, c.usual > 0
 }
 
 // Started tells that a run started on a worker. If that is probed, other work has to wait.
@@ -163,9 +170,9 @@
 	w, known := r.workers[id]
 	switch {
 	case !known:
-		return Rating{Status: StatusNormal, Slowdown: 1}
+		return normal
 	case w.rating.Status == StatusProbed && w.probeStartedAt.IsZero():
-		return Rating{Status: StatusProbed, Slowdown: 1}
+		return Rating{Status: StatusProbed, Slowdown: 1, Former: w.rating.Former}
 	}
 	return w.rating
 }
@@ -175,9 +182,10 @@
 func (r *Rater) Rate(now time.Time, id string) (rating Rating, changed bool) {
 	r.prune(now)
 	w, known := r.workers[id]
-	if !known {
+	if !known || w.rating.Status == StatusNormal && w.slowSince.IsZero() && !w.unrated {
 		return r.Current(id), false
 	}
+	w.unrated = false
 	before := w.rating.Status
 	evidence := r.evidence(now, w, currentAge)
 	if !evidence.enough() {
@@ -205,7 +213,7 @@
 	case w.slowSince.IsZero():
 		w.slowSince = now
 	case now.Sub(w.slowSince) >= confirmation:
-		w.rating = Rating{Status: StatusSlow, Slowdown: e.median()}
+		w.rating = slow(e.median())
 	}
 }
 
@@ -219,7 +227,7 @@
 	case e.median() < normalBelow:
 		w.setNormal()
 	default:
-		w.rating.Slowdown = e.median()
+		w.rating = slow(e.median())
 	}
 }
 
@@ -228,7 +236,7 @@
 func (w *worker) rateProbed(now time.Time, e evidence) {
 	switch {
 	case len(e.slowdowns) > 0 && e.newest.After(w.probedSince) && e.median() >= slowFrom:
-		w.rating = Rating{Status: StatusSlow, Slowdown: e.median()}
+		w.rating = slow(e.median())
 	case len(e.slowdowns) > 0 && e.newest.After(w.probedSince), now.Sub(w.probedSince) > maxProbing:
 		w.setNormal()
 	case now.Sub(w.probeStartedAt) > probeTimeout:
@@ -237,7 +245,7 @@
 }
 
 func (w *worker) setNormal() {
-	w.rating = Rating{Status: StatusNormal, Slowdown: 1}
+	w.rating = normal
 	w.slowSince = time.Time{}
 }
 
@@ -275,11 +283,11 @@
 		if !s.within(now, age) {
 			continue
 		}
-		usual, byStep, sound := r.comparison(now, s.Work)
+		c := r.comparison(now, s.Work)
 		switch {
-		case usual == 0:
-		case byStep || sound:
-			e.add(s, usual, byStep)
+		case c.usual == 0:
+		case c.sound:
+			e.add(s, c)
 		default:
 			if other, found := doubtful[s.Work.Job]; !found || s.newer(other) {
 				doubtful[s.Work.Job] = s
@@ -287,25 +295,41 @@
 		}
 	}
 	for _, s := range doubtful {
-		usual, _ := r.Usual(now, s.Work)
-		e.add(s, usual, false)
+		e.add(s, r.comparison(now, s.Work))
 	}
 	return e
 }
 
-// comparison returns the usual pace of a kind of work, 0 if that isn't known, and whether it is that
-// of the step. sound reports whether a task of the step reaches about the usual pace of other jobs
-// on some worker, so that the estimate of the job isn't much too low.
-func (r *Rater) comparison(now time.Time, work Work) (usual float64, byStep, sound bool) {
+// comparison is what the pace of a run is compared with.
+type comparison struct {
+	// usual is the usual pace, 0 if it isn't known.
+	usual float64
+	// sound is true unless that is the pace of other jobs, and the estimate of the job may be much
+	// too low. byStep is true if it is known from several workers that it isn't.
+	sound, byStep bool
+}
+
+// comparison returns what a kind of work is compared with: the other tasks of the step, or those of
+// the same queue and image if the step runs on few workers. It is the latter, too, if most workers of
+// the step are slower than that and some aren't: then these workers may be slow.
+func (r *Rater) comparison(now time.Time, work Work) comparison {
 	step, known := r.groups[work.stepGroup()]
 	if !known {
-		return 0, false, false
+		return comparison{}
 	}
-	if usual, byStep = step.median(now); byStep {
-		return usual, true, true
+	median, byStep := step.median(now)
+	other := 0.0
+	if class, known := r.groups[work.classGroup()]; known {
+		other, _ = class.median(now)
+	}
+	least := other / normalBelow
+	switch {
+	case byStep && (median >= least || step.best(now, minNormalWorkers) < least):
+		return comparison{usual: median, sound: true, byStep: true}
+	case byStep:
+		return comparison{usual: other, sound: true, byStep: true}
 	}
-	usual, _ = r.Usual(now, work)
-	return usual, false, step.best(now) >= usual/normalBelow
+	return comparison{usual: other, sound: step.best(now, 1) >= least}
 }
 
 // newer reports whether a sample is newer than another one.
@@ -313,11 +337,11 @@
 	return s.at.After(other.at) || s.at.Equal(other.at) && s.Run > other.Run
 }
 
-func (e *evidence) add(s timedSample, usual float64, byStep bool) {
-	if byStep {
+func (e *evidence) add(s timedSample, c comparison) {
+	if c.byStep {
 		e.stepRuns++
 	}
-	e.slowdowns = append(e.slowdowns, usual/s.Pace)
+	e.slowdowns = append(e.slowdowns, c.usual/s.Pace)
 	if s.at.After(e.newest) {
 		e.newest = s.at
 	}
--- a/rater/track.go
+++ b/rater/track.go
@@ -43,6 +43,9 @@
 		return t, 0, 0
 	}
 	points := float64(percent - t.percent)
+	if points == 0 {
+		return t, 0, 0 // the run may be held up by something else, or its progress isn't known
+	}
 	expected := usual * window.Seconds() / estimate.Seconds() * fullPercent
 	if max(points, expected) < minPoints {
 		return t, 0, 0
