--- a/dispatcher/addruns.go
+++ b/dispatcher/addruns.go
@@ -23,7 +23,8 @@
 			return nil
 		}
 		r := c.addRun(member, w, number, phaseSent, now)
-		r.throttleAccepted = true
+		r.throttleAccepted, r.startKnown = true, true
+		c.noteProbe(now, w)
 		added = append(added, r)
 	}
 	return added
--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -126,6 +126,9 @@
 func scoreWorker(w *worker, t *task) float64 {
 	step := t.step.step
 	score := 0.0
+	if w.speed.doubtfulShare > 0 {
+		score += weightSlow * w.speed.lostShareOf(t)
+	}
 	if step.DataRack != "" && w.hasLabel(step.DataRack) {
 		score += weightDataRack
 	}
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zinniashore.example/estimator"
+	"zinniashore.example/rater"
 	"zinniashore.example/recorder"
 )
 
@@ -58,6 +59,9 @@
 	KindRackLocal    recorder.Kind = "task_rack_wait_local"
 	KindRackRemote   recorder.Kind = "task_rack_wait_remote"
 	KindWorker       recorder.Kind = "worker"
+	KindWorkerSlow   recorder.Kind = "worker_slow"
+	KindWorkerProbed recorder.Kind = "worker_probed"
+	KindWorkerNormal recorder.Kind = "worker_normal"
 	KindCell         recorder.Kind = "cell"
 )
 
@@ -83,6 +87,9 @@
 	// RemoteFactor is how many times as long a task takes outside the rack of its data or of its
 	// group; 0 if unknown. Tasks wait for a rack only if it is above 1.
 	RemoteFactor float64
+	// CheckpointInterval is the time between two checkpoints of a run, RestoreTime how long one
+	// takes to be restored; both are 0 if unknown.
+	CheckpointInterval, RestoreTime time.Duration
 }
 
 // Cell is the state of a cell under one epoch. Its exported fields are set before the
@@ -162,6 +169,9 @@
 	pendingReturn *PartReturn
 	// pass is the planning pass while the ready tasks are placed, else nil.
 	pass *planningPass
+	// speeds learns the speeds of the workers, which were last rated at ratedAt.
+	speeds  *rater.Rater
+	ratedAt time.Time
 	// storing is true while a batch is being written to the store.
 	storing bool
 }
@@ -181,6 +191,7 @@
 		upcoming:  map[string]*jobState{},
 		headrooms: estimator.NewHeadrooms(),
 		runTimes:  estimator.NewRatios(),
+		speeds:    rater.New(),
 
 		unknownJobs: map[string]time.Time{},
 		absentJobs:  map[string]time.Time{},
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -28,6 +28,7 @@
 	if c.superseded || !c.active {
 		return orders
 	}
+	c.rateWorkers(now)
 	if c.mayAct(now) {
 		c.drainWorkers(now)
 	}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"zinniashore.example/rater"
 )
 
 // runPhase is the phase of a run as the holder knows it.
@@ -62,6 +64,11 @@
 	// blameOnAnswer is true if the worker has restarted since the start was sent. The run is
 	// to blame unless the answer shows that the start didn't reach the worker.
 	blameOnAnswer bool
+	// startKnown is true if this holder sent the start. track measures the run's progress;
+	// trackLost is true once a part of that told nothing of the worker's speed.
+	startKnown bool
+	track      rater.Track
+	trackLost  bool
 }
 
 // removedRun is what logs tell of a run that isn't counted any more. The zero value is none.
@@ -248,6 +255,8 @@
 	// bestEffortRuns counts the runs of best-effort tasks, servingRuns those of
 	// long-running tasks with a latency target.
 	bestEffortRuns, servingRuns int
+	// speed is what planning uses of the worker's speed.
+	speed workerSpeed
 	// fullUntil delays starts after the worker answered that it has no capacity.
 	fullUntil time.Time
 	// expiredYoung are the runs of long-running tasks that were young when their lease had
