dispatcher: runs leave slow workers

Runs stayed on a worker that had become five times slower, although others had room, and long-running tasks there stayed over their target.

A run with checkpoints on a slow worker is stopped if a normal worker has room for it now and the time gained exceeds the work since its last checkpoint, the restore and 0.5 s. A long-running task that stays over its target without best-effort tasks beside it moves within max-unavailable, one of a step at a time; others count as away unless they are certainly fully started. At most one move in 0.3 s in a cell, one at a time off each worker, two of a task in 10 s, and none while half of the workers are slow, probed or cold.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -58,6 +58,7 @@
 	KindWorkerSlow   recorder.Kind = "worker_slow"
 	KindWorkerProbed recorder.Kind = "worker_probed"
 	KindWorkerNormal recorder.Kind = "worker_normal"
+	KindSlowMove     recorder.Kind = "task_slow_move"
 	KindCell         recorder.Kind = "cell"
 )
 
@@ -158,9 +159,13 @@
 	pendingReturn *PartReturn
 	// pass is the planning pass while the ready tasks are placed, else nil.
 	pass *planningPass
-	// speeds learns the speeds of the workers, which were last rated at ratedAt.
+	// speeds learns the speeds of the workers, which were last rated at ratedAt. anySlow is true if
+	// one was slow then.
 	speeds  *rater.Rater
 	ratedAt time.Time
+	anySlow bool
+	// slowMoveTriedAt is when a move off a slow worker was last tried.
+	slowMoveTriedAt time.Time
 	// storing is true while a batch is being written to the store.
 	storing bool
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -31,6 +31,7 @@
 	c.rateWorkers(now)
 	if c.mayAct(now) {
 		c.drainWorkers(now)
+		c.leaveSlowWorkers(now)
 	}
 	orders.Stops = c.planStops(now)
 	if c.mayAct(now) {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -105,6 +105,7 @@
 	// movedFrom is the worker that the task was moved from at movedAt.
 	movedFrom string
 	movedAt   time.Time
+	slowMoves slowMoves
 	// refusedAt is when no other cell had capacity for the task.
 	refusedAt time.Time
 	// readyAt is when the task was last enqueued.
@@ -248,8 +249,10 @@
 	// bestEffortRuns counts the runs of best-effort tasks, servingRuns those of
 	// long-running tasks with a latency target.
 	bestEffortRuns, servingRuns int
-	// speed is what planning uses of the worker's speed.
-	speed workerSpeed
+	// speed is what planning uses of the worker's speed. movedOff is the task that last moved
+	// off the worker because of it.
+	speed    workerSpeed
+	movedOff *task
 	// fullUntil delays starts after the worker answered that it has no capacity.
 	fullUntil time.Time
 	// expiredYoung are the runs of long-running tasks that were young when their lease had
--- a/dispatcher/workerspeed.go
+++ b/dispatcher/workerspeed.go
@@ -50,9 +50,9 @@
 }
 
 // lostShareOf returns the share of its time that a run of a task is expected to lose. Long-running
-// tasks don't probe a worker.
+// tasks, and those that have left a slow worker, don't probe another one.
 func (s workerSpeed) lostShareOf(t *task) float64 {
-	if t.step.step.LongRunning {
+	if t.step.step.LongRunning || !t.slowMoves.at[0].IsZero() {
 		return s.doubtfulShare
 	}
 	return s.lostShare
@@ -181,13 +181,14 @@
 	if now.Sub(c.ratedAt) < ratingInterval {
 		return
 	}
-	c.ratedAt = now
+	c.ratedAt, c.anySlow = now, false
 	for _, id := range c.Workers() {
 		w := c.workers[id]
 		rating, changed := c.speeds.Rate(now, id)
 		if changed {
 			c.record(recorder.Event{Kind: speedKinds[rating.Status], VM: id, Detail: fmt.Sprintf("%.1f times slower than others", rating.Former)})
 		}
+		c.anySlow = c.anySlow || rating.Status == rater.StatusSlow
 		w.setSpeed(now, rating)
 	}
 }
