--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -26,6 +26,7 @@
 	soakChanges   = flag.Bool("soak.changes", false, "only change the configuration and make the store silent, with calm times between")
 	soakLong      = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, and have long outages of the store")
 	soakCells     = flag.Bool("soak.cells", false, "divide the workers of each failure domain among two cells")
+	soakEvacuates = flag.Bool("soak.evacuations", false, "evacuate failure domains beside stops of processes and killed holders")
 	soakLogs      = flag.String("soak.logs", "", "directory in which the logs of failed seeds are kept; by default one below the temporary directory")
 )
 
@@ -72,6 +73,8 @@
 	long bool
 	// cells divides the workers of each failure domain among two cells.
 	cells bool
+	// evacuations leaves out all faults but what soakEvacuationKinds names.
+	evacuations bool
 }
 
 // soakCases run in CI. A seed that failed once has its cause as its name.
@@ -99,6 +102,7 @@
 	// c917b2a.
 	"worker leaves while long tasks run": {seed: 740029, length: 20 * time.Second, long: true},
 	"two cells a failure domain":         {seed: 11, length: soakFixedLength, cells: true},
+	"evacuations":                        {seed: 21, length: 16 * time.Second, evacuations: true},
 }
 
 // soak is one run of the deployment under the faults of a seed.
@@ -130,9 +134,10 @@
 	// outage of the store.
 	absences map[string][]soakSpan
 	// capacities are those that each worker has registered.
-	capacities map[string][]soakRegistered
-	faults     []*soakSpan
-	outages    int
+	capacities  map[string][]soakRegistered
+	faults      []*soakSpan
+	evacuations []*soakEvacuation
+	outages     int
 	// longestPause is the longest time between two steps of advance: a machine that is too
 	// busy delays the stand-ins as well.
 	longestPause time.Duration
@@ -290,7 +295,7 @@
 		cases = map[string]soakCase{}
 		for i := range *soakSeeds {
 			seed := *soakFirst + uint64(i)
-			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells}
+			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells, evacuations: *soakEvacuates}
 		}
 	}
 	names := make([]string, 0, len(cases))
--- a/cmd/zinniashore/soakcheck_test.go
+++ b/cmd/zinniashore/soakcheck_test.go
@@ -148,6 +148,7 @@
 		s.checkTask(h, task, runs)
 		s.checkCrashes(task, runs)
 		s.checkGang(h, task, runs)
+		s.checkEvacuations(task, runs)
 	}
 	for epoch, callers := range h.callers {
 		if len(callers) > 1 {
--- a/cmd/zinniashore/soakfaults_test.go
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -44,7 +44,7 @@
 	soakSeriesKinds = []soakKind{{"stops in series", 1}, {"configurations in series", 1}}
 	soakSilentKinds = []soakKind{{"store silent", 2}, {"store's connections silent", 1}, {"change the configuration", 3}}
 	// soakPlannedKinds excuse no broken rule.
-	soakPlannedKinds = []string{"stop a process", "hang up", "change the configuration", "worker's capacity", "stops in series", "configurations in series"}
+	soakPlannedKinds = []string{"stop a process", "hang up", "change the configuration", "worker's capacity", "stops in series", "configurations in series", "evacuation"}
 )
 
 // newSoakPlan returns the faults of a seed. Those with changes only leave calm times between
@@ -54,6 +54,9 @@
 	if c.changes {
 		return drawFaults(rand.New(rand.NewPCG(seed, 5<<32)), soakSilentKinds, soakCalmEvery, length)
 	}
+	if c.evacuations {
+		return evacuationPlan(seed, length)
+	}
 	plan := drawFaults(rand.New(rand.NewPCG(seed, 1<<32)), soakKinds, soakFaultEvery, length)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 2<<32)), soakFleetKinds, soakFleetEvery, length)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3<<32)), soakSeriesKinds, soakSeriesEvery, length)...)
@@ -179,6 +182,8 @@
 	switch f.kind {
 	case "change the configuration":
 		s.configure(f.number)
+	case "evacuation":
+		s.evacuate(f, p.domain)
 	case "store unavailable":
 		s.storeOutage(f, standin.PlatformFaults{Refuse: true}, f.variant%2 == 0)
 	case "store silent":
