Revert "Merge workers set aside for short tasks"

Best-effort jobs pay: long-running tasks stand closer together on the workers that aren't set aside, which leaves fewer workers where best-effort tasks don't disturb them.

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -16,7 +16,7 @@
 			c.consider(now, &best, w, t)
 		}
 	}
-	return c.orSetAside(now, t, best.worker)
+	return best.worker
 }
 
 // choice is the best worker found for a task so far.
@@ -82,12 +82,6 @@
 
 // accepts reports whether a task may start on a worker to which starts may be sent.
 func (w *worker) accepts(now time.Time, t *task) bool {
-	return !w.withheldFrom(t.step.step) && w.hasPlace(now, t)
-}
-
-// hasPlace reports whether a task could start on a worker to which starts may be sent if the
-// worker isn't set aside.
-func (w *worker) hasPlace(now time.Time, t *task) bool {
 	switch {
 	case !w.fits(t.step.step, t.requiredIdleShare(now)):
 		return false
--- a/dispatcher/capacity.go
+++ b/dispatcher/capacity.go
@@ -74,7 +74,7 @@
 	if w.onTrial(nil) || w.reservedFor != nil && !step.LongRunning {
 		return 0
 	}
-	remaining, need := w.openCapacity(step), step.Size
+	remaining, need := w.freeCapacity(), step.Size
 	if step.BestEffort {
 		remaining.MilliProcessors = w.idleProcessors()
 		need.MilliProcessors = int64(minIdleShare * float64(need.MilliProcessors))
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -177,8 +177,6 @@
 	anySlow bool
 	// slowMoveTriedAt is when a move off a slow worker was last tried.
 	slowMoveTriedAt time.Time
-	// setAside is which workers are set aside for short tasks.
-	setAside setAside
 	// storing is true while a batch is being written to the store.
 	storing bool
 }
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -204,7 +204,7 @@
 	var best *run
 	for _, id := range c.Workers() {
 		w := c.workers[id]
-		if !c.healthy(now, w) || !w.eligible(t) || w.setAside {
+		if !c.healthy(now, w) || !w.eligible(t) {
 			continue
 		}
 		for _, r := range w.sortedRuns() {
--- a/dispatcher/laterplaces.go
+++ b/dispatcher/laterplaces.go
@@ -104,7 +104,7 @@
 // once its short tasks have ended, beside the other long-running tasks that wait here.
 func (c *Cell) WillHavePlace(now time.Time, id TaskID) bool {
 	t := c.task(now, id)
-	return t != nil && c.assignWaiting(now, c.openLaterCapacities(now), func(*task) bool { return true })[t]
+	return t != nil && c.assignWaiting(now, c.laterCapacities(now), func(*task) bool { return true })[t]
 }
 
 // willHavePlaceAsPart reports whether a delegated task will have a place in this cell once its
@@ -116,7 +116,7 @@
 // laterPlaces returns the number of tasks of a step of a service that could start once all
 // tasks that aren't long-running have ended, beside the long-running tasks that wait.
 func (c *Cell) laterPlaces(now time.Time, service string, step *Step) int {
-	all := c.openLaterCapacities(now)
+	all := c.laterCapacities(now)
 	c.assignWaiting(now, all, func(*task) bool { return true })
 	places := 0
 	for _, l := range all {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -94,7 +94,6 @@
 		}
 	}
 	c.dropFromReady(func(t *task) bool { return len(t.runs) > 0 })
-	c.allocate(now)
 	return orders
 }
 
@@ -124,19 +123,15 @@
 	var placed []StartOrder
 	if !c.pass.unplaced.hasSibling(t) && !c.keepsAwaitingRack(now, t) {
 		placed = c.place(now, t)
-	} else {
-		t.heldBackSince = time.Time{}
 	}
 	switch {
 	case len(placed) > 0, c.pass.awaiting == t:
 	case t.suspect():
 		c.pass.reservedForTrial = c.pass.reservedForTrial || c.reserveForTrial(now, t)
-	case !t.heldBackSince.IsZero():
 	default:
 		c.pass.unplaced.add(t)
-		if t.step.step.LongRunning && !c.pass.reserved && !c.pass.unreservable[t.step] && now.Sub(t.readyAt) > reservationDelay {
+		if t.step.step.LongRunning && !c.pass.reserved && now.Sub(t.readyAt) > reservationDelay {
 			c.pass.reserved = c.reserve(t)
-			c.pass.unreservable[t.step] = !c.pass.reserved
 		}
 	}
 	return placed
@@ -252,7 +247,6 @@
 }
 
 func (c *Cell) startOrder(now time.Time, r *run, checkpoint string) StartOrder {
-	c.endHoldBack(now, r)
 	c.record(recorder.Event{Kind: KindStart, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: c.earlierRuns(now, r.task)})
 	return StartOrder{
 		Worker:     r.worker.registration,
--- a/dispatcher/planning.go
+++ b/dispatcher/planning.go
@@ -26,11 +26,6 @@
 	racks rackForecasts
 	// awaiting is the task that was last decided to wait for a rack.
 	awaiting *task
-	// heldBack are the capacities of workers that are set aside for which long-running tasks are
-	// held back.
-	heldBack map[*worker]Size
-	// unreservable are the steps for a long-running task of which no worker could be reserved.
-	unreservable map[*stepState]bool
 }
 
 // runHeadroom is the remaining headroom of a long-running task that runs an image.
@@ -41,7 +36,7 @@
 
 // newPlanningPass returns the state for placing the ready tasks at a time.
 func (c *Cell) newPlanningPass(now time.Time) *planningPass {
-	pass := &planningPass{headrooms: map[*worker][]runHeadroom{}, heldBack: map[*worker]Size{}, unreservable: map[*stepState]bool{}}
+	pass := &planningPass{headrooms: map[*worker][]runHeadroom{}}
 	for _, w := range c.workers {
 		if c.healthy(now, w) && !now.Before(w.fullUntil) {
 			pass.healthy = append(pass.healthy, w)
@@ -68,7 +63,7 @@
 			c.consider(now, &best, w, t)
 		}
 	}
-	return c.orSetAside(now, t, best.worker)
+	return best.worker
 }
 
 // headroomsOf returns the remaining headrooms of the long-running tasks on a worker.
--- a/dispatcher/reservation.go
+++ b/dispatcher/reservation.go
@@ -7,13 +7,13 @@
 const reservationDelay = 500 * time.Millisecond
 
 // reserve reserves a worker for a long-running task: the one that is expected to have
-// capacity for the task first, which is the one with the most free processors that isn't set
-// aside for short tasks. No other task starts there. It reports whether there is such a worker.
+// capacity for the task first, which is the one with the most free processors. No
+// other task starts there. It reports whether there is such a worker.
 func (c *Cell) reserve(t *task) bool {
 	var best *worker
 	var maxFree int64
 	for _, w := range c.workers {
-		if w.reservedFor != nil || w.setAside || !c.takesStarts(w) || !w.fitsEventually(t) {
+		if w.reservedFor != nil || !c.takesStarts(w) || !w.fitsEventually(t) {
 			continue
 		}
 		if free := w.freeCapacity().MilliProcessors; best == nil || free > maxFree || free == maxFree && w.registration.ID < best.registration.ID {
@@ -30,7 +30,7 @@
 // aren't long-running have ended.
 func (w *worker) fitsEventually(t *task) bool {
 	step := t.step.step
-	if w.roomBesideLongRunning() < step.Size.MilliProcessors || !w.eligible(t) {
+	if !w.eligible(t) {
 		return false
 	}
 	finite := Size{}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -112,11 +112,6 @@
 	readyAt time.Time
 	// rackWait is the task's wait for a rack, that of the first member for a gang.
 	rackWait rackWait
-	// heldBackSince is since when a long-running task has had a place only on workers that are set
-	// aside, zero if it has none or another one.
-	heldBackSince time.Time
-	// heldBackOn is the worker with that place.
-	heldBackOn *worker
 	// remote is true if another cell runs the task. delegatedTo is that cell if this
 	// cell delegated the task.
 	remote      bool
@@ -254,8 +249,6 @@
 	// used is the capacity that runs take. It excludes the processors of best-effort
 	// tasks, for which idleProcessors applies.
 	used Size
-	// longRunningProcessors is what the long-running tasks declare, in thousandths of a processor.
-	longRunningProcessors int64
 	// bestEffortProcessors is what the best-effort tasks request, servingProcessors
 	// what the long-running tasks with a latency target declare, in thousandths of a
 	// processor.
@@ -274,9 +267,6 @@
 	expiredYoung []*run
 	// reservedFor is the long-running task that the worker's capacity is reserved for.
 	reservedFor *task
-	// setAside is true if the worker is set aside for short tasks, lasting is its room since then.
-	setAside bool
-	lasting  lastingRoom
 	// trial is the newest run of a suspect on the worker, or nil. trialEndedAt is when one
 	// was last found to have stood its trial.
 	trial        *run
@@ -363,9 +353,6 @@
 		w.bestEffortProcessors += int64(sign) * size.MilliProcessors
 		size.MilliProcessors = 0
 	}
-	if step.LongRunning {
-		w.longRunningProcessors += int64(sign) * size.MilliProcessors
-	}
 	if step.TailTarget > 0 {
 		w.servingRuns += sign
 		w.servingProcessors += int64(sign) * size.MilliProcessors
