--- a/dispatcher/workerspeed.go
+++ b/dispatcher/workerspeed.go
@@ -20,7 +20,7 @@
 	// maxListingGap is the longest time between two listings of a worker, beyond the wait of a
 	// poll, after which a listed end tells when its run has ended.
 	maxListingGap = 500 * time.Millisecond
-	// startupUnit is the time that progress of the startup of a long-running task is related to.
+	// startupUnit takes the place of the declared run time in the pace of a startup, which has none.
 	startupUnit = time.Second
 )
 
@@ -58,8 +58,8 @@
 	return s.lostShare
 }
 
-// observeEnds passes what the ends in a listing tell about the speed of the worker to the rater. It
-// precedes the handling of the listing.
+// observeEnds passes the paces of the runs that are listed as done to the rater. It is called before the
+// listing is handled.
 func (c *Cell) observeEnds(now time.Time, w *worker, listing Listing) {
 	gap := listing.Clock - w.clock
 	if !w.epochAccepted || gap < 0 || gap > c.Limits.PollWait+maxListingGap {
@@ -106,7 +106,7 @@
 	if !r.showsSpeed() || r.task.step.step.LongRunning {
 		return
 	}
-	if pace, window, told := r.startedTrack().End(clock, r.workUnit()); told {
+	if pace, window, measured := r.startedTrack().End(clock, r.workUnit()); measured {
 		c.observePace(now, r, r.work(), pace, window)
 	}
 }
@@ -123,6 +123,7 @@
 	c.observePace(now, r, work, float64(r.task.step.step.TailTarget)/float64(latency), 0)
 }
 
+// observePace passes a pace to the rater, unless it is 0.
 func (c *Cell) observePace(now time.Time, r *run, work rater.Work, pace float64, window time.Duration) {
 	if pace > 0 {
 		c.speeds.Observe(now, rater.Sample{Worker: r.worker.registration.ID, Run: r.number, Work: work, Pace: pace, Window: window})
@@ -159,7 +160,8 @@
 	return rater.NewTrack(r.worker.clock + r.sentAt.Sub(r.worker.clockAt))
 }
 
-// workUnit is the time that the progress of a run is related to.
+// workUnit returns the run time to which the progress of a run is relative: the declared one, or
+// startupUnit for the startup of a long-running task.
 func (r *run) workUnit() time.Duration {
 	if r.task.step.step.LongRunning {
 		return startupUnit
@@ -167,6 +169,7 @@
 	return r.task.step.step.Estimate
 }
 
+// work returns the work with which the progress of the run is compared.
 func (r *run) work() rater.Work {
 	step := r.task.step.step
 	work := rater.Work{Queue: r.task.job().job.Queue.Name, Image: step.Image, Job: r.task.id.Job, Step: r.task.id.Step, Measure: rater.MeasureProgress}
@@ -203,7 +206,8 @@
 	w.speed = w.speed.slowed(max(learned.Slowdown, least), learned.Former)
 }
 
-// noteProbe tells the rater of a start. A worker that is probed gets no further one soon.
+// noteProbe reports a start to the rater. If the worker is being probed, it counts as slow until the
+// probing run has shown its speed.
 func (c *Cell) noteProbe(now time.Time, w *worker) {
 	id := w.registration.ID
 	c.speeds.Started(now, id)
--- a/rater/group.go
+++ b/rater/group.go
@@ -30,32 +30,35 @@
 	return []groupKey{w.stepGroup(), w.classGroup()}
 }
 
+// classGroup returns the group of the tasks of the same queue and image.
 func (w Work) classGroup() groupKey {
 	return groupKey{queue: w.Queue, image: w.Image, measure: w.Measure}
 }
 
+// stepGroup returns the group of the tasks of the same step.
 func (w Work) stepGroup() groupKey { return groupKey{job: w.Job, step: w.Step, measure: w.Measure} }
 
 // group holds the newest pace of each worker at the same work.
 type group struct {
 	// least is the least number of workers for a usual pace.
 	least int
-	paces map[string]pace
+	paces map[string]timedPace
 	// usual is the median as of medianAt.
 	usual    float64
 	medianAt time.Time
 }
 
-type pace struct {
+// timedPace is a pace that counts for a time.
+type timedPace struct {
 	value float64
-	// until is how long the pace counts.
+	// until is the time until which the pace counts.
 	until time.Time
 }
 
 func (r *Rater) group(key groupKey) *group {
 	g, known := r.groups[key]
 	if !known {
-		g = &group{least: minWorkers, paces: map[string]pace{}}
+		g = &group{least: minWorkers, paces: map[string]timedPace{}}
 		if key.job != "" {
 			g.least = minStepWorkers
 		}
@@ -66,7 +69,7 @@
 
 // add records the pace of a worker. It counts until the next one can be expected.
 func (g *group) add(now time.Time, s Sample) {
-	g.paces[s.Worker] = pace{value: s.Pace, until: now.Add(max(evidenceAge, 2*s.Window))}
+	g.paces[s.Worker] = timedPace{value: s.Pace, until: now.Add(max(evidenceAge, 2*s.Window))}
 	if len(g.paces) <= g.least {
 		g.medianAt = time.Time{}
 	}
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -121,6 +121,7 @@
 	probedSince, probeStartedAt time.Time
 }
 
+// timedSample is a sample and when it was observed.
 type timedSample struct {
 	Sample
 	at time.Time
@@ -154,7 +155,7 @@
 	return c.usual, c.usual > 0
 }
 
-// Started tells that a run started on a worker. If that is probed, other work has to wait.
+// Started records that a run started on a worker. If the worker is being probed, that is its probing run.
 func (r *Rater) Started(now time.Time, id string) {
 	if w, known := r.workers[id]; known && w.rating.Status == StatusProbed && w.probeStartedAt.IsZero() {
 		w.probeStartedAt = now
@@ -187,20 +188,20 @@
 	}
 	w.unrated = false
 	before := w.rating.Status
-	evidence := r.evidence(now, w, currentAge)
-	if !evidence.enough() {
-		evidence = r.evidence(now, w, evidenceAge)
+	e := r.evidence(now, w, currentAge)
+	if !e.enough() {
+		e = r.evidence(now, w, evidenceAge)
 	}
-	if evidence.newest.After(w.shownAt) {
-		w.shownAt = evidence.newest
+	if e.newest.After(w.shownAt) {
+		w.shownAt = e.newest
 	}
 	switch before {
 	case StatusNormal:
-		w.rateNormal(now, evidence)
+		w.rateNormal(now, e)
 	case StatusSlow:
-		w.rateSlow(now, evidence)
+		w.rateSlow(now, e)
 	case StatusProbed:
-		w.rateProbed(now, evidence)
+		w.rateProbed(now, e)
 	}
 	return r.Current(id), w.rating.Status != before
 }
@@ -309,27 +310,27 @@
 	sound, byStep bool
 }
 
-// comparison returns what a kind of work is compared with: the other tasks of the step, or those of
-// the same queue and image if the step runs on few workers. It is the latter, too, if most workers of
-// the step are slower than that and some aren't: then these workers may be slow.
+// comparison returns what a kind of work is compared with: the tasks of the same step, or those of
+// the same queue and image if too few workers run the step. It is also the latter if most workers of
+// the step are slower than those but minNormalWorkers aren't, as most of them may be slow then.
 func (r *Rater) comparison(now time.Time, work Work) comparison {
 	step, known := r.groups[work.stepGroup()]
 	if !known {
 		return comparison{}
 	}
 	median, byStep := step.median(now)
-	other := 0.0
+	classMedian := 0.0
 	if class, known := r.groups[work.classGroup()]; known {
-		other, _ = class.median(now)
+		classMedian, _ = class.median(now)
 	}
-	least := other / normalBelow
+	least := classMedian / normalBelow
 	switch {
 	case byStep && (median >= least || step.best(now, minNormalWorkers) < least):
 		return comparison{usual: median, sound: true, byStep: true}
 	case byStep:
-		return comparison{usual: other, sound: true, byStep: true}
+		return comparison{usual: classMedian, sound: true, byStep: true}
 	}
-	return comparison{usual: other, sound: step.best(now, 1) >= least}
+	return comparison{usual: classMedian, sound: step.best(now, 1) >= least}
 }
 
 // newer reports whether a sample is newer than another one.
--- a/rater/track.go
+++ b/rater/track.go
@@ -9,8 +9,9 @@
 	// whole percents, so that less would make equal runs look unequal.
 	minPoints = 6
 	// jitter is added to the time of a run from start to end. It covers the time that an order
-	// and the news of an end take, which would otherwise rule the pace of very short runs.
-	jitter      = 50 * time.Millisecond
+	// and the report of an end take, which would otherwise dominate the pace of very short runs.
+	jitter = 50 * time.Millisecond
+	// fullPercent is the progress of a run that has done all of its work.
 	fullPercent = 100
 )
 
@@ -31,8 +32,8 @@
 func (t Track) Open() bool { return t.open }
 
 // Advance applies a listed progress. estimate is the declared run time, usual the usual pace of
-// the work or 0 if that isn't known. It returns the pace of the window and its length once that
-// tells something; the window then begins anew.
+// the work or 0 if that isn't known. It returns the pace of the window and its length once the window
+// suffices for a measurement, and then begins a new window; otherwise the pace is 0.
 func (t Track) Advance(clock time.Duration, percent int, estimate time.Duration, usual float64) (next Track, pace float64, window time.Duration) {
 	next = Track{open: true, percent: percent, clock: clock}
 	window = clock - t.clock
@@ -56,8 +57,9 @@
 	return next, points / fullPercent * estimate.Seconds() / window.Seconds(), window
 }
 
-// End returns the pace of the window that ends with the run, and false if that tells nothing.
-func (t Track) End(clock, estimate time.Duration) (pace float64, window time.Duration, told bool) {
+// End returns the pace of the window that ends with the run, and false if the window is too short to
+// measure it.
+func (t Track) End(clock, estimate time.Duration) (pace float64, window time.Duration, measured bool) {
 	window = clock - t.clock
 	points := fullPercent - t.percent
 	if !t.open || window <= 0 || !t.whole && (points < minPoints || window < minWindow) {
