--- a/dispatcher/evacuation.go
+++ b/dispatcher/evacuation.go
@@ -6,15 +6,15 @@
 	"zinniashore.example/recorder"
 )
 
-// SetEvacuated sets the evacuated failure domains. Nothing starts on their workers, and they count as
-// workers without capacity; what runs there continues, and they keep their votes.
+// SetEvacuated sets the evacuated failure domains. No task starts on their workers, which offer no free
+// capacity. Runs there continue, and the workers keep their votes on the holder of the cell.
 func (c *Cell) SetEvacuated(evacuated FailureDomains) {
 	earlier := c.evacuated
 	c.evacuated = evacuated
 	for _, domain := range c.failureDomains() {
-		switch began := evacuated.Contains(domain); {
-		case began == earlier.Contains(domain):
-		case began:
+		switch isEvacuated := evacuated.Contains(domain); {
+		case isEvacuated == earlier.Contains(domain):
+		case isEvacuated:
 			c.record(recorder.Event{Kind: KindEvacuation, Detail: "of " + domain + " has begun"})
 		default:
 			c.record(recorder.Event{Kind: KindEvacuation, Detail: "of " + domain + " has ended"})
@@ -40,7 +40,7 @@
 	return w.registered && w.registration.Phase == PhaseReady && !c.evacuated.Contains(w.registration.FailureDomain)
 }
 
-// SetEvacuated sets the evacuated failure domains.
+// SetEvacuated sets the evacuated failure domains of the cell and triggers a plan.
 func (r *Runner) SetEvacuated(evacuated FailureDomains) {
 	r.mu.Lock()
 	r.Cell.SetEvacuated(evacuated)
--- a/dispatcher/lastingroom.go
+++ b/dispatcher/lastingroom.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// lastingSlots and lastingSlotTime bound the time for which lasting room has been free: at
-	// least the time of the slots, which is holdBackLimit, and one slot more at most.
+	// lastingSlots is the number of slots into which holdBackLimit is divided, and lastingSlotTime
+	// the length of one. Lasting room is recognized after holdBackLimit, or up to a slot later.
 	lastingSlots    = 10
 	lastingSlotTime = holdBackLimit / lastingSlots
 )
@@ -12,8 +12,8 @@
 // lastingRoom is the capacity of a worker that has been free for at least holdBackLimit. The zero
 // value has none. It is immutable.
 type lastingRoom struct {
-	// least are the smallest free capacities in the last slots, newest first, least[0] that of the
-	// slot that began at begun.
+	// least are the smallest free capacities in the last slots, the newest first. The newest slot
+	// began at begun.
 	least [lastingSlots + 1]Size
 	begun time.Time
 }
--- a/dispatcher/rackforecast.go
+++ b/dispatcher/rackforecast.go
@@ -14,6 +14,8 @@
 
 // rackForecasts holds the forecasts of a planning pass. Each is computed when a task first needs it.
 type rackForecasts struct {
+	// forecasts are the forecasts by rack, lines the waiting tasks of the steps whose rack was found to be
+	// full.
 	forecasts map[string]*rackForecast
 	lines     map[*stepState]*rackLine
 	// healthyIn are the workers of each rack to which starts may be sent, rackNames the racks of all of them.
@@ -31,7 +33,8 @@
 type rackLine struct {
 	rack   string
 	places *delayer.Line
-	task   delayer.Task
+	// task describes each of the tasks, without the time that it has waited.
+	task delayer.Task
 	// expected is true if the rack is expected to have places for the gang, groupWaits if the gang waits
 	// for them.
 	expected, groupWaits bool
@@ -109,12 +112,13 @@
 	f := delayer.Worker{Free: free, Opens: max(w.fullUntil.Sub(now), 0)}
 	for _, r := range w.runs {
 		if step := r.task.step.step; !step.LongRunning && r.throttle > 0 {
-			f.Ends = append(f.Ends, delayer.End{In: c.expectedEnd(now, r), Frees: step.takes()})
+			f.Ends = append(f.Ends, delayer.End{In: c.remainingTime(now, r), Frees: step.takes()})
 		}
 	}
 	return f
 }
 
+// roomOf returns a size as a delayer.Room. All of its processors count as idle.
 func roomOf(size Size) delayer.Room {
 	return delayer.Room{
 		MilliProcessors: size.MilliProcessors, IdleMilliProcessors: size.MilliProcessors,
@@ -141,9 +145,9 @@
 	return room
 }
 
-// expectedEnd returns how much longer a run is expected to last, by its progress if the worker lists one,
-// else by its age, at its present speed. The run isn't suspended.
-func (c *Cell) expectedEnd(now time.Time, r *run) time.Duration {
+// remainingTime returns how much longer a run that isn't suspended is expected to last at its present
+// speed: by its progress if the worker lists one, else by its age.
+func (c *Cell) remainingTime(now time.Time, r *run) time.Duration {
 	if r.phase == phaseStopping {
 		return 0
 	}
@@ -169,8 +173,8 @@
 	return estimator.Kind{Queue: s.occurrence.job.job.Queue.Name, Image: s.step.Image}
 }
 
-// learnRunTime learns from the end of a run how long its task takes in its rack. Only runs that this
-// holder started, at full speed and from the beginning show that.
+// learnRunTime learns from the end of a run how long its task takes in its rack. It ignores runs that
+// another holder started, that weren't at full speed or that began with a checkpoint.
 func (c *Cell) learnRunTime(now time.Time, r *run, ending Ending) {
 	if ending != EndingDone || r.task.step.step.LongRunning || r.number/maxRunsPerEpoch != c.Epoch ||
 		r.throttle != fullPercent || r.task.checkpoint != "" {
@@ -193,15 +197,15 @@
 	for i, w := range f.workers {
 		request.Places[i] = w.laterPlaces(now, t)
 	}
-	task := delayer.Task{RunTime: runTime, RemoteFactor: c.Limits.RemoteFactor}
+	waiting := delayer.Task{RunTime: runTime, RemoteFactor: c.Limits.RemoteFactor}
 	if due, set := t.step.due(); set {
-		task.Slack, task.HasObjective = due.Sub(now)-runTime, true
+		waiting.Slack, waiting.HasObjective = due.Sub(now)-runTime, true
 	}
-	return &rackLine{rack: rack, places: f.rack.NewLine(request), task: task}
+	return &rackLine{rack: rack, places: f.rack.NewLine(request), task: waiting}
 }
 
-// laterPlaces returns how many tasks of the step of a task a worker may start later. One that has room for
-// a task now doesn't accept it for another reason than its capacity.
+// laterPlaces returns how many tasks of the step of a task a worker may start once it has room for them.
+// It is 0 for a worker that has room now: something other than its capacity keeps the task away.
 func (w *worker) laterPlaces(now time.Time, t *task) int {
 	step := t.step.step
 	switch {
@@ -215,8 +219,8 @@
 	return maxPlaces
 }
 
-// due returns until when a task of the step must end so that the objective of its occurrence can be met,
-// by the declared estimates of the steps that follow, and whether the queue has an objective.
+// due returns the time by which a task of the step must end for its occurrence to meet its objective,
+// by the declared estimates of the steps that follow. It returns false if the queue has no objective.
 func (s *stepState) due() (due time.Time, set bool) {
 	j := s.occurrence.job
 	if j.job.Queue.Stretch == 0 && j.job.Queue.Target == 0 {
--- a/dispatcher/rackgroup.go
+++ b/dispatcher/rackgroup.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// addGroup adds the runs of a gang that is faster in one rack: in that rack if it has places for all
-// members, else anywhere, unless the gang waits for the rack.
+// addGroup adds the runs of a gang that is faster in one rack: in such a rack if one has places for all
+// members, else anywhere, unless the gang waits for a rack.
 func (c *Cell) addGroup(now time.Time, t *task, members []*task) []*run {
-	step, begun := t.step.step, t.job().started
+	step, startedBefore := t.step.step, t.job().started
 	if added := c.addWithinRacks(now, t, members, c.groupRacks(step)); added != nil {
 		return added
 	}
@@ -20,11 +20,11 @@
 	line := c.newGroupLine(now, t)
 	c.pass.racks.setLine(t.step, line)
 	if line.groupWaits {
-		c.withdrawAll(added, begun)
+		c.withdrawAll(added, startedBefore)
 		return nil
 	}
 	if step.RackLocal && step.DataRack != "" {
-		c.withdrawAll(added, begun)
+		c.withdrawAll(added, startedBefore)
 		if within := c.addWithinRacks(now, t, members, c.pass.racks.names(c)); within != nil {
 			return within
 		}
@@ -41,8 +41,8 @@
 	return c.pass.racks.names(c)
 }
 
-// addWithinRacks adds the runs of a gang in the first of some racks that has places for all members: the
-// one with the fewest, so that the others stay free for larger gangs.
+// addWithinRacks adds the runs of a gang in one of some racks, or none. Of the racks with places for all
+// members it prefers the one with the fewest places, so that the others stay free for larger gangs.
 func (c *Cell) addWithinRacks(now time.Time, t *task, members []*task, racks []string) []*run {
 	type candidate struct {
 		rack   string
@@ -59,9 +59,9 @@
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.places, b.places) })
-	for _, option := range candidates {
-		if added := c.addWithinRack(now, members, option.rack); added != nil {
-			t.step.groupRack = option.rack
+	for _, chosen := range candidates {
+		if added := c.addWithinRack(now, members, chosen.rack); added != nil {
+			t.step.groupRack = chosen.rack
 			return added
 		}
 	}
@@ -76,8 +76,8 @@
 	return c.addRunsAnywhere(now, members)
 }
 
-// newGroupLine returns the line of a gang for the rack that is expected to have places for all members
-// first, with the decision whether it waits for them.
+// newGroupLine returns the line of a gang for the rack that is expected to be the first with places for
+// all members, and decides whether the gang waits for them.
 func (c *Cell) newGroupLine(now time.Time, t *task) *rackLine {
 	count := len(t.step.tasks)
 	var best *rackLine
--- a/dispatcher/rackwait.go
+++ b/dispatcher/rackwait.go
@@ -17,8 +17,8 @@
 	ended bool
 }
 
-// mayAwaitRack reports whether a task runs faster in a rack and may wait for it. Suspects, tasks that
-// have failed, were moved or are starved take any place.
+// mayAwaitRack reports whether a task runs faster in a rack and may wait for it. Tasks that have failed,
+// were moved, may have crashed a worker or are starved don't wait.
 func (c *Cell) mayAwaitRack(now time.Time, t *task) bool {
 	step := t.step.step
 	if c.pass == nil || c.Limits.RemoteFactor <= 1 || step.LongRunning || step.DataRack == "" && !(step.Gang && step.RackLocal) {
@@ -29,8 +29,8 @@
 	})
 }
 
-// awaitsRackInstead decides whether a task waits for the rack of its data instead of a start on a worker
-// elsewhere, the best one for it. Gangs are decided by addGroup.
+// awaitsRackInstead decides whether a task waits for the rack of its data instead of a start on w, the
+// best worker for it. addGroup decides for gangs.
 func (c *Cell) awaitsRackInstead(now time.Time, t *task, w *worker) bool {
 	step := t.step.step
 	if step.Gang || !c.mayAwaitRack(now, t) || w.hasLabel(step.DataRack) || c.pass.racks.line(t.step) != nil {
@@ -41,8 +41,8 @@
 	return c.decideRackWait(now, t, line)
 }
 
-// keepsAwaitingRack decides about a task of a step whose rack was found to be full in this planning pass,
-// so that its workers aren't compared again. It reports whether the task waits.
+// keepsAwaitingRack reports whether a task waits for its rack. It decides this only for a step whose rack
+// was found to be full in this planning pass, and then without comparing workers again.
 func (c *Cell) keepsAwaitingRack(now time.Time, t *task) bool {
 	line := c.pass.racks.line(t.step)
 	switch {
@@ -69,20 +69,20 @@
 // awaitsRack decides whether a task or its gang waits for places that are expected after a time, and
 // records that it begins to wait.
 func (c *Cell) awaitsRack(now time.Time, t *task, line *rackLine, in time.Duration, expected bool) bool {
-	task := line.task.WithWaited(now.Sub(t.readyAt))
-	if delayer.Decide(task, in, expected) != delayer.VerdictWait {
+	waiting := line.task.WithWaited(now.Sub(t.readyAt))
+	if delayer.Decide(waiting, in, expected) != delayer.VerdictWait {
 		return false
 	}
 	c.pass.awaiting = t
 	if first := t.firstMember(); first.rackWait.since.IsZero() {
 		first.rackWait.since = now
 		c.record(recorder.Event{Kind: KindRackWait, Task: first.id.String(), Key: first.id.Job,
-			Detail: fmt.Sprintf("for %s, expected in %s, remote costs %s", line.rack, rounded(in), rounded(task.RemoteCost()))})
+			Detail: fmt.Sprintf("for %s, expected in %s, remote costs %s", line.rack, rounded(in), rounded(waiting.RemoteCost()))})
 	}
 	return true
 }
 
-// endRackWait records that a task or gang that has waited for a rack starts.
+// endRackWait records the start of a task or gang that has waited for a rack.
 func (c *Cell) endRackWait(now time.Time, t *task, started []*run) {
 	first := t.firstMember()
 	wait := &first.rackWait
--- a/dispatcher/setaside.go
+++ b/dispatcher/setaside.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// holdBackLimit is how long a long-running task leaves a place on a worker that is set aside
-	// to short tasks. It has to run within 3 s where there is capacity for it.
+	// holdBackLimit is how long a long-running task leaves a place to short tasks on a worker that
+	// is set aside. It has to run within 3 s where there is capacity for it.
 	holdBackLimit = time.Second
 	// placeWaitLimit is how long a short task waits without a place before workers are set aside.
 	placeWaitLimit = 300 * time.Millisecond
@@ -37,8 +37,9 @@
 	workers []*worker
 }
 
-// allocate decides anew which workers are set aside for short tasks, if that is due. It follows
-// the placement of the ready tasks, so that those that are left found no place.
+// allocate decides which workers are set aside for short tasks, at most once in each
+// allocationInterval. It is called after the placement of the ready tasks: those that are still
+// ready have found no place.
 func (c *Cell) allocate(now time.Time) {
 	if now.Sub(c.setAside.allocatedAt) < allocationInterval {
 		return
@@ -57,16 +58,16 @@
 }
 
 // setAsideWorker records whether a worker is set aside, and what has been free there.
-func (c *Cell) setAsideWorker(now time.Time, w *worker, setAside bool) {
-	if setAside != w.setAside {
+func (c *Cell) setAsideWorker(now time.Time, w *worker, isSetAside bool) {
+	if isSetAside != w.setAside {
 		kind := KindGivenBack
-		if setAside {
+		if isSetAside {
 			kind = KindSetAside
 		}
 		c.record(recorder.Event{Kind: kind, VM: w.registration.ID, Detail: fmt.Sprintf("%d of %d millicores are beside long-running tasks", w.roomBesideLongRunning(), w.registration.Capacity.MilliProcessors)})
-		w.setAside, w.lasting = setAside, lastingRoom{}
+		w.setAside, w.lasting = isSetAside, lastingRoom{}
 	}
-	if setAside {
+	if isSetAside {
 		w.lasting = w.lasting.With(now, w.freeCapacity())
 		c.setAside.workers = append(c.setAside.workers, w)
 	}
@@ -77,8 +78,9 @@
 type allocationSnapshot struct {
 	workers []allocator.Worker
 	demands map[int]allocator.Demand
-	// mostFree is the greatest number of free processors of any worker, largest that of the
-	// largest short task for which no worker has enough, 0 if there is none.
+	// mostFree is the greatest number of processors that are free on one worker. largest is the
+	// number that the largest short task without a place needs, 0 if there is none. Both are in
+	// thousandths.
 	mostFree, largest int64
 }
 
@@ -157,13 +159,14 @@
 	return t.readyAt
 }
 
-// roomBesideLongRunning returns the processors that the worker's long-running tasks leave.
+// roomBesideLongRunning returns the processors, in thousandths, that the worker's long-running
+// tasks leave.
 func (w *worker) roomBesideLongRunning() int64 {
 	return w.registration.Capacity.MilliProcessors - w.longRunningProcessors
 }
 
-// withheldFrom reports whether the worker is set aside, and a long-running task would take room
-// that hasn't been free for holdBackLimit.
+// withheldFrom reports whether the worker is set aside, and the step is a long-running one that
+// would take room that hasn't been free for holdBackLimit.
 func (w *worker) withheldFrom(step *Step) bool {
 	return w.setAside && step.LongRunning && !w.openCapacity(step).Holds(step.Size)
 }
@@ -177,9 +180,9 @@
 	return w.freeCapacity()
 }
 
-// orSetAside returns the worker that was chosen for a task. For a long-running task without one
-// it returns the best worker that is set aside, once the task has had such a place for
-// holdBackLimit.
+// orSetAside returns the worker that was chosen for a task. If none was chosen for a long-running
+// task, it returns the best worker that is set aside, once the task has had a place on such a
+// worker for holdBackLimit.
 func (c *Cell) orSetAside(now time.Time, t *task, chosen *worker) *worker {
 	if !t.step.step.LongRunning {
 		return chosen
--- a/dispatcher/slowmoves.go
+++ b/dispatcher/slowmoves.go
@@ -26,6 +26,8 @@
 	slowMoveTimeout = 10 * time.Second
 	// moveOverhead is the time between the stop of a run and the start of the next one.
 	moveOverhead = 500 * time.Millisecond
+	// longRunningGain orders long-running tasks before others, as they never end by themselves.
+	longRunningGain = time.Hour
 )
 
 // slowMoves holds the moves of a task off slow workers.
@@ -42,13 +44,13 @@
 	return now.Sub(m.refusedAt) >= slowMoveRetryDelay && (oldest.IsZero() || now.Sub(oldest) >= slowMovesPeriod)
 }
 
-// refused returns the moves with a time at which no normal worker had room.
+// refused returns the moves with now as the last time at which no normal worker had room.
 func (m slowMoves) refused(now time.Time) slowMoves {
 	m.refusedAt = now
 	return m
 }
 
-// moved returns the moves with one more.
+// moved returns the moves with a further one at now.
 func (m slowMoves) moved(now time.Time) slowMoves {
 	copy(m.at[1:], m.at[:])
 	m.at[0] = now
@@ -143,9 +145,6 @@
 	return moves
 }
 
-// longRunningGain orders long-running tasks before others: they never end by themselves.
-const longRunningGain = time.Hour
-
 // mayLeaveSlow reports whether a run may be stopped at all so that its task moves.
 func (c *Cell) mayLeaveSlow(now time.Time, r *run) bool {
 	t := r.task
