--- a/clientlimits.go
+++ b/clientlimits.go
@@ -13,26 +13,29 @@
 	// requestTimeout is how long a client may take to send a header and its body. A client may
 	// wait 3 s for the answer to a body of a few kilobytes.
 	requestTimeout = 10 * time.Second
-	answerTimeout  = 10 * time.Second
-	idleTimeout    = 60 * time.Second
+	// answerTimeout is how long a write of a part of an answer may take.
+	answerTimeout = 10 * time.Second
+	// idleTimeout is how long a connection may stay open without a request.
+	idleTimeout = 60 * time.Second
 	// maxHeaderBytes and maxHeaderLines limit the memory of a header: net/http takes some 100
 	// bytes for each line, however short it is.
 	maxHeaderBytes = 16 << 10
 	maxHeaderLines = 100
 
-	// assumedMemory and assumedDescriptors are those of the platform's smallest VM.
+	// assumedMemory, in bytes, and assumedDescriptors are those of the platform's smallest VM.
 	assumedMemory      = 184 << 20
 	assumedDescriptors = 4100
-	// fileDescriptors are reserved for files.
+	// fileDescriptors is the number of descriptors that are reserved for files.
 	fileDescriptors = 200
-	// connectionBytes is the memory of a connection without a request.
+	// connectionBytes is the memory, in bytes, of a connection without a request.
 	connectionBytes = 16 << 10
-	// minRequestBytes is the least memory for requests in progress. Half of it holds one job of the
+	// minRequestBytes is the least memory, in bytes, for requests in progress. Half of it holds one job of the
 	// largest size.
 	minRequestBytes = 12 << 20
 )
 
-// Shares of the memory of a VM and of its descriptors beyond fileDescriptors.
+// Divisors that give the shares of the memory of a VM and of its descriptors beyond
+// fileDescriptors.
 const (
 	requestMemoryDivisor    = 8
 	connectionMemoryDivisor = 3
--- a/throttler/body.go
+++ b/throttler/body.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// firstStep is the part of a body, in bytes, for which memory is taken before its first
-	// byte is read. A client that only announces a large body holds no more than this.
-	firstStep = 16 << 10
-	// readFactor is the memory that io.ReadAll takes for each byte: its buffers and their copy.
+	// firstPart is the part of a body, in bytes, for which memory is taken before its first
+	// byte is read. A client that only announces a large body takes memory for this part only.
+	firstPart = 16 << 10
+	// readFactor is the memory, in bytes, that io.ReadAll takes for each byte: its buffers and
+	// their copy.
 	readFactor = 2
 	// drainTimeout is how long net/http may wait for the rest of a body that the handler didn't
 	// read, before it answers and closes the connection.
@@ -23,11 +24,13 @@
 	io.ReadCloser
 	throttler *Throttler
 	remote    net.Addr
-	// length is the announced length, or negative if it is unknown.
-	length        int64
+	// length is the announced length in bytes, or negative if it is unknown.
+	length int64
+	// read is the number of bytes that were read, granted the number for which memory was taken.
 	read, granted int64
-	ended         bool
-	share         share
+	// ended is true once the end of the body was read.
+	ended bool
+	share share
 }
 
 // limitBodies returns a handler that gives next bodies that take their memory from the
@@ -70,8 +73,8 @@
 			return 0, err
 		}
 	}
-	if rest := b.granted - b.read; rest > 0 && int64(len(p)) > rest {
-		p = p[:rest]
+	if unread := b.granted - b.read; unread > 0 && int64(len(p)) > unread {
+		p = p[:unread]
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
@@ -79,26 +82,27 @@
 	return n, err
 }
 
-// grant takes the memory for the next part of the body: the first step, then the rest of
-// an announced length, or as much again as was read.
+// grant takes the memory for the next part of the body: firstPart, then the rest of an
+// announced length, or as much again as was read.
 func (b *body) grant() error {
-	step := int64(firstStep)
+	part := int64(firstPart)
 	if b.read > 0 {
-		step = b.read
+		part = b.read
 		if b.length >= 0 {
-			step = b.length - b.read
+			part = b.length - b.read
 		}
 	}
 	if b.length >= 0 {
-		step = min(step, b.length-b.read)
+		part = min(part, b.length-b.read)
 	}
-	if err := b.reserve(readFactor * step); err != nil {
+	if err := b.reserve(readFactor * part); err != nil {
 		return err
 	}
-	b.granted += step
+	b.granted += part
 	return nil
 }
 
+// reserve takes memory from the budget and reports a refusal.
 func (b *body) reserve(bytes int64) error {
 	err := b.share.take(bytes)
 	if err != nil {
@@ -107,7 +111,7 @@
 	return err
 }
 
-// Reserve takes further memory for a request, until its handler returns. It returns a
+// Reserve takes further memory, in bytes, for a request until its handler returns. It returns a
 // *RefusedError if the budget is used up. A request that no Throttler limits takes none.
 func Reserve(request *http.Request, bytes int64) error {
 	if b, limited := request.Body.(*body); limited {
--- a/throttler/budget.go
+++ b/throttler/budget.go
@@ -24,6 +24,7 @@
 
 // Budget is the memory for requests in progress. It is safe for concurrent use.
 type Budget struct {
+	// all is the whole memory, large the half for what requests take beyond smallRequest.
 	all, large *semaphore.Weighted
 }
 
@@ -34,7 +35,8 @@
 
 // share is the part of a Budget that a request holds.
 type share struct {
-	budget     *Budget
+	budget *Budget
+	// all and large are the bytes taken from the parts of the budget.
 	all, large int64
 }
 
--- a/throttler/connection.go
+++ b/throttler/connection.go
@@ -12,18 +12,18 @@
 )
 
 const (
-	// headerPiece limits a read while a header is expected. What follows the end of the header
-	// in the same read isn't checked, and net/http parses it before the next read if the client
-	// pipelines its requests.
-	headerPiece = 1 << 10
-	// headerSlack is what net/http reads of a header beyond MaxHeaderBytes.
+	// maxHeaderRead limits a read, in bytes, while a header is expected. What follows the end of
+	// the header in the same read isn't checked, and net/http parses it before the next read if
+	// the client pipelines its requests.
+	maxHeaderRead = 1 << 10
+	// headerSlack is how many bytes of a header net/http reads beyond MaxHeaderBytes.
 	headerSlack = 4 << 10
 )
 
-// headerEnd ends a header.
+// headerEnd is the sequence of bytes at the end of a header.
 var headerEnd = []byte("\r\n\r\n")
 
-// HeaderError reports a header of too many lines.
+// HeaderError reports a header with too many lines.
 type HeaderError struct {
 	// Lines is the number of lines that were received.
 	Lines int
@@ -75,8 +75,8 @@
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
-	if c.header.expected && len(p) > headerPiece {
-		p = p[:headerPiece]
+	if c.header.expected && len(p) > maxHeaderRead {
+		p = p[:maxHeaderRead]
 	}
 	n, err := c.Conn.Read(p)
 	// net/http reads a single byte in the background and ends that read by a deadline in
@@ -107,7 +107,8 @@
 	}
 }
 
-// add counts the lines of a header up to its end.
+// add counts the bytes received since the last request, and the lines of the header up to its
+// end.
 func (h *headerProgress) add(received []byte) {
 	h.bytes += len(received)
 	if h.ended {
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -36,6 +36,7 @@
 	LimitAnswerTime Limit = "answer_time"
 )
 
+// linesPerSecond and lineBurst limit the log lines of each limit of a listener.
 const (
 	linesPerSecond = 1
 	lineBurst      = 5
@@ -70,6 +71,7 @@
 	// Clock must keep the real time, since the deadlines of connections follow it.
 	Clock clockwork.Clock
 
+	// open is the number of open connections, waiting are those without a request in progress.
 	open    atomic.Int64
 	waiting waitingList
 	events  map[Limit]*eventCounter
--- a/throttler/waitinglist.go
+++ b/throttler/waitinglist.go
@@ -11,6 +11,7 @@
 	connections list.List
 }
 
+// add adds a connection at the end, unless it is in the list.
 func (l *waitingList) add(c *connection) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -19,6 +20,7 @@
 	}
 }
 
+// remove removes a connection, if it is in the list.
 func (l *waitingList) remove(c *connection) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
