--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -19,8 +19,8 @@
 	// the set in each.
 	releaseInterval = 500 * time.Millisecond
 	releaseShare    = 0.1
-	// excessFactor is how far the room of the set may exceed its goal before a worker is given
-	// back while short tasks wait.
+	// excessFactor is how many times its goal the room of the set may reach before a worker is
+	// given back while short tasks wait.
 	excessFactor = 1.25
 )
 
@@ -49,9 +49,10 @@
 	Workers []Worker
 	// Demands are the demands, one of each priority.
 	Demands []Demand
-	// Waits is true if a short task has waited for long without a place.
+	// Waits is true if a short task has waited without a place for so long that workers are to be
+	// set aside.
 	Waits bool
-	// Largest is the number of processors that the largest such task needs, in thousandths.
+	// Largest is the number of processors, in thousandths, that the largest such task needs.
 	Largest int64
 }
 
@@ -154,7 +155,7 @@
 	return all
 }
 
-// ShortShare returns the processors that short tasks get of a capacity: the max-min fair share
+// ShortShare returns the processors, in thousandths, that short tasks get of a capacity: the max-min fair share
 // between the kinds of a priority, of what higher priorities leave. The demands are in the order
 // of their priorities.
 func ShortShare(capacity int64, demands []Demand) int64 {
@@ -167,6 +168,7 @@
 	return share
 }
 
+// longRunningDemand returns the demand of long-running tasks of all priorities.
 func longRunningDemand(demands []Demand) int64 {
 	var sum int64
 	for _, d := range demands {
@@ -175,6 +177,7 @@
 	return sum
 }
 
+// totalCapacity returns the number of processors of the workers, in thousandths.
 func totalCapacity(workers []Worker) int64 {
 	var sum int64
 	for _, w := range workers {
--- a/checker/configuration.go
+++ b/checker/configuration.go
@@ -39,7 +39,7 @@
 	*decoder.Object
 }
 
-// limits are the limits of requests, 0 if not set.
+// limits are the limits of requests, in bytes and milliseconds; 0 if not set.
 type limits struct {
 	headerBytes, bodyBytes     int64
 	headerTimeout, idleTimeout int64
@@ -121,9 +121,10 @@
 	}
 }
 
-// notEmpty are the limits of names.
+// notEmpty are the rules for a name.
 var notEmpty = decoder.Text{Required: true, Check: func(text string) bool { return text != "" }, Allowed: "a name"}
 
+// readRoute reads the fields of a route and reports malformed ones to its object.
 func readRoute(o *decoder.Object) {
 	for _, name := range []string{"name", "host", "prefix", "service"} {
 		o.Text(name, notEmpty)
@@ -161,6 +162,7 @@
 	return findings
 }
 
+// decodeFinding returns the finding for an error of decoding at an offset in bytes.
 func decodeFinding(document Document, offset int, err error) Finding {
 	line, column := decoder.Position(document.Content, max(offset, 0))
 	place := Place{File: document.Name, Line: line, Column: column}
--- a/checker/differences.go
+++ b/checker/differences.go
@@ -25,7 +25,7 @@
 	if c.version > inForce.version {
 		return nil
 	}
-	return []Finding{at(c.root, "version", SeverityError, KindVersion,
+	return []Finding{fieldFinding(c.root, "version", SeverityError, KindVersion,
 		"is %d, and version %d is in force: processes ignore a version that is not above it", c.version, inForce.version)}
 }
 
@@ -79,12 +79,12 @@
 		current, isThere := after[name]
 		switch {
 		case !isThere:
-			findings = append(findings, at(old.Object, "", SeverityDifference, KindRemoved, "removed: %s", old.title))
+			findings = append(findings, fieldFinding(old.Object, "", SeverityDifference, KindRemoved, "removed: %s", old.title))
 		case !wasThere:
-			findings = append(findings, at(current.Object, "", SeverityDifference, KindAdded, "added: %s", current.title))
+			findings = append(findings, fieldFinding(current.Object, "", SeverityDifference, KindAdded, "added: %s", current.title))
 		default:
 			if changes := fieldChanges(old.fields, current.fields); changes != "" {
-				findings = append(findings, at(current.Object, "", SeverityDifference, KindChanged, "changed: %s: %s", current.title, changes))
+				findings = append(findings, fieldFinding(current.Object, "", SeverityDifference, KindChanged, "changed: %s: %s", current.title, changes))
 			}
 		}
 	}
@@ -107,6 +107,7 @@
 	return strings.Join(changes, ", ")
 }
 
+// valueText returns the value of a field as JSON, or "nothing" for a missing field.
 func valueText(fields map[string]any, name string) string {
 	value, found := fields[name]
 	if !found {
--- a/checker/limits.go
+++ b/checker/limits.go
@@ -5,12 +5,12 @@
 const (
 	bytesPerMegabyte = 1_000_000
 
-	// reservedDescriptors are the descriptors that a process needs for files.
+	// reservedDescriptors is the number of descriptors that a process needs for files.
 	reservedDescriptors = 200
 
-	// heldBodies is how often the body of one request is in memory: as received and as
+	// bodyCopies is how many times the body of a request is in memory: as received and as
 	// decoded.
-	heldBodies = 2
+	bodyCopies = 2
 )
 
 // machine is the VM of a process.
@@ -49,20 +49,20 @@
 func (c configuration) checkLimits(vm *machine) []Finding {
 	o, l := c.limits.object, c.limits
 	if o == nil {
-		return []Finding{at(c.root, "limits", SeverityWarning, KindLimits, "is missing: processes use their defaults")}
+		return []Finding{fieldFinding(c.root, "limits", SeverityWarning, KindLimits, "is missing: processes use their defaults")}
 	}
 	var findings []Finding
 	for _, name := range []string{"max-header-bytes", "max-body-bytes", "header-timeout-ms", "idle-timeout-ms"} {
 		if value, written := c.fields.Limits[name]; written && value == float64(0) {
-			findings = append(findings, at(o, name, SeverityWarning, KindLimits, "is 0, which stands for the default and not for no limit"))
+			findings = append(findings, fieldFinding(o, name, SeverityWarning, KindLimits, "is 0, which stands for the default and not for no limit"))
 		}
 	}
 	if l.idleTimeout > 0 && l.idleTimeout < l.headerTimeout {
-		findings = append(findings, at(o, "idle-timeout-ms", SeverityError, KindLimits,
+		findings = append(findings, fieldFinding(o, "idle-timeout-ms", SeverityError, KindLimits,
 			"contradicts header-timeout-ms: a connection is idle after %d ms, but a header may take %d ms", l.idleTimeout, l.headerTimeout))
 	}
 	if l.bodyBytes > 0 && l.headerBytes > l.bodyBytes {
-		findings = append(findings, at(o, "max-header-bytes", SeverityWarning, KindLimits,
+		findings = append(findings, fieldFinding(o, "max-header-bytes", SeverityWarning, KindLimits,
 			"lets a header of %d bytes be longer than a body, which is limited to %d bytes", l.headerBytes, l.bodyBytes))
 	}
 	if vm != nil {
@@ -75,26 +75,26 @@
 func (l limits) checkMachine(vm machine) []Finding {
 	var findings []Finding
 	if vm.memory == 0 {
-		findings = append(findings, at(vm.root, "limits", SeverityWarning, KindLimits, "names no memory-mb: the limits are not compared with the memory"))
+		findings = append(findings, fieldFinding(vm.root, "limits", SeverityWarning, KindLimits, "names no memory-mb: the limits are not compared with the memory"))
 	}
 	if vm.descriptors == 0 {
-		findings = append(findings, at(vm.root, "limits", SeverityWarning, KindLimits, "names no max-fds: the limits are not compared with the connections"))
+		findings = append(findings, fieldFinding(vm.root, "limits", SeverityWarning, KindLimits, "names no max-fds: the limits are not compared with the connections"))
 	}
 	if vm.descriptors > 0 && vm.connections() <= 0 {
-		findings = append(findings, at(vm.root, "limits", SeverityError, KindLimits,
+		findings = append(findings, fieldFinding(vm.root, "limits", SeverityError, KindLimits,
 			"leaves no connections: of %d descriptors, %d are reserved for files", vm.descriptors, reservedDescriptors))
 	}
 	if vm.memory == 0 {
 		return findings
 	}
-	if l.headerBytes > vm.memory || l.bodyBytes > (vm.memory-l.headerBytes)/heldBodies {
-		return append(findings, at(l.object, "max-body-bytes", SeverityError, KindLimits,
+	if l.headerBytes > vm.memory || l.bodyBytes > (vm.memory-l.headerBytes)/bodyCopies {
+		return append(findings, fieldFinding(l.object, "max-body-bytes", SeverityError, KindLimits,
 			"contradicts the VM: one request takes up to %d bytes of header and %d times %d bytes of body, and the VM has %d bytes of memory",
-			l.headerBytes, heldBodies, l.bodyBytes, vm.memory))
+			l.headerBytes, bodyCopies, l.bodyBytes, vm.memory))
 	}
-	if held := vm.memory / max(l.headerBytes, 1); vm.connections() > held {
-		findings = append(findings, at(l.object, "max-header-bytes", SeverityWarning, KindLimits,
-			"contradicts the VM: its memory holds %d headers of %d bytes, and %d connections may each send one", held, l.headerBytes, vm.connections()))
+	if headers := vm.memory / max(l.headerBytes, 1); vm.connections() > headers {
+		findings = append(findings, fieldFinding(l.object, "max-header-bytes", SeverityWarning, KindLimits,
+			"contradicts the VM: its memory holds %d headers of %d bytes, and %d connections may each send one", headers, l.headerBytes, vm.connections()))
 	}
 	return findings
 }
--- a/delayer/delayer.go
+++ b/delayer/delayer.go
@@ -1,5 +1,6 @@
 // Package delayer decides whether a task waits for a place in the rack where it runs fastest, or starts
-// elsewhere at once (delay scheduling). It has neither clock nor network: all times are durations from now.
+// elsewhere at once (delay scheduling). It uses neither the network nor a clock: all times are durations
+// from now.
 package delayer
 
 import "time"
@@ -18,7 +19,7 @@
 	HasObjective bool
 }
 
-// WithWaited returns the task after it has been ready for a time.
+// WithWaited returns a copy of the task with another Waited.
 func (t Task) WithWaited(waited time.Duration) Task {
 	t.Waited = waited
 	return t
@@ -52,11 +53,11 @@
 // The total wait, from when the task became ready, stays within RemoteCost, so that a wrong expectation
 // costs at most as much as running elsewhere.
 func Decide(t Task, localIn time.Duration, expected bool) Verdict {
-	rest := t.RemoteCost() - t.Waited
+	remaining := t.RemoteCost() - t.Waited
 	switch {
 	case !expected:
 		return VerdictNoPlace
-	case rest <= 0 || localIn >= rest:
+	case remaining <= 0 || localIn >= remaining:
 		return VerdictTooLong
 	case t.HasObjective && (t.Slack <= 0 || localIn > t.Slack):
 		return VerdictObjective
--- a/delayer/line.go
+++ b/delayer/line.go
@@ -16,22 +16,24 @@
 	Places []int
 }
 
-// Line holds the tasks of a step in a forecast of a rack.
+// Line is the queue of the tasks of a step that wait for a rack. They take their places in the forecast
+// of the rack.
 type Line struct {
 	rack    *Rack
 	request Request
-	// earliest caches when each worker has a place, as of the version of the worker in versions.
+	// earliest caches the next place of each worker; versions are the versions of the workers then.
 	earliest []place
 	versions []int
 }
 
 // place is the next place of a worker.
 type place struct {
+	// in is the time until the place. It is valid only if expected is set.
 	in       time.Duration
 	expected bool
 }
 
-// NewLine returns the line of a step. It owns the places of the request.
+// NewLine returns the line of a step. The line takes over the Places of the request and changes them.
 func (r *Rack) NewLine(request Request) *Line {
 	l := &Line{rack: r, request: request, earliest: make([]place, len(r.workers)), versions: make([]int, len(r.workers))}
 	for i := range l.versions {
@@ -40,14 +42,14 @@
 	return l
 }
 
-// Next returns the time until the next place for a task of the step, after the tasks that have taken
-// theirs, and whether one is expected.
+// Next returns the time until the next place for a task of the step, and whether one is expected. Places
+// that other tasks have taken don't count.
 func (l *Line) Next() (in time.Duration, expected bool) {
 	in, worker := l.next()
 	return in, worker >= 0
 }
 
-// next returns the next place and its worker, or -1.
+// next returns the time until the next place and the index of its worker, -1 if no place is expected.
 func (l *Line) next() (in time.Duration, worker int) {
 	worker = -1
 	for i := range l.rack.workers {
@@ -65,13 +67,14 @@
 	return in, worker
 }
 
-// Take takes the next place for a task.
+// Take takes the next place for a task, if one is expected.
 func (l *Line) Take() {
 	if in, worker := l.next(); worker >= 0 {
 		l.take(in, worker)
 	}
 }
 
+// take takes a place of a worker that is free after a time.
 func (l *Line) take(in time.Duration, worker int) {
 	l.request.Places[worker]--
 	l.rack.take(worker, in+l.request.RunTime, l.request.Takes)
@@ -93,7 +96,7 @@
 	return times[at], true
 }
 
-// TakeGroup takes the next places for a group of tasks.
+// TakeGroup takes the next places for a group of tasks, if they are expected.
 func (l *Line) TakeGroup(count int) {
 	in, expected := l.NextGroup(count)
 	if !expected {
@@ -108,7 +111,7 @@
 	}
 }
 
-// times returns the times at which the rack gets more room, in order.
+// times returns the times at which the rack gets more room, including now, in order.
 func (l *Line) times() []time.Duration {
 	times := []time.Duration{0}
 	for i, w := range l.rack.workers {
--- a/delayer/rack.go
+++ b/delayer/rack.go
@@ -17,7 +17,7 @@
 	Accelerators int64
 }
 
-// Plus returns the sum of two rooms.
+// Plus returns the sum of two amounts.
 func (r Room) Plus(other Room) Room {
 	return Room{
 		MilliProcessors:     r.MilliProcessors + other.MilliProcessors,
@@ -27,7 +27,7 @@
 	}
 }
 
-// Minus returns the difference of two rooms.
+// Minus returns the difference of two amounts.
 func (r Room) Minus(other Room) Room {
 	return Room{
 		MilliProcessors:     r.MilliProcessors - other.MilliProcessors,
@@ -37,7 +37,7 @@
 	}
 }
 
-// holds reports whether a need fits. Idle processors limit only needs that ask for some.
+// holds reports whether a need fits into the room. Idle processors don't matter to a need without any.
 func (r Room) holds(need Room) bool {
 	return need.MilliProcessors <= r.MilliProcessors && need.Megabytes <= r.Megabytes && need.Accelerators <= r.Accelerators &&
 		(need.IdleMilliProcessors == 0 || need.IdleMilliProcessors <= r.IdleMilliProcessors)
@@ -47,7 +47,7 @@
 type End struct {
 	// In is the time until the end.
 	In time.Duration
-	// Frees is what the run takes until then.
+	// Frees is what the end of the run frees.
 	Frees Room
 }
 
@@ -69,7 +69,8 @@
 	versions []int
 }
 
-// NewRack returns the forecast of a rack for which no task waits yet. It owns the ends of the workers.
+// NewRack returns the forecast of a rack for which no task waits yet. The forecast takes over the workers
+// and changes them.
 func NewRack(workers []Worker) *Rack {
 	for _, w := range workers {
 		slices.SortFunc(w.Ends, func(a, b End) int { return cmp.Compare(a.In, b.In) })
@@ -77,7 +78,7 @@
 	return &Rack{workers: workers, versions: make([]int, len(workers))}
 }
 
-// take makes a worker run a task from start to end.
+// take adds a task that runs on a worker until a time. What the task takes counts as taken from now on.
 func (r *Rack) take(worker int, end time.Duration, takes Room) {
 	w := &r.workers[worker]
 	w.Free = w.Free.Minus(takes)
@@ -86,7 +87,7 @@
 	r.versions[worker]++
 }
 
-// earliest returns the time until a worker holds a need, and whether it is expected to.
+// earliest returns the time until a worker has room for a need, and whether it is expected to have it.
 func (w *Worker) earliest(need Room) (time.Duration, bool) {
 	room := w.Free
 	if room.holds(need) {
--- a/estimator/ratios.go
+++ b/estimator/ratios.go
@@ -13,7 +13,7 @@
 }
 
 const (
-	// minRatios is the number of ends from which the run times of a kind are used.
+	// minRatios is the number of ends from which on the ratios of a kind are used.
 	minRatios = 8
 	// ratiosPerWindow is the number of ends after which the oldest window of a kind is dropped. The
 	// quantiles are those of the last two windows.
@@ -23,7 +23,8 @@
 	// kinds use the declared estimate.
 	maxKinds = 500
 
-	// ratioUnit is the resolution of a ratio, maxRatio the largest one that is told apart.
+	// ratioUnit is the resolution of a ratio. Larger ones than maxRatio count as maxRatio. ratioDigits is
+	// the number of significant digits that the histogram keeps.
 	ratioUnit   = 0.01
 	maxRatio    = 1000.0
 	ratioDigits = 1
@@ -69,6 +70,7 @@
 	k.add(float64(took) / float64(declared))
 }
 
+// add adds a ratio and updates the median.
 func (k *kindRatios) add(ratio float64) {
 	if k.inWindow == ratiosPerWindow {
 		k.windows.Rotate()
@@ -78,13 +80,14 @@
 	k.total++
 	value := int64(min(max(ratio, ratioUnit), maxRatio) / ratioUnit)
 	if err := k.windows.Current.RecordValue(value); err != nil {
-		return // the value is within the range of the histogram
+		return // can't happen: the value is within the range of the histogram
 	}
 	if k.total >= minRatios {
 		k.typical = k.quantile(typicalPercent)
 	}
 }
 
+// quantile returns a quantile, in percent, of the ratios in the windows.
 func (k *kindRatios) quantile(percent float64) float64 {
 	return float64(k.windows.Merge().ValueAtQuantile(percent)) * ratioUnit
 }
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -72,6 +72,7 @@
 // mirror runs.
 func (e *Evacuator) Follow() { e.Mirror.Subscribe(Prefix, e.observe) }
 
+// observe replaces the evacuated failure domains by those of the mirror's entries.
 func (e *Evacuator) observe(entries []keeper.Entry) {
 	evacuated := map[string]bool{}
 	for _, entry := range entries {
@@ -80,8 +81,8 @@
 	e.evacuated.Store(&evacuated)
 }
 
-// Evacuated reports whether a failure domain is evacuated. The answer is not known until
-// the mirror has been read. It counts a record that this version cannot read.
+// Evacuated reports whether a failure domain is evacuated. This is not known until the
+// mirror has been read. A record that this version cannot read is in force too.
 func (e *Evacuator) Evacuated(failureDomain string) (evacuated, known bool) {
 	domains := e.evacuated.Load()
 	if domains == nil {
@@ -152,6 +153,7 @@
 	return decodeAll(e.Mirror.Entries(Prefix)), nil
 }
 
+// validate returns an *UnknownDomainError for a failure domain that does not exist.
 func (e *Evacuator) validate(failureDomain string) error {
 	if !slices.Contains(e.FailureDomains, failureDomain) {
 		return &UnknownDomainError{FailureDomain: failureDomain}
--- a/evacuator/message.go
+++ b/evacuator/message.go
@@ -11,6 +11,7 @@
 	"zinniashore.example/keeper"
 )
 
+// evacuationFormat is the version of the stored form of an evacuation.
 const evacuationFormat = 1
 
 // UnknownDomainError reports a failure domain that does not exist.
@@ -24,12 +25,14 @@
 	return fmt.Sprintf("evacuation: no failure domain %q", e.FailureDomain)
 }
 
+// evacuationMessage is the stored form of an evacuation. Its key has the failure domain.
 type evacuationMessage struct {
 	Format   int       `json:"format"`
 	Operator string    `json:"operator"`
 	Since    time.Time `json:"since"`
 }
 
+// key returns the store key of the evacuation of a failure domain.
 func key(failureDomain string) string { return Prefix + failureDomain }
 
 func encode(e Evacuation) ([]byte, error) {
--- a/evacuator/tracker.go
+++ b/evacuator/tracker.go
@@ -9,8 +9,8 @@
 	"zinniashore.example/platform"
 )
 
-// Tracker follows, on the users' platform, the keys by which operators evacuate failure domains. Its exported
-// fields are set before the first call.
+// Tracker follows the keys by which operators evacuate failure domains on the users' platform. Its
+// exported fields are set before the first call.
 type Tracker struct {
 	// Changed is called with the evacuated domains after each change.
 	Changed func(dispatcher.FailureDomains)
@@ -45,7 +45,7 @@
 	t.set(domains)
 }
 
-// set replaces the evacuated domains and passes a change on.
+// set replaces the evacuated domains, and calls Changed if they differ.
 func (t *Tracker) set(domains dispatcher.FailureDomains) {
 	t.mu.Lock()
 	changed := !t.domains.Equal(domains)
--- a/owner/batch.go
+++ b/owner/batch.go
@@ -57,7 +57,7 @@
 	b.stops = append(b.stops, w.orphans...)
 	b.forgets = w.forgettable
 	w.orphans, w.forgettable = nil, nil
-	granting, open := c.tenure.valid(), c.domainOpen()
+	granting, open := c.tenure.valid(), c.domainAllowsStarts()
 	for _, t := range tasks {
 		ref := commander.Ref{Task: t.record.id, Attempt: t.record.attempt}
 		switch {
@@ -150,7 +150,7 @@
 // so those that are left when the next renewal is due wait for the next batch.
 func (c *cell) executeStarts(w *workerView, b batch, sent time.Time, handle func(commander.Answer, error, bool) error) error {
 	for i, start := range b.starts {
-		if !c.tenure.valid() || !c.domainOpen() || i > 0 && c.now().Sub(sent) >= c.owner.Renewal {
+		if !c.tenure.valid() || !c.domainAllowsStarts() || i > 0 && c.now().Sub(sent) >= c.owner.Renewal {
 			return nil
 		}
 		answer, err := c.owner.Commander.Start(c.ctx, b.address, b.header, start)
--- a/owner/evacuation.go
+++ b/owner/evacuation.go
@@ -14,7 +14,8 @@
 	Evacuated(failureDomain string) (evacuated, known bool)
 }
 
-// domainState returns the state of the workers of the cell that are otherwise ready.
+// domainState returns the state that the failure domain gives to the ready workers of the
+// cell.
 func (c *cell) domainState() placer.WorkerState {
 	if c.owner.Evacuations == nil {
 		return placer.WorkerReady
@@ -29,11 +30,11 @@
 	return placer.WorkerReady
 }
 
-// domainOpen reports whether tasks may start in the failure domain of the cell.
-func (c *cell) domainOpen() bool { return c.domainState() == placer.WorkerReady }
+// domainAllowsStarts reports whether tasks may start in the failure domain of the cell.
+func (c *cell) domainAllowsStarts() bool { return c.domainState() == placer.WorkerReady }
 
-// syncEvacuation records when the cell begins and ceases to be evacuated. While tasks may
-// not start, it returns the tasks whose start was not sent to waiting.
+// syncEvacuation records when an evacuation of the cell begins or ends. While tasks may not
+// start, it ends the attempts whose start was not sent, so that their tasks wait again.
 func (c *cell) syncEvacuation() {
 	state := c.domainState()
 	if evacuated := state == placer.WorkerEvacuated; evacuated != c.evacuated {
@@ -50,6 +51,7 @@
 	}
 }
 
+// recordEvacuation records the beginning or end of an evacuation of the cell.
 func (c *cell) recordEvacuation() {
 	kind := KindCellReopened
 	if c.evacuated {
