--- a/heldcells.go
+++ b/heldcells.go
@@ -61,7 +61,7 @@
 	runners map[string]heldCell
 	// services are the names of the configured services, empty before they are known.
 	services map[string]bool
-	// evacuated are the evacuated failure domains. They are known once services are.
+	// evacuated are the evacuated failure domains. They are known once the services are known.
 	evacuated dispatcher.FailureDomains
 	// yielded holds, by cell, the epoch before which this process doesn't hold it any more.
 	yielded map[string]int64
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -123,7 +123,7 @@
 	// Connections, AdministrationConnections and PeerConnections are the numbers of connections
 	// that callers, clients of the administration API and peers may have open.
 	Connections, AdministrationConnections, PeerConnections int
-	// RequestBytes is the memory for the requests in progress.
+	// RequestBytes is the memory, in bytes, for the requests in progress.
 	RequestBytes int64
 	// HeaderBytes and HeaderLines limit the header of a request.
 	HeaderBytes, HeaderLines int
