--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -215,6 +215,13 @@
 	c.Recorder.Record(event)
 }
 
+// recordRun adds an event about a run to the time line.
+func (c *Cell) recordRun(kind recorder.Kind, r *run, detail string) {
+	c.record(recorder.Event{
+		Kind: kind, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: detail,
+	})
+}
+
 // AddJob adds an accepted job. progress is its stored progress, or nil. restored is
 // true if an earlier holder may have started tasks of the job. A job that is already
 // known is not replaced; only its delegated part is extended. One that has departed is looked up
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -151,7 +151,7 @@
 	if r.blameOnAnswer {
 		c.blame(now, r)
 	}
-	c.record(recorder.Event{Kind: KindLost, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: reason + "; " + r.describe(now) + "; " + c.describe(now, r.worker)})
+	c.recordRun(KindLost, r, reason+"; "+r.describe(now)+"; "+c.describe(now, r.worker))
 	c.removeRun(now, r, reason)
 }
 
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -253,7 +253,7 @@
 
 func (c *Cell) startOrder(now time.Time, r *run, checkpoint string) StartOrder {
 	c.endHoldBack(now, r)
-	c.record(recorder.Event{Kind: KindStart, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: c.earlierRuns(now, r.task)})
+	c.recordRun(KindStart, r, c.earlierRuns(now, r.task))
 	return StartOrder{
 		Worker:     r.worker.registration,
 		Task:       r.task.id,
--- a/dispatcher/setaside.go
+++ b/dispatcher/setaside.go
@@ -247,7 +247,7 @@
 	if since := r.task.heldBackSince; !since.IsZero() {
 		detail = "held back for " + now.Sub(since).String()
 	}
-	c.record(recorder.Event{Kind: KindHeldBack, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: detail})
+	c.recordRun(KindHeldBack, r, detail)
 	r.task.heldBackSince, r.task.heldBackOn = time.Time{}, nil
 }
 
--- a/dispatcher/slowmoves.go
+++ b/dispatcher/slowmoves.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"zinniashore.example/rater"
-	"zinniashore.example/recorder"
 )
 
 const (
@@ -242,9 +241,7 @@
 	t.movedFrom, t.movedAt = id, now
 	t.slowMoves = t.slowMoves.moved(now)
 	r.worker.movedOff = t
-	c.record(recorder.Event{
-		Kind: KindSlowMove, VM: id, Task: t.id.String(), Attempt: int(r.number), Key: t.id.Job,
-		Detail: fmt.Sprintf("worker is %.1f times slower than others, progress %d%%, expected gain %v", c.speeds.Current(id).Slowdown, r.percent, m.gain.Round(time.Millisecond)),
-	})
+	c.recordRun(KindSlowMove, r, fmt.Sprintf("worker is %.1f times slower than others, progress %d%%, expected gain %v",
+		c.speeds.Current(id).Slowdown, r.percent, m.gain.Round(time.Millisecond)))
 	c.stop(r)
 }
