--- a/cells.go
+++ b/cells.go
@@ -55,7 +55,7 @@
 // preferredCells returns the cells in the failure domains of a job. It leaves out those of
 // evacuated failure domains if another one has a worker that is large enough.
 func (c *cellChooser) preferredCells(job submitter.Job, workers []owner.WorkerVM) []owner.Cell {
-	var allowed, open []owner.Cell
+	var allowed, preferred []owner.Cell
 	for _, cell := range c.cells {
 		if len(job.FailureDomains) > 0 && !slices.Contains(job.FailureDomains, cell.FailureDomain) {
 			continue
@@ -63,11 +63,11 @@
 		allowed = append(allowed, cell)
 		evacuated, _ := c.evacuations.Evacuated(cell.FailureDomain)
 		if !evacuated && capacity(workers, cell, job.Size) > 0 {
-			open = append(open, cell)
+			preferred = append(preferred, cell)
 		}
 	}
-	if len(open) > 0 {
-		return open
+	if len(preferred) > 0 {
+		return preferred
 	}
 	return allowed
 }
