--- a/owner/batch.go
+++ b/owner/batch.go
@@ -57,14 +57,14 @@
 	b.stops = append(b.stops, w.orphans...)
 	b.forgets = w.forgettable
 	w.orphans, w.forgettable = nil, nil
-	granting, open := c.tenure.valid(), c.domainAllowsStarts()
+	granting, startsAllowed := c.tenure.valid(), c.domainAllowsStarts()
 	for _, t := range tasks {
 		ref := commander.Ref{Task: t.record.id, Attempt: t.record.attempt}
 		switch {
-		case t.phase == phaseStarting && granting && open:
+		case t.phase == phaseStarting && granting && startsAllowed:
 			t.startSent, t.startUnclear = true, false
 			b.starts = append(b.starts, c.startCommand(t))
-		case t.phase == phaseStarting && t.startSent && !open && b.renew:
+		case t.phase == phaseStarting && t.startSent && !startsAllowed && b.renew:
 			t.startUnclear = true
 		case t.phase == phaseStopping && t.stop == stopEvict && t.record.class == placer.ClassBatch:
 			b.evictions = append(b.evictions, ref)
