throttler: idle connections at the limit give way to new clients

What callers would see: a new client waits until an idle connection ends, up to 60 s, if all connections had a request in progress when the last free one was taken. A newcomer's review saw 9.8 s with an idle time of 10 s.

Cause: the connection that has waited longest was closed only as the last free one was accepted. Now also as a connection becomes idle while none is free.

TestIdleConnectionsAtLimit fails before (i/o timeout after 5 s), passes now.

--- a/throttler/connection.go
+++ b/throttler/connection.go
@@ -65,6 +65,9 @@
 	case http.StateNew, http.StateIdle:
 		limited.header = headerProgress{expected: true, tail: limited.header.tail[:0]}
 		t.waiting.add(limited)
+		if state == http.StateIdle {
+			t.keepOneFree(c.RemoteAddr())
+		}
 	case http.StateActive:
 		limited.header.expected = false
 		t.waiting.remove(limited)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// keepOneFree closes the connection that has waited longest for a request, if no connection is free.
+func (t *Throttler) keepOneFree(remote net.Addr) {
+	if t.open.Load() >= int64(t.Limits.Connections) {
+		t.report(LimitConnections, remote)
+		t.waiting.closeFirst()
+	}
+}
+
 // listener accepts connections and counts them.
 type listener struct {
 	net.Listener
@@ -137,9 +145,7 @@
 		return nil, err
 	}
 	c := &connection{Conn: inner, throttler: l.throttler}
-	if l.throttler.open.Add(1) >= int64(l.throttler.Limits.Connections) {
-		l.throttler.report(LimitConnections, inner.RemoteAddr())
-		l.throttler.waiting.closeFirst()
-	}
+	l.throttler.open.Add(1)
+	l.throttler.keepOneFree(inner.RemoteAddr())
 	return c, nil
 }
