--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -36,41 +36,6 @@
 	missedPollsUntilLost = 2
 )
 
-// Kinds of events of the time line.
-const (
-	KindJobAdded     recorder.Kind = "job_added"
-	KindJobFinal     recorder.Kind = "job_final"
-	KindJobCancelled recorder.Kind = "job_cancelled"
-	KindStart        recorder.Kind = "task_start"
-	KindStartFailed  recorder.Kind = "task_start_failed"
-	KindEnd          recorder.Kind = "task_end"
-	KindStop         recorder.Kind = "task_stop"
-	KindAdopted      recorder.Kind = "task_adopted"
-	KindLost         recorder.Kind = "task_lost"
-	KindCrash        recorder.Kind = "task_crash"
-	KindGivenUp      recorder.Kind = "task_given_up"
-	KindEndAwaited   recorder.Kind = "task_end_awaited"
-	KindDelegated    recorder.Kind = "task_hand_over"
-	KindPartFailed   recorder.Kind = "part_given_up"
-	KindRelocated    recorder.Kind = "job_relocated"
-	KindOrphaned     recorder.Kind = "task_stray"
-	KindEvacuation   recorder.Kind = "evacuation"
-	KindRackWait     recorder.Kind = "task_rack_wait"
-	KindRackLocal    recorder.Kind = "task_rack_wait_local"
-	KindRackRemote   recorder.Kind = "task_rack_wait_remote"
-	KindWorker       recorder.Kind = "worker"
-	KindWorkerSlow   recorder.Kind = "worker_slow"
-	KindWorkerProbed recorder.Kind = "worker_probed"
-	KindWorkerNormal recorder.Kind = "worker_normal"
-	KindSlowMove     recorder.Kind = "task_slow_move"
-	KindCell         recorder.Kind = "cell"
-)
-
-// Recorder records the events of a cell's decisions.
-type Recorder interface {
-	Record(event recorder.Event) recorder.Timestamp
-}
-
 // Limits are the durations and factors that govern a Cell.
 type Limits struct {
 	// LeaseDuration is how long a worker's lease on its runs lasts. All holders of a
@@ -206,20 +171,6 @@
 // Superseded reports whether a worker has seen a newer epoch.
 func (c *Cell) Superseded() bool { return c.superseded }
 
-// record adds an event to the time line.
-func (c *Cell) record(event recorder.Event) {
-	event.Cell = c.Name
-	event.Epoch = c.Epoch
-	c.Recorder.Record(event)
-}
-
-// recordRun adds an event about a run to the time line.
-func (c *Cell) recordRun(kind recorder.Kind, r *run, detail string) {
-	c.record(recorder.Event{
-		Kind: kind, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: detail,
-	})
-}
-
 // AddJob adds an accepted job. progress is its stored progress, or nil. restored is
 // true if an earlier holder may have started tasks of the job. A job that is already
 // known is not replaced; only its delegated part is extended. One that has departed is looked up
@@ -264,90 +215,6 @@
 	c.applyListed(now, job.ID)
 }
 
-// criticalPath returns the estimated run time of the longest chain of dependent steps.
-func criticalPath(steps []Step) time.Duration {
-	ends := make([]time.Duration, len(steps))
-	var longest time.Duration
-	for i, s := range steps {
-		for _, before := range s.After {
-			ends[i] = max(ends[i], ends[before])
-		}
-		ends[i] += s.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// maxOpenOccurrences is how many occurrences of a job may be open at a time. Others that are due
-// wait, so that a job with any number of them takes bounded memory.
-const maxOpenOccurrences = 100
-
-// beginOccurrences begins the occurrences of a job that are due.
-func (c *Cell) beginOccurrences(now time.Time, j *jobState) {
-	for j.nextDue < j.job.Occurrences && j.openOccurrences < maxOpenOccurrences && !now.Before(j.job.Due(j.nextDue)) {
-		if !j.finished[j.nextDue] {
-			c.beginOccurrence(now, j, j.nextDue)
-		}
-		j.nextDue++
-	}
-	if j.nextDue >= j.job.Occurrences {
-		delete(c.upcoming, j.job.ID)
-	}
-}
-
-// beginOccurrence returns an occurrence of a job, and begins it if it hasn't begun.
-func (c *Cell) beginOccurrence(now time.Time, j *jobState, number int) *occurrenceState {
-	if o, begun := j.occurrences[number]; begun {
-		return o
-	}
-	o := &occurrenceState{job: j, number: number, openSteps: len(j.job.Steps)}
-	for i := range j.job.Steps {
-		step := &j.job.Steps[i]
-		s := &stepState{step: step, occurrence: o, openTasks: step.Count}
-		for index := range step.Count {
-			id := TaskID{Job: j.job.ID, Occurrence: number, Step: i, Index: index}
-			s.tasks = append(s.tasks, &task{id: id, step: s, remote: !j.job.includes(id)})
-		}
-		o.steps = append(o.steps, s)
-	}
-	j.occurrences[number] = o
-	j.openOccurrences++
-	c.enqueueReadySteps(now, o)
-	return o
-}
-
-// enqueueReadySteps enqueues the tasks of the steps whose dependencies are all done.
-func (c *Cell) enqueueReadySteps(now time.Time, o *occurrenceState) {
-	for _, s := range o.steps {
-		if s.ready || !o.stepsDone(s.step.After) {
-			continue
-		}
-		s.ready = true
-		for _, t := range s.tasks {
-			c.enqueue(now, t)
-		}
-	}
-}
-
-func (o *occurrenceState) stepsDone(steps []int) bool {
-	for _, s := range steps {
-		if o.steps[s].openTasks > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// enqueue appends a task to the ready list if it may start.
-func (c *Cell) enqueue(now time.Time, t *task) {
-	if t.queued || t.done || t.remote || len(t.runs) > 0 || !t.step.ready || t.job().state.Final() {
-		return
-	}
-	t.queued = true
-	t.readyAt = now
-	c.ready = append(c.ready, t)
-}
-
 // Cancel cancels a job. It reports whether the job is known; one that is being relocated isn't. The
 // channel stored is closed once the cancellation is in the store; it is nil if it already is.
 func (c *Cell) Cancel(now time.Time, id string) (known bool, stored <-chan struct{}) {
--- /dev/null
+++ b/dispatcher/events.go
@@ -0,0 +1,52 @@
+package dispatcher
+
+import "zinniashore.example/recorder"
+
+// Kinds of events of the time line.
+const (
+	KindJobAdded     recorder.Kind = "job_added"
+	KindJobFinal     recorder.Kind = "job_final"
+	KindJobCancelled recorder.Kind = "job_cancelled"
+	KindStart        recorder.Kind = "task_start"
+	KindStartFailed  recorder.Kind = "task_start_failed"
+	KindEnd          recorder.Kind = "task_end"
+	KindStop         recorder.Kind = "task_stop"
+	KindAdopted      recorder.Kind = "task_adopted"
+	KindLost         recorder.Kind = "task_lost"
+	KindCrash        recorder.Kind = "task_crash"
+	KindGivenUp      recorder.Kind = "task_given_up"
+	KindEndAwaited   recorder.Kind = "task_end_awaited"
+	KindDelegated    recorder.Kind = "task_hand_over"
+	KindPartFailed   recorder.Kind = "part_given_up"
+	KindRelocated    recorder.Kind = "job_relocated"
+	KindOrphaned     recorder.Kind = "task_stray"
+	KindEvacuation   recorder.Kind = "evacuation"
+	KindRackWait     recorder.Kind = "task_rack_wait"
+	KindRackLocal    recorder.Kind = "task_rack_wait_local"
+	KindRackRemote   recorder.Kind = "task_rack_wait_remote"
+	KindWorker       recorder.Kind = "worker"
+	KindWorkerSlow   recorder.Kind = "worker_slow"
+	KindWorkerProbed recorder.Kind = "worker_probed"
+	KindWorkerNormal recorder.Kind = "worker_normal"
+	KindSlowMove     recorder.Kind = "task_slow_move"
+	KindCell         recorder.Kind = "cell"
+)
+
+// Recorder records the events of a cell's decisions.
+type Recorder interface {
+	Record(event recorder.Event) recorder.Timestamp
+}
+
+// record adds an event to the time line.
+func (c *Cell) record(event recorder.Event) {
+	event.Cell = c.Name
+	event.Epoch = c.Epoch
+	c.Recorder.Record(event)
+}
+
+// recordRun adds an event about a run to the time line.
+func (c *Cell) recordRun(kind recorder.Kind, r *run, detail string) {
+	c.record(recorder.Event{
+		Kind: kind, VM: r.worker.registration.ID, Task: r.task.id.String(), Attempt: int(r.number), Key: r.task.id.Job, Detail: detail,
+	})
+}
