dispatcher: run times are learned only where tasks may wait for a rack

Cause: each end of a run merged two histograms and computed a quantile, in every deployment, although only tasks with a data rack or a rack-local gang use the result.

Change: a cell learns from its first job with such a step on. TestRunTimesWithoutRacks fails without the condition.

Also in this commit: plainer words in comments, names and test names (unavailable, during, disconnected, removed), and the division of a VM's memory and descriptors moves from the root into package throttler. Only moved and renamed.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -130,12 +130,12 @@
 		want       int
 		retryAfter bool
 	}{
-		"a body above the memory":     {body: strings.Repeat(" ", budget/2), want: http.StatusServiceUnavailable, retryAfter: true},
-		"decoding above the memory":   {body: `{"phases":[` + strings.Repeat(`{},`, 900) + `{}]}`, want: http.StatusServiceUnavailable, retryAfter: true},
-		"too many steps":              {body: `{"phases":[` + strings.Repeat(`{},`, 2000) + `{}]}`, want: http.StatusBadRequest},
-		"a body that is sent slowly":  {body: "{", err: os.ErrDeadlineExceeded, want: http.StatusRequestTimeout},
-		"a body with a wrong task":    {body: `{"phases":[{"count":0}]}`, want: http.StatusBadRequest},
-		"a body whose client is gone": {body: "{", err: io.ErrUnexpectedEOF, want: http.StatusBadRequest},
+		"a body above the memory":              {body: strings.Repeat(" ", budget/2), want: http.StatusServiceUnavailable, retryAfter: true},
+		"decoding above the memory":            {body: `{"phases":[` + strings.Repeat(`{},`, 900) + `{}]}`, want: http.StatusServiceUnavailable, retryAfter: true},
+		"too many steps":                       {body: `{"phases":[` + strings.Repeat(`{},`, 2000) + `{}]}`, want: http.StatusBadRequest},
+		"a body that is sent slowly":           {body: "{", err: os.ErrDeadlineExceeded, want: http.StatusRequestTimeout},
+		"a body with a wrong task":             {body: `{"phases":[{"count":0}]}`, want: http.StatusBadRequest},
+		"a body whose client has disconnected": {body: "{", err: io.ErrUnexpectedEOF, want: http.StatusBadRequest},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -200,7 +200,7 @@
 	return Finding{Severity: severity, Kind: kind, Place: place, Message: message}
 }
 
-// fieldFinding returns the finding for a field of an object; an empty name stands for the object.
+// fieldFinding returns the finding for a field of an object; an empty name means the object.
 func fieldFinding(o *decoder.Object, name string, severity Severity, kind Kind, format string, arguments ...any) Finding {
 	return finding(severity, kind, o.Fault(name, fmt.Sprintf(format, arguments...), ""))
 }
--- a/checker/limits.go
+++ b/checker/limits.go
@@ -54,7 +54,7 @@
 	var findings []Finding
 	for _, name := range []string{"max-header-bytes", "max-body-bytes", "header-timeout-ms", "idle-timeout-ms"} {
 		if value, written := c.fields.Limits[name]; written && value == float64(0) {
-			findings = append(findings, fieldFinding(o, name, SeverityWarning, KindLimits, "is 0, which stands for the default and not for no limit"))
+			findings = append(findings, fieldFinding(o, name, SeverityWarning, KindLimits, "is 0, which means the default, not that there is no limit"))
 		}
 	}
 	if l.idleTimeout > 0 && l.idleTimeout < l.headerTimeout {
--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -26,7 +26,7 @@
 	soakChanges   = flag.Bool("soak.changes", false, "only change the configuration and make the store silent, with calm times between")
 	soakLong      = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, and have long outages of the store")
 	soakCells     = flag.Bool("soak.cells", false, "divide the workers of each failure domain among two cells")
-	soakEvacuates = flag.Bool("soak.evacuations", false, "evacuate failure domains beside stops of processes and killed holders")
+	soakEvacuates = flag.Bool("soak.evacuations", false, "evacuate failure domains during stops of processes and kills of holders")
 	soakLogs      = flag.String("soak.logs", "", "directory in which the logs of failed seeds are kept; by default one below the temporary directory")
 )
 
--- a/decoder/object.go
+++ b/decoder/object.go
@@ -69,13 +69,13 @@
 }
 
 // Reject adds a fault that the caller found in a field, such as two values that
-// exclude each other. An empty name stands for the object itself.
+// exclude each other. An empty name means the object itself.
 func (o *Object) Reject(name, problem, allowed string) {
 	o.document.faults = append(o.document.faults, o.Fault(name, problem, allowed))
 }
 
 // Fault returns a fault that the caller found in a field, with its position, and does not
-// add it to the faults of the document. An empty name stands for the object itself.
+// add it to the faults of the document. An empty name means the object itself.
 func (o *Object) Fault(name, problem, allowed string) *FieldError {
 	value, found := o.fields[name]
 	if !found {
--- a/delayer/delayer_test.go
+++ b/delayer/delayer_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestDecide guards against waits that cost more than a start elsewhere, go beyond the objective or last
-// longer than their bound, and against starts elsewhere although a place near the data comes first.
+// longer than their bound, and against starts elsewhere although a place in the rack of the data becomes free first.
 func TestDecide(t *testing.T) {
 	task := delayer.Task{RunTime: 10 * time.Second, RemoteFactor: 1.5}
 	withSlack := func(slack time.Duration) delayer.Task {
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -121,8 +121,9 @@
 	// headrooms estimates the headroom of long-running tasks and the effect of
 	// co-located tasks on it.
 	headrooms *estimator.Headrooms
-	// runTimes learns the run times of tasks.
-	runTimes *estimator.Ratios
+	// runTimes learns the run times of tasks if learnsRunTimes is true.
+	runTimes       *estimator.Ratios
+	learnsRunTimes bool
 	// pendingPart is the part of a job that is being delegated to another cell, until
 	// it is stored.
 	pendingPart *Part
@@ -210,6 +211,7 @@
 	}
 	c.record(recorder.Event{Kind: KindJobAdded, Key: job.ID, Detail: job.Queue.Name})
 	c.upcoming[job.ID] = j
+	c.noteRacks(&j.job)
 	c.beginOccurrences(now, j)
 	c.addPartCrashes(now, j)
 	c.applyListed(now, job.ID)
--- a/dispatcher/evacuation_test.go
+++ b/dispatcher/evacuation_test.go
@@ -54,7 +54,7 @@
 			s.workers[0].registration.Phase = dispatcher.PhaseDraining
 			s.register(s.workers[0])
 		},
-		"the store is away": func(s *simulation) { s.storeDown = true },
+		"the store is unavailable": func(s *simulation) { s.storeDown = true },
 	}
 	for name, disturb := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/dispatcher/export_test.go
+++ b/dispatcher/export_test.go
@@ -50,5 +50,8 @@
 	return math.Abs(choiceA.score-choiceB.score) < rounding
 }
 
+// LearnedRunTimes reports whether a cell has learned a run time.
+func LearnedRunTimes(c *Cell) bool { return !c.runTimes.Empty() }
+
 // PlanPause returns the pause after a plan that took a time.
 func PlanPause(took time.Duration) time.Duration { return planPause(took) }
--- a/dispatcher/rackforecast.go
+++ b/dispatcher/rackforecast.go
@@ -173,10 +173,23 @@
 	return estimator.Kind{Queue: s.occurrence.job.job.Queue.Name, Image: s.step.Image}
 }
 
+// noteRacks begins to learn run times with the first job that has tasks which may wait for a rack. Before
+// that nothing uses them, and each end would cost processor time.
+func (c *Cell) noteRacks(job *Job) {
+	for i := range job.Steps {
+		c.learnsRunTimes = c.learnsRunTimes || c.Limits.RemoteFactor > 1 && job.Steps[i].prefersRack()
+	}
+}
+
+// prefersRack reports whether tasks of the step run faster in a rack and may wait for it.
+func (s *Step) prefersRack() bool {
+	return !s.LongRunning && (s.DataRack != "" || s.Gang && s.RackLocal)
+}
+
 // learnRunTime learns from the end of a run how long its task takes in its rack. It ignores runs that
 // another holder started, that weren't at full speed or that began with a checkpoint.
 func (c *Cell) learnRunTime(now time.Time, r *run, ending Ending) {
-	if ending != EndingDone || r.task.step.step.LongRunning || r.number/maxRunsPerEpoch != c.Epoch ||
+	if !c.learnsRunTimes || ending != EndingDone || r.task.step.step.LongRunning || r.number/maxRunsPerEpoch != c.Epoch ||
 		r.throttle != fullPercent || r.task.checkpoint != "" {
 		return
 	}
@@ -205,7 +218,7 @@
 }
 
 // laterPlaces returns how many tasks of the step of a task a worker may start once it has room for them.
-// It is 0 for a worker that has room now: something other than its capacity keeps the task away.
+// It is 0 for a worker that has room now: its capacity isn't the reason why the task waits.
 func (w *worker) laterPlaces(now time.Time, t *task) int {
 	step := t.step.step
 	switch {
--- a/dispatcher/rackrandom_test.go
+++ b/dispatcher/rackrandom_test.go
@@ -12,7 +12,7 @@
 	"zinniashore.example/dispatcher"
 )
 
-// The size of the random load: two hot racks of 8 places each, beside a rack that always has a place for
+// The size of the random load: two hot racks of 8 places each, and a rack that always has a place for
 // each task.
 const (
 	hotRacks       = 2
--- a/dispatcher/rackwait.go
+++ b/dispatcher/rackwait.go
@@ -21,7 +21,7 @@
 // were moved, may have crashed a worker or are starved don't wait.
 func (c *Cell) mayAwaitRack(now time.Time, t *task) bool {
 	step := t.step.step
-	if c.pass == nil || c.Limits.RemoteFactor <= 1 || step.LongRunning || step.DataRack == "" && !(step.Gang && step.RackLocal) {
+	if c.pass == nil || c.Limits.RemoteFactor <= 1 || !step.prefersRack() {
 		return false
 	}
 	return !t.starved(now) && !t.anyMember(func(member *task) bool {
--- a/dispatcher/rackwait_test.go
+++ b/dispatcher/rackwait_test.go
@@ -22,18 +22,18 @@
 		change        func(*dispatcher.Job)
 		waits, remote int
 	}{
-		"a short queue waits":                          {count: 6, waits: 6},
-		"the excess starts elsewhere at once":          {count: 40, waits: 8, remote: 32},
-		"an objective that can't wait":                 {count: 6, remote: 6, change: func(j *dispatcher.Job) { j.Queue.Stretch, j.Queue.Target = 1, time.Second }},
-		"a queue without an objective":                 {count: 6, waits: 6, change: func(j *dispatcher.Job) { j.Queue.Stretch, j.Queue.Target = 0, 0 }},
-		"run times that cost less than waiting":        {count: 6, remote: 6, change: func(j *dispatcher.Job) { j.Steps[0].Estimate = time.Second }},
-		"a rack that the cell doesn't have":            {count: 6, remote: 6, change: func(j *dispatcher.Job) { j.Steps[0].DataRack = "rack-9" }},
-		"best-effort tasks wait like short ones":       {count: 6, waits: 6, change: bestEffort},
-		"a limit for each worker":                      {count: 6, waits: 4, remote: 2, change: func(j *dispatcher.Job) { j.Steps[0].WorkerLimit = 2 }},
-		"a gang that fits into the rack":               {count: 6, waits: 1, change: func(j *dispatcher.Job) { j.Steps[0].Gang = true }},
-		"a gang that is larger than the rack":          {count: 10, remote: 10, change: func(j *dispatcher.Job) { j.Steps[0].Gang = true }},
-		"a rack-local gang beside its data":            {count: 6, waits: 1, change: func(j *dispatcher.Job) { j.Steps[0].Gang, j.Steps[0].RackLocal = true, true }},
-		"long-running tasks start where there is room": {count: 6, remote: 6, change: longRunning},
+		"a short queue waits":                            {count: 6, waits: 6},
+		"the excess starts elsewhere at once":            {count: 40, waits: 8, remote: 32},
+		"an objective that can't wait":                   {count: 6, remote: 6, change: func(j *dispatcher.Job) { j.Queue.Stretch, j.Queue.Target = 1, time.Second }},
+		"a queue without an objective":                   {count: 6, waits: 6, change: func(j *dispatcher.Job) { j.Queue.Stretch, j.Queue.Target = 0, 0 }},
+		"run times that cost less than waiting":          {count: 6, remote: 6, change: func(j *dispatcher.Job) { j.Steps[0].Estimate = time.Second }},
+		"a rack that the cell doesn't have":              {count: 6, remote: 6, change: func(j *dispatcher.Job) { j.Steps[0].DataRack = "rack-9" }},
+		"best-effort tasks wait like short ones":         {count: 6, waits: 6, change: bestEffort},
+		"a limit for each worker":                        {count: 6, waits: 4, remote: 2, change: func(j *dispatcher.Job) { j.Steps[0].WorkerLimit = 2 }},
+		"a gang that fits into the rack":                 {count: 6, waits: 1, change: func(j *dispatcher.Job) { j.Steps[0].Gang = true }},
+		"a gang that is larger than the rack":            {count: 10, remote: 10, change: func(j *dispatcher.Job) { j.Steps[0].Gang = true }},
+		"a rack-local gang outside the rack of its data": {count: 6, waits: 1, change: func(j *dispatcher.Job) { j.Steps[0].Gang, j.Steps[0].RackLocal = true, true }},
+		"long-running tasks start where there is room":   {count: 6, remote: 6, change: longRunning},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -234,7 +234,7 @@
 	s.submit(other)
 	s.advance(200 * time.Millisecond)
 	if _, started := s.startedIn("00000000000000b2", hotRack); started != 8 {
-		t.Errorf("%d tasks have started beside tasks that wait for a rack, want 8", started)
+		t.Errorf("%d tasks have started while others wait for a rack, want 8", started)
 	}
 	if len(s.waits) != 6 {
 		t.Errorf("%d tasks wait, want 6", len(s.waits))
@@ -296,3 +296,27 @@
 	}
 	return log
 }
+
+// TestRunTimesWithoutRacks guards against processor time that each end costs in a cell without tasks that
+// may wait for a rack: nothing uses the run times there.
+func TestRunTimesWithoutRacks(t *testing.T) {
+	tests := map[string]struct {
+		rack  string
+		learn bool
+	}{
+		"no data rack": {},
+		"a data rack":  {rack: hotRack, learn: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newRackSimulation(2, 2, 2)
+			job := plainJob(jobID, 12, 500*time.Millisecond, 1)
+			job.Steps[0].DataRack = test.rack
+			s.submit(job)
+			s.runFor(5 * time.Second)
+			if learned := dispatcher.LearnedRunTimes(s.cell); learned != test.learn {
+				t.Errorf("run times are learned: %t, want %t", learned, test.learn)
+			}
+		})
+	}
+}
--- a/dispatcher/slowmoves.go
+++ b/dispatcher/slowmoves.go
@@ -11,7 +11,7 @@
 
 const (
 	// slowMoveInterval separates the moves off slow workers in a cell. It bounds the work that is
-	// lost if workers are found slow wrongly, and what the search for a move costs.
+	// lost if workers are found slow by mistake, and what the search for a move costs.
 	slowMoveInterval = 300 * time.Millisecond
 	// maxSlowMoveTries is how many runs are tried for each move.
 	maxSlowMoveTries = 4
@@ -90,7 +90,7 @@
 	}
 }
 
-// slowWorkers returns the workers that were found slow, in order. It returns none if most workers look
+// slowWorkers returns the workers that were found slow, in order. It returns none if most workers seem
 // slow: then the load or the estimates are the reason.
 func (c *Cell) slowWorkers(now time.Time) []*worker {
 	var slow []*worker
@@ -132,7 +132,7 @@
 			continue
 		}
 		if r.task.step.step.LongRunning {
-			if c.servesSlowly(now, r) && !c.othersAway(now, r.task) {
+			if c.servesSlowly(now, r) && !c.othersUnavailable(now, r.task) {
 				moves = append(moves, slowMove{run: r, gain: longRunningGain})
 			}
 			continue
@@ -160,33 +160,33 @@
 }
 
 // servesSlowly reports whether a long-running task stays over its target although no best-effort tasks
-// run beside it.
+// run on the worker.
 func (c *Cell) servesSlowly(now time.Time, r *run) bool {
 	return r.task.step.step.TailTarget > 0 && r.percent >= fullPercent && r.worker.bestEffortRuns == 0 &&
 		!r.overTargetSince.IsZero() && now.Sub(r.overTargetSince) > haltDelay
 }
 
-// othersAway reports whether the interruption of a task would leave more tasks of its step away than
+// othersUnavailable reports whether the interruption of a task would leave more tasks of its step unavailable than
 // the step allows, or another one has just moved off a slow worker. A step without a maximum allows one.
-func (c *Cell) othersAway(now time.Time, t *task) bool {
+func (c *Cell) othersUnavailable(now time.Time, t *task) bool {
 	if now.Sub(c.activeAt) < slowMoveTimeout {
 		return true // a worker may still list a run that an earlier holder has stopped
 	}
-	away := 0
+	unavailable := 0
 	for _, other := range t.step.tasks {
 		if other == t || c.serves(now, other) {
 			continue
 		}
-		away++
+		unavailable++
 		if !other.slowMoves.at[0].IsZero() && now.Sub(other.slowMoves.at[0]) < slowMoveTimeout {
 			return true
 		}
 	}
-	return away >= max(t.step.step.MaxUnavailable, 1)
+	return unavailable >= max(t.step.step.MaxUnavailable, 1)
 }
 
 // serves reports whether a long-running task certainly serves: it has one run, which is fully started on
-// a worker that answers and isn't about to leave. What other cells run may be away.
+// a worker that answers and isn't about to leave. What other cells run may be unavailable.
 func (c *Cell) serves(now time.Time, t *task) bool {
 	if t.remote || len(t.runs) != 1 {
 		return false
--- a/dispatcher/slowmoves_test.go
+++ b/dispatcher/slowmoves_test.go
@@ -121,24 +121,24 @@
 	}
 }
 
-// servingJob returns a job of long-running tasks of which at most maxUnavailable may be away.
+// servingJob returns a job of long-running tasks of which at most maxUnavailable may be unavailable.
 func servingJob(number, count, maxUnavailable int) dispatcher.Job {
 	job := longRunningJob(fmt.Sprintf("%016x", 0x2000+number), count, 1000)
 	job.Steps[0].MaxUnavailable = maxUnavailable
 	return job
 }
 
-// away returns how many other tasks of a job don't serve.
-func (s *simulation) away(id dispatcher.TaskID) int {
-	away := 0
+// unavailable returns how many other tasks of a job don't serve.
+func (s *simulation) unavailable(id dispatcher.TaskID) int {
+	unavailable := 0
 	for index := range s.jobs[id.Job].Steps[0].Count {
 		other := id
 		other.Index = index
 		if other != id && !s.serves(other) {
-			away++
+			unavailable++
 		}
 	}
-	return away
+	return unavailable
 }
 
 // serves reports whether a long-running task is fully started and isn't being stopped.
@@ -152,7 +152,7 @@
 }
 
 // checkAway records a violation if a task of a long-running job was moved off a slow worker in the last
-// step while as many others as allowed were away.
+// step while as many others as allowed were unavailable.
 func (s *speedSimulation) checkAway() {
 	for _, event := range s.events.recorded[s.seen:] {
 		job := s.jobs[event.Key]
@@ -165,8 +165,8 @@
 				break
 			}
 		}
-		if away := s.away(id); away >= max(job.Steps[0].MaxUnavailable, 1) {
-			s.violation("%s moves while %d others are away", event.Task, away)
+		if unavailable := s.unavailable(id); unavailable >= max(job.Steps[0].MaxUnavailable, 1) {
+			s.violation("%s moves while %d others are unavailable", event.Task, unavailable)
 		}
 	}
 	s.seen = len(s.events.recorded)
@@ -181,7 +181,7 @@
 }
 
 // TestServingTasksLeaveSlowWorkers guards against long-running tasks that stay over their target on
-// workers that become slow, and against more of them away than allowed.
+// workers that become slow, and against more of them unavailable than allowed.
 func TestServingTasksLeaveSlowWorkers(t *testing.T) {
 	for _, maxUnavailable := range []int{0, 1, 2} {
 		t.Run(fmt.Sprint("at most ", maxUnavailable), func(t *testing.T) {
@@ -203,7 +203,7 @@
 }
 
 // TestServingTasksStay guards against moves of long-running tasks that are over their target for another
-// reason than their worker, or while another task of their step is away.
+// reason than their worker, or while another task of their step is unavailable.
 func TestServingTasksStay(t *testing.T) {
 	tests := map[string]struct {
 		slowed func(s *speedSimulation)
@@ -290,7 +290,7 @@
 			for id, job := range s.jobs {
 				if !job.Steps[0].LongRunning {
 					requireState(t, s.simulation, id, dispatcher.StateCompleted)
-				} else if away := s.away(dispatcher.TaskID{Job: id}); away > 0 || !s.serves(dispatcher.TaskID{Job: id}) {
+				} else if unavailable := s.unavailable(dispatcher.TaskID{Job: id}); unavailable > 0 || !s.serves(dispatcher.TaskID{Job: id}) {
 					t.Error("not all long-running tasks serve")
 				}
 			}
@@ -356,15 +356,15 @@
 }
 
 // TestRandomSlowWorkers guards against two runs of a task, capacity that is used twice, and more
-// long-running tasks away than allowed, while workers become slow and normal, orders are lost or late,
-// workers are cut off for a time, the store is away and holders change.
+// long-running tasks unavailable than allowed, while workers become slow and normal, orders are lost or late,
+// workers are cut off for a time, the store is unavailable and holders change.
 func TestRandomSlowWorkers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSpeedSimulation(rapid.IntRange(5, 12).Draw(t, "workers"))
 		s.nextFate = func() startFate {
 			return rapid.SampledFrom([]startFate{fateAccepted, fateAccepted, fateAccepted, fateLost, fateLate, fateAnswerLost}).Draw(t, "fate")
 		}
-		s.submit(servingJob(1, rapid.IntRange(2, 8).Draw(t, "tasks"), rapid.IntRange(0, 2).Draw(t, "away")))
+		s.submit(servingJob(1, rapid.IntRange(2, 8).Draw(t, "tasks"), rapid.IntRange(0, 2).Draw(t, "unavailable")))
 		s.runChecked(12 * time.Second)
 		for i := range rapid.IntRange(4, 16).Draw(t, "changes") {
 			f := s.workers[rapid.IntRange(0, len(s.workers)-1).Draw(t, "worker")]
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -65,7 +65,7 @@
 	// to blame unless the answer shows that the start didn't reach the worker.
 	blameOnAnswer bool
 	// startKnown is true if this holder sent the start. track measures the run's progress;
-	// trackLost is true once a part of that told nothing of the worker's speed.
+	// trackLost is true once a part of it showed nothing of the worker's speed.
 	startKnown bool
 	track      rater.Track
 	trackLost  bool
--- a/dispatcher/workerspeed.go
+++ b/dispatcher/workerspeed.go
@@ -18,7 +18,7 @@
 	// ratingInterval separates the ratings of all workers.
 	ratingInterval = 250 * time.Millisecond
 	// maxListingGap is the longest time between two listings of a worker, beyond the wait of a
-	// poll, after which a listed end tells when its run has ended.
+	// poll, after which a listed end shows when its run has ended.
 	maxListingGap = 500 * time.Millisecond
 	// startupUnit takes the place of the declared run time in the pace of a startup, which has none.
 	startupUnit = time.Second
@@ -112,7 +112,7 @@
 }
 
 // observeTail passes the tail latency of a long-running task to the rater, unless best-effort
-// tasks beside it lengthen that.
+// tasks on the same worker lengthen it.
 func (c *Cell) observeTail(now time.Time, r *run, row RunningRow) {
 	if r.task.step.step.TailTarget == 0 || row.Usage <= 0 || r.worker.bestEffortRuns > 0 {
 		return
@@ -132,7 +132,7 @@
 
 // showsSpeed reports whether the progress of a run depends on the speed of its worker and on
 // nothing that other runs of the same work don't have. Members of a gang wait for each other, tasks
-// away from their data are slower, and best-effort tasks get what other tasks leave.
+// outside the rack of their data are slower, and best-effort tasks get what other tasks leave.
 func (r *run) showsSpeed() bool {
 	step := r.task.step.step
 	switch {
--- a/estimator/ratios.go
+++ b/estimator/ratios.go
@@ -54,6 +54,9 @@
 	return &kindRatios{windows: hdrhistogram.NewWindowed(ratioWindows, 1, int64(maxRatio/ratioUnit), ratioDigits)}
 }
 
+// Empty reports whether no run time has been observed.
+func (r *Ratios) Empty() bool { return len(r.kinds) == 0 }
+
 // Observe records how long a task that completed its work took. Tasks without an estimate are ignored.
 func (r *Ratios) Observe(kind Kind, declared, took time.Duration) {
 	if declared <= 0 || took <= 0 {
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -1,4 +1,4 @@
-// Package evacuator follows the failure domains in which operators have asked that no task
+// Package evacuator follows the failure domains in which operators have requested that no task
 // start. An Evacuator also records these requests, for the product's own interface; on the
 // users' platform the operators write them, and a Tracker follows them.
 package evacuator
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -117,7 +117,7 @@
 
 // TestEvacuationsWithoutStore guards against a restarted process that takes a failure
 // domain for open before it has read the store, and against a process that forgets what
-// it knows while the store is away.
+// it knows while the store is unavailable.
 func TestEvacuationsWithoutStore(t *testing.T) {
 	p := newProcess(t)
 	if _, err := p.Begin(t.Context(), "graz-a", "ada"); err != nil {
@@ -137,7 +137,7 @@
 	p.awaitState(t, true, false)
 	p.store.SetFaults(standin.StoreFaults{Outage: true})
 	if evacuations, err := p.List(ctx); err != nil || len(evacuations) != 1 || evacuations[0].Operator != "ada" {
-		t.Errorf("List while the store is away: %v, %v, want that of graz-a", evacuations, err)
+		t.Errorf("List while the store is unavailable: %v, %v, want that of graz-a", evacuations, err)
 	}
 	p.awaitState(t, true, false)
 }
--- a/evacuator/tracker_test.go
+++ b/evacuator/tracker_test.go
@@ -64,6 +64,6 @@
 	tracker.Replace([]platform.Item{{Key: "op/evacuate/graz-a"}})
 	tracker.Replace([]platform.Item{{Key: "op/config"}})
 	if got.Contains("graz-a") {
-		t.Error("graz-a is evacuated although its key is gone")
+		t.Error("graz-a is evacuated although its key has been removed")
 	}
 }
--- a/httplistener.go
+++ b/httplistener.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"k8s.io/klog/v2"
 
+	"zinniashore.example/loader"
 	"zinniashore.example/router"
 	"zinniashore.example/throttler"
 )
@@ -89,3 +90,12 @@
 		_ = l.server.Close()
 	}
 }
+
+// configuredLimits returns the limits of a listener of the product's own interface.
+func configuredLimits(settings loader.Limits, connections int) throttler.Limits {
+	return throttler.Limits{
+		Connections: connections, HeaderBytes: settings.HeaderBytes, HeaderLines: settings.HeaderLines,
+		HeaderTime: settings.HeaderTime, RequestTime: settings.RequestTime,
+		AnswerTime: settings.AnswerTime, IdleTime: settings.IdleTime,
+	}
+}
--- a/owner/evacuation.go
+++ b/owner/evacuation.go
@@ -7,7 +7,7 @@
 	"zinniashore.example/recorder"
 )
 
-// Evacuations provides the failure domains in which operators have asked that no task
+// Evacuations provides the failure domains in which operators have requested that no task
 // start.
 type Evacuations interface {
 	// Evacuated reports whether a failure domain is evacuated, and whether this is known.
--- a/owner/evacuation_test.go
+++ b/owner/evacuation_test.go
@@ -72,7 +72,7 @@
 		"start not sent":                     {evacuated: true, known: true, phase: phaseStarting, want: phaseWaiting},
 		"not known":                          {phase: phaseStarting, want: phaseWaiting},
 		"answer of the start missing":        {evacuated: true, known: true, phase: phaseStarting, startSent: true, want: phaseStarting},
-		"report asked for after the start":   {evacuated: true, known: true, phase: phaseStarting, startSent: true, renew: true, want: phaseStarting, wantUnclear: true},
+		"report requested after the start":   {evacuated: true, known: true, phase: phaseStarting, startSent: true, renew: true, want: phaseStarting, wantUnclear: true},
 		"running":                            {evacuated: true, known: true, phase: phaseRunning, startSent: true, want: phaseRunning},
 		"placed by an earlier owner":         {evacuated: true, known: true, phase: phaseResolving, want: phaseResolving},
 		"running while evacuation not known": {phase: phaseRunning, startSent: true, want: phaseRunning},
--- a/rater/group.go
+++ b/rater/group.go
@@ -76,7 +76,7 @@
 }
 
 // median returns the lower median of the workers' paces, and false if too few are known. The
-// lower one makes none of two equal halves look slow.
+// lower one makes none of two equal halves appear slow.
 func (g *group) median(now time.Time) (float64, bool) {
 	if now.Sub(g.medianAt) > medianAge {
 		g.prune(now)
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -1,6 +1,6 @@
 // Package rater learns how fast workers are, from the progress and the ends of their runs. It
 // compares each worker with the others that do the same work, so that neither a wrong estimate
-// nor a load on all workers makes one look slow. It does no I/O and reads no clock, and is kept
+// nor a load on all workers makes one appear slow. It does no I/O and reads no clock, and is kept
 // in memory only.
 package rater
 
@@ -15,7 +15,7 @@
 	// give one in each wait of a poll, which is 1 s.
 	evidenceAge = 4 * time.Second
 	currentAge  = 1500 * time.Millisecond
-	// confirmation is how long a worker has to look slow before it is found slow. When all
+	// confirmation is how long a worker has to appear slow before it is found slow. When all
 	// workers become slow, each of them reports within one wait of a poll, which is 1 s.
 	confirmation = time.Second
 	// slowFrom is the slowdown from which a worker is slow, normalBelow the one below which a
@@ -110,7 +110,7 @@
 	// samples are the newest samples of each run.
 	samples map[int64]timedSample
 	rating  Rating
-	// slowSince is since when a normal worker looks slow.
+	// slowSince is since when a normal worker appears slow.
 	slowSince time.Time
 	// unrated is true if samples have come since the last Rate.
 	unrated bool
--- a/rater/rater_test.go
+++ b/rater/rater_test.go
@@ -215,7 +215,7 @@
 			}
 			f.rater.Started(f.now, workerID(0))
 			if rating := f.rater.Current(workerID(0)); rating.Slowdown < 2 {
-				t.Errorf("the slowdown beside the probe is %v, want that from before", rating.Slowdown)
+				t.Errorf("the slowdown during the probe is %v, want that from before", rating.Slowdown)
 			}
 			if test.probed {
 				slow = test.stillSlow
@@ -268,14 +268,14 @@
 		estimate time.Duration
 		usual    float64
 		rows     []row
-		// least and most bound the pace of each window that tells something.
+		// least and most bound the pace of each window that shows a pace.
 		windows     int
 		least, most float64
 	}{
 		"normal run":                      {track: rater.NewTrack(0), estimate: 10 * time.Second, rows: []row{{time.Second, 10}, {2 * time.Second, 20}}, windows: 2, least: 0.99, most: 1.01},
 		"first listing of an adopted run": {estimate: 10 * time.Second, rows: []row{{time.Second, 60}}},
 		"too short a time":                {track: rater.NewTrack(0), estimate: time.Second, rows: []row{{200 * time.Millisecond, 20}}},
-		"too little progress to tell":     {track: rater.NewTrack(0), estimate: 100 * time.Second, usual: 1, rows: []row{{time.Second, 1}, {2 * time.Second, 2}}},
+		"too little progress for a pace":  {track: rater.NewTrack(0), estimate: 100 * time.Second, usual: 1, rows: []row{{time.Second, 1}, {2 * time.Second, 2}}},
 		"slow run with a usual pace":      {track: rater.NewTrack(0), estimate: 10 * time.Second, usual: 1, rows: []row{{time.Second, 2}}, windows: 1, least: 0.2, most: 0.4},
 		"slow run without a usual pace":   {track: rater.NewTrack(0), estimate: 10 * time.Second, rows: []row{{time.Second, 2}}},
 		"progress that falls":             {track: rater.NewTrack(0), estimate: 10 * time.Second, rows: []row{{time.Second, 10}, {2 * time.Second, 5}}, windows: 1, least: 0.99, most: 1.01},
--- a/rater/track.go
+++ b/rater/track.go
@@ -6,7 +6,7 @@
 	// minWindow is the least time over which progress is measured.
 	minWindow = 500 * time.Millisecond
 	// minPoints is the progress, in percent, that is expected in a window. Progress comes in
-	// whole percents, so that less would make equal runs look unequal.
+	// whole percents, so that less would make equal runs appear unequal.
 	minPoints = 6
 	// jitter is added to the time of a run from start to end. It covers the time that an order
 	// and the report of an end take, which would otherwise dominate the pace of very short runs.
--- a/router/server.go
+++ b/router/server.go
@@ -42,7 +42,7 @@
 	routePrefixParts = 6
 
 	answerTimeout = 5 * time.Second
-	// bodyRetryAfter is how long a client is asked to wait after a refusal for lack of memory.
+	// bodyRetryAfter is how long a client is to wait after a refusal for lack of memory.
 	bodyRetryAfter = time.Second
 )
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -81,16 +81,16 @@
 func (s *Scheduler) Listen() error {
 	s.meter = meter.New(s.Settings.Process, s.Settings.FailureDomain)
 	s.build()
-	limits := vmLimits(s.Settings.Memory, s.Settings.Descriptors)
-	budget := throttler.NewBudget(limits.requestBytes)
+	limits := throttler.DivideVM(s.Settings.Memory, s.Settings.Descriptors)
+	budget := throttler.NewBudget(limits.RequestBytes)
 	throttle := func(name string, connections int) *throttler.Throttler {
-		return throttler.New(name, clientLimits(connections), budget, s.Clock, s.meter.Scope)
+		return throttler.New(name, throttler.ClientLimits(connections), budget, s.Clock, s.meter.Scope)
 	}
 	listener, err := net.Listen("tcp", s.Settings.PeerAddress)
 	if err != nil {
 		return err
 	}
-	s.peerListener = throttler.New("peers", peerLimits(limits.peers), budget, s.Clock, s.meter.Scope).Listener(listener)
+	s.peerListener = throttler.New("peers", throttler.PeerLimits(limits.Peers), budget, s.Clock, s.meter.Scope).Listener(listener)
 	s.peerServer = relayer.NewGRPCServer(&relayer.Server{
 		Cells: s.heldCells, ReachesStore: s.prober.StoreReached, Incarnation: s.claimer.Self.Incarnation,
 	})
@@ -103,9 +103,9 @@
 		connections   int
 		handler       http.Handler
 	}{
-		{"callers", s.Settings.ClientAddress, limits.clients, callers},
-		{"readiness", s.Settings.ReadinessAddress, limits.readiness, http.HandlerFunc(s.serveReadiness)},
-		{"metrics", s.Settings.MetricsAddress, limits.metrics, s.meter.Handler},
+		{"callers", s.Settings.ClientAddress, limits.Clients, callers},
+		{"readiness", s.Settings.ReadinessAddress, limits.Readiness, http.HandlerFunc(s.serveReadiness)},
+		{"metrics", s.Settings.MetricsAddress, limits.Metrics, s.meter.Handler},
 	}
 	for _, l := range served {
 		listener, err := listenHTTP(l.address, throttle(l.name, l.connections), l.handler)
@@ -114,8 +114,8 @@
 		}
 		s.listeners = append(s.listeners, listener)
 	}
-	klog.InfoS("Limits on clients", "connections", limits.clients, "readinessConnections", limits.readiness,
-		"metricsConnections", limits.metrics, "peerConnections", limits.peers, "requestBytes", limits.requestBytes)
+	klog.InfoS("Limits on clients", "connections", limits.Clients, "readinessConnections", limits.Readiness,
+		"metricsConnections", limits.Metrics, "peerConnections", limits.Peers, "requestBytes", limits.RequestBytes)
 	return nil
 }
 
--- a/server.go
+++ b/server.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	s.peerListener = s.throttler("peers", nil, peerLimits(s.Settings.Limits.PeerConnections)).Listener(listener)
+	s.peerListener = s.throttler("peers", nil, throttler.PeerLimits(s.Settings.Limits.PeerConnections)).Listener(listener)
 	s.buildShared()
 	s.buildRoles()
 	if err := s.listenHTTP(); err != nil {
--- a/throttler/budget.go
+++ b/throttler/budget.go
@@ -13,7 +13,7 @@
 
 // RefusedError reports that a request found the memory for requests used up. It has not run.
 type RefusedError struct {
-	// Bytes is the memory that was asked for.
+	// Bytes is the memory that was requested.
 	Bytes int64
 }
 
--- a/clientlimits.go
+++ b/throttler/vm.go
@@ -1,11 +1,6 @@
-package zinniashore
+package throttler
 
-import (
-	"time"
-
-	"zinniashore.example/loader"
-	"zinniashore.example/throttler"
-)
+import "time"
 
 const (
 	// headerTimeout is how long a client may take to send a header.
@@ -47,16 +42,16 @@
 	metricsDivisor   = 64
 )
 
-// vmShares is how the memory and the descriptors of a VM are divided.
-type vmShares struct {
-	// clients, readiness, metrics and peers are the connections that a listener accepts.
-	clients, readiness, metrics, peers int
-	// requestBytes is the memory for requests in progress.
-	requestBytes int64
+// VMShares is how the memory and the descriptors of a VM are divided.
+type VMShares struct {
+	// Clients, Readiness, Metrics and Peers are the numbers of connections that the listeners accept.
+	Clients, Readiness, Metrics, Peers int
+	// RequestBytes is the memory, in bytes, for requests in progress.
+	RequestBytes int64
 }
 
-// vmLimits divides the memory, in bytes, and the descriptors of a VM. Zero means unknown.
-func vmLimits(memory, descriptors int64) vmShares {
+// DivideVM divides the memory, in bytes, and the descriptors of a VM. Zero means unknown.
+func DivideVM(memory, descriptors int64) VMShares {
 	if memory == 0 {
 		memory = assumedMemory
 	}
@@ -64,36 +59,27 @@
 		descriptors = assumedDescriptors
 	}
 	sockets := descriptors - fileDescriptors
-	shares := vmShares{
-		readiness:    max(1, int(sockets/readinessDivisor)),
-		metrics:      max(1, int(sockets/metricsDivisor)),
-		peers:        max(1, int(sockets/peerDivisor)),
-		requestBytes: max(minRequestBytes, memory/requestMemoryDivisor),
+	shares := VMShares{
+		Readiness:    max(1, int(sockets/readinessDivisor)),
+		Metrics:      max(1, int(sockets/metricsDivisor)),
+		Peers:        max(1, int(sockets/peerDivisor)),
+		RequestBytes: max(minRequestBytes, memory/requestMemoryDivisor),
 	}
-	rest := sockets - sockets/outgoingDivisor - int64(shares.readiness+shares.metrics+shares.peers)
-	shares.clients = int(min(rest, memory/connectionMemoryDivisor/connectionBytes))
+	rest := sockets - sockets/outgoingDivisor - int64(shares.Readiness+shares.Metrics+shares.Peers)
+	shares.Clients = int(min(rest, memory/connectionMemoryDivisor/connectionBytes))
 	return shares
 }
 
-// clientLimits returns the limits of a listener of the users' platform.
-func clientLimits(connections int) throttler.Limits {
-	return throttler.Limits{
+// ClientLimits returns the limits of a listener of the users' platform.
+func ClientLimits(connections int) Limits {
+	return Limits{
 		Connections: connections, HeaderBytes: maxHeaderBytes, HeaderLines: maxHeaderLines,
 		HeaderTime: headerTimeout, RequestTime: requestTimeout, AnswerTime: answerTimeout, IdleTime: idleTimeout,
 	}
 }
 
-// peerLimits returns the limits of the listener of peers. gRPC detects peers that stop reading
+// PeerLimits returns the limits of the listener of peers. gRPC detects peers that stop reading
 // by its keepalive.
-func peerLimits(connections int) throttler.Limits {
-	return throttler.Limits{Connections: connections}
-}
-
-// configuredLimits returns the limits of a listener of the product's own interface.
-func configuredLimits(settings loader.Limits, connections int) throttler.Limits {
-	return throttler.Limits{
-		Connections: connections, HeaderBytes: settings.HeaderBytes, HeaderLines: settings.HeaderLines,
-		HeaderTime: settings.HeaderTime, RequestTime: settings.RequestTime,
-		AnswerTime: settings.AnswerTime, IdleTime: settings.IdleTime,
-	}
+func PeerLimits(connections int) Limits {
+	return Limits{Connections: connections}
 }
--- a/clientlimits_test.go
+++ b/throttler/vm_test.go
@@ -1,4 +1,4 @@
-package zinniashore
+package throttler
 
 import "testing"
 
@@ -17,18 +17,18 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			limits := vmLimits(test.memoryMB<<20, test.descriptors)
-			if limits.clients < test.minClients {
-				t.Errorf("%d clients, want at least %d", limits.clients, test.minClients)
+			limits := DivideVM(test.memoryMB<<20, test.descriptors)
+			if limits.Clients < test.minClients {
+				t.Errorf("%d clients, want at least %d", limits.Clients, test.minClients)
 			}
-			if limits.peers < test.minPeers {
-				t.Errorf("%d peers, want at least %d", limits.peers, test.minPeers)
+			if limits.Peers < test.minPeers {
+				t.Errorf("%d peers, want at least %d", limits.Peers, test.minPeers)
 			}
-			total := int64(limits.clients + limits.readiness + limits.metrics + limits.peers)
+			total := int64(limits.Clients + limits.Readiness + limits.Metrics + limits.Peers)
 			if test.descriptors > 0 && total+fileDescriptors >= test.descriptors {
 				t.Errorf("%d connections and %d files of %d descriptors", total, fileDescriptors, test.descriptors)
 			}
-			if memory := int64(limits.clients)*connectionBytes + limits.requestBytes; test.memoryMB > 0 && memory > test.memoryMB<<20/2 {
+			if memory := int64(limits.Clients)*connectionBytes + limits.RequestBytes; test.memoryMB > 0 && memory > test.memoryMB<<20/2 {
 				t.Errorf("%d bytes for clients, want at most half of %d MB", memory, test.memoryMB)
 			}
 		})
