--- a/rater/main_test.go
+++ b/rater/main_test.go
@@ -1,20 +1,9 @@
 package rater_test
 
 import (
-	"flag"
-	"os"
 	"testing"
-)
 
-// propertySeed is the seed of the property tests unless -rapid.seed is set.
-const propertySeed = "20261204"
+	"zinniashore.example/seeder"
+)
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		if err := seed.Value.Set(propertySeed); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeder.Run(m) }
