watcher, heldcells: the registrations of a cell cost its runner one call an answer

Cause, in part: each change of any worker of the fleet, of other cells too, was passed on by a call of its own that waits for the lock of the cell, behind plans and answers of workers, and woke the next plan.

Change: changes come by answer of the store; workers of other cells cost no call, those of the cell one call for all.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -142,13 +142,15 @@
 }
 
 // Apply implements watcher.Handler.
-func (c *Claimer) Apply(event platform.Event) {
+func (c *Claimer) Apply(events ...platform.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if event.Removed {
-		delete(c.holders, strings.TrimPrefix(event.Key, c.Prefix))
-	} else {
-		c.setHolder(event.Item)
+	for _, event := range events {
+		if event.Removed {
+			delete(c.holders, strings.TrimPrefix(event.Key, c.Prefix))
+		} else {
+			c.setHolder(event.Item)
+		}
 	}
 	c.notifyChange()
 }
--- a/configurations.go
+++ b/configurations.go
@@ -56,9 +56,11 @@
 }
 
 // Apply implements watcher.Handler.
-func (c *configurations) Apply(event platform.Event) {
-	if !event.Removed {
-		c.update(event.Item)
+func (c *configurations) Apply(events ...platform.Event) {
+	for _, event := range events {
+		if !event.Removed {
+			c.update(event.Item)
+		}
 	}
 }
 
--- a/dispatcher/registry.go
+++ b/dispatcher/registry.go
@@ -21,10 +21,25 @@
 	signal(r.wake)
 }
 
-// SetWorker applies a worker's new or changed registration.
-func (r *Runner) SetWorker(registration Registration) {
+// WorkerChange is a change of the registration of a worker.
+type WorkerChange struct {
+	// Registration is the new registration. Only its ID counts if Removed is true.
+	Registration Registration
+	// Removed is true if the worker is no longer registered.
+	Removed bool
+}
+
+// ChangeWorkers applies changes of registrations in their order.
+func (r *Runner) ChangeWorkers(changes []WorkerChange) {
 	r.mu.Lock()
-	r.Cell.SetWorker(r.Clock.Now(), registration)
+	now := r.Clock.Now()
+	for _, change := range changes {
+		if change.Removed {
+			r.Cell.RemoveWorker(now, change.Registration.ID)
+		} else {
+			r.Cell.SetWorker(now, change.Registration)
+		}
+	}
 	r.mu.Unlock()
 	signal(r.wake)
 }
@@ -35,10 +50,3 @@
 	r.Cell.RegistryRead(until)
 	r.mu.Unlock()
 }
-
-// RemoveWorker marks a worker as no longer registered.
-func (r *Runner) RemoveWorker(id string) {
-	r.mu.Lock()
-	r.Cell.RemoveWorker(r.Clock.Now(), id)
-	r.mu.Unlock()
-}
--- a/evacuator/tracker.go
+++ b/evacuator/tracker.go
@@ -31,17 +31,20 @@
 }
 
 // Apply implements watcher.Handler.
-func (t *Tracker) Apply(event platform.Event) {
-	name, found := platform.DecodeEvacuation(event.Key)
-	if !found {
-		return
-	}
+func (t *Tracker) Apply(events ...platform.Event) {
 	t.mu.Lock()
-	domains := t.domains.With(name)
-	if event.Removed {
-		domains = t.domains.Without(name)
-	}
+	domains := t.domains
 	t.mu.Unlock()
+	for _, event := range events {
+		name, found := platform.DecodeEvacuation(event.Key)
+		switch {
+		case !found:
+		case event.Removed:
+			domains = domains.Without(name)
+		default:
+			domains = domains.With(name)
+		}
+	}
 	t.set(domains)
 }
 
--- a/heldcells.go
+++ b/heldcells.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -134,7 +135,7 @@
 	watches := []watcher.Watcher{
 		{
 			Prefix: platform.RegistrationPrefix, Wait: registrationWait, BatchDelay: registrationBatchPause,
-			Handler: &registrations{cell: cell, partition: h.partition, runner: runner}, Read: runner.RegistryRead,
+			Handler: &registrations{cell: cell, partition: h.partition, runner: runner, passed: map[string]bool{}}, Read: runner.RegistryRead,
 		},
 		{
 			Prefix: archiver.JobPrefix(cell), Wait: jobWait, BatchDelay: jobBatchPause,
@@ -191,11 +192,21 @@
 	}
 }
 
-// registrations passes the workers of a cell to its runner.
+// workerRegistry receives the registered workers of a cell.
+type workerRegistry interface {
+	SetWorkers(registrations []dispatcher.Registration)
+	ChangeWorkers(changes []dispatcher.WorkerChange)
+}
+
+// registrations passes the workers of a cell to its runner. The watch has those of all cells. Each call of
+// the runner waits for its lock, for long if the process is slow: there is at most one for each answer of the
+// store, and none for workers of other cells.
 type registrations struct {
 	cell      string
 	partition *sharedPartition
-	runner    *dispatcher.Runner
+	runner    workerRegistry
+	// passed are the ids of the workers that are registered in the cell.
+	passed map[string]bool
 }
 
 func (r *registrations) decode(item platform.Item) (dispatcher.Registration, bool) {
@@ -210,27 +221,41 @@
 // Replace implements watcher.Handler.
 func (r *registrations) Replace(items []platform.Item) {
 	var registered []dispatcher.Registration
+	r.passed = map[string]bool{}
 	for _, item := range items {
 		if registration, inCell := r.decode(item); inCell {
 			registered = append(registered, registration)
+			r.passed[registration.ID] = true
 		}
 	}
 	r.runner.SetWorkers(registered)
 }
 
 // Apply implements watcher.Handler.
-func (r *registrations) Apply(event platform.Event) {
-	registration, inCell := dispatcher.Registration{}, false
-	if event.Removed {
-		registration.ID = event.Key[len(platform.RegistrationPrefix):]
-	} else {
-		registration, inCell = r.decode(event.Item)
+func (r *registrations) Apply(events ...platform.Event) {
+	var changes []dispatcher.WorkerChange
+	for _, event := range events {
+		if change, inCell := r.change(event); inCell {
+			changes = append(changes, change)
+		}
 	}
-	if inCell {
-		r.runner.SetWorker(registration)
-	} else {
-		r.runner.RemoveWorker(registration.ID)
+	if len(changes) > 0 {
+		r.runner.ChangeWorkers(changes)
+	}
+}
+
+// change returns the change of a worker of the cell, and false for a worker of another one.
+func (r *registrations) change(event platform.Event) (dispatcher.WorkerChange, bool) {
+	id := strings.TrimPrefix(event.Key, platform.RegistrationPrefix)
+	if !event.Removed {
+		if registration, inCell := r.decode(event.Item); inCell {
+			r.passed[id] = true
+			return dispatcher.WorkerChange{Registration: registration}, true
+		}
 	}
+	passed := r.passed[id]
+	delete(r.passed, id)
+	return dispatcher.WorkerChange{Registration: dispatcher.Registration{ID: id}, Removed: true}, passed
 }
 
 // storedJobs passes jobs, cancellations and failed parts from the store to the runner of a cell.
@@ -247,9 +272,11 @@
 }
 
 // Apply implements watcher.Handler.
-func (s *storedJobs) Apply(event platform.Event) {
-	if !event.Removed {
-		s.handle(event.Item)
+func (s *storedJobs) Apply(events ...platform.Event) {
+	for _, event := range events {
+		if !event.Removed {
+			s.handle(event.Item)
+		}
 	}
 }
 
--- a/heldcells_test.go
+++ b/heldcells_test.go
@@ -89,10 +89,12 @@
 
 func (applied) Replace([]platform.Item) {}
 
-func (a applied) Apply(event platform.Event) {
-	select {
-	case a <- event:
-	default:
+func (a applied) Apply(events ...platform.Event) {
+	for _, event := range events {
+		select {
+		case a <- event:
+		default:
+		}
 	}
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -37,8 +37,8 @@
 	// Replace is called with all items that exist. Items of earlier calls that are
 	// missing from it have been removed.
 	Replace(items []platform.Item)
-	// Apply is called with each change, in order.
-	Apply(event platform.Event)
+	// Apply is called with the changes of one answer of the store, in order.
+	Apply(events ...platform.Event)
 }
 
 // Handlers passes items and changes to several handlers, in their order.
@@ -52,9 +52,9 @@
 }
 
 // Apply implements Handler.
-func (h Handlers) Apply(event platform.Event) {
+func (h Handlers) Apply(events ...platform.Event) {
 	for _, handler := range h {
-		handler.Apply(event)
+		handler.Apply(events...)
 	}
 }
 
@@ -164,8 +164,8 @@
 	if err != nil {
 		return revision, err
 	}
-	for _, event := range events {
-		w.Handler.Apply(event)
+	if len(events) > 0 {
+		w.Handler.Apply(events...)
 	}
 	w.read(sent)
 	if len(events) > 0 && w.BatchDelay > 0 {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -156,9 +156,11 @@
 	}
 }
 
-func (k *knownAt) Apply(event platform.Event) {
-	for ; k.revision < event.Revision; k.revision++ {
-		k.times[k.revision+1] = k.store.now()
+func (k *knownAt) Apply(events ...platform.Event) {
+	for _, event := range events {
+		for ; k.revision < event.Revision; k.revision++ {
+			k.times[k.revision+1] = k.store.now()
+		}
 	}
 }
 
--- a/watches_test.go
+++ b/watches_test.go
@@ -37,13 +37,15 @@
 	}
 }
 
-func (r *keyRecorder) Apply(event platform.Event) {
+func (r *keyRecorder) Apply(events ...platform.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.values == nil {
 		r.values = map[string]string{}
 	}
-	r.values[event.Key] = string(event.Value)
+	for _, event := range events {
+		r.values[event.Key] = string(event.Value)
+	}
 }
 
 func (r *keyRecorder) value(key string) string {
