dispatcher, archiver: a failed job's log names each piece of evidence and its age

The log of the process that ended a job named the workers of counted crashes only: not the sign of each crash, its age, whether the start had been acknowledged, what has been known of the worker since, nor the ends that made up spent attempts; and the process that told a client had no line at all.

Change: task_crash, task_given_up and task_attempts_spent name them; the cause is stored with the failed state, and passed to the home cell with a failed part; 'Told a client that a job has failed' names the source. No decision changes.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -151,40 +151,54 @@
 	return string(item.Value)
 }
 
-// State returns the state of an accepted job as it is stored. A job without stored
+// Outcome is the stored state of a job.
+type Outcome struct {
+	State dispatcher.State
+	// Cause tells why the job has failed, for logs. It is empty if an earlier build stored the failure.
+	Cause string
+}
+
+// Outcome returns the state of an accepted job as it is stored. A job without stored
 // progress is queued. A job of which a delegated part was given up has failed, although
 // the holder of its cell may not have stored that yet.
-func (a *Archiver) State(ctx context.Context, cell, id string) (dispatcher.State, error) {
-	state, err := a.storedState(ctx, cell, id)
-	if err != nil || state.Final() {
-		return state, err
+func (a *Archiver) Outcome(ctx context.Context, cell, id string) (Outcome, error) {
+	outcome, err := a.storedOutcome(ctx, cell, id)
+	if err != nil || outcome.State.Final() {
+		return outcome, err
 	}
 	failed, err := a.Store.Get(ctx, JobPrefix(cell)+id+failedSuffix)
 	if err != nil {
-		return "", err
+		return Outcome{}, err
 	}
 	if failed.Revision != 0 {
-		return dispatcher.StateFailed, nil
+		failure := decodeFailure(failed.Value)
+		return Outcome{State: dispatcher.StateFailed, Cause: "part given up in " + failure.Cell + ": " + failure.Cause}, nil
 	}
-	return state, nil
+	return outcome, nil
 }
 
-func (a *Archiver) storedState(ctx context.Context, cell, id string) (dispatcher.State, error) {
+func (a *Archiver) storedOutcome(ctx context.Context, cell, id string) (Outcome, error) {
 	item, err := a.Store.Get(ctx, progressPrefix+cell+"/"+id)
 	if err != nil {
-		return "", err
+		return Outcome{}, err
 	}
 	if item.Revision == 0 {
-		return dispatcher.StateQueued, nil
+		return Outcome{State: dispatcher.StateQueued}, nil
 	}
 	progress, err := dispatcher.DecodeProgress(id, item.Value)
 	if err != nil {
-		return "", err
+		return Outcome{}, err
 	}
 	if progress.State == dispatcher.StateQueued {
-		return dispatcher.StateRunning, nil
+		return Outcome{State: dispatcher.StateRunning}, nil
 	}
-	return progress.State, nil
+	return Outcome{State: progress.State, Cause: progress.Cause}, nil
+}
+
+// State returns the state of an accepted job as Outcome does.
+func (a *Archiver) State(ctx context.Context, cell, id string) (dispatcher.State, error) {
+	outcome, err := a.Outcome(ctx, cell, id)
+	return outcome.State, err
 }
 
 // Workers returns the workers on which tasks of a cell may run, as they are stored.
--- a/archiver/cellarchive.go
+++ b/archiver/cellarchive.go
@@ -144,7 +144,7 @@
 		case change.Returned != nil:
 			j.Returned = append(j.Returned, *change.Returned)
 		case change.FailedIn != "":
-			j.FailedIn = change.FailedIn
+			j.FailedIn, j.FailureCause = change.FailedIn, change.FailureCause
 		default:
 			j.Job = change.Job
 		}
--- a/archiver/change.go
+++ b/archiver/change.go
@@ -1,6 +1,7 @@
 package archiver
 
 import (
+	"encoding/json"
 	"strings"
 
 	"zinniashore.example/dispatcher"
@@ -14,8 +15,8 @@
 	Cancelled bool
 	// Unaccepted is true for the cancellation of a job that wasn't accepted before.
 	Unaccepted bool
-	// FailedIn is the cell that has given up a delegated part of the job.
-	FailedIn string
+	// FailedIn is the cell that has given up a delegated part of the job, FailureCause why, for logs.
+	FailedIn, FailureCause string
 	// Returned is a part of the job that another cell has given back, or nil.
 	Returned *dispatcher.ReturnedPart
 	// Job is set unless Cancelled, FailedIn or Returned is.
@@ -29,7 +30,8 @@
 		return Change{ID: id, Cancelled: true, Unaccepted: string(item.Value) == unacceptedValue}, nil
 	}
 	if id, failed := strings.CutSuffix(name, failedSuffix); failed {
-		return Change{ID: id, FailedIn: string(item.Value)}, nil
+		failure := decodeFailure(item.Value)
+		return Change{ID: id, FailedIn: failure.Cell, FailureCause: failure.Cause}, nil
 	}
 	if id, from, returned := strings.Cut(name, returnedInfix); returned {
 		part, err := decodeReturned(id, from, item)
@@ -59,8 +61,25 @@
 	return platform.Item{Key: cancellationKey(cell, id), Value: []byte("{}")}
 }
 
+// failureMessage tells the home cell of a job which cell has given up a part of it, and why.
+type failureMessage struct {
+	Cell  string `json:"cell"`
+	Cause string `json:"cause,omitempty"`
+}
+
 // failureItem returns the item that tells the home cell of a job which cell has given up
-// a part of it.
-func failureItem(home, id, cell string) platform.Item {
-	return platform.Item{Key: JobPrefix(home) + id + failedSuffix, Value: []byte(cell)}
+// a part of it, and why.
+func failureItem(home, id, cell, cause string) (platform.Item, error) {
+	content, err := json.Marshal(failureMessage{Cell: cell, Cause: cause})
+	return platform.Item{Key: JobPrefix(home) + id + failedSuffix, Value: content}, err
+}
+
+// decodeFailure decodes the value of an item that failureItem returned. Earlier builds stored only the name
+// of the cell.
+func decodeFailure(content []byte) failureMessage {
+	var m failureMessage
+	if err := json.Unmarshal(content, &m); err != nil || m.Cell == "" {
+		return failureMessage{Cell: string(content)}
+	}
+	return m
 }
--- a/archiver/save.go
+++ b/archiver/save.go
@@ -152,9 +152,11 @@
 		return nil
 	}
 	home, err := a.home(ctx, j.ID)
-	if err == nil && home != "" && home != a.Cell {
-		transaction.Writes = append(transaction.Writes, failureItem(home, j.ID, a.Cell))
+	if err != nil || home == "" || home == a.Cell {
+		return err
 	}
+	failure, err := failureItem(home, j.ID, a.Cell, j.Progress.Cause)
+	transaction.Writes = append(transaction.Writes, failure)
 	return err
 }
 
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -35,8 +35,9 @@
 	if answer != AnswerAccepted {
 		c.record(recorder.Event{Kind: KindStartFailed, VM: w.registration.ID, Task: order.Task.String(), Attempt: int(order.Run), Key: order.Task.Job, Detail: string(answer) + "; " + c.describe(now, w)})
 	}
+	r.acceptedStart = r.acceptedStart || answer == AnswerAccepted
 	if r.blameOnAnswer && (answer == AnswerAccepted || answer == AnswerUnknown) {
-		c.blame(now, r)
+		c.blame(now, r, SignRestarted)
 	}
 	switch answer {
 	case AnswerAccepted:
@@ -89,7 +90,7 @@
 // consecutively, each for the first time, is quarantined. Long-running tasks don't
 // count, since they may fail at any time for reasons of their own.
 func (c *Cell) recordFailure(now time.Time, w *worker, t *task) {
-	if t.step.step.LongRunning || len(t.failedRuns) > 1 {
+	if t.step.step.LongRunning || len(t.failures) > 1 {
 		return
 	}
 	w.consecutiveFailures++
--- a/dispatcher/archive_test.go
+++ b/dispatcher/archive_test.go
@@ -103,7 +103,7 @@
 			c.AddJob(now, job, nil, true)
 		}
 		if cell := a.failedIn[id]; cell != "" {
-			c.FailPart(now, id, cell)
+			c.FailPart(now, id, cell, "")
 		}
 	}
 }
--- a/dispatcher/cancelledpart_test.go
+++ b/dispatcher/cancelledpart_test.go
@@ -13,7 +13,7 @@
 func TestPartOfFinalJob(t *testing.T) {
 	tests := map[string]func(c *dispatcher.Cell, now time.Time){
 		"cancelled":                     func(c *dispatcher.Cell, now time.Time) { c.Cancel(now, jobID) },
-		"a part in a third cell failed": func(c *dispatcher.Cell, now time.Time) { c.FailPart(now, jobID, "graz-c") },
+		"a part in a third cell failed": func(c *dispatcher.Cell, now time.Time) { c.FailPart(now, jobID, "graz-c", "") },
 	}
 	for name, end := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -257,6 +257,12 @@
 	}
 }
 
+// fail moves a job to StateFailed, for a cause that logs tell.
+func (c *Cell) fail(now time.Time, j *jobState, cause string) {
+	j.cause = cause
+	c.finish(now, j, StateFailed)
+}
+
 // stopRuns requests the stop of all runs of a task.
 func (c *Cell) stopRuns(t *task) {
 	for _, r := range t.runs {
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -3,18 +3,39 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"zinniashore.example/recorder"
 )
 
+// CrashSign is what the crash of a worker was concluded from.
+type CrashSign string
+
+// Signs of a crash.
+const (
+	// SignRefused: the address of the worker refused connections.
+	SignRefused CrashSign = "connections refused"
+	// SignLost: the lease had expired, and the worker was missing from the registry, or another one
+	// answered at its address.
+	SignLost CrashSign = "lost"
+	// SignRestarted: another boot of the worker answered, or has registered.
+	SignRestarted CrashSign = "started anew"
+)
+
 // Crash is the crash of a worker under a run that had just been started there.
 type Crash struct {
 	// Run is the number of the run.
 	Run int64
-	// Worker is the id of the worker.
+	// Worker is the id of the worker, Boot the boot that the run was for, in Unix milliseconds, 0 if
+	// unknown.
 	Worker string
+	Boot   int64
+	// Sign is the last sign of the crash. It is empty if an earlier build recorded the crash.
+	Sign CrashSign
+	// Acknowledged is true if the worker had accepted the start or listed the run.
+	Acknowledged bool
+	// At is when the crash was recorded, by the time of day of the holder's VM.
+	At time.Time
 	// Prompt is true if the worker had not listed the run at an age of promptAge or more.
 	Prompt bool
 }
@@ -64,8 +85,8 @@
 
 // blame records the crash of a worker for a run that may be its cause, and gives the task
 // up if it has crashed too many.
-func (c *Cell) blame(now time.Time, r *run) {
-	recorded := c.recordCrash(r)
+func (c *Cell) blame(now time.Time, r *run, sign CrashSign) {
+	recorded := c.recordCrash(now, r, sign)
 	if (recorded || r.crashUnconfirmed) && r.task.crashesTooMany() {
 		c.giveUp(now, r.task)
 	}
@@ -73,33 +94,35 @@
 }
 
 // recordCrash records the crash of a worker for a run. It reports false if that isn't new.
-func (c *Cell) recordCrash(r *run) bool {
+func (c *Cell) recordCrash(now time.Time, r *run, sign CrashSign) bool {
 	t := r.task
 	j := t.job()
 	if t.done || j.state.Final() || t.blamedFor(r.number) {
 		return false
 	}
 	id := r.worker.registration.ID
-	t.crashes = append(t.crashes, Crash{Run: r.number, Worker: id, Prompt: !r.outlived(promptAge)})
+	t.crashes = append(t.crashes, Crash{
+		Run: r.number, Worker: id, Boot: r.boot, Sign: sign, Acknowledged: r.acknowledged(), At: now, Prompt: !r.outlived(promptAge),
+	})
 	if !t.avoids(id) {
 		t.avoided = append(t.avoided, id)
 	}
 	c.dirty[j.job.ID] = true
 	c.record(recorder.Event{
 		Kind: KindCrash, VM: id, Task: t.id.String(), Attempt: int(r.number), Key: j.job.ID,
-		Detail: fmt.Sprintf("crash %d, prompt %d; %s", len(t.crashes), t.promptCrashes(), r.ageAtLastAnswer()),
+		Detail: fmt.Sprintf("crash %d, prompt %d: %s; %s; %s", len(t.crashes), t.promptCrashes(), sign, r.describe(now), c.describe(now, r.worker)),
 	})
 	return true
 }
 
 // noteCrash records the crash of a worker that refuses connections for its runs, before their
 // end is certain: another holder would not know of them.
-func (c *Cell) noteCrash(w *worker) {
+func (c *Cell) noteCrash(now time.Time, w *worker) {
 	if w.registration.Phase == PhaseDraining {
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		if r.phase != phaseSent && r.mayHaveCrashed() && c.recordCrash(r) {
+		if r.phase != phaseSent && r.mayHaveCrashed() && c.recordCrash(now, r, SignRefused) {
 			r.crashUnconfirmed = true
 		}
 	}
@@ -156,30 +179,30 @@
 	if t.job().state.Final() {
 		return
 	}
-	workers := make([]string, len(t.crashes))
-	for i, crash := range t.crashes {
-		workers[i] = crash.Worker
-	}
+	cause := c.describeCrashes(now, t)
 	last := t.crashes[len(t.crashes)-1]
 	c.record(recorder.Event{
-		Kind: KindGivenUp, VM: last.Worker, Task: t.id.String(), Attempt: int(last.Run), Key: t.id.Job,
-		Detail: fmt.Sprintf("crashed %d workers: %s", len(workers), strings.Join(workers, ", ")),
+		Kind: KindGivenUp, VM: last.Worker, Task: t.id.String(), Attempt: int(last.Run), Key: t.id.Job, Detail: cause,
 	})
-	c.finish(now, t.job(), StateFailed)
+	c.fail(now, t.job(), t.id.String()+": "+cause)
 }
 
 // blameCrashed blames the runs of a worker whose lease has expired, if its address refuses
 // connections since it last answered, or it is lost. A worker that drains may have left as
 // planned. If the worker lists a run again, or its end, the blame is taken back.
 func (c *Cell) blameCrashed(now time.Time, w *worker) {
-	if (w.connectionRefused || c.lost(w)) && w.registration.Phase != PhaseDraining {
-		c.blameRuns(now, w)
+	switch {
+	case w.registration.Phase == PhaseDraining:
+	case w.connectionRefused:
+		c.blameRuns(now, w, SignRefused)
+	case c.lost(w):
+		c.blameRuns(now, w, SignLost)
 	}
 }
 
 // blameRuns blames the runs of a worker that has crashed. A start that has no answer yet may
 // turn out not to have reached it.
-func (c *Cell) blameRuns(now time.Time, w *worker) {
+func (c *Cell) blameRuns(now time.Time, w *worker, sign CrashSign) {
 	runs := append(w.expiredYoung, w.sortedRuns()...)
 	w.expiredYoung = nil
 	for _, r := range runs {
@@ -188,7 +211,7 @@
 		case r.phase == phaseSent:
 			r.blameOnAnswer = true
 		default:
-			c.blame(now, r)
+			c.blame(now, r, sign)
 		}
 	}
 }
--- a/dispatcher/crashrecord.go
+++ b/dispatcher/crashrecord.go
@@ -1,5 +1,7 @@
 package dispatcher
 
+import "time"
+
 // TaskCrashes lists the crashes of workers under a task.
 type TaskCrashes struct {
 	Task    TaskID
@@ -14,9 +16,29 @@
 }
 
 type crashMessage struct {
-	Run    int64  `json:"run"`
-	Worker string `json:"worker"`
-	Prompt bool   `json:"prompt,omitempty"`
+	Run          int64     `json:"run"`
+	Worker       string    `json:"worker"`
+	Boot         int64     `json:"boot,omitempty"`
+	Sign         CrashSign `json:"sign,omitempty"`
+	Acknowledged bool      `json:"acknowledged,omitempty"`
+	AtMS         int64     `json:"at_milliseconds,omitempty"`
+	Prompt       bool      `json:"prompt,omitempty"`
+}
+
+func newCrashMessage(c Crash) crashMessage {
+	m := crashMessage{Run: c.Run, Worker: c.Worker, Boot: c.Boot, Sign: c.Sign, Acknowledged: c.Acknowledged, Prompt: c.Prompt}
+	if !c.At.IsZero() {
+		m.AtMS = c.At.UnixMilli()
+	}
+	return m
+}
+
+func (m crashMessage) crash() Crash {
+	c := Crash{Run: m.Run, Worker: m.Worker, Boot: m.Boot, Sign: m.Sign, Acknowledged: m.Acknowledged, Prompt: m.Prompt}
+	if m.AtMS != 0 {
+		c.At = time.UnixMilli(m.AtMS)
+	}
+	return c
 }
 
 func encodeCrashes(crashes []TaskCrashes) []crashesMessage {
@@ -24,7 +46,7 @@
 	for _, t := range crashes {
 		m := crashesMessage{Occurrence: t.Task.Occurrence, Step: t.Task.Step, Task: t.Task.Index}
 		for _, crash := range t.Crashes {
-			m.Crashes = append(m.Crashes, crashMessage(crash))
+			m.Crashes = append(m.Crashes, newCrashMessage(crash))
 		}
 		messages = append(messages, m)
 	}
@@ -36,7 +58,7 @@
 	for _, m := range messages {
 		t := TaskCrashes{Task: TaskID{Job: job, Occurrence: m.Occurrence, Step: m.Step, Index: m.Task}}
 		for _, crash := range m.Crashes {
-			t.Crashes = append(t.Crashes, Crash(crash))
+			t.Crashes = append(t.Crashes, crash.crash())
 		}
 		crashes = append(crashes, t)
 	}
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -282,13 +282,17 @@
 	return part, crashes
 }
 
-// FailPart fails a job of which another cell has given up a delegated part. It reports
-// whether the job is known.
-func (c *Cell) FailPart(now time.Time, id, cell string) bool {
+// FailPart fails a job of which another cell has given up a delegated part, for a cause that logs tell. It
+// reports whether the job is known.
+func (c *Cell) FailPart(now time.Time, id, cell, cause string) bool {
 	j, known := c.jobs[id]
 	if known && !j.state.Final() {
-		c.record(recorder.Event{Kind: KindPartFailed, Key: id, Detail: "in " + cell})
-		c.finish(now, j, StateFailed)
+		detail := "in " + cell
+		if cause != "" {
+			detail += ": " + cause
+		}
+		c.record(recorder.Event{Kind: KindPartFailed, Key: id, Detail: detail})
+		c.fail(now, j, detail)
 	}
 	return known
 }
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -117,11 +117,11 @@
 	return found
 }
 
-// FailPart fails a job of which another cell has given up a delegated part. It reports
-// whether the cell knows the job.
-func (r *Runner) FailPart(id, cell string) bool {
+// FailPart fails a job of which another cell has given up a delegated part, for a cause that logs tell. It
+// reports whether the cell knows the job.
+func (r *Runner) FailPart(id, cell, cause string) bool {
 	r.mu.Lock()
-	known := r.Cell.FailPart(r.Clock.Now(), id, cell)
+	known := r.Cell.FailPart(r.Clock.Now(), id, cell, cause)
 	r.mu.Unlock()
 	signal(r.wake)
 	return known
--- a/dispatcher/failedpart_test.go
+++ b/dispatcher/failedpart_test.go
@@ -96,7 +96,7 @@
 	}
 	for _, id := range p.other.archive.failedParts[p.failed:] {
 		p.home.archive.failedIn[id] = partCell
-		p.home.cell.FailPart(p.home.now, id, partCell)
+		p.home.cell.FailPart(p.home.now, id, partCell, "")
 		p.failed++
 	}
 }
@@ -172,7 +172,7 @@
 	p := newPartSimulation()
 	p.advance(2 * time.Second)
 	p.home.cell.Cancel(p.home.now, jobID)
-	p.home.cell.FailPart(p.home.now, jobID, partCell)
+	p.home.cell.FailPart(p.home.now, jobID, partCell, "")
 	p.advance(2 * time.Second)
 	requireState(t, p.home, jobID, dispatcher.StateCancelled)
 }
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -113,7 +113,7 @@
 // may still be shutting down once their lease has expired.
 func (c *Cell) handleRestart(now time.Time, w *worker) {
 	c.record(recorder.Event{Kind: KindWorker, VM: w.registration.ID, Detail: fmt.Sprintf("started anew, %d runs, kept: %t; %s", len(w.runs), w.keepsRuns(), c.describe(now, w))})
-	c.blameRuns(now, w)
+	c.blameRuns(now, w, SignRestarted)
 	c.keepRuns(now, w)
 	for _, r := range w.sortedRuns() {
 		switch {
@@ -149,7 +149,7 @@
 // start comes too late from now on.
 func (c *Cell) markLost(now time.Time, r *run, reason string) {
 	if r.blameOnAnswer {
-		c.blame(now, r)
+		c.blame(now, r, SignRestarted)
 	}
 	c.recordRun(KindLost, r, reason+"; "+r.describe(now)+"; "+c.describe(now, r.worker))
 	c.removeRun(now, r, reason)
@@ -198,7 +198,7 @@
 
 // addRun adds a run of a task to a worker.
 func (c *Cell) addRun(t *task, w *worker, number int64, phase runPhase, now time.Time) *run {
-	r := &run{task: t, number: number, worker: w, phase: phase, sentAt: now, confirmedAt: now, throttle: fullPercent}
+	r := &run{task: t, number: number, worker: w, boot: w.boot, phase: phase, sentAt: now, confirmedAt: now, throttle: fullPercent}
 	w.runs[runKey{task: t.id, run: number}] = r
 	w.addUsage(t.step.step, 1)
 	c.pass.runsChanged(w)
--- a/dispatcher/networkparts_test.go
+++ b/dispatcher/networkparts_test.go
@@ -110,7 +110,7 @@
 	}
 	if j.Progress.State == dispatcher.StateFailed && !j.Own {
 		other.archive.failedIn[j.ID] = n.name
-		other.tell(func(h *remoteHolder) { h.cell.FailPart(h.now(), j.ID, n.name) })
+		other.tell(func(h *remoteHolder) { h.cell.FailPart(h.now(), j.ID, n.name, "") })
 	}
 }
 
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -53,7 +53,7 @@
 	}
 	if answer == AnswerConnectionRefused && !sent.Before(w.answeredAt) {
 		w.connectionRefused = true
-		c.noteCrash(w)
+		c.noteCrash(now, w)
 	}
 	if answer == AnswerRestarted && !sent.Before(w.answeredAt) {
 		w.addressTaken = true
@@ -240,29 +240,31 @@
 }
 
 func (c *Cell) taskFailed(now time.Time, t *task, w *worker, number int64) {
-	if slices.Contains(t.failedRuns, number) {
+	if t.hasFailed(number) {
 		return
 	}
-	t.failedRuns = append(t.failedRuns, number)
+	t.failures = append(t.failures, failedRun{number: number, worker: w.registration.ID, at: now})
 	if !t.avoids(w.registration.ID) {
 		t.avoided = append(t.avoided, w.registration.ID)
 	}
-	t.notBefore = now.Add(min(time.Duration(len(t.failedRuns))*failureBackoff, maxFailureBackoff))
+	t.notBefore = now.Add(min(time.Duration(len(t.failures))*failureBackoff, maxFailureBackoff))
 	c.recordFailure(now, w, t)
 	j := t.job()
 	if t.step.step.LongRunning || j.state.Final() {
 		return
 	}
 	c.dirty[j.job.ID] = true
-	failures := len(t.failedRuns)
+	failures := len(t.failures)
 	if t.step.step.Gang {
 		failures = 0
 		for _, member := range t.step.tasks {
-			failures += len(member.failedRuns)
+			failures += len(member.failures)
 		}
 	}
 	if failures >= j.job.Queue.Attempts {
-		c.finish(now, j, StateFailed)
+		cause := t.describeFailures(now, failures)
+		c.record(recorder.Event{Kind: KindAttemptsSpent, VM: w.registration.ID, Task: t.id.String(), Attempt: int(number), Key: j.job.ID, Detail: cause})
+		c.fail(now, j, t.id.String()+": "+cause)
 	}
 }
 
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -10,6 +10,8 @@
 type Progress struct {
 	// State is the state of the job.
 	State State
+	// Cause tells why the job has failed, for logs.
+	Cause string
 	// Part is true if another cell has delegated the job to this one, as a part.
 	Part bool
 	// Finished lists the numbers of the occurrences that are done.
@@ -40,6 +42,7 @@
 
 type progressMessage struct {
 	State     State              `json:"state"`
+	Cause     string             `json:"cause,omitempty"`
 	Part      bool               `json:"part,omitempty"`
 	Finished  []int              `json:"finished,omitempty"`
 	Done      []doneMessage      `json:"done,omitempty"`
@@ -71,7 +74,7 @@
 func EncodeProgress(p Progress) ([]byte, error) { return json.Marshal(newProgressMessage(p)) }
 
 func newProgressMessage(p Progress) progressMessage {
-	m := progressMessage{State: p.State, Part: p.Part, Finished: p.Finished, Crashes: encodeCrashes(p.Crashes)}
+	m := progressMessage{State: p.State, Cause: p.Cause, Part: p.Part, Finished: p.Finished, Crashes: encodeCrashes(p.Crashes)}
 	for _, id := range p.Done {
 		last := len(m.Done) - 1
 		if last < 0 || m.Done[last].Occurrence != id.Occurrence || m.Done[last].Step != id.Step {
@@ -101,7 +104,7 @@
 }
 
 func (m *progressMessage) progress(job string) Progress {
-	p := Progress{State: m.State, Part: m.Part, Finished: m.Finished, Crashes: decodeCrashes(job, m.Crashes)}
+	p := Progress{State: m.State, Cause: m.Cause, Part: m.Part, Finished: m.Finished, Crashes: decodeCrashes(job, m.Crashes)}
 	for _, d := range m.Done {
 		for _, index := range d.Tasks {
 			p.Done = append(p.Done, TaskID{Job: job, Occurrence: d.Occurrence, Step: d.Step, Index: index})
@@ -121,7 +124,7 @@
 
 // progress returns the progress of a job that has to be stored.
 func (j *jobState) progress() Progress {
-	p := Progress{State: j.state, Part: j.job.Part != nil}
+	p := Progress{State: j.state, Cause: j.cause, Part: j.job.Part != nil}
 	if j.state.Final() {
 		return p
 	}
@@ -143,8 +146,8 @@
 				if t.delegatedTo != "" {
 					p.Delegated = append(p.Delegated, DelegatedTask{Task: t.id, Cell: t.delegatedTo})
 				}
-				if len(t.failedRuns) > 0 && !t.done {
-					p.Failures = append(p.Failures, Failure{Task: t.id, Runs: t.failedRuns})
+				if len(t.failures) > 0 && !t.done {
+					p.Failures = append(p.Failures, Failure{Task: t.id, Runs: t.failedRuns()})
 				}
 				if len(t.crashes) > 0 && !t.done {
 					p.Crashes = append(p.Crashes, TaskCrashes{Task: t.id, Crashes: slices.Clone(t.crashes)})
@@ -176,7 +179,7 @@
 	}
 	for _, f := range p.Failures {
 		if t := c.task(now, f.Task); t != nil {
-			t.failedRuns = f.Runs
+			t.restoreFailures(f.Runs)
 		}
 	}
 	for _, stored := range p.Crashes {
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -89,8 +89,9 @@
 	Cancelled bool
 	// Unaccepted is true if a client cancelled the job before it was accepted; it never will be.
 	Unaccepted bool
-	// FailedIn is a cell that has given up a delegated part of the job, or empty.
-	FailedIn string
+	// FailedIn is a cell that has given up a delegated part of the job, or empty; FailureCause tells
+	// why, for logs.
+	FailedIn, FailureCause string
 	// Returned are the parts of the job that other cells have given back.
 	Returned []ReturnedPart
 }
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -26,9 +26,11 @@
 	task   *task
 	number int64
 	worker *worker
-	phase  runPhase
-	// observed is true once the worker has listed the run.
-	observed bool
+	// boot is the boot of the worker that the start was for, or that listed the run; 0 if unknown.
+	boot  int64
+	phase runPhase
+	// observed is true once the worker has listed the run, acceptedStart once it has accepted the start.
+	observed, acceptedStart bool
 	// listedAt is when the worker last listed the run, at the latest. The holder may have
 	// handled that answer later.
 	listedAt time.Time
@@ -80,14 +82,22 @@
 	at     time.Time
 }
 
+// failedRun is a run that a worker has listed as failed.
+type failedRun struct {
+	number int64
+	// worker is the id of the worker, and at when the end was handled; both are zero if an earlier
+	// holder handled it.
+	worker string
+	at     time.Time
+}
+
 // task is a task of an occurrence.
 type task struct {
 	id   TaskID
 	step *stepState
 	done bool
-	// failedRuns are the numbers of the failed runs, in the order in which they were
-	// listed.
-	failedRuns []int64
+	// failures are the failed runs, in the order in which they were listed.
+	failures []failedRun
 	// crashes are the crashes of workers that the task may have caused; the store has the
 	// first storedCrashes of them.
 	crashes       []Crash
@@ -169,6 +179,8 @@
 	restAfter []time.Duration
 	// restored is true if an earlier holder may have started tasks of the job.
 	restored bool
+	// cause tells why the job has failed, for logs.
+	cause string
 	// acceptedAfter is a time at which the store didn't have the job in this cell, or nothing of it
 	// ran there; zero if none is known.
 	acceptedAfter time.Time
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -145,6 +145,6 @@
 		r.Cell.AddReturned(now, stored.Job.ID, returned)
 	}
 	if stored.FailedIn != "" {
-		r.Cell.FailPart(now, stored.Job.ID, stored.FailedIn)
+		r.Cell.FailPart(now, stored.Job.ID, stored.FailedIn, stored.FailureCause)
 	}
 }
--- a/heldcells.go
+++ b/heldcells.go
@@ -301,7 +301,7 @@
 			klog.InfoS("Part of an unknown job was given back", "job", change.ID, "cell", change.Returned.Cell)
 		}
 	case change.FailedIn != "":
-		if !s.runner.FailPart(change.ID, change.FailedIn) {
+		if !s.runner.FailPart(change.ID, change.FailedIn, change.FailureCause) {
 			klog.InfoS("Failed part of an unknown job", "job", change.ID, "cell", change.FailedIn)
 		}
 	default:
--- a/jobrouter.go
+++ b/jobrouter.go
@@ -13,6 +13,7 @@
 	"zinniashore.example/archiver"
 	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
+	"zinniashore.example/logger"
 	"zinniashore.example/relayer"
 )
 
@@ -30,6 +31,9 @@
 	// process stores: anybody may send them, and each takes a write and is kept.
 	unacceptedPerSecond = 10
 	unacceptedBurst     = 100
+	// failureLinesPerSecond and failureLineBurst limit the log lines about failed jobs.
+	failureLinesPerSecond = 20
+	failureLineBurst      = 60
 )
 
 // errTooManyCancellations reports that the cancellation of an unaccepted job wasn't stored.
@@ -49,6 +53,10 @@
 	// unaccepted limits the cancellations of unaccepted jobs that are stored.
 	unaccepted *rate.Limiter
 
+	// reports limits the log lines about failed jobs.
+	reportsOnce sync.Once
+	reports     *logger.Limiter
+
 	mu      sync.Mutex
 	cells   map[string]string
 	pending map[string]pendingCount
@@ -116,25 +124,62 @@
 
 // State implements acceptor.JobService.
 func (r *jobRouter) State(ctx context.Context, id string) (dispatcher.State, error) {
+	found, err := r.findState(ctx, id)
+	if err == nil && found.outcome.State == dispatcher.StateFailed {
+		r.reportFailed(id, found)
+	}
+	return found.outcome.State, err
+}
+
+// stateSource is where the state of a job was read.
+type stateSource string
+
+const (
+	sourceHolder stateSource = "holder"
+	sourceStore  stateSource = "store"
+)
+
+// foundState is the state of a job, with the cell and the source from which it was read.
+type foundState struct {
+	outcome archiver.Outcome
+	cell    string
+	source  stateSource
+}
+
+// findState reads the state of a job from the holder of its cell, or from the store.
+func (r *jobRouter) findState(ctx context.Context, id string) (foundState, error) {
 	for _, home := range r.partition.cells(r.failureDomain) {
 		if runner := r.heldCells.Runner(home); runner != nil {
 			if state, known := runner.State(id); known {
-				return state, nil
+				return foundState{outcome: archiver.Outcome{State: state}, cell: home, source: sourceHolder}, nil
 			}
 		}
 	}
 	cell, err := r.cell(ctx, id)
 	if err != nil {
-		return "", err
+		return foundState{}, err
 	}
 	state, known, err := r.fetchState(ctx, cell, id)
 	if err == nil && known {
-		return state, nil
+		return foundState{outcome: archiver.Outcome{State: state}, cell: cell, source: sourceHolder}, nil
 	}
 	if cell, err = r.presentCell(ctx, id); err != nil {
-		return "", err
+		return foundState{}, err
+	}
+	outcome, err := r.archiver.Outcome(ctx, cell, id)
+	return foundState{outcome: outcome, cell: cell, source: sourceStore}, err
+}
+
+// reportFailed logs that a client was told that a job has failed, and who said so.
+func (r *jobRouter) reportFailed(id string, found foundState) {
+	r.reportsOnce.Do(func() { r.reports = logger.NewLimiter(failureLinesPerSecond, failureLineBurst) })
+	logged, suppressed := r.reports.Admit(r.heldCells.clock.Now())
+	if !logged {
+		return
 	}
-	return r.archiver.State(ctx, cell, id)
+	holder, _ := r.claimer.Holder(found.cell)
+	klog.InfoS("Told a client that a job has failed", "job", id, "cell", found.cell, "source", found.source,
+		"holder", holder.Process, "cause", found.outcome.Cause, "left_out", suppressed)
 }
 
 // presentCell returns the cell of an accepted job from the store: a job may have been relocated since
