dispatcher: a task is given up only for crashes that can't be taken back

What callers saw: a job shown as failed although no worker had crashed and no task had failed so often.

Cause: a worker that refused connections, or that was unregistered and silent, counted as crashed under each young run, and three or four such counts failed the job at once. They were taken back only for a run that the holder still knew or that the worker listed as ended; a start that had never arrived was listed by nobody, and a final decision isn't taken back at all.

Change: each crash carries the boot of its worker, and is open until the boot has ended for certain or the worker is forgotten. It is withdrawn when that boot answers, is still registered 10 s later, or had announced its exit. Open crashes hold a task back, confirmed ones end its job. At least two of three prompt crashes must be of acknowledged runs. A task with an open crash stays in its cell.

Ruled out: an exit that was planned.

Tests: the simulations of a second cell gave its workers the ids of the first, which a platform never does; they are named apart now (newActiveCell), all checks are the same.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -90,6 +90,8 @@
 	// each with the time at which that was first seen. absentJobs are those that the store
 	// doesn't have either, each with the time of its answer.
 	unknownJobs, absentJobs map[string]time.Time
+	// blamed are the tasks that have been blamed for crashes of workers.
+	blamed map[*task]bool
 	// upcoming are the jobs with occurrences that haven't begun.
 	upcoming map[string]*jobState
 	// lastRun is the number, under the epoch, of the newest run or gang of runs.
@@ -108,6 +110,8 @@
 	resumedAt time.Time
 	// registryReadAt is the time up to which the changes of the registry are known.
 	registryReadAt time.Time
+	// registrySteadySince is since when the registry has been read without a long gap.
+	registrySteadySince time.Time
 	// jobsReadAt is the time up to which the jobs that the store has in the cell are known; zero
 	// before it is known.
 	jobsReadAt time.Time
@@ -160,6 +164,7 @@
 		departed:  map[string]time.Time{},
 		dirty:     map[string]bool{},
 		upcoming:  map[string]*jobState{},
+		blamed:    map[*task]bool{},
 		headrooms: estimator.NewHeadrooms(),
 		runTimes:  estimator.NewRatios(),
 		speeds:    rater.New(),
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -18,6 +18,8 @@
 	// SignLost: the lease had expired, and the worker was missing from the registry, or another one
 	// answered at its address.
 	SignLost CrashSign = "lost"
+	// SignForgotten: the cell has forgotten the worker, which was lost.
+	SignForgotten CrashSign = "forgotten"
 	// SignRestarted: another boot of the worker answered, or has registered.
 	SignRestarted CrashSign = "started anew"
 )
@@ -34,10 +36,16 @@
 	Sign CrashSign
 	// Acknowledged is true if the worker had accepted the start or listed the run.
 	Acknowledged bool
+	// Confirmed is true once the boot has certainly ended, or the worker is forgotten. Until then the
+	// worker may have been unreachable only.
+	Confirmed bool
 	// At is when the crash was recorded, by the time of day of the holder's VM.
 	At time.Time
 	// Prompt is true if the worker had not listed the run at an age of promptAge or more.
 	Prompt bool
+
+	// knownAt is when this holder recorded or restored the crash.
+	knownAt time.Time
 }
 
 const (
@@ -50,6 +58,9 @@
 	// which a task, and with it its job, fails.
 	maxCrashes       = 4
 	maxPromptCrashes = 3
+	// minAcknowledgedCrashes is how many of maxPromptCrashes must have been under a run that the worker
+	// is known to have had.
+	minAcknowledgedCrashes = 2
 )
 
 // startsWith reports whether the task starts together with another one: they are the same, or
@@ -84,35 +95,37 @@
 func (r *run) mayHaveCrashed() bool { return !r.outlived(crashWindow) && !r.passedOver() }
 
 // blame records the crash of a worker for a run that may be its cause, and gives the task
-// up if it has crashed too many.
+// up if it has certainly crashed too many.
 func (c *Cell) blame(now time.Time, r *run, sign CrashSign) {
-	recorded := c.recordCrash(now, r, sign)
-	if (recorded || r.crashUnconfirmed) && r.task.crashesTooMany() {
-		c.giveUp(now, r.task)
+	t := r.task
+	if t.done || t.job().state.Final() || r.worker.plansExit(r.boot) {
+		return
+	}
+	if !t.blamedFor(r.number) {
+		c.recordCrash(now, r, sign)
+	}
+	if sign == SignRestarted {
+		c.confirmCrash(now, t, r.number, sign)
 	}
-	r.crashUnconfirmed = false
 }
 
-// recordCrash records the crash of a worker for a run. It reports false if that isn't new.
-func (c *Cell) recordCrash(now time.Time, r *run, sign CrashSign) bool {
+// recordCrash records the crash of a worker for a run, which isn't confirmed yet.
+func (c *Cell) recordCrash(now time.Time, r *run, sign CrashSign) {
 	t := r.task
-	j := t.job()
-	if t.done || j.state.Final() || t.blamedFor(r.number) {
-		return false
-	}
 	id := r.worker.registration.ID
 	t.crashes = append(t.crashes, Crash{
-		Run: r.number, Worker: id, Boot: r.boot, Sign: sign, Acknowledged: r.acknowledged(), At: now, Prompt: !r.outlived(promptAge),
+		Run: r.number, Worker: id, Boot: r.boot, Sign: sign, Acknowledged: r.acknowledged(), At: now,
+		Prompt: !r.outlived(promptAge), knownAt: now,
 	})
+	c.blamed[t] = true
 	if !t.avoids(id) {
 		t.avoided = append(t.avoided, id)
 	}
-	c.dirty[j.job.ID] = true
+	c.dirty[t.id.Job] = true
 	c.record(recorder.Event{
-		Kind: KindCrash, VM: id, Task: t.id.String(), Attempt: int(r.number), Key: j.job.ID,
+		Kind: KindCrash, VM: id, Task: t.id.String(), Attempt: int(r.number), Key: t.id.Job,
 		Detail: fmt.Sprintf("crash %d, prompt %d: %s; %s; %s", len(t.crashes), t.promptCrashes(), sign, r.describe(now), c.describe(now, r.worker)),
 	})
-	return true
 }
 
 // noteCrash records the crash of a worker that refuses connections for its runs, before their
@@ -122,37 +135,52 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		if r.phase != phaseSent && r.mayHaveCrashed() && c.recordCrash(now, r, SignRefused) {
-			r.crashUnconfirmed = true
+		if r.phase != phaseSent && r.mayHaveCrashed() {
+			c.blame(now, r, SignRefused)
 		}
 	}
 }
 
-// withdrawCrash takes back what noteCrash recorded for a worker that hasn't crashed.
-func (c *Cell) withdrawCrash(w *worker) {
-	for _, r := range w.sortedRuns() {
-		if r.crashUnconfirmed {
-			r.crashUnconfirmed = false
-			c.clearCrash(r.task, r.number)
+// crashCount counts crashes.
+type crashCount struct{ all, prompt, acknowledged int }
+
+// countCrashes counts the crashes of the task, of the confirmed ones only if confirmedOnly is true.
+func (t *task) countCrashes(confirmedOnly bool) crashCount {
+	var count crashCount
+	for _, crash := range t.crashes {
+		if confirmedOnly && !crash.Confirmed {
+			continue
+		}
+		count.all++
+		if crash.Prompt {
+			count.prompt++
+		}
+		if crash.Acknowledged {
+			count.acknowledged++
 		}
 	}
+	return count
+}
+
+// tooMany reports whether a task is given up for the crashes. One under a start without an answer may have had
+// nothing to do with the task.
+func (n crashCount) tooMany() bool {
+	return n.all >= maxCrashes || n.prompt >= maxPromptCrashes && n.acknowledged >= minAcknowledgedCrashes
 }
 
 // crashesTooMany reports whether the task is given up, and with it its job.
 func (t *task) crashesTooMany() bool {
-	return len(t.crashes) >= maxCrashes || t.promptCrashes() >= maxPromptCrashes
+	return len(t.crashes) >= maxPromptCrashes && t.countCrashes(true).tooMany()
 }
 
-func (t *task) promptCrashes() int {
-	count := 0
-	for _, crash := range t.crashes {
-		if crash.Prompt {
-			count++
-		}
-	}
-	return count
+// awaitsCrashReview reports whether the task, or a member of its gang, would be given up if all of its
+// crashes were confirmed. It starts nowhere until that is decided.
+func (t *task) awaitsCrashReview() bool {
+	return t.anyMember(func(member *task) bool { return member.countCrashes(false).tooMany() })
 }
 
+func (t *task) promptCrashes() int { return t.countCrashes(false).prompt }
+
 func (t *task) blamedFor(number int64) bool {
 	return slices.ContainsFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
 }
@@ -168,8 +196,7 @@
 	return nil
 }
 
-// gangRuns reports whether a member of the task's gang has a run. Its crash may yet be taken
-// back.
+// gangRuns reports whether a member of the task's gang has a run.
 func (t *task) gangRuns() bool {
 	return t.step.step.Gang && t.anyMember(func(member *task) bool { return len(member.runs) > 0 })
 }
--- a/dispatcher/crashrandom_test.go
+++ b/dispatcher/crashrandom_test.go
@@ -105,7 +105,7 @@
 		case s.crashing[dispatcher.TaskID{Job: id}] && !state.Final():
 			t.Fatalf("job %s is %q (known %v), want it given up", id, state, known)
 		case state != dispatcher.StateCompleted:
-			t.Fatalf("state of job %s after the faults = %q (known %v), want completed", id, state, known)
+			t.Fatalf("state of job %s after the faults = %q (known %v), want completed; newest task given up: %s", id, state, known, s.events.detail(dispatcher.KindGivenUp))
 		}
 	}
 	for _, problem := range s.violations {
--- /dev/null
+++ b/dispatcher/crashreview.go
@@ -0,0 +1,149 @@
+package dispatcher
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"zinniashore.example/recorder"
+)
+
+// livenessAge is how long after a crash was recorded the registry must still list the worker's boot to show
+// that it lives. It is longer than the registry keeps a worker that has crashed.
+const livenessAge = 10 * time.Second
+
+// crashVerdict is what is known of a crash that was recorded before it was certain.
+type crashVerdict string
+
+const (
+	crashOpen      crashVerdict = "open"
+	crashConfirmed crashVerdict = "confirmed"
+	crashWithdrawn crashVerdict = "withdrawn"
+)
+
+// reviewCrashes confirms the crashes of workers that have certainly crashed, and takes back those of workers
+// that haven't.
+func (c *Cell) reviewCrashes(now time.Time) {
+	for t := range c.blamed {
+		if len(t.crashes) == 0 || t.done || t.job().state.Final() {
+			delete(c.blamed, t)
+			continue
+		}
+		for _, crash := range slices.Clone(t.crashes) {
+			switch verdict, reason := c.judgeCrash(crash); verdict {
+			case crashConfirmed:
+				c.confirmCrash(now, t, crash.Run, CrashSign(reason))
+			case crashWithdrawn:
+				c.withdrawCrash(now, t, crash, reason)
+			}
+		}
+	}
+}
+
+// judgeCrash decides on a crash, and for which reason. Whatever the worker looked like, it hasn't crashed if it
+// answers under the boot that it had.
+func (c *Cell) judgeCrash(crash Crash) (verdict crashVerdict, reason string) {
+	w := c.workers[crash.Worker]
+	if w == nil {
+		if crash.Confirmed || !c.active || c.registryReadAt.IsZero() {
+			return crashOpen, ""
+		}
+		return crashConfirmed, string(SignForgotten)
+	}
+	answered := w.epochAccepted && w.answeredAt.After(crash.knownAt)
+	sameBoot := w.boot == crash.Boot
+	switch {
+	case answered && sameBoot:
+		return crashWithdrawn, "the worker has answered under the same boot"
+	case crash.Confirmed:
+		return crashOpen, ""
+	case w.plansExit(crash.Boot):
+		return crashWithdrawn, "the worker had registered that it drains"
+	case answered && crash.Boot == 0:
+		return crashWithdrawn, "the worker has answered, its boot at the time isn't known"
+	case c.registeredSince(w, crash):
+		return crashWithdrawn, "the registry still lists the boot"
+	case w.boot != 0 && !sameBoot:
+		return crashConfirmed, string(SignRestarted)
+	}
+	return crashOpen, ""
+}
+
+// registeredSince reports whether the registry, which has been read all the while, lists the boot of a
+// worker long after its crash was recorded: the worker still reports to it.
+func (c *Cell) registeredSince(w *worker, crash Crash) bool {
+	if !w.registered || crash.Boot == 0 || w.registration.Boot != crash.Boot {
+		return false
+	}
+	since := crash.knownAt
+	if c.registrySteadySince.After(since) {
+		since = c.registrySteadySince
+	}
+	return c.registryReadAt.Sub(since) >= livenessAge
+}
+
+// confirmCrashes confirms the crashes of a worker that is being forgotten. Whether one was none can hardly be
+// learned any more.
+func (c *Cell) confirmCrashes(now time.Time, w *worker) {
+	for t := range c.blamed {
+		for _, crash := range slices.Clone(t.crashes) {
+			switch {
+			case crash.Worker != w.registration.ID || crash.Confirmed:
+			case w.plansExit(crash.Boot):
+				c.withdrawCrash(now, t, crash, "the worker had registered that it drains")
+			default:
+				c.confirmCrash(now, t, crash.Run, SignForgotten)
+			}
+		}
+	}
+}
+
+// confirmCrash confirms the crash of a worker under a run of a task, and gives the task up if it has
+// crashed too many.
+func (c *Cell) confirmCrash(now time.Time, t *task, number int64, sign CrashSign) {
+	i := slices.IndexFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
+	if i < 0 || t.crashes[i].Confirmed {
+		return
+	}
+	crash := &t.crashes[i]
+	crash.Confirmed, crash.Sign = true, sign
+	c.dirty[t.id.Job] = true
+	c.recordReview(KindCrashConfirmed, t, *crash, c.describeCrash(now, *crash))
+	if t.crashesTooMany() && !t.gangRuns() {
+		c.giveUp(now, t)
+	}
+}
+
+// withdrawCrash takes back a crash that was none.
+func (c *Cell) withdrawCrash(now time.Time, t *task, crash Crash, reason string) {
+	c.recordReview(KindCrashWithdrawn, t, crash, fmt.Sprintf("%s; %s", reason, c.describeCrash(now, crash)))
+	c.clearCrash(t, crash.Run)
+}
+
+func (c *Cell) recordReview(kind recorder.Kind, t *task, crash Crash, detail string) {
+	c.record(recorder.Event{Kind: kind, VM: crash.Worker, Task: t.id.String(), Attempt: int(crash.Run), Key: t.id.Job, Detail: detail})
+}
+
+// restoreCrashes sets the crashes of a task that an earlier holder has stored.
+func (c *Cell) restoreCrashes(now time.Time, t *task, stored []Crash) {
+	t.crashes, t.storedCrashes = slices.Clone(stored), len(stored)
+	for i := range t.crashes {
+		t.crashes[i].knownAt = now
+	}
+	c.blamed[t] = true
+}
+
+// hasUnconfirmedCrash reports whether a crash of the task is still open. Only this cell can decide on it.
+func (t *task) hasUnconfirmedCrash() bool {
+	return slices.ContainsFunc(t.crashes, func(crash Crash) bool { return !crash.Confirmed })
+}
+
+// hasUnconfirmedCrash reports whether a crash of a task of the job is still open.
+func (c *Cell) hasUnconfirmedCrash(j *jobState) bool {
+	for t := range c.blamed {
+		if t.job() == j && t.hasUnconfirmedCrash() {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatcher/delegatedcrash_test.go
+++ b/dispatcher/delegatedcrash_test.go
@@ -64,7 +64,7 @@
 	}
 	for name, add := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := newActiveSimulation(12)
+			s := newActiveCell("v", 12)
 			s.archive.epoch += 7
 			s.changeHolder(s.workers...)
 			s.advance(time.Second)
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -40,7 +40,7 @@
 		j.job.Part = append(j.job.Part, id)
 		if t := c.task(now, id); t != nil {
 			t.remote = false
-			t.addCrashes(job.PartCrashes)
+			c.addCrashes(now, t, job.PartCrashes)
 			c.enqueue(now, t)
 		}
 	}
@@ -51,16 +51,18 @@
 func (c *Cell) addPartCrashes(now time.Time, j *jobState) {
 	for _, id := range j.job.Part {
 		if t := c.task(now, id); t != nil {
-			t.addCrashes(j.job.PartCrashes)
+			c.addCrashes(now, t, j.job.PartCrashes)
 		}
 	}
 }
 
-// addCrashes adds stored crashes of workers under the task.
-func (t *task) addCrashes(stored []TaskCrashes) {
+// addCrashes adds stored crashes of workers under a task.
+func (c *Cell) addCrashes(now time.Time, t *task, stored []TaskCrashes) {
 	for _, s := range stored {
 		for _, crash := range s.Crashes {
 			if s.Task == t.id && !t.blamedFor(crash.Run) {
+				crash.knownAt = now
+				c.blamed[t] = true
 				t.crashes = append([]Crash{crash}, t.crashes...)
 				t.storedCrashes++
 			}
@@ -119,6 +121,8 @@
 		return false
 	case t.notBefore.After(now) || now.Sub(t.refusedAt) < delegationRetryDelay || now.Sub(t.readyAt) < delegationDelay:
 		return false
+	case t.hasUnconfirmedCrash():
+		return false
 	}
 	return !c.mayHaveRun(now, t) && !c.hasPlace(now, t)
 }
@@ -242,7 +246,7 @@
 		return false
 	}
 	first := j.occurrences[id.Occurrence].steps[id.Step].tasks[id.Index]
-	if first.remote || len(first.runs) > 0 || !first.movable() {
+	if first.remote || len(first.runs) > 0 || !first.movable() || first.hasUnconfirmedCrash() {
 		return false
 	}
 	c.markDelegated(first, cell)
--- a/dispatcher/failedpart_test.go
+++ b/dispatcher/failedpart_test.go
@@ -26,7 +26,7 @@
 
 // newCells returns two cells with numbers of workers. No epoch is used by both.
 func newCells(home, other int) *partSimulation {
-	p := &partSimulation{home: newActiveSimulation(home), other: newActiveSimulation(other)}
+	p := &partSimulation{home: newActiveSimulation(home), other: newActiveCell("v", other)}
 	p.other.archive.epoch = 1000
 	p.other.changeHolder(p.other.workers...)
 	p.other.runFor(200 * time.Millisecond)
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -79,6 +79,9 @@
 
 // RegistryRead records that all changes of the registry up to a time have been applied.
 func (c *Cell) RegistryRead(until time.Time) {
+	if until.Sub(c.registryReadAt) > registrationGrace {
+		c.registrySteadySince = until
+	}
 	if until.After(c.registryReadAt) {
 		c.registryReadAt = until
 	}
--- a/dispatcher/partreturn.go
+++ b/dispatcher/partreturn.go
@@ -36,7 +36,7 @@
 	for _, t := range c.ready {
 		j := t.job()
 		waits := j.job.Part != nil && !t.remote && j.running == 0 && !j.state.Final() && !j.relocating && now.Sub(t.readyAt) >= delegationDelay
-		if waits && !c.mayHaveRun(now, t) && !c.capable(t) {
+		if waits && !c.mayHaveRun(now, t) && !c.capable(t) && !c.hasUnconfirmedCrash(j) {
 			return t.id.Job, true
 		}
 	}
@@ -75,7 +75,7 @@
 			for _, t := range s.tasks {
 				if t.delegatedTo == returned.Cell {
 					t.remote, t.delegatedTo = false, ""
-					t.addCrashes(returned.Crashes)
+					c.addCrashes(now, t, returned.Crashes)
 					c.record(recorder.Event{Kind: KindRelocated, Task: t.id.String(), Key: id, Detail: "given back by " + returned.Cell})
 					c.enqueue(now, t)
 				}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -20,6 +20,7 @@
 func (c *Cell) Plan(now time.Time) Orders {
 	c.expireLeases(now)
 	c.activate(now)
+	c.reviewCrashes(now)
 	c.reportInactivity(now)
 	for _, j := range c.upcoming {
 		c.beginOccurrences(now, j)
@@ -88,7 +89,7 @@
 		case !c.mayStart(now, t):
 		case crashing != nil && !t.gangRuns():
 			c.giveUp(now, crashing)
-		case crashing != nil || t.suspect() && c.trialsFull(t):
+		case crashing != nil || t.awaitsCrashReview() || t.suspect() && c.trialsFull(t):
 		default:
 			orders = append(orders, c.placeOrReserve(now, t)...)
 		}
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -72,7 +72,6 @@
 		}
 		c.setBoot(now, w, listing.Boot)
 	}
-	c.withdrawCrash(w)
 	c.observeEnds(now, w, listing)
 	listedAt := w.latestTime(now, listing.Clock)
 	if listing.Clock >= w.clock || !w.epochAccepted {
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -184,7 +184,7 @@
 	}
 	for _, stored := range p.Crashes {
 		if t := c.task(now, stored.Task); t != nil {
-			t.crashes, t.storedCrashes = stored.Crashes, len(stored.Crashes)
+			c.restoreCrashes(now, t, stored.Crashes)
 		}
 	}
 	for _, e := range p.Delegated {
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -47,7 +47,7 @@
 	case now.Sub(t.readyAt) < delegationDelay || now.Sub(t.refusedAt) < delegationRetryDelay:
 		return false
 	}
-	return !c.mayHaveRun(now, t) && !c.capable(t) && len(j.partCells()) == 0
+	return !c.mayHaveRun(now, t) && !c.capable(t) && len(j.partCells()) == 0 && !c.hasUnconfirmedCrash(j)
 }
 
 // Capable reports whether a worker of the cell could run a task if all of its capacity were free.
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -19,6 +19,7 @@
 			c.handleExpiredLease(now, w)
 		}
 		if c.removable(now, w) {
+			c.confirmCrashes(now, w)
 			delete(c.workers, id)
 			c.speeds.Forget(id)
 			c.workerIDs = nil
--- a/dispatcher/shutdown.go
+++ b/dispatcher/shutdown.go
@@ -42,6 +42,12 @@
 // noteLeaving notes what the registration tells of the process that was last heard: whether it drains, or
 // is back as ready.
 func (w *worker) noteLeaving() {
+	switch {
+	case w.registration.Phase == PhaseDraining:
+		w.drainingBoot = w.registration.Boot
+	case w.registered && w.registration.Boot == w.drainingBoot:
+		w.drainingBoot = 0
+	}
 	switch {
 	case w.registration.Phase == PhaseDraining || !w.registered:
 		w.left = true
@@ -50,6 +56,10 @@
 	}
 }
 
+// plansExit reports whether a boot of the worker has registered that it drains, so that its end is no
+// crash.
+func (w *worker) plansExit(boot int64) bool { return boot != 0 && boot == w.drainingBoot }
+
 // keepsRuns reports whether the runs of the worker's process last after another one has answered.
 func (w *worker) keepsRuns() bool { return w.epochAccepted && w.mayShutDown() }
 
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -60,9 +60,6 @@
 	throttle         int
 	throttleAccepted bool
 	throttledSince   time.Time
-	// crashUnconfirmed is true if the crash of the worker is recorded although only its address
-	// refuses connections so far.
-	crashUnconfirmed bool
 	// blameOnAnswer is true if the worker has restarted since the start was sent. The run is
 	// to blame unless the answer shows that the start didn't reach the worker.
 	blameOnAnswer bool
@@ -221,6 +218,8 @@
 	// that was shutting down then; 0 if there is none, it is unknown, or its leases have expired.
 	// earlierBoot is that of which this holder counts runs although another boot has answered.
 	drainedBoot, earlierBoot int64
+	// drainingBoot is the boot that was last registered as draining, 0 if none is known: its exit is planned.
+	drainingBoot int64
 	// boot is the boot time in Unix milliseconds that the worker last reported; 0 if
 	// unknown. bootSince is when this boot was first seen: an earlier poll may have been
 	// answered by the boot before.
--- a/dispatcher/unreadend_test.go
+++ b/dispatcher/unreadend_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -246,8 +247,15 @@
 }
 
 // newActiveSimulation returns a simulation whose holder is active.
-func newActiveSimulation(workers int) *simulation {
+func newActiveSimulation(workers int) *simulation { return newActiveCell("w", workers) }
+
+// newActiveCell returns a simulation whose holder is active, with workers whose ids have a prefix: a worker's id
+// is unique in all cells.
+func newActiveCell(prefix string, workers int) *simulation {
 	s := newSimulation(workers)
+	for i, f := range s.workers {
+		f.registration.ID = fmt.Sprintf("%s%d", prefix, i)
+	}
 	s.changeHolder(s.workers...)
 	s.runFor(200 * time.Millisecond)
 	return s
