dispatcher: a run of a gang that fails counts once, however many members failed

What callers see: a gang of four on workers that fail whatever they start was failed after one run, with three attempts.

Cause: the failed ends of all members were added up, although they are ends of one run of the gang. Change: attempts are counted by the number of the run, which the members share; also after a change of the holder.

--- a/dispatcher/evidence.go
+++ b/dispatcher/evidence.go
@@ -15,6 +15,18 @@
 	return slices.ContainsFunc(t.failures, func(f failedRun) bool { return f.number == number })
 }
 
+// failedAttempts returns how many runs of the task have failed, or of its gang: the members of a gang share the
+// number of a run, which has failed once however many of them have.
+func (t *task) failedAttempts() int {
+	failed := map[int64]bool{}
+	for _, member := range t.startedTogether() {
+		for _, f := range member.failures {
+			failed[f.number] = true
+		}
+	}
+	return len(failed)
+}
+
 // failedRuns returns the numbers of the failed runs, in the order in which they were listed.
 func (t *task) failedRuns() []int64 {
 	numbers := make([]int64, len(t.failures))
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -253,15 +253,8 @@
 		return
 	}
 	c.dirty[j.job.ID] = true
-	failures := len(t.failures)
-	if t.step.step.Gang {
-		failures = 0
-		for _, member := range t.step.tasks {
-			failures += len(member.failures)
-		}
-	}
-	if failures >= j.job.Queue.Attempts {
-		cause := t.describeFailures(now, failures)
+	if failed := t.failedAttempts(); failed >= j.job.Queue.Attempts {
+		cause := t.describeFailures(now, failed)
 		c.record(recorder.Event{Kind: KindAttemptsSpent, VM: w.registration.ID, Task: t.id.String(), Attempt: int(number), Key: j.job.ID, Detail: cause})
 		c.fail(now, j, t.id.String()+": "+cause)
 	}
