dispatcher: a job is pending until a worker is known to have begun it

Cause: a job counted as begun once a start had been sent. Starts without an answer, to workers that refuse connections, never arrived, and the count was never corrected: an order that was sent was taken for one that was carried out. Change: a job has begun once a worker has accepted a start, or lists a run or an end of it.

TestPendingJobs: the two cases with lost starts were red before.

--- a/dispatcher/addruns.go
+++ b/dispatcher/addruns.go
@@ -14,12 +14,12 @@
 
 // addRunsAnywhere adds a run of each task, or none.
 func (c *Cell) addRunsAnywhere(now time.Time, members []*task) []*run {
-	number, startedBefore := c.Epoch*maxRunsPerEpoch+c.lastRun+1, members[0].job().started
+	number := c.Epoch*maxRunsPerEpoch + c.lastRun + 1
 	var added []*run
 	for _, member := range members {
 		w := c.selectWorker(now, member)
 		if w == nil || c.awaitsRackInstead(now, member, w) {
-			c.withdrawAll(added, startedBefore)
+			c.withdrawAll(added)
 			return nil
 		}
 		r := c.addRun(member, w, number, phaseSent, now)
@@ -30,11 +30,9 @@
 	return added
 }
 
-// withdrawAll removes runs of a job whose starts were never sent. startedBefore is true if a task of the
-// job had started before them.
-func (c *Cell) withdrawAll(runs []*run, startedBefore bool) {
+// withdrawAll removes runs whose starts were never sent.
+func (c *Cell) withdrawAll(runs []*run) {
 	for _, r := range runs {
 		c.withdraw(r)
-		r.task.job().started = startedBefore
 	}
 }
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -35,7 +35,10 @@
 	if answer != AnswerAccepted {
 		c.record(recorder.Event{Kind: KindStartFailed, VM: w.registration.ID, Task: order.Task.String(), Attempt: int(order.Run), Key: order.Task.Job, Detail: string(answer) + "; " + c.describe(now, w)})
 	}
-	r.acceptedStart = r.acceptedStart || answer == AnswerAccepted
+	if answer == AnswerAccepted {
+		r.acceptedStart = true
+		r.task.job().started = true
+	}
 	if r.blameOnAnswer && (answer == AnswerAccepted || answer == AnswerUnknown) {
 		c.blame(now, r, SignRestarted)
 	}
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -209,7 +209,6 @@
 	if t.suspect() {
 		w.trial = r
 	}
-	t.job().started = true
 	t.job().running++
 	return r
 }
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -167,6 +167,7 @@
 // applyEnding applies to a task how one of its runs ended.
 func (c *Cell) applyEnding(now time.Time, w *worker, t *task, row EndedRow) {
 	c.clearCrash(t, row.Run)
+	t.job().started = true
 	switch row.Ending {
 	case EndingDone:
 		w.consecutiveFailures = 0
@@ -300,6 +301,7 @@
 func (r *run) update(now, listedAt time.Time, row RunningRow) {
 	r.missedPolls = 0
 	r.observed = true
+	r.task.job().started = true
 	r.lastsUntil = time.Time{}
 	r.listedAt = listedAt
 	if r.phase == phaseSent || r.phase == phaseUnknown {
@@ -346,6 +348,7 @@
 	surplus := len(t.runs) > 0
 	c.record(recorder.Event{Kind: KindAdopted, VM: w.registration.ID, Task: row.Task.String(), Attempt: int(row.Run), Key: row.Task.Job, Detail: t.otherRuns()})
 	r := c.addRun(t, w, row.Run, phaseConfirmed, now)
+	t.job().started = true
 	if surplus {
 		c.stop(r)
 	}
--- a/dispatcher/rackgroup.go
+++ b/dispatcher/rackgroup.go
@@ -9,7 +9,7 @@
 // addGroup adds the runs of a gang that is faster in one rack: in such a rack if one has places for all
 // members, else anywhere, unless the gang waits for a rack.
 func (c *Cell) addGroup(now time.Time, t *task, members []*task) []*run {
-	step, startedBefore := t.step.step, t.job().started
+	step := t.step.step
 	if added := c.addWithinRacks(now, t, members, c.groupRacks(step)); added != nil {
 		return added
 	}
@@ -20,11 +20,11 @@
 	line := c.newGroupLine(now, t)
 	c.pass.racks.setLine(t.step, line)
 	if line.groupWaits {
-		c.withdrawAll(added, startedBefore)
+		c.withdrawAll(added)
 		return nil
 	}
 	if step.RackLocal && step.DataRack != "" {
-		c.withdrawAll(added, startedBefore)
+		c.withdrawAll(added)
 		if within := c.addWithinRacks(now, t, members, c.pass.racks.names(c)); within != nil {
 			return within
 		}
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -171,7 +171,7 @@
 	for _, number := range p.Finished {
 		j.finished[number] = true
 	}
-	j.started = len(p.Finished)+len(p.Done)+len(p.Failures)+len(p.Crashes) > 0
+	j.started = len(p.Finished)+len(p.Done)+len(p.Failures) > 0
 	for _, id := range p.Done {
 		if t := c.task(now, id); t != nil {
 			c.markDone(now, t)
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -159,7 +159,7 @@
 	state State
 	// running counts the runs of the job.
 	running int
-	// started is true once a task of the job has started.
+	// started is true once a worker has accepted or listed a run of the job.
 	started bool
 	// occurrences are the occurrences that have begun, by number.
 	occurrences map[int]*occurrenceState
