--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -79,15 +79,6 @@
 	at     time.Time
 }
 
-// failedRun is a run that a worker has listed as failed.
-type failedRun struct {
-	number int64
-	// worker is the id of the worker, and at when the end was handled; both are zero if an earlier
-	// holder handled it.
-	worker string
-	at     time.Time
-}
-
 // task is a task of an occurrence.
 type task struct {
 	id   TaskID
