dispatcher: a prompt crash after an unanswered start counts if the worker showed it soon after

Change: the worker also had the run, almost certainly, if it refused connections within 500 ms of the start without an answered poll in between.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -34,8 +34,8 @@
 	Boot   int64
 	// Sign is the last sign of the crash. It is empty if an earlier build recorded the crash.
 	Sign CrashSign
-	// Acknowledged is true if the worker had accepted the start or listed the run.
-	Acknowledged bool
+	// Attributed is true if the worker almost certainly had the run. Other starts may not have reached it.
+	Attributed bool
 	// Confirmed is true once the boot has certainly ended, or the worker is forgotten. Until then the
 	// worker may have been unreachable only.
 	Confirmed bool
@@ -58,9 +58,11 @@
 	// which a task, and with it its job, fails.
 	maxCrashes       = 4
 	maxPromptCrashes = 3
-	// minAcknowledgedCrashes is how many of maxPromptCrashes must have been under a run that the worker
-	// is known to have had.
-	minAcknowledgedCrashes = 2
+	// minAttributedCrashes is how many crashes must be attributed for maxPromptCrashes to apply.
+	minAttributedCrashes = 2
+	// attributionTime is how soon after a start without an answer its worker must have shown the crash
+	// to have had the run.
+	attributionTime = 500 * time.Millisecond
 )
 
 // startsWith reports whether the task starts together with another one: they are the same, or
@@ -91,6 +93,18 @@
 	return !r.observed && r.phase == phaseConfirmed && r.worker.answeredAt.After(r.confirmedAt)
 }
 
+// attributable reports whether the worker, which has crashed, almost certainly had the run: it had
+// acknowledged the run, or showed the crash soon after the start.
+func (r *run) attributable(now time.Time) bool {
+	return r.acknowledged() || r.crashedSoon || r.crashesSoon(now)
+}
+
+// crashesSoon reports whether a crash of the worker that shows now follows the start of the run, with no
+// answered poll in between.
+func (r *run) crashesSoon(now time.Time) bool {
+	return now.Sub(r.sentAt) <= attributionTime && !r.worker.answeredAt.After(r.sentAt)
+}
+
 // mayHaveCrashed reports whether the run may be the cause if its worker has crashed.
 func (r *run) mayHaveCrashed() bool { return !r.outlived(crashWindow) && !r.passedOver() }
 
@@ -114,7 +128,7 @@
 	t := r.task
 	id := r.worker.registration.ID
 	t.crashes = append(t.crashes, Crash{
-		Run: r.number, Worker: id, Boot: r.boot, Sign: sign, Acknowledged: r.acknowledged(), At: now,
+		Run: r.number, Worker: id, Boot: r.boot, Sign: sign, Attributed: r.attributable(now), At: now,
 		Prompt: !r.outlived(promptAge), knownAt: now,
 	})
 	c.blamed[t] = true
@@ -135,6 +149,7 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
+		r.crashedSoon = r.crashedSoon || r.crashesSoon(now)
 		if r.phase != phaseSent && r.mayHaveCrashed() {
 			c.blame(now, r, SignRefused)
 		}
@@ -142,7 +157,7 @@
 }
 
 // crashCount counts crashes.
-type crashCount struct{ all, prompt, acknowledged int }
+type crashCount struct{ all, prompt, attributed int }
 
 // countCrashes counts the crashes of the task, of the confirmed ones only if confirmedOnly is true.
 func (t *task) countCrashes(confirmedOnly bool) crashCount {
@@ -155,8 +170,8 @@
 		if crash.Prompt {
 			count.prompt++
 		}
-		if crash.Acknowledged {
-			count.acknowledged++
+		if crash.Attributed {
+			count.attributed++
 		}
 	}
 	return count
@@ -165,7 +180,7 @@
 // tooMany reports whether a task is given up for the crashes. One under a start without an answer may have had
 // nothing to do with the task.
 func (n crashCount) tooMany() bool {
-	return n.all >= maxCrashes || n.prompt >= maxPromptCrashes && n.acknowledged >= minAcknowledgedCrashes
+	return n.all >= maxCrashes || n.prompt >= maxPromptCrashes && n.attributed >= minAttributedCrashes
 }
 
 // crashesTooMany reports whether the task is given up, and with it its job.
@@ -243,11 +258,16 @@
 	}
 }
 
-// clearCrash takes back the blame for the crash of a worker that has listed the run since.
-func (c *Cell) clearCrash(t *task, number int64) {
-	if !t.blamedFor(number) {
-		return
+// clearCrash takes back the blame for the crash of a worker that has listed the run, or its end, since.
+func (c *Cell) clearCrash(now time.Time, t *task, number int64) {
+	i := slices.IndexFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
+	if i >= 0 {
+		c.withdrawCrash(now, t, t.crashes[i], "the worker has listed the run or its end")
 	}
+}
+
+// removeCrash removes a crash that was none.
+func (c *Cell) removeCrash(t *task, number int64) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
 	t.storedCrashes = min(t.storedCrashes, len(t.crashes))
 	c.dirty[t.id.Job] = true
--- a/dispatcher/crashrecord.go
+++ b/dispatcher/crashrecord.go
@@ -16,18 +16,18 @@
 }
 
 type crashMessage struct {
-	Run          int64     `json:"run"`
-	Worker       string    `json:"worker"`
-	Boot         int64     `json:"boot,omitempty"`
-	Sign         CrashSign `json:"sign,omitempty"`
-	Acknowledged bool      `json:"acknowledged,omitempty"`
-	Confirmed    bool      `json:"confirmed,omitempty"`
-	AtMS         int64     `json:"at_milliseconds,omitempty"`
-	Prompt       bool      `json:"prompt,omitempty"`
+	Run        int64     `json:"run"`
+	Worker     string    `json:"worker"`
+	Boot       int64     `json:"boot,omitempty"`
+	Sign       CrashSign `json:"sign,omitempty"`
+	Attributed bool      `json:"attributed,omitempty"`
+	Confirmed  bool      `json:"confirmed,omitempty"`
+	AtMS       int64     `json:"at_milliseconds,omitempty"`
+	Prompt     bool      `json:"prompt,omitempty"`
 }
 
 func newCrashMessage(c Crash) crashMessage {
-	m := crashMessage{Run: c.Run, Worker: c.Worker, Boot: c.Boot, Sign: c.Sign, Acknowledged: c.Acknowledged, Confirmed: c.Confirmed, Prompt: c.Prompt}
+	m := crashMessage{Run: c.Run, Worker: c.Worker, Boot: c.Boot, Sign: c.Sign, Attributed: c.Attributed, Confirmed: c.Confirmed, Prompt: c.Prompt}
 	if !c.At.IsZero() {
 		m.AtMS = c.At.UnixMilli()
 	}
@@ -35,7 +35,7 @@
 }
 
 func (m crashMessage) crash() Crash {
-	c := Crash{Run: m.Run, Worker: m.Worker, Boot: m.Boot, Sign: m.Sign, Acknowledged: m.Acknowledged, Confirmed: m.Confirmed, Prompt: m.Prompt}
+	c := Crash{Run: m.Run, Worker: m.Worker, Boot: m.Boot, Sign: m.Sign, Attributed: m.Attributed, Confirmed: m.Confirmed, Prompt: m.Prompt}
 	if m.AtMS != 0 {
 		c.At = time.UnixMilli(m.AtMS)
 	}
--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -117,7 +117,7 @@
 // withdrawCrash takes back a crash that was none.
 func (c *Cell) withdrawCrash(now time.Time, t *task, crash Crash, reason string) {
 	c.recordReview(KindCrashWithdrawn, t, crash, fmt.Sprintf("%s; %s", reason, c.describeCrash(now, crash)))
-	c.clearCrash(t, crash.Run)
+	c.removeCrash(t, crash.Run)
 }
 
 func (c *Cell) recordReview(kind recorder.Kind, t *task, crash Crash, detail string) {
--- a/dispatcher/evidence_test.go
+++ b/dispatcher/evidence_test.go
@@ -29,7 +29,7 @@
 		"crashes": {
 			setUp: func(s *simulation) { s.deadly(dispatcher.TaskID{Job: jobID}, 3*time.Second) },
 			kind:  dispatcher.KindGivenUp,
-			want:  []string{"crashed 3 workers", "prompt: true", "start acknowledged: true", "recorded ", "boot now", "last answered poll"},
+			want:  []string{"crashed 3 workers", "prompt: true", "attributed: true", "recorded ", "boot now", "last answered poll"},
 		},
 	}
 	for name, test := range tests {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -60,6 +60,8 @@
 	throttle         int
 	throttleAccepted bool
 	throttledSince   time.Time
+	// crashedSoon is true once the worker has refused connections soon after the start.
+	crashedSoon bool
 	// blameOnAnswer is true if the worker has restarted since the start was sent. The run is
 	// to blame unless the answer shows that the start didn't reach the worker.
 	blameOnAnswer bool
