dispatcher: a relocated job takes its tasks out of the review of crashes

What would be seen: a process ends (nil dereference in NextBatch) when a worker returns that was taken for crashed under a job which has moved to another cell since: the withdrawal marked a job as changed that the cell doesn't have any more.

TestCrashOfRelocatedJob panicked before, passes now.

--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	"zinniashore.example/recorder"
@@ -115,6 +116,7 @@
 	delete(c.jobs, id)
 	delete(c.dirty, id)
 	delete(c.upcoming, id)
+	maps.DeleteFunc(c.blamed, func(t *task, _ bool) bool { return t.id.Job == id })
 	c.dropFromReady(func(t *task) bool { return t.id.Job == id })
 }
 
--- a/dispatcher/relocation_test.go
+++ b/dispatcher/relocation_test.go
@@ -178,3 +178,27 @@
 	s.runFor(2 * time.Second)
 	requireState(t, s, jobID, dispatcher.StateCompleted)
 }
+
+// TestCrashOfRelocatedJob guards against a holder that ends as a worker returns which it had taken for crashed
+// under a job that has moved to another cell since.
+func TestCrashOfRelocatedJob(t *testing.T) {
+	s := newActiveSimulation(1)
+	s.submit(plainJob(jobID, 1, 12*time.Second, 1))
+	s.advanceToStart(time.Second)
+	cut := s.workers[0]
+	cut.reachable = false
+	s.unregister(cut)
+	id, found := awaitRelocation(s, 15*time.Second)
+	if !found || !s.cell.Relocate(s.now, id, "graz-b") {
+		t.Fatal("the job isn't relocated")
+	}
+	s.runFor(time.Second)
+	moved := s.archive.relocations[0].Job.Progress
+	if len(moved.Crashes) != 1 || !moved.Crashes[0].Crashes[0].Confirmed {
+		t.Fatalf("the job moves with the crashes %+v, want one that is confirmed", moved.Crashes)
+	}
+	cut.reachable = true
+	s.register(cut)
+	s.runFor(5 * time.Second)
+	requireNoViolations(t, s)
+}
