dispatcher: what is learned of a job during its lookup isn't lost

What callers see: an accepted job that came back to a cell isn't run until the holder changes (LOST), or a job runs on although its cancellation is stored (UNASKED), or although another cell has given up its part.

Cause: a lookup of a job in the store takes several reads. A record, a cancellation or a failed part that arrives meanwhile is dropped, as the job isn't known or has departed, and the answer, which is older, was then taken for the newest state; the answer that there is no such job even ended the lookup that the new record had asked for. Change: what arrives of a job marks its lookup as out of date. The answer isn't used then, and the job is looked up again.

--- a/dispatcher/calls.go
+++ b/dispatcher/calls.go
@@ -28,6 +28,7 @@
 	}
 	r.mu.Lock()
 	r.Cell.AddJob(r.Clock.Now(), job, nil, restored)
+	r.outdateLookup(job.ID)
 	r.mu.Unlock()
 	signal(r.wake)
 }
@@ -37,6 +38,7 @@
 func (r *Runner) Cancel(ctx context.Context, id string) (bool, error) {
 	r.mu.Lock()
 	known, stored := r.Cell.Cancel(r.Clock.Now(), id)
+	r.outdateLookup(id)
 	r.mu.Unlock()
 	signal(r.wake)
 	if !known || stored == nil {
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -122,6 +122,7 @@
 func (r *Runner) FailPart(id, cell, cause string) bool {
 	r.mu.Lock()
 	known := r.Cell.FailPart(r.Clock.Now(), id, cell, cause)
+	r.outdateLookup(id)
 	r.mu.Unlock()
 	signal(r.wake)
 	return known
--- a/dispatcher/export_test.go
+++ b/dispatcher/export_test.go
@@ -55,3 +55,6 @@
 
 // PlanPause returns the pause after a plan that took a time.
 func PlanPause(took time.Duration) time.Duration { return planPause(took) }
+
+// Depart makes a job one that the cell has relocated.
+func Depart(c *Cell, now time.Time, id string) { c.departed[id] = now }
--- a/dispatcher/partreturn.go
+++ b/dispatcher/partreturn.go
@@ -90,6 +90,7 @@
 func (r *Runner) AddReturned(id string, returned ReturnedPart) bool {
 	r.mu.Lock()
 	known := r.Cell.AddReturned(r.Clock.Now(), id, returned)
+	r.outdateLookup(id)
 	r.mu.Unlock()
 	signal(r.wake)
 	return known
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -118,6 +118,8 @@
 	changed chan struct{}
 	stored  chan struct{}
 	polled  map[string]bool
+	// lookups holds the jobs that are being looked up. The value is true until a change of the job has
+	// arrived meanwhile, so that the answer may be older than the change.
 	lookups map[string]bool
 	// suspendedTime is the newest value of SuspendedTime.
 	suspendedTime time.Duration
--- a/dispatcher/unaccepted.go
+++ b/dispatcher/unaccepted.go
@@ -22,4 +22,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Cell.AddUnaccepted(r.Clock.Now(), id)
+	r.outdateLookup(id)
 }
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -104,14 +104,23 @@
 // findUnknownJobs looks up the jobs that aren't looked up already; the caller holds mu.
 func (r *Runner) findUnknownJobs(ctx context.Context) {
 	for _, id := range r.Cell.UnknownJobs(r.Clock.Now()) {
-		if !r.lookups[id] {
+		if _, asked := r.lookups[id]; !asked {
 			r.lookups[id] = true
 			r.runAsync(func() { r.findJob(ctx, id) })
 		}
 	}
 }
 
-// findJob looks up a job in the store and adds it to the cell.
+// outdateLookup notes that a change of a job has arrived, which the answer to a lookup that is under way
+// may lack; the caller holds mu.
+func (r *Runner) outdateLookup(id string) {
+	if r.lookups[id] {
+		r.lookups[id] = false
+	}
+}
+
+// findJob looks up a job in the store and adds it to the cell. If a change of the job has arrived
+// meanwhile, it is looked up again.
 func (r *Runner) findJob(ctx context.Context, id string) {
 	stored, found, err := r.Archive.Find(ctx, id)
 	if err != nil {
@@ -120,10 +129,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	current := r.lookups[id]
 	delete(r.lookups, id)
 	now := r.Clock.Now()
 	switch {
 	case err != nil:
+	case !current:
+		signal(r.wake)
 	case found:
 		r.addStored(now, stored)
 	default:
