dispatcher: a worker has time to register again after each outage of the registry

What callers see: work that is done twice, or a job that leaves its cell, after an outage of the store.

Cause: a worker counts as gone once the registry has lacked it for 3 s, by the times of the first and the last answer. An outage between the two counted as absence: the first answer after it made the worker gone at once, although the platform gives workers about two seconds from the return of the store to be back. A new holder counted from when it had loaded the cell, before it had read the registry. Change: the 3 s count from the first answer after a gap of the same length. The cost: after each such outage a worker that is really gone counts for up to 3 s longer, as a voter too. Gaps of under 3 s still count as absence.

--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -75,11 +75,7 @@
 	if !w.registered || crash.Boot == 0 || w.registration.Boot != crash.Boot {
 		return false
 	}
-	since := crash.knownAt
-	if c.registrySteadySince.After(since) {
-		since = c.registrySteadySince
-	}
-	return c.registryReadAt.Sub(since) >= livenessAge
+	return c.registryReadFor(crash.knownAt) >= livenessAge
 }
 
 // confirmCrashes confirms the crashes of a worker that is being forgotten. Whether one was none can hardly be
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -327,9 +327,17 @@
 
 // gone reports whether a worker no longer exists according to the registry. What the
 // registry has said since the holder last read it isn't known, so that a pause of either
-// doesn't count as absence of the worker.
+// doesn't count as absence of the worker. After one the worker has as long again to register.
 func (c *Cell) gone(w *worker) bool {
-	return !w.registered && c.registryReadAt.Sub(w.absentSince) >= registrationGrace
+	return !w.registered && c.registryReadFor(w.absentSince) >= registrationGrace
+}
+
+// registryReadFor returns for how long since a time the registry has been read without a long gap.
+func (c *Cell) registryReadFor(since time.Time) time.Duration {
+	if c.registrySteadySince.After(since) {
+		since = c.registrySteadySince
+	}
+	return c.registryReadAt.Sub(since)
 }
 
 // crashed reports whether a worker is gone according to the registry and nothing
