owner: a batch task isn't at fault because other workers are silent for a moment

What callers see: a job of the product's own interface has a failed task, for good, after one attempt on one of three or more workers.

Cause: a task is at fault once it has failed on three workers, or on all that are ready if these are fewer. Workers that had missed two calls, or that hadn't answered a new owner yet, weren't counted as ready, so that one failure on the worker that answered first was enough. Change: for a batch task, for which the decision is final, listed workers count whether or not they answer at present. Instances of services, which are tried again, are judged as before. Limit: a task that has failed on all workers but silent ones waits; if these are taken off the list it waits for a new worker, as it did when workers left after its failure.

TestBlameBeforeAllAnswer: two of its five cases failed before, none now. The package passes (99 s, one processor).

--- a/owner/worker.go
+++ b/owner/worker.go
@@ -313,7 +313,7 @@
 		c.owner.record(recorder.Event{Kind: KindWorkerQuarantined, Cell: c.spec.ID, Epoch: c.tenure.epoch, VM: worker})
 	}
 	t.record = t.record.withFailure(worker)
-	if c.failures.taskAtFault(t.record.failedOn, c.countReady(now)) {
+	if c.failures.taskAtFault(t.record.failedOn, c.countCandidates(t, now)) {
 		c.failures.removeTask(id)
 		c.handleFaultyTask(t, report.Reason, now)
 	}
@@ -334,6 +334,21 @@
 	t.retryAt = now.Add(c.owner.ProbeWait)
 }
 
+// countCandidates returns the number of workers that could run a task that has failed. The failure of a batch
+// task at fault is final, so workers that don't answer at present, or not yet, count for it: they may soon.
+func (c *cell) countCandidates(t *task, now time.Time) int {
+	if c.jobs[t.demand.group] == nil {
+		return c.countReady(now)
+	}
+	count := 0
+	for id, w := range c.workers {
+		if w.listed && !w.vm.Leaving && c.failures.acceptsTasks(id, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // countReady returns the number of workers that accept new tasks unless they are
 // evacuated. An evacuation does not make a failure the fault of its task.
 func (c *cell) countReady(now time.Time) int {
