dispatcher: the answer of an earlier boot to a stop doesn't end a run

What callers see: a task runs twice at the same time.

Cause: a run whose start got no answer counts as never started once its stop is accepted and a later poll doesn't list it. If the worker restarts in between, that is asked again of the new boot; but the answer of the boot before, when it was handled after the restart had been seen, was taken for one of the new boot, which hadn't refused the start. Change: a stop carries the boot that the holder knew; an answer counts only while that is the worker's boot, else the stop is repeated. It takes a start that reaches a later boot; connections of which the boot is known rule that out, others don't.

TestStopAnswerOfEarlierBoot: one violation ("runs more than once at a time") before, none now.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -74,7 +74,8 @@
 	c.removeRun(now, r, string(answer))
 }
 
-// HandleStopAnswer applies a worker's answer to a stop.
+// HandleStopAnswer applies a worker's answer to a stop. That an earlier boot has accepted it doesn't keep the
+// present one from a start that is on its way: that one has to accept the stop, which is sent again.
 func (c *Cell) HandleStopAnswer(now time.Time, order StopOrder, answer Answer) {
 	w, known := c.workers[order.Worker.ID]
 	if !known {
@@ -84,7 +85,7 @@
 		c.superseded = true
 	}
 	r := w.runs[runKey{task: order.Task, run: order.Run}]
-	if r != nil && answer == AnswerAccepted {
+	if r != nil && answer == AnswerAccepted && order.Boot == w.boot {
 		r.stopAcceptedAt = now
 	}
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -70,7 +70,7 @@
 
 func (c *Cell) stopOrder(w *worker, key runKey) StopOrder {
 	c.record(recorder.Event{Kind: KindStop, VM: w.registration.ID, Task: key.task.String(), Attempt: int(key.run), Key: key.task.Job})
-	return StopOrder{Worker: w.registration, Task: key.task, Run: key.run, Epoch: c.Epoch}
+	return StopOrder{Worker: w.registration, Task: key.task, Run: key.run, Epoch: c.Epoch, Boot: w.boot}
 }
 
 // planStarts places the ready tasks, in the order of compareTasks, on workers with
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -173,6 +173,9 @@
 	Task   TaskID
 	Run    int64
 	Epoch  int64
+	// Boot is the boot that the worker was known to have when the order was made, in Unix milliseconds; 0 if
+	// none was. The order reaches any boot.
+	Boot int64
 }
 
 // ThrottleOrder orders a worker to limit the speed of a run to Percent of its full
