dispatcher: a forgotten worker ends a job only 40 s after its crash was recorded

What callers see: three workers that are cut off from all for 18 s, each soon after a start of the same task, end its job; they answer later under the boots that they had.

Cause: 'forgotten' counted like a proof, about 6 s after the worker's last answer. Change: such a crash lets its task change the cell at once, but counts for the end of its job only 40 s after it was recorded, or as soon as another boot answers.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -18,8 +18,10 @@
 	// SignLost: the lease had expired, and the worker was missing from the registry, or another one
 	// answered at its address.
 	SignLost CrashSign = "lost"
-	// SignForgotten: the cell has forgotten the worker, which was lost.
+	// SignForgotten: the cell has forgotten the worker, which was missing from the registry.
 	SignForgotten CrashSign = "forgotten"
+	// SignReplaced: the cell has forgotten the worker, as another one has its address.
+	SignReplaced CrashSign = "replaced"
 	// SignRestarted: another boot of the worker answered, or has registered.
 	SignRestarted CrashSign = "started anew"
 )
@@ -63,6 +65,9 @@
 	// attributionTime is how soon after a start without an answer its worker must have shown the crash
 	// to have had the run.
 	attributionTime = 500 * time.Millisecond
+	// forgottenCrashAge is the age from which the crash of a worker that was only missing ends a job: by
+	// then most workers that were cut off are back.
+	forgottenCrashAge = 40 * time.Second
 )
 
 // startsWith reports whether the task starts together with another one: they are the same, or
@@ -159,11 +164,11 @@
 // crashCount counts crashes.
 type crashCount struct{ all, prompt, attributed int }
 
-// countCrashes counts the crashes of the task, of the confirmed ones only if confirmedOnly is true.
-func (t *task) countCrashes(confirmedOnly bool) crashCount {
+// countCrashes counts the crashes of the task that meet a condition.
+func (t *task) countCrashes(met func(Crash) bool) crashCount {
 	var count crashCount
 	for _, crash := range t.crashes {
-		if confirmedOnly && !crash.Confirmed {
+		if !met(crash) {
 			continue
 		}
 		count.all++
@@ -183,18 +188,26 @@
 	return n.all >= maxCrashes || n.prompt >= maxPromptCrashes && n.attributed >= minAttributedCrashes
 }
 
-// crashesTooMany reports whether the task is given up, and with it its job.
-func (t *task) crashesTooMany() bool {
-	return len(t.crashes) >= maxPromptCrashes && t.countCrashes(true).tooMany()
+// certain reports whether the boot that the crash is of has ended for certain.
+func (c Crash) certain() bool { return c.Confirmed && c.Sign != SignForgotten }
+
+// mayEndJob reports whether the crash counts for the decision to give its task up.
+func (c Crash) mayEndJob(now time.Time) bool {
+	return c.certain() || c.Confirmed && now.Sub(c.knownAt) >= forgottenCrashAge
 }
 
-// awaitsCrashReview reports whether the task, or a member of its gang, would be given up if all of its
-// crashes were confirmed. It starts nowhere until that is decided.
-func (t *task) awaitsCrashReview() bool {
-	return t.anyMember(func(member *task) bool { return member.countCrashes(false).tooMany() })
+func anyCrash(Crash) bool { return true }
+
+// crashesTooMany reports whether the task is given up, and with it its job.
+func (t *task) crashesTooMany(now time.Time) bool {
+	return len(t.crashes) >= maxPromptCrashes && t.countCrashes(func(crash Crash) bool { return crash.mayEndJob(now) }).tooMany()
 }
 
-func (t *task) promptCrashes() int { return t.countCrashes(false).prompt }
+// awaitsCrashReview reports whether the task would be given up if all of its crashes counted. It starts nowhere
+// until that is decided.
+func (t *task) awaitsCrashReview() bool { return t.countCrashes(anyCrash).tooMany() }
+
+func (t *task) promptCrashes() int { return t.countCrashes(anyCrash).prompt }
 
 func (t *task) blamedFor(number int64) bool {
 	return slices.ContainsFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
@@ -202,9 +215,9 @@
 
 // memberToGiveUp returns the task, or the member of its gang, under which too many workers
 // have crashed, or nil.
-func (t *task) memberToGiveUp() *task {
+func (t *task) memberToGiveUp(now time.Time) *task {
 	for _, member := range t.startedTogether() {
-		if member.crashesTooMany() {
+		if member.crashesTooMany(now) {
 			return member
 		}
 	}
--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -55,7 +55,7 @@
 	switch {
 	case answered && sameBoot:
 		return crashWithdrawn, "the worker has answered under the same boot"
-	case crash.Confirmed:
+	case crash.certain():
 		return crashOpen, ""
 	case w.plansExit(crash.Boot):
 		return crashWithdrawn, "the worker had registered that it drains"
@@ -78,9 +78,12 @@
 	return c.registryReadFor(crash.knownAt) >= livenessAge
 }
 
-// confirmCrashes confirms the crashes of a worker that is being forgotten. Whether one was none can hardly be
-// learned any more.
+// confirmCrashes confirms the crashes of a worker that is being forgotten.
 func (c *Cell) confirmCrashes(now time.Time, w *worker) {
+	sign := SignForgotten
+	if w.displaced() {
+		sign = SignReplaced
+	}
 	for t := range c.blamed {
 		for _, crash := range slices.Clone(t.crashes) {
 			switch {
@@ -88,7 +91,7 @@
 			case w.plansExit(crash.Boot):
 				c.withdrawCrash(now, t, crash, "the worker had registered that it drains")
 			default:
-				c.confirmCrash(now, t, crash.Run, SignForgotten)
+				c.confirmCrash(now, t, crash.Run, sign)
 			}
 		}
 	}
@@ -98,14 +101,14 @@
 // crashed too many.
 func (c *Cell) confirmCrash(now time.Time, t *task, number int64, sign CrashSign) {
 	i := slices.IndexFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
-	if i < 0 || t.crashes[i].Confirmed {
+	if i < 0 || t.crashes[i].certain() || t.crashes[i].Confirmed && sign == SignForgotten {
 		return
 	}
 	crash := &t.crashes[i]
 	crash.Confirmed, crash.Sign = true, sign
 	c.dirty[t.id.Job] = true
 	c.recordReview(KindCrashConfirmed, t, *crash, c.describeCrash(now, *crash))
-	if t.crashesTooMany() && !t.gangRuns() {
+	if t.crashesTooMany(now) && !t.gangRuns() {
 		c.giveUp(now, t)
 	}
 }
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -225,7 +225,7 @@
 // movable reports whether another cell could run the task.
 func (t *task) movable() bool {
 	job := &t.job().job
-	return t.step.step.LongRunning && !t.step.step.Gang && job.Part == nil && !job.Timed && !t.crashesTooMany()
+	return t.step.step.LongRunning && !t.step.step.Gang && job.Part == nil && !job.Timed && !t.awaitsCrashReview()
 }
 
 // StopToMove stops the runs of a task so that it can be delegated.
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -85,11 +85,11 @@
 	defer func() { c.pass = nil }()
 	var orders []StartOrder
 	for _, t := range c.ready {
-		switch crashing := t.memberToGiveUp(); {
+		switch crashing := t.memberToGiveUp(now); {
 		case !c.mayStart(now, t):
 		case crashing != nil && !t.gangRuns():
 			c.giveUp(now, crashing)
-		case crashing != nil || t.awaitsCrashReview() || t.suspect() && c.trialsFull(t):
+		case crashing != nil || t.anyMember((*task).awaitsCrashReview) || t.suspect() && c.trialsFull(t):
 		default:
 			orders = append(orders, c.placeOrReserve(now, t)...)
 		}
--- a/dispatcher/withdrawncrash_test.go
+++ b/dispatcher/withdrawncrash_test.go
@@ -15,8 +15,6 @@
 	silent bool
 	// after is how long after a start its worker is away, and for how long.
 	after, away time.Duration
-	// startsLost is true if the starts never reach these workers.
-	startsLost bool
 	// backAt is when each of the workers is back, goesAt when the next ones go.
 	backAt, goesAt map[*fakeWorker]time.Time
 }
