dispatcher: a start without an answer confirms no crash of a worker that only refuses connections

A run whose start had no answer yet as the lease expired kept only that it was to blame, not for what: its crash was recorded as a restart, and so confirmed at once. TestLateStartAnswerConfirmsNoCrash: red before (a long-running job failed after four such starts, no worker had crashed), green after. A run that the worker lists has begun there, so a later answer to its start isn't to blame any more.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -39,8 +39,8 @@
 		r.acceptedStart = true
 		r.task.job().started = true
 	}
-	if r.blameOnAnswer && (answer == AnswerAccepted || answer == AnswerUnknown) {
-		c.blame(now, r, SignRestarted)
+	if r.blameOnAnswer != "" && (answer == AnswerAccepted || answer == AnswerUnknown) {
+		c.blame(now, r, r.blameOnAnswer)
 	}
 	switch answer {
 	case AnswerAccepted:
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -236,7 +236,9 @@
 		switch {
 		case !r.mayHaveCrashed():
 		case r.phase == phaseSent:
-			r.blameOnAnswer = true
+			if r.blameOnAnswer != SignRestarted {
+				r.blameOnAnswer = sign
+			}
 		default:
 			c.blame(now, r, sign)
 		}
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -151,8 +151,8 @@
 // markLost removes a run that has certainly ended without a listed end. An answer to its
 // start comes too late from now on.
 func (c *Cell) markLost(now time.Time, r *run, reason string) {
-	if r.blameOnAnswer {
-		c.blame(now, r, SignRestarted)
+	if r.blameOnAnswer != "" {
+		c.blame(now, r, r.blameOnAnswer)
 	}
 	c.recordRun(KindLost, r, reason+"; "+r.describe(now)+"; "+c.describe(now, r.worker))
 	c.removeRun(now, r, reason)
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -303,6 +303,7 @@
 	r.observed = true
 	r.task.job().started = true
 	r.lastsUntil = time.Time{}
+	r.blameOnAnswer = ""
 	r.listedAt = listedAt
 	if r.phase == phaseSent || r.phase == phaseUnknown {
 		r.phase = phaseConfirmed
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -60,9 +60,9 @@
 	throttle         int
 	throttleAccepted bool
 	throttledSince   time.Time
-	// blameOnAnswer is true if the worker has restarted since the start was sent. The run is
-	// to blame unless the answer shows that the start didn't reach the worker.
-	blameOnAnswer bool
+	// blameOnAnswer is the sign of a crash of the worker since the start was sent, empty if there is none.
+	// The run is to blame unless the answer shows that the start didn't reach the worker.
+	blameOnAnswer CrashSign
 	// startKnown is true if this holder sent the start. track measures the run's progress;
 	// trackLost is true once a part of it showed nothing of the worker's speed.
 	startKnown bool
