dispatcher: a crash is confirmed once a newer boot of the worker is registered, also if this holder has never heard it

After a change of the holder the boot of a worker that it can't reach is unknown, and the crash stayed open: the task started nowhere and its job wasn't failed. TestCrashDecidedByRegistration: red before, green after.

--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -63,7 +63,7 @@
 		return crashWithdrawn, "the worker has answered, its boot at the time isn't known"
 	case c.registeredSince(w, crash):
 		return crashWithdrawn, "the registry still lists the boot"
-	case w.boot != 0 && !sameBoot:
+	case w.boot != 0 && !sameBoot, w.registered && crash.Boot != 0 && w.registration.Boot > crash.Boot:
 		return crashConfirmed, string(SignRestarted)
 	}
 	return crashOpen, ""
