dispatcher: a crash under an earlier run than one that has cleared its task doesn't count

Young runs of a long-running task whose leases expired on silent workers are blamed when these restart, however much later: a task that had run for 10 s since was given up. TestCrashesBeforeOutlivedRun: red before, green after.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -98,7 +98,7 @@
 // up if it has certainly crashed too many.
 func (c *Cell) blame(now time.Time, r *run, sign CrashSign) {
 	t := r.task
-	if t.done || t.job().state.Final() || r.worker.plansExit(r.boot) {
+	if t.done || t.job().state.Final() || r.worker.plansExit(r.boot) || r.number < t.outlivedRun {
 		return
 	}
 	if !t.blamedFor(r.number) {
@@ -260,16 +260,17 @@
 // that may still be waiting for others.
 func (c *Cell) clearCrashes(r *run) {
 	t := r.task
-	if !t.anyMember((*task).blamed) || t.anyMember(func(member *task) bool { return !member.hasOutlived(r.number) }) {
+	blamed := t.anyMember((*task).blamed)
+	if !blamed && t.outlivedRun >= r.number || t.anyMember(func(member *task) bool { return !member.hasOutlived(r.number) }) {
 		return
 	}
-	t.crashes, t.storedCrashes = nil, 0
-	if t.step.step.Gang {
-		for _, member := range t.step.tasks {
-			member.crashes, member.storedCrashes = nil, 0
-		}
+	for _, member := range t.startedTogether() {
+		member.crashes, member.storedCrashes = nil, 0
+		member.outlivedRun = max(member.outlivedRun, r.number)
+	}
+	if blamed {
+		c.dirty[t.id.Job] = true
 	}
-	c.dirty[t.id.Job] = true
 }
 
 // blamed reports whether the task has been blamed for a crash.
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -91,6 +91,9 @@
 	crashes       []Crash
 	storedCrashes int
 	checkpoint    string
+	// outlivedRun is the number of the newest run that has cleared the task: crashes under earlier ones don't
+	// count, however late they are learned of.
+	outlivedRun int64
 	// runs are the runs that may be active on workers, lastRun the one that was removed last.
 	runs    []*run
 	lastRun removedRun
