dispatcher: a planned exit is no crash, also if its registration as draining comes late

The crash of a run was confirmed as the worker's next process answered, and a confirmed crash was only taken back if the worker answered under the same boot. TestLateDrainingRegistration: red before, green after.

--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -55,10 +55,10 @@
 	switch {
 	case answered && sameBoot:
 		return crashWithdrawn, "the worker has answered under the same boot"
+	case w.plansExit(crash.Boot): // the registry may have been behind
+		return crashWithdrawn, "the worker had registered that it drains"
 	case crash.Confirmed:
 		return crashOpen, ""
-	case w.plansExit(crash.Boot):
-		return crashWithdrawn, "the worker had registered that it drains"
 	case answered && crash.Boot == 0:
 		return crashWithdrawn, "the worker has answered, its boot at the time isn't known"
 	case c.registeredSince(w, crash):
