dispatcher: a suspended holder forgets no worker before it has read the registry and listened anew

The time of a worker's last answer isn't known after a suspension and counted as long ago: the worker was forgotten at once, and the crash under its run confirmed. TestResumedHolderConfirmsNoCrash: red before, green after.

--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -88,10 +88,13 @@
 	if w.displaced() {
 		return w.epochAccepted || now.After(c.earlierLeasesEnd())
 	}
-	if !c.gone(w) {
-		return false
+	if !c.gone(w) || c.registryReadAt.Before(c.resumedAt) {
+		return false // it may have registered again while the holder was suspended
 	}
 	unanswered := now.Sub(w.answeredAt)
+	if w.answeredAt.Before(c.resumedAt) {
+		unanswered = now.Sub(c.resumedAt)
+	}
 	if !w.epochAccepted {
 		unanswered = now.Sub(c.activeAt) - c.Limits.MaxConfirmationAge
 	}
