dispatcher: each crash knows whether the store has it

A task starts only once its crashes are stored. They were counted: if one that the store had was taken back, a later one that it hadn't took its place, and the task started in an outage of the store. TestWithdrawnCrashBeforeUnstoredOne: red before (one of two cases), green after.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -46,6 +46,8 @@
 
 	// knownAt is when this holder recorded or restored the crash.
 	knownAt time.Time
+	// stored is true once the store has the crash.
+	stored bool
 }
 
 const (
@@ -251,7 +253,6 @@
 		return
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
-	t.storedCrashes = min(t.storedCrashes, len(t.crashes))
 	c.dirty[t.id.Job] = true
 }
 
@@ -265,7 +266,7 @@
 		return
 	}
 	for _, member := range t.startedTogether() {
-		member.crashes, member.storedCrashes = nil, 0
+		member.crashes = nil
 		member.outlivedRun = max(member.outlivedRun, r.number)
 	}
 	if blamed {
@@ -286,7 +287,10 @@
 	for _, stored := range p.Crashes {
 		if o := j.occurrences[stored.Task.Occurrence]; o != nil {
 			t := o.steps[stored.Task.Step].tasks[stored.Task.Index]
-			t.storedCrashes = min(len(stored.Crashes), len(t.crashes))
+			for i, crash := range t.crashes {
+				isStored := func(other Crash) bool { return other.Run == crash.Run }
+				t.crashes[i].stored = crash.stored || slices.ContainsFunc(stored.Crashes, isStored)
+			}
 		}
 	}
 }
--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -126,9 +126,9 @@
 
 // restoreCrashes sets the crashes of a task that an earlier holder has stored.
 func (c *Cell) restoreCrashes(now time.Time, t *task, stored []Crash) {
-	t.crashes, t.storedCrashes = slices.Clone(stored), len(stored)
+	t.crashes = slices.Clone(stored)
 	for i := range t.crashes {
-		t.crashes[i].knownAt = now
+		t.crashes[i].knownAt, t.crashes[i].stored = now, true
 	}
 	c.blamed[t] = true
 }
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -61,10 +61,9 @@
 	for _, s := range stored {
 		for _, crash := range s.Crashes {
 			if s.Task == t.id && !t.blamedFor(crash.Run) {
-				crash.knownAt = now
+				crash.knownAt, crash.stored = now, true
 				c.blamed[t] = true
 				t.crashes = append([]Crash{crash}, t.crashes...)
-				t.storedCrashes++
 			}
 		}
 	}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -86,11 +86,9 @@
 	done bool
 	// failures are the failed runs, in the order in which they were listed.
 	failures []failedRun
-	// crashes are the crashes of workers that the task may have caused; the store has the
-	// first storedCrashes of them.
-	crashes       []Crash
-	storedCrashes int
-	checkpoint    string
+	// crashes are the crashes of workers that the task may have caused.
+	crashes    []Crash
+	checkpoint string
 	// outlivedRun is the number of the newest run that has cleared the task: crashes under earlier ones don't
 	// count, however late they are learned of.
 	outlivedRun int64
--- a/dispatcher/suspect.go
+++ b/dispatcher/suspect.go
@@ -38,7 +38,9 @@
 // awaitsCrashStore reports whether the store lacks crashes of the task or its gang, which
 // another holder would have to know.
 func (t *task) awaitsCrashStore() bool {
-	return t.anyMember(func(member *task) bool { return member.storedCrashes < len(member.crashes) })
+	return t.anyMember(func(member *task) bool {
+		return slices.ContainsFunc(member.crashes, func(crash Crash) bool { return !crash.stored })
+	})
 }
 
 // onTrial reports whether a run of another suspect is on trial on the worker.
