dispatcher: each crash that stops counting has a line

A crash was taken back without a line if the worker listed the run or its end, and if a later run cleared the task, so that the log didn't tell each count. TestLogTellsHowCrashesEnd: all five cases red before, green after.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -247,11 +247,13 @@
 	}
 }
 
-// clearCrash takes back the blame for the crash of a worker that has listed the run since.
-func (c *Cell) clearCrash(t *task, number int64) {
-	if !t.blamedFor(number) {
+// clearCrash takes back the blame for the crash of a worker under a run, if there is any, for a reason.
+func (c *Cell) clearCrash(now time.Time, t *task, number int64, reason string) {
+	i := slices.IndexFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
+	if i < 0 {
 		return
 	}
+	c.recordWithdrawal(now, t, t.crashes[i], reason)
 	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
 	c.dirty[t.id.Job] = true
 }
@@ -259,13 +261,16 @@
 // clearCrashes takes back all blame of a task of which a run has outlived crashWindow. The
 // end of a young run doesn't show that the task crashes no worker, nor does a member of a gang
 // that may still be waiting for others.
-func (c *Cell) clearCrashes(r *run) {
+func (c *Cell) clearCrashes(now time.Time, r *run) {
 	t := r.task
 	blamed := t.anyMember((*task).blamed)
 	if !blamed && t.outlivedRun >= r.number || t.anyMember(func(member *task) bool { return !member.hasOutlived(r.number) }) {
 		return
 	}
 	for _, member := range t.startedTogether() {
+		for _, crash := range member.crashes {
+			c.recordWithdrawal(now, member, crash, fmt.Sprintf("run %d has stood its trial", r.number))
+		}
 		member.crashes = nil
 		member.outlivedRun = max(member.outlivedRun, r.number)
 	}
--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -34,7 +34,7 @@
 			case crashConfirmed:
 				c.confirmCrash(now, t, crash.Run, CrashSign(reason))
 			case crashWithdrawn:
-				c.withdrawCrash(now, t, crash, reason)
+				c.clearCrash(now, t, crash.Run, reason)
 			}
 		}
 	}
@@ -90,7 +90,7 @@
 			switch {
 			case crash.Worker != w.registration.ID || crash.Confirmed:
 			case w.plansExit(crash.Boot):
-				c.withdrawCrash(now, t, crash, "the worker had registered that it drains")
+				c.clearCrash(now, t, crash.Run, "the worker had registered that it drains")
 			default:
 				c.confirmCrash(now, t, crash.Run, SignForgotten)
 			}
@@ -114,10 +114,9 @@
 	}
 }
 
-// withdrawCrash takes back a crash that was none.
-func (c *Cell) withdrawCrash(now time.Time, t *task, crash Crash, reason string) {
+// recordWithdrawal records that a crash doesn't count any more, and why.
+func (c *Cell) recordWithdrawal(now time.Time, t *task, crash Crash, reason string) {
 	c.recordReview(KindCrashWithdrawn, t, crash, fmt.Sprintf("%s; %s", reason, c.describeCrash(now, crash)))
-	c.clearCrash(t, crash.Run)
 }
 
 func (c *Cell) recordReview(kind recorder.Kind, t *task, crash Crash, detail string) {
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -166,7 +166,7 @@
 
 // applyEnding applies to a task how one of its runs ended.
 func (c *Cell) applyEnding(now time.Time, w *worker, t *task, row EndedRow) {
-	c.clearCrash(t, row.Run)
+	c.clearCrash(now, t, row.Run, "the worker lists the end of the run")
 	t.job().started = true
 	switch row.Ending {
 	case EndingDone:
@@ -277,8 +277,8 @@
 			delete(w.orphanedRuns, key)
 			c.observeProgress(now, r, listing.Clock, row)
 			r.update(now, listedAt, row)
-			c.clearCrash(r.task, r.number)
-			c.clearCrashes(r)
+			c.clearCrash(now, r.task, r.number, "the worker lists the run")
+			c.clearCrashes(now, r)
 		}
 	}
 	w.endTrial(now)
