--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -48,6 +48,8 @@
 
 	// knownAt is when this holder recorded or restored the crash.
 	knownAt time.Time
+	// stored is true once the store has the crash.
+	stored bool
 }
 
 const (
@@ -117,7 +119,7 @@
 // up if it has certainly crashed too many.
 func (c *Cell) blame(now time.Time, r *run, sign CrashSign) {
 	t := r.task
-	if t.done || t.job().state.Final() || r.worker.plansExit(r.boot) {
+	if t.done || t.job().state.Final() || r.worker.plansExit(r.boot) || r.number < t.outlivedRun {
 		return
 	}
 	if !t.blamedFor(r.number) {
@@ -264,43 +266,45 @@
 		switch {
 		case !r.mayHaveCrashed():
 		case r.phase == phaseSent:
-			r.blameOnAnswer = true
+			if r.blameOnAnswer != SignRestarted {
+				r.blameOnAnswer = sign
+			}
 		default:
 			c.blame(now, r, sign)
 		}
 	}
 }
 
-// clearCrash takes back the blame for the crash of a worker that has listed the run, or its end, since.
-func (c *Cell) clearCrash(now time.Time, t *task, number int64) {
+// clearCrash takes back the blame for the crash of a worker under a run, if there is any, for a reason.
+func (c *Cell) clearCrash(now time.Time, t *task, number int64, reason string) {
 	i := slices.IndexFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
-	if i >= 0 {
-		c.withdrawCrash(now, t, t.crashes[i], "the worker has listed the run or its end")
+	if i < 0 {
+		return
 	}
-}
-
-// removeCrash removes a crash that was none.
-func (c *Cell) removeCrash(t *task, number int64) {
+	c.recordWithdrawal(now, t, t.crashes[i], reason)
 	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
-	t.storedCrashes = min(t.storedCrashes, len(t.crashes))
 	c.dirty[t.id.Job] = true
 }
 
 // clearCrashes takes back all blame of a task of which a run has outlived crashWindow. The
 // end of a young run doesn't show that the task crashes no worker, nor does a member of a gang
 // that may still be waiting for others.
-func (c *Cell) clearCrashes(r *run) {
+func (c *Cell) clearCrashes(now time.Time, r *run) {
 	t := r.task
-	if !t.anyMember((*task).blamed) || t.anyMember(func(member *task) bool { return !member.hasOutlived(r.number) }) {
+	blamed := t.anyMember((*task).blamed)
+	if !blamed && t.outlivedRun >= r.number || t.anyMember(func(member *task) bool { return !member.hasOutlived(r.number) }) {
 		return
 	}
-	t.crashes, t.storedCrashes = nil, 0
-	if t.step.step.Gang {
-		for _, member := range t.step.tasks {
-			member.crashes, member.storedCrashes = nil, 0
+	for _, member := range t.startedTogether() {
+		for _, crash := range member.crashes {
+			c.recordWithdrawal(now, member, crash, fmt.Sprintf("run %d has stood its trial", r.number))
 		}
+		member.crashes = nil
+		member.outlivedRun = max(member.outlivedRun, r.number)
+	}
+	if blamed {
+		c.dirty[t.id.Job] = true
 	}
-	c.dirty[t.id.Job] = true
 }
 
 // blamed reports whether the task has been blamed for a crash.
@@ -316,7 +320,10 @@
 	for _, stored := range p.Crashes {
 		if o := j.occurrences[stored.Task.Occurrence]; o != nil {
 			t := o.steps[stored.Task.Step].tasks[stored.Task.Index]
-			t.storedCrashes = min(len(stored.Crashes), len(t.crashes))
+			for i, crash := range t.crashes {
+				isStored := func(other Crash) bool { return other.Run == crash.Run }
+				t.crashes[i].stored = crash.stored || slices.ContainsFunc(stored.Crashes, isStored)
+			}
 		}
 	}
 }
--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -34,7 +34,7 @@
 			case crashConfirmed:
 				c.confirmCrash(now, t, crash.Run, CrashSign(reason))
 			case crashWithdrawn:
-				c.withdrawCrash(now, t, crash, reason)
+				c.clearCrash(now, t, crash.Run, reason)
 			}
 		}
 	}
@@ -55,15 +55,15 @@
 	switch {
 	case answered && sameBoot:
 		return crashWithdrawn, "the worker has answered under the same boot"
+	case w.plansExit(crash.Boot): // the registry may have been behind
+		return crashWithdrawn, "the worker had registered that it drains"
 	case crash.certain():
 		return crashOpen, ""
-	case w.plansExit(crash.Boot):
-		return crashWithdrawn, "the worker had registered that it drains"
 	case answered && crash.Boot == 0:
 		return crashWithdrawn, "the worker has answered, its boot at the time isn't known"
 	case c.registeredSince(w, crash):
 		return crashWithdrawn, "the registry still lists the boot"
-	case w.boot != 0 && !sameBoot:
+	case w.boot != 0 && !sameBoot, w.registered && crash.Boot != 0 && w.registration.Boot > crash.Boot:
 		return crashConfirmed, string(SignRestarted)
 	}
 	return crashOpen, ""
@@ -89,7 +89,7 @@
 			switch {
 			case crash.Worker != w.registration.ID || crash.Confirmed:
 			case w.plansExit(crash.Boot):
-				c.withdrawCrash(now, t, crash, "the worker had registered that it drains")
+				c.clearCrash(now, t, crash.Run, "the worker had registered that it drains")
 			default:
 				c.confirmCrash(now, t, crash.Run, sign)
 			}
@@ -113,10 +113,9 @@
 	}
 }
 
-// withdrawCrash takes back a crash that was none.
-func (c *Cell) withdrawCrash(now time.Time, t *task, crash Crash, reason string) {
+// recordWithdrawal records that a crash doesn't count any more, and why.
+func (c *Cell) recordWithdrawal(now time.Time, t *task, crash Crash, reason string) {
 	c.recordReview(KindCrashWithdrawn, t, crash, fmt.Sprintf("%s; %s", reason, c.describeCrash(now, crash)))
-	c.removeCrash(t, crash.Run)
 }
 
 func (c *Cell) recordReview(kind recorder.Kind, t *task, crash Crash, detail string) {
@@ -125,9 +124,9 @@
 
 // restoreCrashes sets the crashes of a task that an earlier holder has stored.
 func (c *Cell) restoreCrashes(now time.Time, t *task, stored []Crash) {
-	t.crashes, t.storedCrashes = slices.Clone(stored), len(stored)
+	t.crashes = slices.Clone(stored)
 	for i := range t.crashes {
-		t.crashes[i].knownAt = now
+		t.crashes[i].knownAt, t.crashes[i].stored = now, true
 	}
 	c.blamed[t] = true
 }
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -62,9 +62,9 @@
 	throttledSince   time.Time
 	// crashedSoon is true once the worker has refused connections soon after the start.
 	crashedSoon bool
-	// blameOnAnswer is true if the worker has restarted since the start was sent. The run is
-	// to blame unless the answer shows that the start didn't reach the worker.
-	blameOnAnswer bool
+	// blameOnAnswer is the sign of a crash of the worker since the start was sent, empty if there is none.
+	// The run is to blame unless the answer shows that the start didn't reach the worker.
+	blameOnAnswer CrashSign
 	// startKnown is true if this holder sent the start. track measures the run's progress;
 	// trackLost is true once a part of it showed nothing of the worker's speed.
 	startKnown bool
@@ -88,11 +88,12 @@
 	done bool
 	// failures are the failed runs, in the order in which they were listed.
 	failures []failedRun
-	// crashes are the crashes of workers that the task may have caused; the store has the
-	// first storedCrashes of them.
-	crashes       []Crash
-	storedCrashes int
-	checkpoint    string
+	// crashes are the crashes of workers that the task may have caused.
+	crashes    []Crash
+	checkpoint string
+	// outlivedRun is the number of the newest run that has cleared the task: crashes under earlier ones don't
+	// count, however late they are learned of.
+	outlivedRun int64
 	// runs are the runs that may be active on workers, lastRun the one that was removed last.
 	runs    []*run
 	lastRun removedRun
