dispatcher: a part isn't given up for crashes that only the other cell can take back

What callers see: a job fails after one crash of a worker: two workers of its home cell were silent until they were forgotten, the task was delegated with these crashes, the workers came back, and the other cell couldn't know.

Change: a crash keeps whether another cell recorded it. At least two of those that end a job must be of the deciding cell's own workers, or of workers that were more than silent (started anew, replaced, refused connections until they were forgotten).

TestForgottenCrashesOfPart was red before. The tests of crashes, parts and relocations pass but for the known red ones.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -211,6 +211,9 @@
 	if progress != nil {
 		c.restore(now, j, progress)
 	}
+	if progress != nil && progress == job.Progress {
+		c.markCrashesElsewhere(j)
+	}
 	if j.state.Final() {
 		return
 	}
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -18,8 +18,11 @@
 	// SignLost: the lease had expired, and the worker was missing from the registry, or another one
 	// answered at its address.
 	SignLost CrashSign = "lost"
-	// SignForgotten: the cell has forgotten the worker, which was missing from the registry.
+	// SignForgotten: the cell has forgotten the worker, which was silent and missing from the registry.
 	SignForgotten CrashSign = "forgotten"
+	// SignClosed: the cell has forgotten the worker, which refused connections and was missing from the
+	// registry.
+	SignClosed CrashSign = "closed"
 	// SignReplaced: the cell has forgotten the worker, as another one has its address.
 	SignReplaced CrashSign = "replaced"
 	// SignRestarted: another boot of the worker answered, or has registered.
@@ -41,6 +44,8 @@
 	// Confirmed is true once the boot has certainly ended, or the worker is forgotten. Until then the
 	// worker may have been unreachable only.
 	Confirmed bool
+	// Elsewhere is true if another cell recorded the crash, of a worker of its own.
+	Elsewhere bool
 	// At is when the crash was recorded, by the time of day of the holder's VM.
 	At time.Time
 	// Prompt is true if the worker had not listed the run at an age of promptAge or more.
@@ -64,6 +69,9 @@
 	maxPromptCrashes = 3
 	// minAttributedCrashes is how many crashes must be attributed for maxPromptCrashes to apply.
 	minAttributedCrashes = 2
+	// minReviewedCrashes is how many crashes must be ones that this cell can take back, or of workers that
+	// were more than silent.
+	minReviewedCrashes = 2
 	// attributionTime is how soon after a start without an answer its worker must have shown the crash
 	// to have had the run.
 	attributionTime = 500 * time.Millisecond
@@ -164,7 +172,7 @@
 }
 
 // crashCount counts crashes.
-type crashCount struct{ all, prompt, attributed int }
+type crashCount struct{ all, prompt, attributed, reviewed int }
 
 // countCrashes counts the crashes of the task that meet a condition.
 func (t *task) countCrashes(met func(Crash) bool) crashCount {
@@ -180,22 +188,30 @@
 		if crash.Attributed {
 			count.attributed++
 		}
+		if crash.certain() || crash.Sign == SignClosed || !crash.Elsewhere {
+			count.reviewed++
+		}
 	}
 	return count
 }
 
 // tooMany reports whether a task is given up for the crashes. One under a start without an answer may have had
-// nothing to do with the task.
+// nothing to do with the task; one of another cell's worker that was only silent may have been none.
 func (n crashCount) tooMany() bool {
+	if n.reviewed < minReviewedCrashes {
+		return false
+	}
 	return n.all >= maxCrashes || n.prompt >= maxPromptCrashes && n.attributed >= minAttributedCrashes
 }
 
 // certain reports whether the boot that the crash is of has ended for certain.
-func (c Crash) certain() bool { return c.Confirmed && c.Sign != SignForgotten }
+func (c Crash) certain() bool {
+	return c.Confirmed && c.Sign != SignForgotten && c.Sign != SignClosed
+}
 
 // mayEndJob reports whether the crash counts for the decision to give its task up.
 func (c Crash) mayEndJob(now time.Time) bool {
-	return c.certain() || c.Confirmed && now.Sub(c.knownAt) >= forgottenCrashAge
+	return c.certain() || c.Confirmed && (c.Elsewhere || now.Sub(c.knownAt) >= forgottenCrashAge)
 }
 
 func anyCrash(Crash) bool { return true }
--- a/dispatcher/crashrecord.go
+++ b/dispatcher/crashrecord.go
@@ -22,12 +22,13 @@
 	Sign       CrashSign `json:"sign,omitempty"`
 	Attributed bool      `json:"attributed,omitempty"`
 	Confirmed  bool      `json:"confirmed,omitempty"`
+	Elsewhere  bool      `json:"elsewhere,omitempty"`
 	AtMS       int64     `json:"at_milliseconds,omitempty"`
 	Prompt     bool      `json:"prompt,omitempty"`
 }
 
 func newCrashMessage(c Crash) crashMessage {
-	m := crashMessage{Run: c.Run, Worker: c.Worker, Boot: c.Boot, Sign: c.Sign, Attributed: c.Attributed, Confirmed: c.Confirmed, Prompt: c.Prompt}
+	m := crashMessage{Run: c.Run, Worker: c.Worker, Boot: c.Boot, Sign: c.Sign, Attributed: c.Attributed, Confirmed: c.Confirmed, Elsewhere: c.Elsewhere, Prompt: c.Prompt}
 	if !c.At.IsZero() {
 		m.AtMS = c.At.UnixMilli()
 	}
@@ -35,7 +36,7 @@
 }
 
 func (m crashMessage) crash() Crash {
-	c := Crash{Run: m.Run, Worker: m.Worker, Boot: m.Boot, Sign: m.Sign, Attributed: m.Attributed, Confirmed: m.Confirmed, Prompt: m.Prompt}
+	c := Crash{Run: m.Run, Worker: m.Worker, Boot: m.Boot, Sign: m.Sign, Attributed: m.Attributed, Confirmed: m.Confirmed, Elsewhere: m.Elsewhere, Prompt: m.Prompt}
 	if m.AtMS != 0 {
 		c.At = time.UnixMilli(m.AtMS)
 	}
--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -81,8 +81,11 @@
 // confirmCrashes confirms the crashes of a worker that is being forgotten.
 func (c *Cell) confirmCrashes(now time.Time, w *worker) {
 	sign := SignForgotten
-	if w.displaced() {
+	switch {
+	case w.displaced():
 		sign = SignReplaced
+	case w.connectionRefused:
+		sign = SignClosed
 	}
 	for t := range c.blamed {
 		for _, crash := range slices.Clone(t.crashes) {
@@ -101,7 +104,7 @@
 // crashed too many.
 func (c *Cell) confirmCrash(now time.Time, t *task, number int64, sign CrashSign) {
 	i := slices.IndexFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
-	if i < 0 || t.crashes[i].certain() || t.crashes[i].Confirmed && sign == SignForgotten {
+	if i < 0 || t.crashes[i].certain() || t.crashes[i].Confirmed && (sign == SignForgotten || sign == SignClosed) {
 		return
 	}
 	crash := &t.crashes[i]
@@ -131,6 +134,18 @@
 	c.blamed[t] = true
 }
 
+// markCrashesElsewhere notes that another cell recorded the crashes of a job that has moved here.
+func (c *Cell) markCrashesElsewhere(j *jobState) {
+	for t := range c.blamed {
+		if t.job() != j {
+			continue
+		}
+		for i := range t.crashes {
+			t.crashes[i].Elsewhere = true
+		}
+	}
+}
+
 // hasUnconfirmedCrash reports whether a crash of the task is still open. Only this cell can decide on it.
 func (t *task) hasUnconfirmedCrash() bool {
 	return slices.ContainsFunc(t.crashes, func(crash Crash) bool { return !crash.Confirmed })
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -61,7 +61,7 @@
 	for _, s := range stored {
 		for _, crash := range s.Crashes {
 			if s.Task == t.id && !t.blamedFor(crash.Run) {
-				crash.knownAt, crash.stored = now, true
+				crash.knownAt, crash.stored, crash.Elsewhere = now, true, true
 				c.blamed[t] = true
 				t.crashes = append([]Crash{crash}, t.crashes...)
 			}
--- a/dispatcher/evidence.go
+++ b/dispatcher/evidence.go
@@ -44,6 +44,6 @@
 	if w := c.workers[crash.Worker]; w != nil {
 		worker = fmt.Sprintf("boot now %d, %s", w.boot, c.absence(now, w))
 	}
-	return fmt.Sprintf("%s run %d (boot %d): %s, confirmed: %t, prompt: %t, attributed: %t, recorded %s ago (worker: %s)",
-		crash.Worker, crash.Run, crash.Boot, crash.Sign, crash.Confirmed, crash.Prompt, crash.Attributed, age(now, crash.At), worker)
+	return fmt.Sprintf("%s run %d (boot %d): %s, confirmed: %t, in another cell: %t, prompt: %t, attributed: %t, recorded %s ago (worker: %s)",
+		crash.Worker, crash.Run, crash.Boot, crash.Sign, crash.Confirmed, crash.Elsewhere, crash.Prompt, crash.Attributed, age(now, crash.At), worker)
 }
