soak: workers that refuse connections while they live, beside starts that never arrive

No worker had crashed; task_given_up in the log names three.

Cause: a start that never reached its worker, whose address then refused connections for longer than the lease, counted as a crash for good: the worker lists no end of such a run when it answers again. Runs that it does list were taken back in time.

Change: -soak.refusals. The summary counts task_crash and task_given_up. The checks are unchanged.

--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -27,6 +27,7 @@
 	soakLong      = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, and have long outages of the store")
 	soakCells     = flag.Bool("soak.cells", false, "divide the workers of each failure domain among two cells")
 	soakEvacuates = flag.Bool("soak.evacuations", false, "evacuate failure domains during stops of processes and kills of holders")
+	soakRefusals  = flag.Bool("soak.refusals", false, "only make workers refuse connections for longer than their lease while they live, and starts get no answer")
 	soakLogs      = flag.String("soak.logs", "", "directory in which the logs of failed seeds are kept; by default one below the temporary directory")
 )
 
@@ -75,6 +76,8 @@
 	cells bool
 	// evacuations leaves out all faults but what soakEvacuationKinds names.
 	evacuations bool
+	// refusals leaves out all faults but what soakRefusalKinds names.
+	refusals bool
 }
 
 // soakCases run in CI. A seed that failed once has its cause as its name.
@@ -103,21 +106,27 @@
 	"worker leaves while long tasks run": {seed: 740029, length: 20 * time.Second, long: true},
 	"two cells a failure domain":         {seed: 11, length: soakFixedLength, cells: true},
 	"evacuations":                        {seed: 21, length: 16 * time.Second, evacuations: true},
+	// Workers that refused connections for longer than their lease counted as crashed under starts that
+	// never reached them, and three such counts ended a job. Failed on d15cb91 (issue 49).
+	"jobs failed for refused connections": {seed: 30010, length: 17 * time.Second, refusals: true},
+	// The same beside frozen holders and late starts.
+	"jobs failed for refused connections and late starts": {seed: 30007, length: 17 * time.Second, refusals: true},
 }
 
 // soak is one run of the deployment under the faults of a seed.
 type soak struct {
-	t      *testing.T
-	seed   uint64
-	deadly bool
-	long   bool
-	cells  bool
-	binary string
-	logs   string
-	began  time.Time
-	ctx    context.Context
-	store  *standin.PlatformStore
-	ledger *standin.PlatformLedger
+	t        *testing.T
+	seed     uint64
+	deadly   bool
+	long     bool
+	cells    bool
+	refusals bool
+	binary   string
+	logs     string
+	began    time.Time
+	ctx      context.Context
+	store    *standin.PlatformStore
+	ledger   *standin.PlatformLedger
 
 	processes []*soakProcess
 
@@ -168,7 +177,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &soak{
-		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
+		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, refusals: c.refusals, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
 		callers: map[workerConnection]string{}, jobs: map[string]*soakJob{}, innocent: map[string]bool{}, absences: map[string][]soakSpan{},
 		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, racks: map[string]string{}, versions: soakVersions{shown: map[string][]soakShown{}},
 	}
@@ -295,7 +304,7 @@
 		cases = map[string]soakCase{}
 		for i := range *soakSeeds {
 			seed := *soakFirst + uint64(i)
-			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells, evacuations: *soakEvacuates}
+			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells, evacuations: *soakEvacuates, refusals: *soakRefusals}
 		}
 	}
 	names := make([]string, 0, len(cases))
--- a/cmd/zinniashore/soakclient_test.go
+++ b/cmd/zinniashore/soakclient_test.go
@@ -22,6 +22,10 @@
 	// soakDeadlyEvery jobs is such a job, if any are asked for.
 	soakDeadlyPrefix = "dd"
 	soakDeadlyEvery  = 12
+	// soakLongRunningPrefix begins the id of a job of which the tasks run until they are stopped.
+	soakLongRunningPrefix = "ff"
+	// soakLongRunningEvery is one in how many jobs runs until it is stopped.
+	soakLongRunningEvery = 12
 	// lossSlack is the time after a request was sent before which the end of its connection
 	// isn't the fault of a process that stops: it may not have read the request.
 	lossSlack = 200 * time.Millisecond
@@ -72,10 +76,11 @@
 
 func (j *soakJob) longRunning() bool { return j.steps[0].LongRunning }
 
-func randomJob(id uint64, deadly bool, rng *rand.Rand) *soakJob {
-	if rng.IntN(12) == 0 {
+// randomJob returns a job. One in longRunningEvery jobs runs until it is stopped.
+func randomJob(id uint64, deadly bool, longRunningEvery int, rng *rand.Rand) *soakJob {
+	if rng.IntN(longRunningEvery) == 0 {
 		steps := []soakStepMessage{{Count: 1 + rng.IntN(2), LongRunning: true}}
-		return (&soakJob{id: fmt.Sprintf("ff%014x", id), steps: steps}).sized()
+		return (&soakJob{id: fmt.Sprintf("%s%014x", soakLongRunningPrefix, id), steps: steps}).sized()
 	}
 	job := &soakJob{id: fmt.Sprintf("%016x", id)}
 	if deadly && rng.IntN(soakDeadlyEvery) == 0 {
@@ -195,7 +200,7 @@
 		switch choice := c.rng.IntN(10); {
 		case choice < 4 || len(c.jobs) == 0:
 			c.next++
-			job := randomJob(c.next, c.s.deadly, c.rng)
+			job := randomJob(c.next, c.s.deadly, c.s.longRunningEvery(), c.rng)
 			if c.s.long {
 				job.enlarge(c.rng)
 				c.s.gangs.add(job)
--- a/cmd/zinniashore/soakfaults_test.go
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -57,6 +57,9 @@
 	if c.evacuations {
 		return evacuationPlan(seed, length)
 	}
+	if c.refusals {
+		return refusalsPlan(seed, length)
+	}
 	plan := drawFaults(rand.New(rand.NewPCG(seed, 1<<32)), soakKinds, soakFaultEvery, length)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 2<<32)), soakFleetKinds, soakFleetEvery, length)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3<<32)), soakSeriesKinds, soakSeriesEvery, length)...)
@@ -144,7 +147,7 @@
 			span.to = time.Now()
 		}()
 	}
-	if s.injectProcess(f, p) || s.injectStore(f, p) || s.injectSeries(f, p) || s.injectLong(f, p) {
+	if s.injectProcess(f, p) || s.injectStore(f, p) || s.injectSeries(f, p) || s.injectLong(f, p) || s.injectRefusals(f, p) {
 		return
 	}
 	s.injectWorker(f, p)
--- a/cmd/zinniashore/soaklong_test.go
+++ b/cmd/zinniashore/soaklong_test.go
@@ -73,7 +73,7 @@
 
 // workerCounts returns the number of workers of each domain.
 func (s *soak) workerCounts() (int, int) {
-	if s.long {
+	if s.long || s.refusals {
 		return soakLongWorkers, soakLongWorkers
 	}
 	return 4, 3
@@ -87,7 +87,7 @@
 }
 
 func (s *soak) callSpacing() time.Duration {
-	if s.long {
+	if s.long || s.refusals {
 		return soakLongSpacing
 	}
 	return 1
--- a/cmd/zinniashore/soakreport_test.go
+++ b/cmd/zinniashore/soakreport_test.go
@@ -68,6 +68,9 @@
 		len(plan), len(s.jobs), accepted, refused, len(s.innocent), len(history.runs), history.shrunk, len(s.versions.acknowledged), s.versions.checked, time.Since(s.began).Round(time.Second), s.longestPause.Round(time.Millisecond))
 	s.mu.Unlock()
 	s.t.Logf("seed %d: ends of runs %v, %d tasks of gangs done", s.seed, history.outcomes(), s.gangs.done(history))
+	if s.refusals {
+		s.t.Logf("seed %d: workers counted as crashed under a run %d times, %d tasks given up", s.seed, s.countLogged("task_crash"), s.countLogged("task_given_up"))
+	}
 	if accepted == 0 || len(history.runs) == 0 {
 		s.t.Errorf("seed %d: nothing ran", s.seed)
 	}
--- a/cmd/zinniashore/soakworker_test.go
+++ b/cmd/zinniashore/soakworker_test.go
@@ -19,12 +19,15 @@
 	id, domain, address string
 	rack                string
 	worker              *standin.PlatformWorker
+	starts              *soakStarts
 	proxy               *soakProxy
 	stop                context.CancelFunc
 	links               map[string]*soakLink
 	draining, gone      bool
 	// closing is true once the address refuses connections for good.
-	closing  bool
+	closing bool
+	// refusing is true while the address refuses connections though the worker lives.
+	refusing bool
 	hidden   int
 	sequence int
 	capacity soakSize
@@ -58,7 +61,7 @@
 	w.worker = &standin.PlatformWorker{
 		ID: w.id, Ledger: s.ledger, MaxLease: soakMaxLease, ClockRate: 1 - 0.02*rng.Float64(),
 		LengthOf:    s.lengthOf,
-		LongRunning: func(task string) bool { return strings.HasPrefix(task, "ff") },
+		LongRunning: func(task string) bool { return strings.HasPrefix(task, soakLongRunningPrefix) },
 		OutcomeOf: func(task string, run int64) string {
 			if hashOf(fmt.Sprint(task, run))%20 == 0 {
 				return "failed"
@@ -75,7 +78,8 @@
 		w.worker.Fits = fitsWorker
 	}
 	ctx, stop := context.WithCancel(s.ctx)
-	bound, err := standin.Listen(ctx, "127.0.0.1:0", w.worker)
+	w.starts = &soakStarts{PlatformWorker: w.worker, s: s, w: w}
+	bound, err := standin.Listen(ctx, "127.0.0.1:0", w.starts)
 	if err != nil {
 		s.t.Error(err)
 		stop()
@@ -133,7 +137,7 @@
 	if w.gone || w.hidden > 0 || s.outages > 0 || !w.worker.Up() {
 		return
 	}
-	w.proxy.setOpen(true)
+	w.proxy.setOpen(!w.refusing)
 	w.sequence++
 	state := "ready"
 	if w.draining {
@@ -184,7 +188,7 @@
 		s.mu.Unlock()
 		for _, w := range workers {
 			w.worker.Advance()
-			w.proxy.setOpen(w.worker.Up() && !s.isClosing(w))
+			w.proxy.setOpen(w.worker.Up() && !s.refusesConnections(w))
 		}
 		if time.Since(renewed) > soakHeartbeat {
 			renewed = time.Now()
@@ -234,10 +238,10 @@
 	s.remove(w)
 }
 
-func (s *soak) isClosing(w *soakWorker) bool {
+func (s *soak) refusesConnections(w *soakWorker) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return w.closing
+	return w.closing || w.refusing
 }
 
 // remove ends a worker with everything that runs on it.
