--- a/dispatcher/crash_test.go
+++ b/dispatcher/crash_test.go
@@ -131,11 +131,13 @@
 	}
 }
 
-// mayGiveUp reports whether a job has a task under which two workers have crashed.
+// mayGiveUp reports whether a job has a task under which two workers have crashed, as far as can be known.
 func (s *simulation) mayGiveUp(job string) bool {
-	for id, crashes := range s.crashes {
-		if id.Job == job && crashes >= 2 {
-			return true
+	for _, counted := range []map[dispatcher.TaskID]int{s.crashes, s.lostEnds} {
+		for id := range counted {
+			if id.Job == job && s.crashes[id]+s.lostEnds[id] >= 2 {
+				return true
+			}
 		}
 	}
 	return false
--- a/dispatcher/crashrandom_test.go
+++ b/dispatcher/crashrandom_test.go
@@ -63,7 +63,7 @@
 			return
 		}
 		s.storeDown = false
-		s.changeHolder(slices.DeleteFunc(slices.Clone(s.workers), func(f *fakeWorker) bool { return f.closed })...)
+		s.changeHolder(slices.DeleteFunc(s.registeredWorkers(), s.down)...)
 	case "cut":
 		anyWorker.Draw(t, "worker").reachable = false
 	case "drain":
@@ -81,14 +81,20 @@
 func (s *simulation) recover() {
 	s.storeDown = false
 	for _, f := range s.workers {
-		f.reachable = true
 		f.registration.Phase = dispatcher.PhaseReady
-		if !f.closed {
+		if !s.down(f) {
+			f.reachable, f.closed = true, false
 			s.register(f)
 		}
 	}
 }
 
+// down reports whether a worker has crashed and isn't back yet.
+func (s *simulation) down(f *fakeWorker) bool {
+	_, down := s.backAt[f]
+	return down
+}
+
 // checkBudget fails unless each task that crashes workers has kept its budget, and each other
 // job is done or may be given up.
 func (s *simulation) checkBudget(t *rapid.T) {
--- a/dispatcher/fakeworker_test.go
+++ b/dispatcher/fakeworker_test.go
@@ -107,6 +107,9 @@
 		listing.Ended = listing.Ended[:w.maxListedEnds]
 		listing.MoreEnds = true
 	}
+	for _, row := range listing.Ended {
+		w.listedEnd = max(w.listedEnd, row.Number)
+	}
 	for _, id := range slices.SortedFunc(maps.Keys(w.running), compareIDs) {
 		listing.Running = append(listing.Running, w.progressRow(dispatcher.RunningRow{Task: id, Run: w.running[id].number}))
 	}
@@ -126,14 +129,24 @@
 		w.simulation.runRemoved(r)
 		w.simulation.crashes[r.task]++
 	}
+	w.loseEnds()
 	w.bootedAt = w.simulation.now
-	w.epoch, w.leaseEnd, w.endCount = 0, 0, 0
+	w.epoch, w.leaseEnd, w.endCount, w.listedEnd = 0, 0, 0, 0
 	w.running = map[dispatcher.TaskID]*fakeRun{}
 	w.highestRun = map[dispatcher.TaskID]int64{}
 	w.ended = nil
 	w.registration.Boot = w.reportedBoot()
 }
 
+// loseEnds counts the ends that nobody has read before the worker restarts.
+func (w *fakeWorker) loseEnds() {
+	for _, row := range w.ended {
+		if w.simulation.lostEnds != nil && row.Number > w.listedEnd {
+			w.simulation.lostEnds[row.Task]++
+		}
+	}
+}
+
 // reportedBoot returns the boot time that the worker reports, in Unix milliseconds.
 func (w *fakeWorker) reportedBoot() int64 { return w.bootedAt.Add(w.bootStep).UnixMilli() }
 
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -54,7 +54,9 @@
 	highestRun   map[dispatcher.TaskID]int64
 	ended        []dispatcher.EndedRow
 	endCount     int64
-	reachable    bool
+	// listedEnd is the number of the newest end that the worker has listed.
+	listedEnd int64
+	reachable bool
 	// maxListedEnds is the number of ends that a listing contains at most; 0 is no limit.
 	maxListedEnds int
 	// maxGrant is the longest lease that the worker accepts; 0 is no limit.
@@ -120,6 +122,9 @@
 	// workers that have crashed under a task.
 	crashing map[dispatcher.TaskID]bool
 	crashes  map[dispatcher.TaskID]int
+	// lostEnds counts the ends of a task that its workers lost as they restarted, unless it is nil. Nobody can
+	// tell such a run from one under which the worker has crashed.
+	lostEnds map[dispatcher.TaskID]int
 	// comesBack is how long a crashed worker is away, without a sign if silent is set. backAt is when the workers that have
 	// crashed are back, dropAt when the registry drops them.
 	comesBack      time.Duration
