--- a/dispatcher/withdrawncrash_test.go
+++ b/dispatcher/withdrawncrash_test.go
@@ -123,3 +123,29 @@
 	}
 	return listed
 }
+
+// TestCutOffAfterOneCrash guards against a job that fails after one worker has crashed under its task: two more
+// were cut off, and their crashes counted as soon as the cell had forgotten them.
+func TestCutOffAfterOneCrash(t *testing.T) {
+	id := dispatcher.TaskID{Job: jobID}
+	for name, away := range map[string]time.Duration{"for 13 s": 13 * time.Second, "for 15 s": 15 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			s := newActiveSimulation(9)
+			s.comesBack = time.Second
+			s.submit(plainJob(jobID, 1, 8*time.Second, 1))
+			s.crash(s.awaitRun(t, id))
+			a := &awayWorkers{simulation: s, silent: true, away: away, backAt: map[*fakeWorker]time.Time{}, goesAt: map[*fakeWorker]time.Time{}}
+			for range 2 {
+				f := s.awaitRun(t, id)
+				a.goesAt[f] = s.now
+				a.change()
+				for s.workerOf(id) == f {
+					a.advance(50*time.Millisecond, false)
+				}
+			}
+			a.advance(60*time.Second, false)
+			requireState(t, s, jobID, dispatcher.StateCompleted)
+			requireNoViolations(t, s)
+		})
+	}
+}
