dispatcher: limits and counts of crashes, and the presence of workers, in files of their own

Moved without a change; judgeCrash returns a verdict with its sign or its reason in place of a word that also meant 'no change' (review).

--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -12,14 +12,13 @@
 // that it lives. It is longer than the registry keeps a worker that has crashed.
 const livenessAge = 10 * time.Second
 
-// crashVerdict is what is known of a crash that was recorded before it was certain.
-type crashVerdict string
-
-const (
-	crashOpen      crashVerdict = "open"
-	crashConfirmed crashVerdict = "confirmed"
-	crashWithdrawn crashVerdict = "withdrawn"
-)
+// crashVerdict is what the review of a crash has found. The zero value changes nothing.
+type crashVerdict struct {
+	// confirmedBy is the sign that confirms the crash, or empty.
+	confirmedBy CrashSign
+	// withdrawnFor is the reason for which the crash was none, or empty.
+	withdrawnFor string
+}
 
 // reviewCrashes confirms the crashes of workers that have certainly crashed, and takes back those of workers
 // that haven't.
@@ -30,43 +29,48 @@
 			continue
 		}
 		for _, crash := range slices.Clone(t.crashes) {
-			switch verdict, reason := c.judgeCrash(crash); verdict {
-			case crashConfirmed:
-				c.confirmCrash(now, t, crash.Run, CrashSign(reason))
-			case crashWithdrawn:
-				c.clearCrash(now, t, crash.Run, reason)
+			switch verdict := c.judgeCrash(crash); {
+			case verdict.confirmedBy != "":
+				c.confirmCrash(now, t, crash.Run, verdict.confirmedBy)
+			case verdict.withdrawnFor != "":
+				c.clearCrash(now, t, crash.Run, verdict.withdrawnFor)
 			}
 		}
 	}
 }
 
-// judgeCrash decides on a crash, and for which reason. Whatever the worker looked like, it hasn't crashed if it
-// answers under the boot that it had.
-func (c *Cell) judgeCrash(crash Crash) (verdict crashVerdict, reason string) {
+// judgeCrash decides on a crash. Whatever the worker looked like, it hasn't crashed if it answers under the
+// boot that it had.
+func (c *Cell) judgeCrash(crash Crash) crashVerdict {
 	w := c.workers[crash.Worker]
 	if w == nil {
-		if crash.Confirmed || !c.active || c.registryReadAt.IsZero() {
-			return crashOpen, ""
-		}
-		return crashConfirmed, string(SignForgotten)
+		return c.judgeUnknown(crash)
 	}
 	answered := w.epochAccepted && w.answeredAt.After(crash.knownAt)
 	sameBoot := w.boot == crash.Boot
 	switch {
 	case answered && sameBoot:
-		return crashWithdrawn, "the worker has answered under the same boot"
+		return crashVerdict{withdrawnFor: "the worker has answered under the same boot"}
 	case w.plansExit(crash.Boot): // the registry may have been behind
-		return crashWithdrawn, "the worker had registered that it drains"
+		return crashVerdict{withdrawnFor: "the worker had registered that it drains"}
 	case crash.certain():
-		return crashOpen, ""
+		return crashVerdict{}
 	case answered && crash.Boot == 0:
-		return crashWithdrawn, "the worker has answered, its boot at the time isn't known"
+		return crashVerdict{withdrawnFor: "the worker has answered, its boot at the time isn't known"}
 	case c.registeredSince(w, crash):
-		return crashWithdrawn, "the registry still lists the boot"
+		return crashVerdict{withdrawnFor: "the registry still lists the boot"}
 	case w.boot != 0 && !sameBoot, w.registered && crash.Boot != 0 && w.registration.Boot > crash.Boot:
-		return crashConfirmed, string(SignRestarted)
+		return crashVerdict{confirmedBy: SignRestarted}
+	}
+	return crashVerdict{}
+}
+
+// judgeUnknown decides on a crash of a worker that the cell doesn't know: an earlier holder has forgotten it.
+func (c *Cell) judgeUnknown(crash Crash) crashVerdict {
+	if crash.Confirmed || !c.active || c.registryReadAt.IsZero() {
+		return crashVerdict{}
 	}
-	return crashOpen, ""
+	return crashVerdict{confirmedBy: SignForgotten}
 }
 
 // registeredSince reports whether the registry, which has been read all the while, lists the boot of a
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -323,30 +323,6 @@
 	return w.epochAccepted && w.minClock(now) > w.leaseEnd+leaseExpiryMargin
 }
 
-// registrationGrace is how long a worker may be missing from the registry before it
-// counts as gone. Workers whose registrations expired while the store was unavailable
-// register again within two seconds; the watch of the registry lags behind.
-const registrationGrace = 3 * time.Second
-
-// gone reports whether a worker no longer exists according to the registry. What the
-// registry has said since the holder last read it isn't known, so that a pause of either
-// doesn't count as absence of the worker. After one the worker has as long again to register.
-func (c *Cell) gone(w *worker) bool {
-	return !w.registered && c.registryReadFor(w.absentSince) >= registrationGrace
-}
-
-// registryReadFor returns for how long since a time the registry has been read without a long gap.
-func (c *Cell) registryReadFor(since time.Time) time.Duration {
-	if c.registrySteadySince.After(since) {
-		since = c.registrySteadySince
-	}
-	return c.registryReadAt.Sub(since)
-}
-
-// crashed reports whether a worker is gone according to the registry and nothing
-// listens at its address. A worker that is only cut off doesn't refuse connections.
-func (c *Cell) crashed(w *worker) bool { return w.connectionRefused && c.gone(w) }
-
 // hasLabel reports whether the worker has a label. Every worker has the empty label.
 func (w *worker) hasLabel(label string) bool { return label == "" || w.registration.HasLabel(label) }
 
