dispatcher: a sign that was answered for isn't blamed again

A withdrawn crash could be recorded a second time, open, as its run was given up (found by reading). Tests of crashes: only TestLateCrash fails, as before.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -41,6 +41,7 @@
 	}
 	if r.blameOnAnswer != "" && (answer == AnswerAccepted || answer == AnswerUnknown) {
 		c.blame(now, r, r.blameOnAnswer)
+		r.blameOnAnswer = ""
 	}
 	switch answer {
 	case AnswerAccepted:
