--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -63,7 +63,7 @@
 	crashWindow = time.Second
 	// promptAge is the age before which a crash is prompt: few other runs are as young.
 	promptAge = 100 * time.Millisecond
-	// attributionTime is how soon after a start without an answer its worker must have shown the crash
+	// attributionTime is how soon after a start without an answer its worker must have refused connections
 	// to have had the run.
 	attributionTime = 500 * time.Millisecond
 )
@@ -97,14 +97,12 @@
 }
 
 // attributable reports whether the worker, which has crashed, almost certainly had the run: it had
-// acknowledged the run, or showed the crash soon after the start.
-func (r *run) attributable(now time.Time) bool {
-	return r.acknowledged() || r.crashedSoon || r.crashesSoon(now)
-}
+// acknowledged the run, or refused connections soon after the start.
+func (r *run) attributable() bool { return r.acknowledged() || r.refusedSoon }
 
-// crashesSoon reports whether a crash of the worker that shows now follows the start of the run, with no
+// refusesSoon reports whether a connection that the worker refuses now follows the start of the run, with no
 // answered poll in between.
-func (r *run) crashesSoon(now time.Time) bool {
+func (r *run) refusesSoon(now time.Time) bool {
 	return now.Sub(r.sentAt) <= attributionTime && !r.worker.answeredAt.After(r.sentAt)
 }
 
@@ -131,7 +129,7 @@
 	t := r.task
 	id := r.worker.registration.ID
 	t.crashes = append(t.crashes, Crash{
-		Run: r.number, Worker: id, Boot: r.boot, Sign: sign, Attributed: r.attributable(now), At: now,
+		Run: r.number, Worker: id, Boot: r.boot, Sign: sign, Attributed: r.attributable(), At: now,
 		Prompt: !r.outlived(promptAge), knownAt: now,
 	})
 	c.blamed[t] = true
@@ -152,7 +150,7 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		r.crashedSoon = r.crashedSoon || r.crashesSoon(now)
+		r.refusedSoon = r.refusedSoon || r.refusesSoon(now)
 		if r.phase != phaseSent && r.mayHaveCrashed() {
 			c.blame(now, r, SignRefused)
 		}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -60,8 +60,8 @@
 	throttle         int
 	throttleAccepted bool
 	throttledSince   time.Time
-	// crashedSoon is true once the worker has refused connections soon after the start.
-	crashedSoon bool
+	// refusedSoon is true once the worker has refused connections soon after the start.
+	refusedSoon bool
 	// blameOnAnswer is the sign of a crash of the worker since the start was sent, empty if there is none.
 	// The run is to blame unless the answer shows that the start didn't reach the worker.
 	blameOnAnswer CrashSign
