--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -109,7 +109,7 @@
 	// Workers that refused connections for longer than their lease counted as crashed under starts that
 	// never reached them, and three such counts ended a job. Failed on d15cb91 (issue 49).
 	"jobs failed for refused connections": {seed: 30010, length: 17 * time.Second, refusals: true},
-	// The same beside frozen holders and late starts.
+	// The same with frozen holders and late starts.
 	"jobs failed for refused connections and late starts": {seed: 30007, length: 17 * time.Second, refusals: true},
 }
 
--- a/cmd/zinniashore/soakrefusals_test.go
+++ b/cmd/zinniashore/soakrefusals_test.go
@@ -104,7 +104,7 @@
 	h.PlatformWorker.ServeHTTP(rw, r)
 }
 
-// arrives tells of a start and returns whether it arrives.
+// arrives records a start and returns whether it reaches the worker.
 func (h *soakStarts) arrives(body []byte) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/dispatcher/absencerandom_test.go
+++ b/dispatcher/absencerandom_test.go
@@ -48,7 +48,7 @@
 }
 
 // TestRandomAbsences guards against jobs that are given up because workers were away that ran on, against
-// tasks that crash workers beyond their budget beside them, and against long-running tasks that don't
+// tasks that crash workers beyond their budget at the same time, and against long-running tasks that don't
 // run again.
 func TestRandomAbsences(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
