--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -154,7 +154,7 @@
 // Outcome is the stored state of a job.
 type Outcome struct {
 	State dispatcher.State
-	// Cause tells why the job has failed, for logs. It is empty if an earlier build stored the failure.
+	// Cause tells why the job has failed, for logs; empty if an earlier build stored the failure.
 	Cause string
 }
 
--- a/dispatcher/openregistered_test.go
+++ b/dispatcher/openregistered_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestCrashDecidedByRegistration guards against a task that waits without end, as a crash of it is never decided: the
-// holder that recorded it is gone, and the next one can't reach the worker, which has registered as another boot.
+// holder that recorded it has ended, and the next one can't reach the worker, which has registered as another boot.
 func TestCrashDecidedByRegistration(t *testing.T) {
 	id := dispatcher.TaskID{Job: jobID}
 	s := newActiveSimulation(12)
--- a/dispatcher/outdatedlookup_test.go
+++ b/dispatcher/outdatedlookup_test.go
@@ -42,7 +42,7 @@
 }
 
 // TestOutdatedLookup guards against a lookup of a job whose answer is older than what the cell has got from the
-// store meanwhile: the job came back while the store answered that it was gone, and nobody ran it; or its
+// store meanwhile: the job came back while the store answered that it had left, and nobody ran it; or its
 // cancellation, or the failure of its part, arrived before the job and was dropped.
 func TestOutdatedLookup(t *testing.T) {
 	job := plainJob(jobID, 1, time.Second, 1)
