dispatcher, archiver: a cancellation is stored for the cells with parts before it is acknowledged

A long-running job's cancellation was acknowledged; 3.1 s later the holder of another cell, which ran a part of the job, started two tasks of it.

Cause: a process that can't reach the holder of the job's cell, or waits 700 ms in vain for it to store the cancellation, stores it itself, for the job's cell only. The cells with parts learned of it from the next holder of the job's cell, or from the same one once it reached the store again: after the claim, the load, a save and their own watch, up to 1.7 s. So it isn't the change of the holder of the part's cell that loses it; that only makes restored tasks start meanwhile.

Ruled out: the path over the holder (progress and cancellations of all parts are one save, before the acknowledgement); a new holder of the part's cell that overlooks a stored cancellation (load and watch both hand it over after the job).

Change: archiver.Cancel stores the cancellation for the job's cell, then reads from the job's progress which cells run parts, and stores it for these, before it returns. A part of a job that is cancelled in the store isn't stored any more (dispatcher.ErrPartRefused), so that the list that was read is complete; the holder that tried cancels the job. The refusal is told by the job's own key: a relocation or return in the same save, perhaps stored before without an answer, isn't taken for refused because of another job.

Cost: only in the fallback, one read, and one write if the job has parts. No call more otherwise; a save with a part has one row more, 32 in the fullest one, which is what the store takes (TestFullBatchWithPart).

The pair of networks now fails on any start by an undisturbed holder more than 3 s after an acknowledged cancellation.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 
 	"zinniashore.example/dispatcher"
@@ -178,23 +179,28 @@
 }
 
 func (a *Archiver) storedOutcome(ctx context.Context, cell, id string) (Outcome, error) {
-	item, err := a.Store.Get(ctx, progressPrefix+cell+"/"+id)
-	if err != nil {
+	progress, err := a.progress(ctx, cell, id)
+	switch {
+	case err != nil:
 		return Outcome{}, err
-	}
-	if item.Revision == 0 {
+	case progress == nil:
 		return Outcome{State: dispatcher.StateQueued}, nil
-	}
-	progress, err := dispatcher.DecodeProgress(id, item.Value)
-	if err != nil {
-		return Outcome{}, err
-	}
-	if progress.State == dispatcher.StateQueued {
+	case progress.State == dispatcher.StateQueued:
 		return Outcome{State: dispatcher.StateRunning}, nil
 	}
 	return Outcome{State: progress.State, Cause: progress.Cause}, nil
 }
 
+// progress returns the stored progress of a job in a cell, or nil if there is none.
+func (a *Archiver) progress(ctx context.Context, cell, id string) (*dispatcher.Progress, error) {
+	item, err := a.Store.Get(ctx, progressPrefix+cell+"/"+id)
+	if err != nil || item.Revision == 0 {
+		return nil, err
+	}
+	progress, err := dispatcher.DecodeProgress(id, item.Value)
+	return &progress, err
+}
+
 // State returns the state of an accepted job as Outcome does.
 func (a *Archiver) State(ctx context.Context, cell, id string) (dispatcher.State, error) {
 	outcome, err := a.Outcome(ctx, cell, id)
@@ -214,26 +220,56 @@
 // meanwhile.
 const maxCancelAttempts = 3
 
-// Cancel stores the cancellation of a job in its present cell, whose holder then reads it.
+// Cancel stores the cancellation of a job in its present cell and in all cells that run parts of it,
+// whose holders then read it.
 func (a *Archiver) Cancel(ctx context.Context, id string) error {
+	home, err := a.cancelAtHome(ctx, id)
+	if err != nil || home == "" {
+		return err
+	}
+	return a.cancelParts(ctx, home, id)
+}
+
+// cancelAtHome stores the cancellation of a job in its present cell and returns that, or an empty string if
+// the job's state has expired.
+func (a *Archiver) cancelAtHome(ctx context.Context, id string) (string, error) {
 	var conflict *platform.ConflictError
 	var err error
 	for range maxCancelAttempts {
 		var home platform.Item
 		if home, err = a.Store.Get(ctx, idPrefix+id); err != nil {
-			return err
+			return "", err
 		}
 		cell := homeCell(home)
 		if cell == "" {
-			return nil // its state has expired
+			return "", nil
 		}
 		_, err = a.Store.Commit(ctx, platform.Transaction{
 			Expect: []platform.Expectation{{Key: home.Key, Revision: home.Revision}},
 			Writes: []platform.Item{cancellationItem(cell, id)},
 		})
 		if !errors.As(err, &conflict) {
+			return cell, err
+		}
+	}
+	return "", err
+}
+
+// cancelParts stores the cancellation of a job in the cells that run parts of it. The cancellation is
+// already stored in the home cell, which delegates nothing of the job any more.
+func (a *Archiver) cancelParts(ctx context.Context, home, id string) error {
+	progress, err := a.progress(ctx, home, id)
+	if err != nil {
+		return err
+	}
+	for cells := range slices.Chunk(progress.PartCells(), platform.MaxTransactionRows) {
+		var transaction platform.Transaction
+		for _, cell := range cells {
+			transaction.Writes = append(transaction.Writes, cancellationItem(cell, id))
+		}
+		if _, err := a.Store.Commit(ctx, transaction); err != nil {
 			return err
 		}
 	}
-	return err
+	return nil
 }
--- a/archiver/save.go
+++ b/archiver/save.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strings"
 
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/platform"
@@ -49,20 +48,36 @@
 		}
 	}
 	if batch.Part != nil {
-		transaction.Expect = append(transaction.Expect, platform.Expectation{Key: returnedKey(a.Cell, batch.Part.Job.ID, batch.Part.Cell)})
-		item, err := a.partItem(batch.Part)
-		if err != nil {
+		if err := a.addPart(&transaction, batch.Part); err != nil {
 			return err
 		}
-		transaction.Writes = append(transaction.Writes, item)
 	}
 	err := a.commit(ctx, transaction)
-	if (batch.Relocation != nil || batch.Return != nil) && cancelledMeanwhile(err) {
+	switch {
+	case batch.Relocation != nil && a.cancelledMeanwhile(err, batch.Relocation.Job.ID):
+		return dispatcher.ErrRelocationRefused
+	case batch.Return != nil && a.cancelledMeanwhile(err, batch.Return.Job):
 		return dispatcher.ErrRelocationRefused
+	case batch.Part != nil && a.cancelledMeanwhile(err, batch.Part.Job.ID):
+		return dispatcher.ErrPartRefused
 	}
 	return err
 }
 
+// addPart adds the rows that delegate a part to another cell. A job that has been cancelled through the store isn't
+// delegated: whoever stored that has told only the cells that had parts then.
+func (a *CellArchive) addPart(transaction *platform.Transaction, part *dispatcher.Part) error {
+	item, err := a.partItem(part)
+	if err != nil {
+		return err
+	}
+	id := part.Job.ID
+	transaction.Expect = append(transaction.Expect,
+		platform.Expectation{Key: returnedKey(a.Cell, id, part.Cell)}, platform.Expectation{Key: cancellationKey(a.Cell, id)})
+	transaction.Writes = append(transaction.Writes, item)
+	return nil
+}
+
 // addRelocation adds the rows that move a job to another cell, unless it has left this one, and perhaps
 // come back: an earlier save whose answer was lost has moved it. A job that has been cancelled through the
 // store isn't moved.
@@ -120,15 +135,15 @@
 	return nil
 }
 
-// cancelledMeanwhile reports whether a transaction was refused because the cancellation of a job
+// cancelledMeanwhile reports whether a transaction was refused because the cancellation of a job of the cell
 // exists.
-func cancelledMeanwhile(err error) bool {
+func (a *CellArchive) cancelledMeanwhile(err error, id string) bool {
 	var conflict *platform.ConflictError
 	if !errors.As(err, &conflict) {
 		return false
 	}
 	return slices.ContainsFunc(conflict.Items, func(item platform.Item) bool {
-		return item.Revision != 0 && strings.HasSuffix(item.Key, cancelSuffix)
+		return item.Revision != 0 && item.Key == cancellationKey(a.Cell, id)
 	})
 }
 
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -15,6 +16,9 @@
 // again.
 const delegationRetryDelay = 1500 * time.Millisecond
 
+// ErrPartRefused is the error of a batch whose part isn't stored: the job has been cancelled through the store.
+var ErrPartRefused = errors.New("the job to delegate a part of has been cancelled")
+
 // DelegationRefused records that no other cell has capacity for a task. This applies
 // to all tasks of its step.
 func (c *Cell) DelegationRefused(now time.Time, id TaskID) {
@@ -263,6 +267,15 @@
 	return true
 }
 
+// PartRefused cancels the job of a batch's part, which the store has as cancelled. The other cell learns of it
+// as well: an earlier attempt to store the part may have succeeded without an answer.
+func (c *Cell) PartRefused(now time.Time, b *Batch) {
+	if c.pendingPart == b.Part {
+		c.pendingPart = nil
+	}
+	c.Cancel(now, b.Part.Job.ID)
+}
+
 func (c *Cell) markDelegated(t *task, cell string) {
 	t.remote, t.delegatedTo = true, cell
 	c.record(recorder.Event{Kind: KindDelegated, Task: t.id.String(), Key: t.id.Job, Detail: "to " + cell})
--- a/dispatcher/network_test.go
+++ b/dispatcher/network_test.go
@@ -59,8 +59,10 @@
 	noted    map[string]bool
 	failures map[string]int
 	crashes  map[string]int
-	// cancelAsked are the jobs that a holder was asked to cancel, cancelled those of which it has stored that.
+	// cancelAsked are the jobs whose cancellation was asked for, cancelled those of which that is stored, and
+	// cancelledAt says when that was acknowledged.
 	cancelAsked, cancelled map[string]bool
+	cancelledAt            map[string]time.Time
 	violations             []string
 	// trace are the events so far, for reports.
 	trace *[]string
@@ -70,7 +72,8 @@
 	// homes are the cells of the jobs in the store.
 	homes map[string]homeRecord
 	// returned are the parts that the other cell has given back, with the revisions of these records;
-	// toCancel are the jobs whose cancellation the other cell has stored for this one.
+	// toCancel are the jobs whose cancellation is stored for this cell, by the other one or by a process that
+	// couldn't reach the holder.
 	returned map[string]int64
 	toCancel map[string]bool
 }
@@ -101,6 +104,7 @@
 		now: time.UnixMilli(1_000_000), random: rand.New(rand.NewPCG(seed, 1)), archive: newArchive(), events: &events{},
 		jobs: map[string]dispatcher.Job{}, entries: map[string]dispatcher.Registration{},
 		starts: map[string][]time.Time{}, noted: map[string]bool{}, failures: map[string]int{}, crashes: map[string]int{}, cancelAsked: map[string]bool{}, cancelled: map[string]bool{},
+		cancelledAt: map[string]time.Time{},
 	}
 }
 
@@ -299,8 +303,9 @@
 func (n *network) awaitCancelled(h *remoteHolder, id string, stored <-chan struct{}) {
 	select {
 	case <-stored:
-		state, _ := h.cell.State(id)
-		n.cancelled[id] = state == dispatcher.StateCancelled
+		if state, _ := h.cell.State(id); state == dispatcher.StateCancelled {
+			n.acknowledgeCancelled(id)
+		}
 	default:
 		if stored != nil && !h.ended {
 			n.after(100*time.Millisecond, func() { n.awaitCancelled(h, id, stored) })
@@ -308,6 +313,13 @@
 	}
 }
 
+// acknowledgeCancelled notes that the cancellation of a job is acknowledged.
+func (n *network) acknowledgeCancelled(id string) {
+	if !n.cancelled[id] {
+		n.cancelled[id], n.cancelledAt[id] = true, n.now
+	}
+}
+
 // settle ends all faults.
 func (n *network) settle() {
 	n.calm, n.storeOut = true, false
--- a/dispatcher/networkparts_test.go
+++ b/dispatcher/networkparts_test.go
@@ -1,7 +1,10 @@
 package dispatcher_test
 
 import (
+	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -18,7 +21,7 @@
 	n.other, other.other = other, n
 	other.trace, other.homes, other.jobs, other.starts = n.trace, n.homes, n.jobs, n.starts
 	other.noted, other.failures, other.crashes = n.noted, n.failures, n.crashes
-	other.cancelAsked, other.cancelled = n.cancelAsked, n.cancelled
+	other.cancelAsked, other.cancelled, other.cancelledAt = n.cancelAsked, n.cancelled, n.cancelledAt
 	// No epoch, and with it no number of a run, is used by both cells.
 	other.archive.epoch = 1000
 	n.populate(workers)
@@ -37,9 +40,11 @@
 	}
 }
 
-// store applies a batch as the store does. refused is true if the relocation, or the return of a part,
-// will never be stored.
-func (h *remoteHolder) store(batch *dispatcher.Batch) (stored, refused bool) {
+// errNotStored is the error of a batch that the store has refused.
+var errNotStored = errors.New("not stored")
+
+// store applies a batch as the store does. Its error says what of the batch will never be stored.
+func (h *remoteHolder) store(batch *dispatcher.Batch) error {
 	n := h.n
 	changes := *batch
 	if r := batch.Return; r != nil {
@@ -48,7 +53,7 @@
 		case !found:
 			changes.Return = nil
 		case len(item.Part) != len(r.Part) || n.toCancel[r.Job]:
-			return false, true
+			return dispatcher.ErrRelocationRefused
 		}
 	}
 	if r := batch.Relocation; r != nil {
@@ -56,20 +61,28 @@
 		if _, tried := h.relocatedFrom[r]; !tried {
 			h.relocatedFrom[r] = home.revision
 		}
-		if home.cell != n.name || home.revision != h.relocatedFrom[r] {
+		switch {
+		case home.cell != n.name || home.revision != h.relocatedFrom[r]:
 			changes.Relocation = nil
+		case n.toCancel[r.Job.ID]:
+			return dispatcher.ErrRelocationRefused
 		}
 	}
-	if p := batch.Part; p != nil && n.returned[p.Job.ID] != 0 {
-		return false, false
+	if p := batch.Part; p != nil {
+		switch {
+		case n.toCancel[p.Job.ID]:
+			return dispatcher.ErrPartRefused
+		case n.returned[p.Job.ID] != 0:
+			return errNotStored
+		}
 	}
 	if !n.archive.save(h.cell.Epoch, &changes) {
-		return false, false
+		return errNotStored
 	}
 	if n.other != nil {
 		n.passOn(&changes)
 	}
-	return true, false
+	return nil
 }
 
 // passOn stores what a batch means for the other cell.
@@ -105,8 +118,7 @@
 		delete(n.returned, j.ID)
 	}
 	if len(j.CancelIn) > 0 {
-		other.toCancel[j.ID] = true
-		other.tell(func(h *remoteHolder) { h.cell.Cancel(h.now(), j.ID) })
+		other.storeCancellation(j.ID)
 	}
 	if j.Progress.State == dispatcher.StateFailed && !j.Own {
 		other.archive.failedIn[j.ID] = n.name
@@ -114,6 +126,44 @@
 	}
 }
 
+// storeCancellation stores the cancellation of a job for this cell. Its holders learn of it after the job
+// itself, as a watch keeps the order of changes.
+func (n *network) storeCancellation(id string) {
+	n.toCancel[id] = true
+	job, live := n.archive.jobs[id]
+	n.tell(func(h *remoteHolder) {
+		if live {
+			h.cell.AddJob(h.now(), job, nil, true)
+		}
+		h.cell.Cancel(h.now(), id)
+	})
+}
+
+// cancelInStore cancels a job as a process does that can't reach the holder of the job's home cell.
+func (n *network) cancelInStore(id string) {
+	home := n.homeOf(id)
+	progress := home.archive.progress[id]
+	if home.storeOut || progress.State.Final() {
+		return
+	}
+	n.logf("%s is cancelled through the store", id)
+	n.cancelAsked[id] = true
+	home.storeCancellation(id)
+	if len(progress.PartCells()) > 0 {
+		home.other.storeCancellation(id)
+	}
+	n.acknowledgeCancelled(id)
+}
+
+// cancelSome cancels some jobs of both cells through the store.
+func (n *network) cancelSome(t *rapid.T) {
+	for _, id := range slices.Sorted(maps.Keys(n.jobs)) {
+		if rapid.IntRange(0, 2).Draw(t, "cancelled") == 0 {
+			n.cancelInStore(id)
+		}
+	}
+}
+
 // offer looks for a task that has to leave the cell, and asks the other one for places.
 func (h *remoteHolder) offer() {
 	n := h.n
@@ -196,7 +246,7 @@
 	if rapid.Bool().Draw(t, "other cell") {
 		in = n.other
 	}
-	switch rapid.SampledFrom([]string{"any", "any", "large", "leave all", "store"}).Draw(t, "pair move") {
+	switch rapid.SampledFrom([]string{"any", "any", "large", "leave all", "store", "cancel in store"}).Draw(t, "pair move") {
 	case "any":
 		in.move(t, number)
 	case "large":
@@ -205,6 +255,8 @@
 		for _, w := range in.workers {
 			w.leave(drawSpan(t, "drain", 20, 50), drawSpan(t, "linger", 0, 40), rapid.Bool().Draw(t, "successor"))
 		}
+	case "cancel in store":
+		n.cancelSome(t)
 	case "store":
 		if !n.storeOut && !n.other.storeOut {
 			span := drawSpan(t, "outage", 60, 350)
--- a/dispatcher/networkrandom_test.go
+++ b/dispatcher/networkrandom_test.go
@@ -194,22 +194,27 @@
 			n.requireKept(t)
 			n.other.requireKept(t)
 		}
-		n.settle()
-		n.other.settle()
-		for range pairReserve {
-			n.addWorker("")
-			n.other.addWorker("")
-		}
-		for passed := time.Duration(0); passed < settleLimit && len(n.unfinished()) > 0; passed += settleStep {
-			n.advancePair(settleStep)
-			n.requireKept(t)
-			n.other.requireKept(t)
-		}
-		if unfinished := n.unfinished(); len(unfinished) > 0 {
-			n.fail(t, "left after "+settleLimit.String()+": "+strings.Join(unfinished, "; "))
-		}
+		n.requireSettled(t)
 	})
 }
 
+// requireSettled ends all faults of both cells, adds workers, and fails unless all jobs end or run.
+func (n *network) requireSettled(t *rapid.T) {
+	n.settle()
+	n.other.settle()
+	for range pairReserve {
+		n.addWorker("")
+		n.other.addWorker("")
+	}
+	for passed := time.Duration(0); passed < settleLimit && len(n.unfinished()) > 0; passed += settleStep {
+		n.advancePair(settleStep)
+		n.requireKept(t)
+		n.other.requireKept(t)
+	}
+	if unfinished := n.unfinished(); len(unfinished) > 0 {
+		n.fail(t, "left after "+settleLimit.String()+": "+strings.Join(unfinished, "; "))
+	}
+}
+
 // pairReserve is the number of workers that are added to each cell at the end, so that all tasks have a place.
 const pairReserve = 12
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -26,6 +26,20 @@
 	Delegated []DelegatedTask
 }
 
+// PartCells returns the cells that run delegated parts of the job; none without progress.
+func (p *Progress) PartCells() []string {
+	if p == nil {
+		return nil
+	}
+	var cells []string
+	for _, d := range p.Delegated {
+		if !slices.Contains(cells, d.Cell) {
+			cells = append(cells, d.Cell)
+		}
+	}
+	return cells
+}
+
 // DelegatedTask is a task that another cell runs.
 type DelegatedTask struct {
 	Task TaskID
--- a/dispatcher/remoteholder_test.go
+++ b/dispatcher/remoteholder_test.go
@@ -1,12 +1,16 @@
 package dispatcher_test
 
 import (
+	"errors"
 	"slices"
 	"time"
 
 	"zinniashore.example/dispatcher"
 )
 
+// maxCancellationDelay is how long after the acknowledgement of a cancellation tasks of the job may start.
+const maxCancellationDelay = 3 * time.Second
+
 // reply is the outcome of a request to a worker.
 type reply struct {
 	answer  dispatcher.Answer
@@ -31,6 +35,8 @@
 	nextOffer time.Time
 	// storeRefuses makes the store refuse this holder alone.
 	storeRefuses bool
+	// disturbedAt is when the holder was last paused or without the store.
+	disturbedAt time.Time
 	// polled are the workers that a loop of polls covers.
 	polled                        map[string]bool
 	known                         map[string]dispatcher.Registration
@@ -107,6 +113,9 @@
 }
 
 func (h *remoteHolder) tick() {
+	if h.paused() || h.storeOut() {
+		h.disturbedAt = h.n.now
+	}
 	if h.ended || h.paused() {
 		return
 	}
@@ -195,6 +204,7 @@
 // send sends orders to workers.
 func (h *remoteHolder) send(orders dispatcher.Orders) {
 	for _, o := range orders.Starts {
+		h.checkCancelled(o)
 		h.emit(func() { h.sendStart(o) })
 	}
 	for _, o := range orders.Stops {
@@ -205,6 +215,15 @@
 	}
 }
 
+// checkCancelled records a violation if an undisturbed holder starts a task of a job too long after its
+// cancellation was acknowledged.
+func (h *remoteHolder) checkCancelled(o dispatcher.StartOrder) {
+	at, cancelled := h.n.cancelledAt[o.Task.Job]
+	if cancelled && h.n.now.Sub(at) > maxCancellationDelay && h.n.now.Sub(h.disturbedAt) > maxCancellationDelay {
+		h.n.violation("%s starts under epoch %d, %v after the cancellation was acknowledged", o.Task, o.Epoch, h.n.now.Sub(at))
+	}
+}
+
 func (h *remoteHolder) sendStart(o dispatcher.StartOrder) {
 	h.request(request{
 		worker: o.Worker, boot: o.Boot, refused: dispatcher.AnswerUnsent, otherBoot: dispatcher.AnswerRestarted, timeout: orderTimeout,
@@ -362,6 +381,9 @@
 		default:
 			h.cell.SetAbsent(h.now(), id)
 		}
+		if live && h.n.toCancel[id] {
+			h.cell.Cancel(h.now(), id)
+		}
 	}
 }
 
@@ -401,16 +423,19 @@
 	h.saving = true
 	n.after(n.delay()/2, func() {
 		out, newest := h.storeOut(), n.archive.epoch == h.cell.Epoch
-		stored, refused := false, false
+		err := errNotStored
 		if !out && newest {
-			stored, refused = h.store(batch)
+			err = h.store(batch)
 		}
 		lost := !n.calm && n.random.IntN(12) == 0
 		n.after(n.delay()/2, func() {
 			h.receive(func() {
-				h.saved(batch, stored && !lost)
-				if refused {
+				h.saved(batch, err == nil && !lost)
+				switch {
+				case errors.Is(err, dispatcher.ErrRelocationRefused):
 					h.cell.RelocationRefused(h.now(), batch)
+				case errors.Is(err, dispatcher.ErrPartRefused):
+					h.cell.PartRefused(h.now(), batch)
 				}
 				if !out && !newest {
 					h.end()
--- a/dispatcher/saver.go
+++ b/dispatcher/saver.go
@@ -84,6 +84,9 @@
 	if errors.Is(err, ErrRelocationRefused) {
 		r.Cell.RelocationRefused(r.Clock.Now(), batch)
 	}
+	if errors.Is(err, ErrPartRefused) {
+		r.Cell.PartRefused(r.Clock.Now(), batch)
+	}
 	close(r.stored)
 	r.stored = make(chan struct{})
 	if err == nil && batch.Part != nil {
