dispatcher: a cell that runs only a part of a job doesn't acknowledge its cancellation

What callers may see: a job that runs on after its cancellation was acknowledged, and a part of it that never runs again.

Cause: a process remembers the cell of a job. If the job has been relocated since, and its new cell has delegated a part to the old one, the old cell knows the job by the part: its holder cancelled that, stored it, and the process answered 200. Nobody told the job's cell. For states the same holder says that it doesn't know the job.

Change: Runner.Cancel, which clients reach, doesn't know a job of which the cell only runs a part; the cancellation then goes through the store, which knows the job's cell and those of its parts. The watch of the store calls CancelStored, which cancels parts too and waits for nothing.

No more calls, but for such a job.

--- a/dispatcher/calls.go
+++ b/dispatcher/calls.go
@@ -33,12 +33,15 @@
 	signal(r.wake)
 }
 
-// Cancel cancels a job and waits until the cancellation is stored. It reports whether
-// the cell knows the job.
+// Cancel cancels a job for a client and waits until the cancellation is stored. It reports whether the cell
+// knows the job. It doesn't know one of which it only runs a part: that job belongs to another cell.
 func (r *Runner) Cancel(ctx context.Context, id string) (bool, error) {
 	r.mu.Lock()
-	known, stored := r.Cell.Cancel(r.Clock.Now(), id)
-	r.outdateLookup(id)
+	if r.Cell.RunsPart(id) {
+		r.mu.Unlock()
+		return false, nil
+	}
+	known, stored := r.cancel(id)
 	r.mu.Unlock()
 	signal(r.wake)
 	if !known || stored == nil {
@@ -52,6 +55,22 @@
 	}
 }
 
+// CancelStored cancels a job, or the part of one, whose cancellation is in the store. It reports whether the cell
+// knows the job.
+func (r *Runner) CancelStored(id string) bool {
+	r.mu.Lock()
+	known, _ := r.cancel(id)
+	r.mu.Unlock()
+	signal(r.wake)
+	return known
+}
+
+// cancel cancels a job or the part of one; the caller holds mu. It returns what Cell.Cancel does.
+func (r *Runner) cancel(id string) (known bool, stored <-chan struct{}) {
+	r.outdateLookup(id)
+	return r.Cell.Cancel(r.Clock.Now(), id)
+}
+
 // State returns the state of a job, and whether it is known and was accepted for this cell.
 func (r *Runner) State(id string) (State, bool) {
 	r.mu.Lock()
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -32,6 +32,12 @@
 // includes reports whether the cell runs a task of the job.
 func (j *Job) includes(id TaskID) bool { return j.Part == nil || slices.Contains(j.Part, id) }
 
+// RunsPart reports whether the cell runs a part of a job that belongs to another cell.
+func (c *Cell) RunsPart(id string) bool {
+	j, known := c.jobs[id]
+	return known && j.job.Part != nil
+}
+
 // extendPart adds tasks to the delegated part of a known job.
 func (c *Cell) extendPart(now time.Time, j *jobState, job *Job) {
 	if j.job.Part == nil || j.state.Final() {
--- a/heldcells.go
+++ b/heldcells.go
@@ -295,7 +295,9 @@
 	case change.Unaccepted:
 		s.runner.AddUnaccepted(change.ID)
 	case change.Cancelled:
-		s.cancel(change.ID)
+		if !s.runner.CancelStored(change.ID) {
+			klog.InfoS("Cancellation of an unknown job", "job", change.ID)
+		}
 	case change.Returned != nil:
 		if !s.runner.AddReturned(change.ID, *change.Returned) {
 			klog.InfoS("Part of an unknown job was given back", "job", change.ID, "cell", change.Returned.Cell)
@@ -308,12 +310,3 @@
 		s.runner.Add(change.Job, true)
 	}
 }
-
-func (s *storedJobs) cancel(id string) {
-	// The cancellation is already stored and no caller waits for its outcome.
-	cancelled, cancel := context.WithCancel(context.Background())
-	cancel()
-	if known, _ := s.runner.Cancel(cancelled, id); !known {
-		klog.InfoS("Cancellation of an unknown job", "job", id)
-	}
-}
--- a/jobrouter.go
+++ b/jobrouter.go
@@ -208,7 +208,7 @@
 }
 
 // Cancel implements acceptor.JobService. If the holder of the cell can't be reached, or
-// doesn't know the job yet, it receives the cancellation through the store.
+// doesn't know the job (yet, or any more), the cancellation goes through the store.
 func (r *jobRouter) Cancel(ctx context.Context, id string) error {
 	cell, err := r.cell(ctx, id)
 	if errors.Is(err, acceptor.ErrUnknown) {
