dispatcher: a poll notices a suspension of the VM before it extends a lease

A holder noticed a suspension, which its monotonic clock doesn't count, when it planned next, up to 150 ms later. A poll that went out before that extended a lease on a confirmation that was older than it seemed, by the length of the suspension, so that a new holder could take that lease for expired too early: two runs of a task.

Each poll now looks for a suspension first, as each plan does: no lease is granted elsewhere.

TestPlansOfBusyCell counted plans by the reads of the suspended time. It counts the measurements of plans instead, one a plan, and fails at no plan as well.

--- a/dispatcher/planrate_test.go
+++ b/dispatcher/planrate_test.go
@@ -23,6 +23,18 @@
 	return dispatcher.Listing{Clock: time.Since(w.booted), Boot: 1}, dispatcher.AnswerAccepted, nil
 }
 
+// planCountingClock counts the plans of a runner, which measures each once.
+type planCountingClock struct {
+	clockwork.Clock
+	plans int
+}
+
+// Since implements clockwork.Clock.
+func (c *planCountingClock) Since(t time.Time) time.Duration {
+	c.plans++
+	return c.Clock.Since(t)
+}
+
 // TestPlansOfBusyCell guards against a holder that is behind because it plans after each answer
 // of a worker: with 120 workers and 900 waiting tasks that takes most of its processor.
 func TestPlansOfBusyCell(t *testing.T) {
@@ -30,16 +42,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		loaded := make(chan struct{})
 		close(loaded)
+		clock := &planCountingClock{Clock: clockwork.NewRealClock()}
 		runner := dispatcher.NewRunner(
-			dispatcher.NewCell("graz-a", 1, limits, &events{}), clockwork.NewRealClock(),
+			dispatcher.NewCell("graz-a", 1, limits, &events{}), clock,
 			&promptWorkers{booted: time.Now()}, &slowArchive{released: loaded},
 		)
 		runner.OtherCells = noCells{}
-		plans := 0
-		runner.SuspendedTime = func() time.Duration {
-			plans++
-			return 0
-		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- runner.Run(ctx) }()
@@ -54,8 +62,8 @@
 		time.Sleep(time.Second)
 		cancel()
 		<-ended
-		if plans > maxPlansPerSecond {
-			t.Errorf("%d plans in 1 s, want at most %d", plans, maxPlansPerSecond)
+		if clock.plans == 0 || clock.plans > maxPlansPerSecond {
+			t.Errorf("%d plans in 1 s, want 1 to %d", clock.plans, maxPlansPerSecond)
 		}
 	})
 }
--- a/dispatcher/poller.go
+++ b/dispatcher/poller.go
@@ -25,6 +25,7 @@
 // it answers. It returns the worker's answer and reports whether the worker is known.
 func (r *Runner) pollOnce(ctx context.Context, id string, wait bool) (Answer, bool) {
 	r.mu.Lock()
+	r.detectSuspension()
 	sent := r.Clock.Now()
 	order, known := r.Cell.NextPoll(sent, id)
 	if !known {
