dispatcher: the log tells for what tasks wait

Once a second the cell looks for tasks that have waited 1 s, classifies them (WaitCause) and reports each cause every 2 s at most: how many tasks, an example, on whose account (earlier holders, workers with what is known of them, leases, runs) and the time left or "no bound"; and once when it is over. Each cause has a kind of its own, so that zinniashore_events counts them.

No decision changes: conditions that the reports need too are split off as mayHaveEarlierLeases, mayListEnds, longestUnheardLease and responsive.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -69,6 +69,8 @@
 	Limits Limits
 	// Recorder records the events of decisions.
 	Recorder Recorder
+	// EarlierTerms names, for logs, the holders of earlier terms that may act on.
+	EarlierTerms []string
 
 	jobs    map[string]*jobState
 	workers map[string]*worker
@@ -106,6 +108,8 @@
 	// inactiveSince is since when the holder doesn't act, zero while it does, and
 	// inactivityReportedAt when that was last reported.
 	inactiveSince, inactivityReportedAt time.Time
+	// waits is what was found and reported of waiting tasks.
+	waits waitLog
 	// resumedAt is when the holder's VM was last found to have been suspended.
 	resumedAt time.Time
 	// registryReadAt is the time up to which the changes of the registry are known.
@@ -131,6 +135,8 @@
 	// pendingPart is the part of a job that is being delegated to another cell, until
 	// it is stored.
 	pendingPart *Part
+	// pendingPartSince is when pendingPart was last set.
+	pendingPartSince time.Time
 	// pendingRelocation is the relocation of a job, until it is stored or refused.
 	pendingRelocation *Relocation
 	// departed holds the jobs that were relocated, and those of which a part was given back, each
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -100,17 +100,24 @@
 	}
 	expired := now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
-		if !w.restored {
-			continue
-		}
-		leased := !expired && (!w.epochAccepted || w.succeeded() || w.listedIncompletely)
+		leased := !expired && w.mayHaveEarlierLeases()
 		longRunningWaits = longRunningWaits || leased
-		listsMore := !c.lost(w) || w.epochAccepted && !w.leaseExpired(now)
-		waits = waits || leased || !w.endsListed && listsMore
+		waits = waits || leased || c.mayListEnds(now, w)
 	}
 	return waits, longRunningWaits
 }
 
+// mayHaveEarlierLeases reports whether leases that earlier holders granted to a worker may last until
+// earlierLeasesEnd: it hasn't told this holder all of its runs.
+func (w *worker) mayHaveEarlierLeases() bool {
+	return w.restored && (!w.epochAccepted || w.succeeded() || w.listedIncompletely)
+}
+
+// mayListEnds reports whether a worker that an earlier holder used may list more of its ends.
+func (c *Cell) mayListEnds(now time.Time, w *worker) bool {
+	return w.restored && !w.endsListed && (!c.lost(w) || w.epochAccepted && !w.leaseExpired(now))
+}
+
 // mayBeStarted reports whether an earlier holder may have started a task of a job: it may have acted since
 // the job was accepted. The times of day of two VMs may differ, so that of the acceptance doesn't count.
 func (c *Cell) mayBeStarted(j *jobState) bool {
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -248,23 +248,23 @@
 	if first.remote || len(first.runs) > 0 || !first.movable() || first.hasUnconfirmedCrash() {
 		return false
 	}
-	c.markDelegated(first, cell)
+	c.markDelegated(now, first, cell)
 	for _, t := range first.step.tasks {
 		if places > 1 && t.queued && c.unplaceable(now, t) {
-			c.markDelegated(t, cell)
+			c.markDelegated(now, t, cell)
 			places--
 		}
 	}
 	part := j.job
 	part.Progress = nil
 	part.Part, part.PartCrashes = j.occurrences[id.Occurrence].partOf(cell)
-	c.pendingPart = &Part{Cell: cell, Job: part}
+	c.pendingPart, c.pendingPartSince = &Part{Cell: cell, Job: part}, now
 	c.dirty[id.Job] = true
 	return true
 }
 
-func (c *Cell) markDelegated(t *task, cell string) {
-	t.remote, t.delegatedTo = true, cell
+func (c *Cell) markDelegated(now time.Time, t *task, cell string) {
+	t.remote, t.delegatedTo, t.delegatedAt = true, cell, now
 	c.record(recorder.Event{Kind: KindDelegated, Task: t.id.String(), Key: t.id.Job, Detail: "to " + cell})
 }
 
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -33,6 +33,9 @@
 	KindWorkerNormal   recorder.Kind = "worker_normal"
 	KindSlowMove       recorder.Kind = "task_slow_move"
 	KindCell           recorder.Kind = "cell"
+	// KindTasksWait begins the kinds of waits, one for each WaitCause.
+	KindTasksWait     recorder.Kind = "tasks_wait"
+	KindTasksWaitOver recorder.Kind = "tasks_wait_over"
 )
 
 // Recorder records the events of a cell's decisions.
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -18,6 +18,12 @@
 // Plan expires leases, begins the occurrences that are due, and returns the orders to
 // send now.
 func (c *Cell) Plan(now time.Time) Orders {
+	orders := c.plan(now)
+	c.reportWaits(now)
+	return orders
+}
+
+func (c *Cell) plan(now time.Time) Orders {
 	c.expireLeases(now)
 	c.activate(now)
 	c.reviewCrashes(now)
@@ -53,6 +59,9 @@
 		}
 		if now.Sub(r.stopSentAt) >= stopRetryInterval {
 			r.stopSentAt = now
+			if r.firstStopAt.IsZero() {
+				r.firstStopAt = now
+			}
 			orders = append(orders, c.stopOrder(r.worker, key))
 		}
 		return false
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -26,7 +26,7 @@
 		order.Boot = w.boot
 		order.Acknowledged = w.acknowledgedEnd
 	}
-	if order.Boot != 0 && c.mayAct(now) && now.Sub(w.heardAt) < unresponsiveTimeout {
+	if order.Boot != 0 && c.mayAct(now) && w.responsive(now) {
 		order.LeaseEnd = c.extendLease(now, w)
 	}
 	if w.epochAccepted && w.lastEnd == w.acknowledgedEnd {
--- a/dispatcher/rackwait.go
+++ b/dispatcher/rackwait.go
@@ -15,6 +15,9 @@
 	since time.Time
 	// ended is true once the task has started after that.
 	ended bool
+	// decidedAt is when it was last decided to wait, for a rack whose place was expected at expectedAt.
+	decidedAt, expectedAt time.Time
+	rack                  string
 }
 
 // mayAwaitRack reports whether a task runs faster in a rack and may wait for it. Tasks that have failed,
@@ -74,7 +77,9 @@
 		return false
 	}
 	c.pass.awaiting = t
-	if first := t.firstMember(); first.rackWait.since.IsZero() {
+	first := t.firstMember()
+	first.rackWait.decidedAt, first.rackWait.expectedAt, first.rackWait.rack = now, now.Add(in), line.rack
+	if first.rackWait.since.IsZero() {
 		first.rackWait.since = now
 		c.record(recorder.Event{Kind: KindRackWait, Task: first.id.String(), Key: first.id.Job,
 			Detail: fmt.Sprintf("for %s, expected in %s, remote costs %s", line.rack, rounded(in), rounded(waiting.RemoteCost()))})
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -71,14 +71,18 @@
 // restarted. The restarted worker may have accepted a start with a lease end on the clock
 // of the boot before, which it cuts to its longest lease.
 func (c *Cell) handleUnheard(now time.Time, w *worker) {
-	longest := time.Duration(float64(c.Limits.MaxLeaseDuration)/minClockRate) + leaseExpiryMargin
 	for _, r := range w.sortedRuns() {
-		if r.lastsUntil.IsZero() && now.Sub(r.sentAt) > longest {
+		if r.lastsUntil.IsZero() && now.Sub(r.sentAt) > c.longestUnheardLease() {
 			c.markLost(now, r, "worker is lost")
 		}
 	}
 }
 
+// longestUnheardLease returns how long the run of a start may last on a worker that doesn't answer.
+func (c *Cell) longestUnheardLease() time.Duration {
+	return time.Duration(float64(c.Limits.MaxLeaseDuration)/minClockRate) + leaseExpiryMargin
+}
+
 // removable reports whether nothing can run on a worker any more: it is lost, and the leases of its
 // runs have expired. One that is only gone may register again for a while.
 func (c *Cell) removable(now time.Time, w *worker) bool {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -36,12 +36,12 @@
 	listedAt time.Time
 	// sentAt is when the start was sent, confirmedAt when it was confirmed.
 	sentAt, confirmedAt time.Time
-	// stopSentAt is when the last stop was sent, stopAcceptedAt when the worker
-	// accepted one. A later poll that doesn't list the run shows that it has ended.
-	stopSentAt, stopAcceptedAt time.Time
-	checkpoint                 string
-	percent                    int
-	usage                      int64
+	// firstStopAt and stopSentAt are when the first and the last stop were sent, stopAcceptedAt when the
+	// worker accepted one. A later poll that doesn't list the run shows that it has ended.
+	firstStopAt, stopSentAt, stopAcceptedAt time.Time
+	checkpoint                              string
+	percent                                 int
+	usage                                   int64
 	// lastsUntil is set if an earlier process of the worker, which may still be shutting down,
 	// has the run: its lease has certainly expired then.
 	lastsUntil time.Time
@@ -114,9 +114,10 @@
 	// rackWait is the task's wait for a rack, that of the first member for a gang.
 	rackWait rackWait
 	// remote is true if another cell runs the task. delegatedTo is that cell if this
-	// cell delegated the task.
+	// cell delegated the task, at delegatedAt.
 	remote      bool
 	delegatedTo string
+	delegatedAt time.Time
 }
 
 func (t *task) job() *jobState { return t.step.occurrence.job }
@@ -323,6 +324,9 @@
 	return w.epochAccepted && w.minClock(now) > w.leaseEnd+leaseExpiryMargin
 }
 
+// responsive reports whether the worker has answered recently enough to get a longer lease.
+func (w *worker) responsive(now time.Time) bool { return now.Sub(w.heardAt) < unresponsiveTimeout }
+
 // hasLabel reports whether the worker has a label. Every worker has the empty label.
 func (w *worker) hasLabel(label string) bool { return label == "" || w.registration.HasLabel(label) }
 
--- /dev/null
+++ b/dispatcher/waiting_test.go
@@ -0,0 +1,150 @@
+package dispatcher_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"zinniashore.example/dispatcher"
+	"zinniashore.example/recorder"
+)
+
+// waitKindPrefix begins the kinds of the events that report waits.
+const waitKindPrefix = "tasks_wait"
+
+// waits returns the reports of a cause, or of all if it is empty.
+func (e *events) waits(cause dispatcher.WaitCause) []recorder.Event {
+	var found []recorder.Event
+	for _, event := range e.recorded {
+		if kind := string(event.Kind); strings.HasPrefix(kind, waitKindPrefix) && (cause == "" || kind == waitKindPrefix+"_"+string(cause)) {
+			found = append(found, event)
+		}
+	}
+	return found
+}
+
+// loseWorker makes a worker exit without a trace, and another process hold the cell.
+func loseWorker(s *simulation) {
+	s.submit(longRunningJob(jobID, 3, 1000))
+	s.runFor(500 * time.Millisecond)
+	s.unregister(s.workers[0])
+	s.workers[0].reachable = false
+	s.changeHolder(s.workers[1:]...)
+	s.cell.EarlierTerms = []string{"edge-2 (epoch 1)"}
+}
+
+// waitTests are the cases of TestWaitsAreReported: what happens, and what the first report of a cause tells.
+var waitTests = map[string]struct {
+	cause  dispatcher.WaitCause
+	happen func(s *simulation)
+	want   []string
+}{
+	"a worker of an earlier holder is lost": {
+		dispatcher.WaitEarlierLeases, loseWorker,
+		[]string{"1 workers: w0 (hasn't answered this holder", "unregistered for 1", "edge-2 (epoch 1), not known to have ended", "time left: 5."},
+	},
+	"all earlier holders have ended": {
+		dispatcher.WaitEarlierLeases,
+		func(s *simulation) { loseWorker(s); s.cell.EarlierHoldersEnded(s.now) },
+		[]string{"edge-2 (epoch 1), ended 1", "time left: 3"},
+	},
+	"a worker that may list ends": {
+		dispatcher.WaitUnlistedEnds,
+		func(s *simulation) {
+			s.submit(plainJob(jobID, 3, time.Hour, 1))
+			s.runFor(500 * time.Millisecond)
+			s.workers[0].reachable = false
+			s.changeHolder(s.workers...)
+		},
+		[]string{"1 workers: w0 (worker: ready", "no bound"},
+	},
+	"a silent worker": {
+		dispatcher.WaitRun,
+		func(s *simulation) {
+			s.submit(longRunningJob(jobID, 1, 1000))
+			s.runFor(500 * time.Millisecond)
+			s.workerOf(dispatcher.TaskID{Job: jobID}).reachable = false
+		},
+		[]string{"1 long-running tasks, 0 others", "(confirmed, last listed", "silent, last answered poll: 2.4s", "time left: 1.8s"},
+	},
+	"no majority": {
+		dispatcher.WaitHolder,
+		func(s *simulation) {
+			s.workers[0].reachable, s.workers[1].reachable, s.storeDown = false, false, true
+			s.runFor(3 * time.Second)
+			s.submit(plainJob(jobID, 1, time.Second, 1))
+		},
+		[]string{"0 long-running tasks, 1 others", "1 of 3 workers confirm it", "no bound"},
+	},
+	"runs that fail": {
+		dispatcher.WaitBackoff,
+		func(s *simulation) {
+			for _, f := range s.workers {
+				f.fails, f.failsAfter = true, 100*time.Millisecond
+			}
+			s.submit(longRunningJob(jobID, 1, 1000))
+			s.runFor(time.Minute)
+		},
+		[]string{"runs have failed, the last one run 104", "time left: 1"},
+	},
+	"a crash that can't be stored": {
+		dispatcher.WaitCrashStore,
+		func(s *simulation) {
+			s.submit(longRunningJob(jobID, 1, 1000))
+			s.runFor(100 * time.Millisecond)
+			s.storeDown = true
+			s.crash(s.workerOf(dispatcher.TaskID{Job: jobID}))
+		},
+		[]string{"crashed 1 workers", "no bound"},
+	},
+	"a task without a place": {
+		dispatcher.WaitCapacity,
+		func(s *simulation) { s.submit(longRunningJob(jobID, 1, 1_000_000)) },
+		[]string{"3 of 3 workers of its service take starts", "all of its capacity were free: false", "refused by the others: never", "no bound"},
+	},
+}
+
+// TestWaitsAreReported guards against tasks that wait without a line that tells for what.
+func TestWaitsAreReported(t *testing.T) {
+	for name, test := range waitTests {
+		t.Run(name, func(t *testing.T) {
+			s := newActiveSimulation(3)
+			test.happen(s)
+			s.events.recorded = nil
+			s.advance(8 * time.Second)
+			reports := s.events.waits(test.cause)
+			if len(reports) == 0 {
+				t.Fatalf("no report of %s, but %v", test.cause, s.events.waits(""))
+			}
+			for _, want := range test.want {
+				if !strings.Contains(reports[0].Detail, want) {
+					t.Errorf("the report lacks %q: %s", want, reports[0].Detail)
+				}
+			}
+			if reports[0].Key != jobID || !strings.HasPrefix(reports[0].Task, jobID) {
+				t.Errorf("the report names task %q of job %q, want one of %s", reports[0].Task, reports[0].Key, jobID)
+			}
+		})
+	}
+}
+
+// TestWaitsAreReportedSeldom guards against a log that is full of reports: each cause is reported every 2 s at most,
+// its end once, and nothing while no task waits.
+func TestWaitsAreReportedSeldom(t *testing.T) {
+	s := newActiveSimulation(3)
+	loseWorker(s)
+	s.advance(12 * time.Second)
+	if n := len(s.events.waits(dispatcher.WaitEarlierLeases)); n < 3 || n > 4 {
+		t.Errorf("%d reports of a wait of 6.6 s, want 3 or 4", n)
+	}
+	over := s.events.waits("over")
+	if len(over) != 1 || !strings.HasPrefix(over[0].Detail, "earlier_leases, lasted ") {
+		t.Errorf("the ends of waits are %v, want one of earlier_leases", over)
+	}
+	s.events.recorded = nil
+	s.submit(plainJob(otherID, 3, 5*time.Second, 1))
+	s.advance(10 * time.Second)
+	if reports := s.events.waits(""); len(reports) > 0 {
+		t.Errorf("no task waits, but %v", reports)
+	}
+}
--- a/earlierholders.go
+++ b/earlierholders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -30,6 +31,18 @@
 
 var _ dispatcher.EarlierHolders = (*earlierHolders)(nil)
 
+// describeEarlier names, for logs, the holders of earlier terms that may act on.
+func describeEarlier(term claimer.Term) []string {
+	var names []string
+	for _, e := range term.Earlier {
+		names = append(names, fmt.Sprintf("%s (epoch %d)", e.Process, e.Epoch))
+	}
+	if term.EarlierUnknown {
+		names = append(names, "others that aren't known")
+	}
+	return names
+}
+
 // Ended implements dispatcher.EarlierHolders.
 func (e *earlierHolders) Ended(ctx context.Context, activeEpoch int64) (time.Time, bool) {
 	if e.term.EarlierUnknown {
--- a/heldcells.go
+++ b/heldcells.go
@@ -118,6 +118,7 @@
 	runner.OtherCells = h.selector
 	runner.SuspendedTime = suspendedTime
 	runner.EarlierHolders = &earlierHolders{cell: cell, term: term, clock: h.clock, peers: h.peers}
+	runner.Cell.EarlierTerms = describeEarlier(term)
 	if !h.set(cell, heldCell{runner: runner, epoch: term.Epoch, stop: stop}) {
 		return dispatcher.ErrSuperseded
 	}
