claimer: the log tells for what the claim of a free cell waits

Between the loss of a holder and "Cell claimed" the log of the other processes of its failure domain was silent. Now each new reason is logged with the time left, and the claim with how long the cell was free and for what that time went.

--- a/claimer/candidacy.go
+++ b/claimer/candidacy.go
@@ -25,6 +25,10 @@
 	claiming bool
 	// abandonedSince is when the cell of another failure domain was first seen to be abandoned.
 	abandonedSince time.Time
+	// wait is what logs tell of the wait for the claim. holderSilentSince is since when the registered holder
+	// is known not to answer, zero if it isn't.
+	wait              claimWait
+	holderSilentSince time.Time
 }
 
 // updateFree updates since when the cell is free; the caller holds mu.
@@ -34,9 +38,11 @@
 		k.freeSince = time.Time{}
 		k.abandonedSince = time.Time{}
 		k.wasHolder = k.holders[k.cell].Incarnation == k.Self.Incarnation
+		k.endWait()
 	case k.freeSince.IsZero():
 		k.freeSince = k.Clock.Now()
 		k.graceSince = time.Time{}
+		k.beginWait()
 	}
 }
 
@@ -115,6 +121,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.synced || !k.Eligible() {
+		k.waitFor(waitIneligible, time.Time{}, nil)
 		return 0, false
 	}
 	holder, held := k.holders[k.cell]
@@ -122,7 +129,11 @@
 		k.claiming = true
 		return holder.revision, true
 	}
-	if k.occupied() || k.freeSince.IsZero() {
+	if k.occupied() {
+		k.noteHolder(holder.Holder)
+		return 0, false
+	}
+	if k.freeSince.IsZero() {
 		return 0, false
 	}
 	pause := k.claimDelay()
@@ -130,6 +141,11 @@
 		pause += expiredClaimDelay
 	}
 	k.claiming = k.Clock.Now().Sub(k.freeSince) >= pause
+	if k.claiming {
+		k.delayOver()
+	} else {
+		k.waitFor(waitDelay, k.freeSince.Add(pause), nil)
+	}
 	return holder.revision, k.claiming
 }
 
@@ -146,7 +162,13 @@
 	_, held := k.holders[k.cell]
 	inGrace := !k.graceSince.IsZero() && k.Clock.Now().Sub(k.graceSince) < returnGrace
 	k.mu.Unlock()
-	return !held && inGrace && k.lastHolderActs(ctx)
+	if held || !inGrace {
+		return false
+	}
+	asked := k.Clock.Now()
+	acts := k.lastHolderActs(ctx)
+	k.noteQuestion(asked, acts)
+	return acts
 }
 
 // lastHolderActs reports whether the last holder, another process, answers that it still holds
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -114,6 +114,9 @@
 	// Holds asks another process whether it still holds a cell according to its
 	// workers.
 	Holds func(ctx context.Context, holder Holder, cell string) bool
+	// Unanswered, if set, returns how many calls of this process in a row another one hasn't answered. It is
+	// for logs only.
+	Unanswered func(holder Holder) int
 	// HasWorkers reports whether the registry lists the workers of a cell, so that they can be
 	// reached although no holder is registered.
 	HasWorkers func(ctx context.Context, cell string) bool
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -19,6 +19,7 @@
 	previous, err := k.Store.Get(ctx, k.TermPrefix+k.cell)
 	if err != nil {
 		klog.ErrorS(err, "Failed to read the term of the cell", "cell", k.cell)
+		k.waitForStore(waitStore, err)
 	}
 	if first := k.recordStoreResult(err); err != nil || first && k.leftToLastHolder(ctx) {
 		return false
@@ -26,16 +27,19 @@
 	lease, _, err := k.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		klog.ErrorS(err, "Failed to get a store lease for the claim", "cell", k.cell)
+		k.waitForStore(waitStore, err)
 		return false
 	}
 	term := k.nextTerm(previous, expected)
 	term.Epoch, err = k.beginTerm(ctx, lease, expected, previous.Revision, term)
 	if err != nil {
 		klog.InfoS("Failed to claim the cell", "cell", k.cell, "expected", expected, "err", err)
+		k.waitForStore(waitRefused, err)
 		k.releaseLease(ctx, lease)
 		return false
 	}
 	klog.InfoS("Cell claimed", "cell", k.cell, "epoch", term.Epoch, "earlierHolders", len(term.Earlier), "unknownHolders", term.EarlierUnknown)
+	k.reportClaim(term.Epoch)
 	k.hold(ctx, lease, term)
 	return true
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -173,6 +173,8 @@
 type Client struct {
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
+	// unanswered counts the calls in a row that the peer at an address hasn't answered.
+	unanswered map[string]int
 }
 
 // State returns the state of a job as the peer reports it, and whether the cell has
@@ -271,9 +273,33 @@
 	if status.Code(err) == codes.DeadlineExceeded {
 		c.discard(address, connection)
 	}
+	c.countUnanswered(address, status.Code(err))
 	return answer, err
 }
 
+// countUnanswered counts a call of a peer that ended with a code. One that this process has cancelled tells nothing.
+func (c *Client) countUnanswered(address string, code codes.Code) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch code {
+	case codes.Canceled:
+	case codes.DeadlineExceeded, codes.Unavailable:
+		if c.unanswered == nil {
+			c.unanswered = map[string]int{}
+		}
+		c.unanswered[address]++
+	default:
+		delete(c.unanswered, address)
+	}
+}
+
+// Unanswered returns how many calls in a row the peer at an address hasn't answered.
+func (c *Client) Unanswered(address string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unanswered[address]
+}
+
 func (c *Client) connection(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/scheduler.go
+++ b/scheduler.go
@@ -148,6 +148,7 @@
 		Hold:              s.heldCells.run,
 		Eligible:          func() bool { return !s.draining.Load() },
 		Holds:             s.queryHolder,
+		Unanswered:        func(holder claimer.Holder) int { return s.peerClient.Unanswered(holder.Address) },
 		HasWorkers:        (&cellWorkers{store: s.store, archiver: archive, configurations: s.configurations, partition: s.partition}).registered,
 	}
 	selector := &cellSelector{
