--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -20,8 +20,10 @@
 type harness struct {
 	began chan term
 	ended chan term
-	// alive are the processes that answer that they still hold the cell.
-	alive map[string]bool
+	// alive are the processes that answer that they still hold the cell, unanswered the calls that a process
+	// hasn't answered.
+	alive      map[string]bool
+	unanswered map[string]int
 	// wrapStore returns the store of a process, if set.
 	wrapStore func(process string) claimer.Store
 	claimers  map[string]*claimer.Claimer
@@ -81,8 +83,9 @@
 			h.ended <- term{process, held.Epoch, held.Earlier}
 			return nil
 		},
-		Eligible: func() bool { return true },
-		Holds:    func(_ context.Context, holder claimer.Holder, _ string) bool { return h.alive[holder.Process] },
+		Eligible:   func() bool { return true },
+		Holds:      func(_ context.Context, holder claimer.Holder, _ string) bool { return h.alive[holder.Process] },
+		Unanswered: func(holder claimer.Holder) int { return h.unanswered[holder.Process] },
 	}
 	if outside {
 		c.OtherCells = []string{"graz-a"}
--- a/claimer/wait.go
+++ b/claimer/wait.go
@@ -83,9 +83,9 @@
 	now := k.Clock.Now()
 	left := "no bound"
 	if !until.IsZero() {
-		left = max(until.Sub(now), 0).String()
+		left = rounded(max(until.Sub(now), 0)).String()
 	}
-	klog.InfoS("Claim of a cell waits", "cell", k.cell, "reason", reason, "for", now.Sub(since), "left", left,
+	klog.InfoS("Claim of a cell waits", "cell", k.cell, "reason", reason, "for", rounded(now.Sub(since)), "left", left,
 		"lastHolder", k.lastHolders[k.cell].Process, "err", err)
 }
 
@@ -139,12 +139,16 @@
 	if !w.silentSince.IsZero() {
 		silent = w.freeSince.Sub(w.silentSince)
 	}
-	klog.InfoS("Free cell claimed", "cell", k.cell, "epoch", epoch, "free", now.Sub(w.freeSince), "silentBefore", silent,
-		"delay", w.spent[waitDelay], "claim", w.spent[waitClaim], "questions", w.questions, "lastHolderActs", w.spent[waitLastHolder],
-		"store", w.spent[waitStore], "refused", w.spent[waitRefused], "notEligible", w.spent[waitIneligible])
+	spent := func(reason waitReason) time.Duration { return rounded(w.spent[reason]) }
+	klog.InfoS("Free cell claimed", "cell", k.cell, "epoch", epoch, "free", rounded(now.Sub(w.freeSince)), "silentBefore", rounded(silent),
+		"delay", spent(waitDelay), "claim", spent(waitClaim), "questions", rounded(w.questions), "lastHolderActs", spent(waitLastHolder),
+		"store", spent(waitStore), "refused", spent(waitRefused), "notEligible", spent(waitIneligible))
 	k.wait = claimWait{}
 }
 
+// rounded shortens a duration for logs.
+func rounded(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
 // minUnansweredCalls is how many calls in a row the holder of a cell hasn't answered when that is logged.
 const minUnansweredCalls = 2
 
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -23,6 +23,7 @@
 	return orders
 }
 
+// plan is Plan without the report of waiting tasks.
 func (c *Cell) plan(now time.Time) Orders {
 	c.expireLeases(now)
 	c.activate(now)
