dispatcher: tests of waits that don't depend on how long a wait is

The time left of a wait for earlier leases has to be what passes until the tasks start, whatever these leases are; reports of a cause are 2 s apart whatever their number.

--- a/dispatcher/waiting_test.go
+++ b/dispatcher/waiting_test.go
@@ -41,12 +41,12 @@
 }{
 	"a worker of an earlier holder is lost": {
 		dispatcher.WaitEarlierLeases, loseWorker,
-		[]string{"1 workers: w0 (hasn't answered this holder", "unregistered for 1", "edge-2 (epoch 1), not known to have ended", "time left: 5."},
+		[]string{"1 workers: w0 (hasn't answered this holder", "unregistered for 1", "edge-2 (epoch 1), not known to have ended", "time left: "},
 	},
 	"all earlier holders have ended": {
 		dispatcher.WaitEarlierLeases,
 		func(s *simulation) { loseWorker(s); s.cell.EarlierHoldersEnded(s.now) },
-		[]string{"edge-2 (epoch 1), ended 1", "time left: 3"},
+		[]string{"edge-2 (epoch 1), ended 1", "time left: "},
 	},
 	"a worker that may list ends": {
 		dispatcher.WaitUnlistedEnds,
@@ -128,14 +128,61 @@
 	}
 }
 
+// TestWaitLastsAsReported guards against a time left that misleads: tasks that wait for the leases of earlier
+// holders start when it is over, not before.
+func TestWaitLastsAsReported(t *testing.T) {
+	for name, ended := range map[string]bool{"earlier holders may act": false, "they have ended": true} {
+		t.Run(name, func(t *testing.T) {
+			const margin = 150 * time.Millisecond
+			s := newActiveSimulation(3)
+			loseWorker(s)
+			if ended {
+				s.cell.EarlierHoldersEnded(s.now)
+			}
+			s.events.recorded = nil
+			s.advance(1500 * time.Millisecond)
+			reports := s.events.waits(dispatcher.WaitEarlierLeases)
+			if len(reports) != 1 {
+				t.Fatalf("%d reports after 1.5 s, want 1", len(reports))
+			}
+			_, left, _ := strings.Cut(reports[0].Detail, "time left: ")
+			rest, err := time.ParseDuration(left)
+			if err != nil {
+				t.Fatal(err)
+			}
+			rest -= 500 * time.Millisecond // the report is of the first second
+			s.advance(rest - margin)
+			if starts := s.events.of("task_start"); len(starts) > 0 {
+				t.Errorf("%v have started before the time that was left", starts)
+			}
+			s.advance(2 * margin)
+			if starts := s.events.of("task_start"); len(starts) == 0 {
+				t.Error("no task has started after the time that was left")
+			}
+		})
+	}
+}
+
 // TestWaitsAreReportedSeldom guards against a log that is full of reports: each cause is reported every 2 s at most,
 // its end once, and nothing while no task waits.
 func TestWaitsAreReportedSeldom(t *testing.T) {
 	s := newActiveSimulation(3)
 	loseWorker(s)
-	s.advance(12 * time.Second)
-	if n := len(s.events.waits(dispatcher.WaitEarlierLeases)); n < 3 || n > 4 {
-		t.Errorf("%d reports of a wait of 6.6 s, want 3 or 4", n)
+	s.events.recorded = nil
+	var reportedAt []time.Time
+	for range 240 {
+		s.advance(50 * time.Millisecond)
+		if len(s.events.waits(dispatcher.WaitEarlierLeases)) > len(reportedAt) {
+			reportedAt = append(reportedAt, s.now)
+		}
+	}
+	if len(reportedAt) < 2 || len(reportedAt) != len(s.events.waits(dispatcher.WaitEarlierLeases)) {
+		t.Errorf("reports at %v, want two or more at different times", reportedAt)
+	}
+	for i := 1; i < len(reportedAt); i++ {
+		if pause := reportedAt[i].Sub(reportedAt[i-1]); pause < 2*time.Second {
+			t.Errorf("a report %v after another one, want 2 s or more", pause)
+		}
 	}
 	over := s.events.waits("over")
 	if len(over) != 1 || !strings.HasPrefix(over[0].Detail, "earlier_leases, lasted ") {
