dispatcher, claimer: leases count from the newest confirmation of their holder

Callers saw long-running tasks without a run for 15 s although workers had capacity.

Cause: a holder that is lost may have acted until 2.5 s (MaxConfirmationAge) after another one became active, and each lease that it granted lasted 4.95 s or more from the grant. A new holder that can't reach one stored worker knows neither, and so made every long-running task of the cell wait for the sum, 7.5 s after it became active: 10.4 s and more after the loss of a holder, or after the return of a store that was silent.

Now a lease counts from the newest time at which a majority of the workers, or the store, has confirmed the holder, if that is more than 0.5 s ago. Nothing confirms a holder once another one is active, so all its leases end by 0.5 s and the longest lease after that, whatever it was paused for: the end of a lease is a time on the worker's clock. The term tells that its holder does so; for one that doesn't, of an earlier build, the next holder waits as before. A busy cell is confirmed by each save; in a quiet one the holder asks the store after 0.3 s, up to three reads a second, so that leases keep their length.

Ruled out: a shorter lease or confirmation (a lost holder's runs would expire before the next one has them), ends as "lapsed" as evidence that the holder has stopped (one worker may have lapsed on its own), a question to the lost holder (it can't answer).

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -81,14 +81,32 @@
 	// Processors is how many processors the process may use, less than 1 for a part of
 	// one; 0 if unknown.
 	Processors float64
+	// FullLeaseAge is the age of its newest confirmation up to which the holder grants leases of full
+	// duration; 0 if unknown.
+	FullLeaseAge time.Duration
 }
 
 type holderMessage struct {
-	Process       string  `json:"process"`
-	FailureDomain string  `json:"failure_domain,omitempty"`
-	Address       string  `json:"address"`
-	Incarnation   string  `json:"incarnation"`
-	Processors    float64 `json:"processors,omitempty"`
+	Process        string  `json:"process"`
+	FailureDomain  string  `json:"failure_domain,omitempty"`
+	Address        string  `json:"address"`
+	Incarnation    string  `json:"incarnation"`
+	Processors     float64 `json:"processors,omitempty"`
+	FullLeaseAgeMS int64   `json:"full_lease_age_ms,omitempty"`
+}
+
+func newHolderMessage(h Holder) holderMessage {
+	return holderMessage{
+		Process: h.Process, FailureDomain: h.FailureDomain, Address: h.Address, Incarnation: h.Incarnation,
+		Processors: h.Processors, FullLeaseAgeMS: h.FullLeaseAge.Milliseconds(),
+	}
+}
+
+func (m holderMessage) holder() Holder {
+	return Holder{
+		Process: m.Process, FailureDomain: m.FailureDomain, Address: m.Address, Incarnation: m.Incarnation,
+		Processors: m.Processors, FullLeaseAge: time.Duration(m.FullLeaseAgeMS) * time.Millisecond,
+	}
 }
 
 // Claimer claims cells. Its exported fields are set before Run.
@@ -172,7 +190,7 @@
 		return
 	}
 	c.holders[cell] = claim{
-		Holder:   Holder(message),
+		Holder:   message.holder(),
 		revision: item.Revision,
 	}
 	c.strongest = max(c.strongest, message.Processors)
--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -23,6 +23,23 @@
 	ClaimedAt time.Time
 }
 
+// EarlierFullLeaseAge returns the longest FullLeaseAge of the earlier holders. unknown stands for that of a
+// holder that doesn't tell it.
+func (t Term) EarlierFullLeaseAge(unknown time.Duration) time.Duration {
+	if t.EarlierUnknown {
+		return unknown
+	}
+	longest := time.Duration(0)
+	for _, e := range t.Earlier {
+		age := e.FullLeaseAge
+		if age == 0 {
+			age = unknown
+		}
+		longest = max(longest, age)
+	}
+	return longest
+}
+
 // EarlierHolder is the holder of an earlier term.
 type EarlierHolder struct {
 	Holder
@@ -47,9 +64,9 @@
 }
 
 func encodeTerm(self Holder, term Term) ([]byte, error) {
-	message := termMessage{Token: uuid.NewString(), Holder: holderMessage(self), EarlierUnknown: term.EarlierUnknown}
+	message := termMessage{Token: uuid.NewString(), Holder: newHolderMessage(self), EarlierUnknown: term.EarlierUnknown}
 	for _, e := range term.Earlier {
-		message.Earlier = append(message.Earlier, earlierHolderMessage{Holder: holderMessage(e.Holder), Epoch: e.Epoch})
+		message.Earlier = append(message.Earlier, earlierHolderMessage{Holder: newHolderMessage(e.Holder), Epoch: e.Epoch})
 	}
 	return json.Marshal(message)
 }
@@ -70,10 +87,10 @@
 	}
 	term.EarlierUnknown = message.EarlierUnknown
 	for _, e := range message.Earlier {
-		term.Earlier = append(term.Earlier, EarlierHolder{Holder: Holder(e.Holder), Epoch: e.Epoch})
+		term.Earlier = append(term.Earlier, EarlierHolder{Holder: e.Holder.holder(), Epoch: e.Epoch})
 	}
 	if !k.releasedAt(released) {
-		term.Earlier = append(term.Earlier, EarlierHolder{Holder: Holder(message.Holder), Epoch: previous.Revision})
+		term.Earlier = append(term.Earlier, EarlierHolder{Holder: message.Holder.holder(), Epoch: previous.Revision})
 	}
 	term.Earlier = slices.DeleteFunc(term.Earlier, func(e EarlierHolder) bool { return e.Process == k.Self.Process })
 	return term
--- a/claimer/earlier_test.go
+++ b/claimer/earlier_test.go
@@ -101,6 +101,38 @@
 			if !slices.Equal(named, test.named) {
 				t.Errorf("the term names the earlier holders %q, want %q", named, test.named)
 			}
+			for _, earlier := range second.earlier {
+				if earlier.FullLeaseAge != testFullLeaseAge {
+					t.Errorf("full lease age of %s = %v, want %v", earlier.Process, earlier.FullLeaseAge, testFullLeaseAge)
+				}
+			}
+		})
+	}
+}
+
+// testFullLeaseAge is the FullLeaseAge of the processes of these tests.
+const testFullLeaseAge = 500 * time.Millisecond
+
+// TestEarlierFullLeaseAge guards against two runs of a task: a new holder takes the leases of an earlier
+// build, which don't count from its newest confirmation, for expired too early.
+func TestEarlierFullLeaseAge(t *testing.T) {
+	const unknown = 2500 * time.Millisecond
+	told := claimer.EarlierHolder{Holder: claimer.Holder{Process: "edge-1", FullLeaseAge: testFullLeaseAge}}
+	silent := claimer.EarlierHolder{Holder: claimer.Holder{Process: "edge-2"}}
+	tests := map[string]struct {
+		term claimer.Term
+		want time.Duration
+	}{
+		"all have ended":               {},
+		"each holder tells its own":    {term: claimer.Term{Earlier: []claimer.EarlierHolder{told}}, want: testFullLeaseAge},
+		"one is of an earlier build":   {term: claimer.Term{Earlier: []claimer.EarlierHolder{told, silent}}, want: unknown},
+		"there may be further holders": {term: claimer.Term{Earlier: []claimer.EarlierHolder{told}, EarlierUnknown: true}, want: unknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.term.EarlierFullLeaseAge(unknown); got != test.want {
+				t.Errorf("EarlierFullLeaseAge() = %v, want %v", got, test.want)
+			}
 		})
 	}
 }
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -94,7 +94,7 @@
 
 // holderItem returns the key and value that register a holder.
 func (k *candidacy) holderItem(holder Holder, lease int64) (platform.Item, error) {
-	content, err := json.Marshal(holderMessage(holder))
+	content, err := json.Marshal(newHolderMessage(holder))
 	return platform.Item{Key: k.Prefix + k.cell, Value: content, Lease: lease}, err
 }
 
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -48,6 +48,10 @@
 	// MaxConfirmationAge is the age up to which the workers' answers confirm that the
 	// holder still holds the cell.
 	MaxConfirmationAge time.Duration
+	// FullLeaseAge is the age of the newest confirmation up to which leases have their full
+	// duration. An older one shortens them by the rest, so that no lease lasts longer than
+	// FullLeaseAge and LeaseDuration after the holder was last confirmed.
+	FullLeaseAge time.Duration
 	// StateRetention is how long the state of a final job is kept.
 	StateRetention time.Duration
 	// RemoteFactor is how many times as long a task takes outside the rack of its data or of its
@@ -67,6 +71,8 @@
 	Epoch int64
 	// Limits are the durations that govern the cell.
 	Limits Limits
+	// EarlierFullLeaseAge is the FullLeaseAge of the earlier holders, the longest if they differ.
+	EarlierFullLeaseAge time.Duration
 	// Recorder records the events of decisions.
 	Recorder Recorder
 	// EarlierTerms names, for logs, the holders of earlier terms that may act on.
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"zinniashore.example/recorder"
@@ -134,8 +135,56 @@
 }
 
 // earlierLeasesEnd returns when all leases that earlier holders granted have certainly
-// expired.
+// expired. Nothing confirms an earlier holder once this one is active.
 func (c *Cell) earlierLeasesEnd() time.Time {
+	granted := c.activeAt.Add(max(c.Limits.FullLeaseAge, c.EarlierFullLeaseAge))
+	if ended := c.earlierEndedAt; !ended.IsZero() && ended.Before(granted) {
+		granted = ended
+	}
 	longest := time.Duration(float64(c.Limits.LeaseDuration) / minClockRate)
-	return c.earlierOrdersEnd().Add(longest + leaseExpiryMargin)
+	return granted.Add(longest + leaseExpiryMargin)
+}
+
+// confirmedAt returns the newest time at which certainly no other holder was active: a majority of the
+// workers, or the store, has confirmed this holder since. It is zero if nothing has.
+func (c *Cell) confirmedAt(now time.Time) time.Time {
+	var newest time.Time
+	if c.termCheckedAt.After(c.resumedAt) {
+		newest = c.termCheckedAt
+	}
+	if majority := c.majorityConfirmedAt(now); majority.After(newest) {
+		return majority
+	}
+	return newest
+}
+
+// majorityConfirmedAt returns the newest time since which a majority of the workers has accepted an
+// order of this epoch, zero if there is none.
+func (c *Cell) majorityConfirmedAt(now time.Time) time.Time {
+	voters := 0
+	var accepted []time.Time
+	for _, w := range c.workers {
+		if c.isVoter(now, w) {
+			voters++
+		}
+		if c.vouches(w) {
+			accepted = append(accepted, w.answeredAt)
+		}
+	}
+	minority := voters / 2
+	if voters == 0 || len(accepted) <= minority {
+		return time.Time{}
+	}
+	slices.SortFunc(accepted, func(a, b time.Time) int { return b.Compare(a) })
+	return accepted[minority]
+}
+
+// leaseDuration returns how long a lease that is granted now lasts. It counts from the newest confirmation
+// of the holder if that is older than FullLeaseAge.
+func (c *Cell) leaseDuration(now time.Time) time.Duration {
+	if c.termCheckedAt.After(c.resumedAt) && now.Sub(c.termCheckedAt) <= c.Limits.FullLeaseAge {
+		return c.Limits.LeaseDuration
+	}
+	overdue := now.Sub(c.confirmedAt(now)) - c.Limits.FullLeaseAge
+	return max(0, c.Limits.LeaseDuration-max(0, overdue))
 }
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -37,7 +37,7 @@
 
 // extendLease returns a new lease end on the worker's clock and records it.
 func (c *Cell) extendLease(now time.Time, w *worker) time.Duration {
-	end := w.minClock(now) + c.Limits.LeaseDuration
+	end := w.minClock(now) + c.leaseDuration(now)
 	w.leaseEnd = max(w.leaseEnd, end)
 	return end
 }
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -15,6 +15,7 @@
 	MaxLeaseDuration:   maxGrant,
 	PollWait:           time.Second,
 	MaxConfirmationAge: 2500 * time.Millisecond,
+	FullLeaseAge:       500 * time.Millisecond,
 	StateRetention:     10 * time.Minute,
 }
 
--- a/dispatcher/term.go
+++ b/dispatcher/term.go
@@ -32,13 +32,19 @@
 	return c.active && !c.superseded && (c.Confirmed(now) || c.storeConfirms(now))
 }
 
+// fullLeaseCheckAge is the age of the newest confirmation at which the store is asked, so that leases
+// keep their full duration where workers rarely answer.
+const fullLeaseCheckAge = 300 * time.Millisecond
+
 // TermCheckDue reports whether the store has to be asked whether the holder's term is still the
-// newest: a restarted worker counts only after that, or no majority of the workers confirms the
-// holder.
+// newest: a restarted worker counts only after that, or the workers haven't confirmed the holder recently.
 func (c *Cell) TermCheckDue(now time.Time) bool {
 	if now.Sub(c.termCheckedAt) >= termCheckInterval && !c.Confirmed(now) && (c.active || !c.earlierEndedAt.IsZero()) {
 		return true
 	}
+	if c.active && now.Sub(c.termCheckedAt) >= fullLeaseCheckAge && now.Sub(c.confirmedAt(now)) >= fullLeaseCheckAge {
+		return true
+	}
 	for _, w := range c.workers {
 		if w.epochAccepted && w.bootedAt.After(c.termCheckedAt) {
 			return true
--- a/heldcells.go
+++ b/heldcells.go
@@ -41,6 +41,9 @@
 	pollWait         = time.Second
 	// maxConfirmationAge covers one poll with its wait after one lost poll.
 	maxConfirmationAge = 2500 * time.Millisecond
+	// fullLeaseAge covers the time between two saves of a busy cell, or two checks of the term of
+	// another one. A new holder waits for as much longer before it takes earlier leases for expired.
+	fullLeaseAge = 500 * time.Millisecond
 )
 
 // heldCells runs the cells that this process holds.
@@ -108,13 +111,16 @@
 		MaxLeaseDuration:   h.settings.MaxGrant,
 		PollWait:           pollWait,
 		MaxConfirmationAge: maxConfirmationAge,
+		FullLeaseAge:       fullLeaseAge,
 		StateRetention:     h.settings.StateRetention,
 		RemoteFactor:       h.settings.RemoteFactor,
 		CheckpointInterval: h.settings.CheckpointInterval,
 		RestoreTime:        h.settings.RestoreTime,
 	}
 	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: term.Epoch}
-	runner := dispatcher.NewRunner(dispatcher.NewCell(cell, term.Epoch, limits, h.recorder), h.clock, h.workers, archive)
+	state := dispatcher.NewCell(cell, term.Epoch, limits, h.recorder)
+	state.EarlierFullLeaseAge = term.EarlierFullLeaseAge(maxConfirmationAge)
+	runner := dispatcher.NewRunner(state, h.clock, h.workers, archive)
 	runner.OtherCells = h.selector
 	runner.SuspendedTime = suspendedTime
 	runner.EarlierHolders = &earlierHolders{cell: cell, term: term, clock: h.clock, peers: h.peers}
--- a/scheduler.go
+++ b/scheduler.go
@@ -142,7 +142,7 @@
 		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix,
 		Self: claimer.Holder{
 			Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Address: s.Settings.PeerAddress,
-			Incarnation: uuid.NewString(), Processors: s.Settings.Processors,
+			Incarnation: uuid.NewString(), Processors: s.Settings.Processors, FullLeaseAge: fullLeaseAge,
 		},
 		AssumedProcessors: wholeProcessor,
 		Hold:              s.heldCells.run,
