dispatcher, claimer: a released cell tells for how long leases of silent workers last

Callers saw tasks without a run for several seconds after each graceful restart of a holder beside workers that were gone.

Cause: a holder that releases its cell knows on which workers leases may last and how long. The next one knew only that the earlier one had ended, and waited for the longest lease, 4.95 s, again, if one stored worker didn't answer. Each change of the holder began the wait anew, planned ones too.

TestStartsAfterReleases fails without the change: "released twice while the lease lasts" and "the holder is lost, and the next one releases the cell".

Now the key of a released cell lists the workers that the holder hasn't heard of, each with how long leases there may last, 0 if nothing runs there. The next holder counts that from before its claim; of workers that aren't listed, and after a holder that was lost, it assumes the longest case as before. What is told is what the earlier holder itself would have waited for.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -93,6 +93,8 @@
 	Incarnation    string  `json:"incarnation"`
 	Processors     float64 `json:"processors,omitempty"`
 	FullLeaseAgeMS int64   `json:"full_lease_age_ms,omitempty"`
+	// LeasesMS is what a holder tells of its workers when it releases the cell, see Term.Leases.
+	LeasesMS map[string]int64 `json:"leases_ms,omitempty"`
 }
 
 func newHolderMessage(h Holder) holderMessage {
@@ -109,6 +111,24 @@
 	}
 }
 
+// leases returns what a holder has told of its workers with its release.
+func (m holderMessage) leases() map[string]time.Duration {
+	leases := make(map[string]time.Duration, len(m.LeasesMS))
+	for worker, left := range m.LeasesMS {
+		leases[worker] = time.Duration(left) * time.Millisecond
+	}
+	return leases
+}
+
+// newReleaseMessage returns the value of the key of a cell that is released.
+func newReleaseMessage(leases map[string]time.Duration) holderMessage {
+	message := holderMessage{LeasesMS: make(map[string]int64, len(leases))}
+	for worker, left := range leases {
+		message.LeasesMS[worker] = (left + time.Millisecond - 1).Milliseconds()
+	}
+	return message
+}
+
 // Claimer claims cells. Its exported fields are set before Run.
 type Claimer struct {
 	Store Store
@@ -127,6 +147,9 @@
 	OtherCells []string
 	// Hold runs the cell until ctx ends or the cell is lost.
 	Hold func(ctx context.Context, cell string, term Term) error
+	// Leases, if set, returns what Term.Leases tells the next holder of a cell. It is called once Hold has
+	// returned, before the cell is released.
+	Leases func(cell string) map[string]time.Duration
 	// Eligible reports whether this process may hold a cell now.
 	Eligible func() bool
 	// Holds asks another process whether it still holds a cell according to its
@@ -192,6 +215,7 @@
 	c.holders[cell] = claim{
 		Holder:   message.holder(),
 		revision: item.Revision,
+		leases:   message.leases(),
 	}
 	c.strongest = max(c.strongest, message.Processors)
 }
@@ -200,6 +224,8 @@
 type claim struct {
 	Holder
 	revision int64
+	// leases is what the holder has told with its release.
+	leases map[string]time.Duration
 }
 
 // notifyChange updates the state that follows from the holders and wakes the
--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -19,6 +19,9 @@
 	Earlier []EarlierHolder
 	// EarlierUnknown is true if there may be earlier holders that Earlier lacks.
 	EarlierUnknown bool
+	// Leases tells of workers that didn't answer the previous holder when it released the cell for how long,
+	// from ClaimedAt, leases on runs there may last.
+	Leases map[string]time.Duration
 	// ClaimedAt is a time before the claim, at which the holders that Earlier lacks had ended.
 	ClaimedAt time.Time
 }
@@ -89,17 +92,21 @@
 	for _, e := range message.Earlier {
 		term.Earlier = append(term.Earlier, EarlierHolder{Holder: e.Holder.holder(), Epoch: e.Epoch})
 	}
-	if !k.releasedAt(released) {
+	if leases, ended := k.releasedAt(released); ended {
+		term.Leases = leases
+	} else {
 		term.Earlier = append(term.Earlier, EarlierHolder{Holder: message.Holder.holder(), Epoch: previous.Revision})
 	}
 	term.Earlier = slices.DeleteFunc(term.Earlier, func(e EarlierHolder) bool { return e.Process == k.Self.Process })
 	return term
 }
 
-// releasedAt reports whether the holder key of a revision says that the cell was released.
-func (k *candidacy) releasedAt(revision int64) bool {
+// releasedAt reports whether the holder key of a revision says that the cell was released, and returns what
+// its holder has told of its workers.
+func (k *candidacy) releasedAt(revision int64) (leases map[string]time.Duration, released bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	holder, held := k.holders[k.cell]
-	return held && holder.revision == revision && holder.Process == ""
+	released = held && holder.revision == revision && holder.Process == ""
+	return holder.leases, released
 }
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -65,7 +65,7 @@
 // If the answer of the store is lost, beginTerm reads the term back to find out
 // whether it was stored.
 func (k *candidacy) beginTerm(ctx context.Context, lease, expected, previous int64, term Term) (int64, error) {
-	item, err := k.holderItem(k.Self, lease)
+	item, err := k.holderItem(lease)
 	if err != nil {
 		return 0, err
 	}
@@ -92,12 +92,22 @@
 	return 0, err
 }
 
-// holderItem returns the key and value that register a holder.
-func (k *candidacy) holderItem(holder Holder, lease int64) (platform.Item, error) {
-	content, err := json.Marshal(newHolderMessage(holder))
+// holderItem returns the key and value that register this process as the holder.
+func (k *candidacy) holderItem(lease int64) (platform.Item, error) {
+	content, err := json.Marshal(newHolderMessage(k.Self))
 	return platform.Item{Key: k.Prefix + k.cell, Value: content, Lease: lease}, err
 }
 
+// releaseItem returns the key and value that release the cell.
+func (k *candidacy) releaseItem() (platform.Item, error) {
+	var leases map[string]time.Duration
+	if k.Leases != nil {
+		leases = k.Leases(k.cell)
+	}
+	content, err := json.Marshal(newReleaseMessage(leases))
+	return platform.Item{Key: k.Prefix + k.cell, Value: content}, err
+}
+
 func (k *candidacy) releaseLease(ctx context.Context, lease int64) {
 	if err := k.Store.Release(ctx, lease); err != nil {
 		klog.V(1).InfoS("Failed to release the store lease; it will expire", "lease", lease, "err", err)
@@ -146,7 +156,7 @@
 	k.mu.Lock()
 	current := k.holders[k.cell]
 	k.mu.Unlock()
-	if item, err := k.holderItem(Holder{}, 0); err != nil {
+	if item, err := k.releaseItem(); err != nil {
 		klog.ErrorS(err, "Failed to release the cell", "cell", k.cell)
 	} else if _, err := k.Store.Commit(ctx, platform.Transaction{
 		Expect: []platform.Expectation{{Key: item.Key, Revision: current.revision}},
@@ -222,7 +232,7 @@
 		klog.V(1).InfoS("Failed to get a store lease for the claim", "cell", k.cell, "err", err)
 		return old, false
 	}
-	item, err := k.holderItem(k.Self, lease)
+	item, err := k.holderItem(lease)
 	if err != nil {
 		klog.ErrorS(err, "Failed to re-register the holder of the cell", "cell", k.cell)
 		return old, false
--- a/dispatcher/calls.go
+++ b/dispatcher/calls.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Confirmed reports whether a majority of the workers has recently accepted the
 // holder's orders.
@@ -17,6 +20,14 @@
 	return r.Cell.FreeCapacity(r.Clock.Now(), service, &step)
 }
 
+// LeasesOfSilentWorkers returns the workers that don't answer the holder, each with how long leases on runs
+// there still last if the holder stops acting now.
+func (r *Runner) LeasesOfSilentWorkers() map[string]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Cell.LeasesOfSilentWorkers(r.Clock.Now())
+}
+
 // Add adds a job that was accepted for the cell. restored is true if an earlier holder
 // may have started tasks of the job. Add waits until the stored state of the cell has
 // been restored, because that may contain progress of the job.
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -73,6 +73,9 @@
 	Limits Limits
 	// EarlierFullLeaseAge is the FullLeaseAge of the earlier holders, the longest if they differ.
 	EarlierFullLeaseAge time.Duration
+	// EarlierLeaseEnds are the times by which leases on runs of workers have expired, as the previous
+	// holder has told when it released the cell. It tells nothing of other workers.
+	EarlierLeaseEnds map[string]time.Time
 	// Recorder records the events of decisions.
 	Recorder Recorder
 	// EarlierTerms names, for logs, the holders of earlier terms that may act on.
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -99,17 +99,22 @@
 	if c.pass != nil {
 		return c.pass.waits, c.pass.longRunningWaits
 	}
-	expired := now.After(c.earlierLeasesEnd())
 	for _, w := range c.workers {
-		leased := !expired && w.mayHaveEarlierLeases()
+		leased := c.mayHoldEarlierLease(now, w)
 		longRunningWaits = longRunningWaits || leased
 		waits = waits || leased || c.mayListEnds(now, w)
 	}
 	return waits, longRunningWaits
 }
 
+// mayHoldEarlierLease reports whether a lease that an earlier holder granted to a worker may last, with a run that
+// the worker hasn't told this holder.
+func (c *Cell) mayHoldEarlierLease(now time.Time, w *worker) bool {
+	return w.mayHaveEarlierLeases() && !now.After(c.earlierLeaseEnd(w))
+}
+
 // mayHaveEarlierLeases reports whether leases that earlier holders granted to a worker may last until
-// earlierLeasesEnd: it hasn't told this holder all of its runs.
+// earlierLeaseEnd: it hasn't told this holder all of its runs.
 func (w *worker) mayHaveEarlierLeases() bool {
 	return w.restored && (!w.epochAccepted || w.succeeded() || w.listedIncompletely)
 }
@@ -145,6 +150,16 @@
 	return granted.Add(longest + leaseExpiryMargin)
 }
 
+// earlierLeaseEnd returns when all leases that earlier holders granted on runs of a worker have certainly
+// expired.
+func (c *Cell) earlierLeaseEnd(w *worker) time.Time {
+	end := c.earlierLeasesEnd()
+	if told, found := c.EarlierLeaseEnds[w.registration.ID]; found && told.Before(end) {
+		return told
+	}
+	return end
+}
+
 // confirmedAt returns the newest time at which certainly no other holder was active: a majority of the
 // workers, or the store, has confirmed this holder since. It is zero if nothing has.
 func (c *Cell) confirmedAt(now time.Time) time.Time {
--- a/dispatcher/exitrandom_test.go
+++ b/dispatcher/exitrandom_test.go
@@ -132,15 +132,17 @@
 	}
 }
 
-// take changes the holder.
+// take changes the holder. If the earlier one has ended, it has released the cell.
 func (s *exits) take(ended bool) {
 	for _, f := range s.workers {
 		f.lateAnswer = nil
 	}
 	s.storeDown = false
-	s.changeHolder(slices.DeleteFunc(s.present(), func(f *fakeWorker) bool { return !s.registered[f] })...)
+	listed := slices.DeleteFunc(s.present(), func(f *fakeWorker) bool { return !s.registered[f] })
 	if ended {
-		s.cell.EarlierHoldersEnded(s.now)
+		s.release(listed...)
+	} else {
+		s.changeHolder(listed...)
 	}
 }
 
--- /dev/null
+++ b/dispatcher/releasedcell_test.go
@@ -0,0 +1,93 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniashore.example/dispatcher"
+)
+
+// release changes the holder as a graceful shutdown does: the holder tells the next one of workers that don't
+// answer it, and has ended.
+func (s *simulation) release(listed ...*fakeWorker) {
+	leases := s.cell.LeasesOfSilentWorkers(s.now)
+	s.changeHolder(listed...)
+	s.cell.EarlierLeaseEnds = map[string]time.Time{}
+	for worker, left := range leases {
+		s.cell.EarlierLeaseEnds[worker] = s.now.Add(left)
+	}
+	s.cell.EarlierHoldersEnded(s.now)
+}
+
+// TestStartsAfterReleases guards against long-running tasks that have no run for longer than the platform
+// allows, as each holder that takes over gracefully waits anew for the leases of workers that are gone.
+func TestStartsAfterReleases(t *testing.T) {
+	tests := map[string]struct {
+		// run changes the holder. The workers that are lost are silent.
+		run func(s *simulation, remaining []*fakeWorker)
+		// bound is how long after the workers were lost all tasks run.
+		bound time.Duration
+	}{
+		"the cell is released twice while the lease lasts": {bound: 6 * time.Second, run: func(s *simulation, remaining []*fakeWorker) {
+			s.runFor(2 * time.Second)
+			s.release(remaining...)
+			s.runFor(2 * time.Second)
+			s.release(remaining...)
+		}},
+		"the holder is lost, and the next one releases the cell": {bound: maxTimeWithoutRun, run: func(s *simulation, remaining []*fakeWorker) {
+			s.pauseHolder(maxTakeover)
+			s.changeHolder(remaining...)
+			s.runFor(4 * time.Second)
+			s.release(remaining...)
+		}},
+		"it is released when the leases have expired": {bound: 7 * time.Second, run: func(s *simulation, remaining []*fakeWorker) {
+			s.runFor(6 * time.Second)
+			s.release(remaining...)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const tasks = 34
+			s := newActiveSimulation(17)
+			s.submit(longRunningJob(jobID, tasks, 1200))
+			s.runFor(time.Second)
+			lost, remaining := s.workers[:5], s.workers[5:]
+			began := s.now
+			leaveSilently(s, lost)
+			test.run(s, remaining)
+			s.runFor(began.Add(test.bound).Sub(s.now))
+			for index := range tasks {
+				if id := (dispatcher.TaskID{Job: jobID, Index: index}); s.running[id] != 1 {
+					t.Errorf("%s has %d runs %v after its worker was lost, want 1", id, s.running[id], test.bound)
+				}
+			}
+			requireNoViolations(t, s)
+		})
+	}
+}
+
+// TestLeasesOfSilentWorkers guards against two runs of a task: a holder that releases the cell takes a worker for
+// free of runs that may have some.
+func TestLeasesOfSilentWorkers(t *testing.T) {
+	s := newActiveSimulation(3)
+	s.submit(longRunningJob(jobID, 3, 3500))
+	s.runFor(time.Second)
+	silent := s.workers[0]
+	silent.reachable = false
+	s.runFor(3 * time.Second)
+	if left, found := s.cell.LeasesOfSilentWorkers(s.now)[silent.registration.ID]; !found || left == 0 {
+		t.Errorf("a worker with a run holds a lease for %v (told %v), want more than 0", left, found)
+	}
+	s.runFor(3 * time.Second)
+	if left, found := s.cell.LeasesOfSilentWorkers(s.now)[silent.registration.ID]; !found || left != 0 {
+		t.Errorf("a worker whose lease has expired holds one for %v (told %v), want 0", left, found)
+	}
+	s.changeHolder(s.workers[1:]...)
+	s.runFor(2 * time.Second)
+	if left := s.cell.LeasesOfSilentWorkers(s.now)[silent.registration.ID]; left == 0 {
+		t.Error("a worker that hasn't answered the new holder counts as free of runs")
+	}
+	if told := len(s.cell.LeasesOfSilentWorkers(s.now)); told != 1 {
+		t.Errorf("%d workers are told of, want the silent one only", told)
+	}
+}
--- a/dispatcher/waitaccount.go
+++ b/dispatcher/waitaccount.go
@@ -144,12 +144,14 @@
 // earlierLeasesAccount describes the workers on which leases of earlier holders may last, and those holders.
 func (c *Cell) earlierLeasesAccount(now time.Time) (string, waitBound) {
 	var leased reportedWorkers
+	bound := boundedBy(now)
 	for _, id := range c.Workers() {
-		if w := c.workers[id]; w.mayHaveEarlierLeases() {
+		if w := c.workers[id]; c.mayHoldEarlierLease(now, w) {
 			leased.add(w, w.earlierLeaseReason()+", "+c.describe(now, w))
+			bound = bound.later(boundedBy(c.earlierLeaseEnd(w)))
 		}
 	}
-	return fmt.Sprintf("%s; %s", &leased, c.describeEarlierHolders(now)), boundedBy(c.earlierLeasesEnd())
+	return fmt.Sprintf("%s; %s", &leased, c.describeEarlierHolders(now)), bound
 }
 
 // earlierLeaseReason tells why leases of earlier holders may last on a worker that mayHaveEarlierLeases.
--- a/heldcells.go
+++ b/heldcells.go
@@ -67,6 +67,8 @@
 	services map[string]bool
 	// evacuated are the evacuated failure domains. They are known once the services are known.
 	evacuated dispatcher.FailureDomains
+	// leases holds, by cell that was held, what the holder of the next term has to know of silent workers.
+	leases map[string]map[string]time.Duration
 	// yielded holds, by cell, the epoch before which this process doesn't hold it any more.
 	yielded map[string]int64
 }
@@ -120,6 +122,10 @@
 	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: term.Epoch}
 	state := dispatcher.NewCell(cell, term.Epoch, limits, h.recorder)
 	state.EarlierFullLeaseAge = term.EarlierFullLeaseAge(maxConfirmationAge)
+	state.EarlierLeaseEnds = map[string]time.Time{}
+	for worker, left := range term.Leases {
+		state.EarlierLeaseEnds[worker] = term.ClaimedAt.Add(left)
+	}
 	runner := dispatcher.NewRunner(state, h.clock, h.workers, archive)
 	runner.OtherCells = h.selector
 	runner.SuspendedTime = suspendedTime
@@ -129,6 +135,7 @@
 		return dispatcher.ErrSuperseded
 	}
 	defer h.unset(cell, runner)
+	defer func() { h.setLeases(cell, runner.LeasesOfSilentWorkers()) }()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return runner.Run(ctx) })
 	for _, w := range h.watches(cell, runner) {
@@ -191,6 +198,24 @@
 	}
 }
 
+// setLeases sets what the next holder of a cell has to know of silent workers.
+func (h *heldCells) setLeases(cell string, leases map[string]time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leases == nil {
+		h.leases = map[string]map[string]time.Duration{}
+	}
+	h.leases[cell] = leases
+}
+
+// silentWorkers returns the workers that didn't answer this process when it stopped acting as the holder of a
+// cell, each with how long leases on runs there may last.
+func (h *heldCells) silentWorkers(cell string) map[string]time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leases[cell]
+}
+
 func (h *heldCells) unset(cell string, runner *dispatcher.Runner) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
