dispatcher: no task is stopped to move to another cell while the store is silent

A long-running task on a worker that leaves, without a place in its cell, was stopped once another cell had one, and then ran nowhere until the store had stored that: for all of an outage, though its worker served on for seconds. The same for a task that no worker of the cell can run any more.

The stop now waits until the store has answered the watch of the registry within 2 s. The first 2 s of an outage aren't covered. It adds no start. TestMovesWhileStoreIsSilent fails without the change.

--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -145,7 +145,7 @@
 // capacity is needed for a part that another cell delegated, since a delegated part
 // can't be delegated again.
 func (c *Cell) NextToMove(now time.Time) (TaskID, Job, bool) {
-	if !c.mayAct(now) {
+	if !c.mayAct(now) || !c.storeAnswers(now) {
 		return TaskID{}, Job{}, false
 	}
 	for _, id := range c.Workers() {
@@ -170,6 +170,16 @@
 	return TaskID{}, Job{}, false
 }
 
+// maxStoreSilence is how long after its last answer to the watch of the registry the store counts as
+// reachable. It covers the wait and the batch delay of that watch.
+const maxStoreSilence = 2 * time.Second
+
+// storeAnswers reports whether the store has recently answered this holder. Until it does, a task that is
+// stopped to run in another cell runs nowhere.
+func (c *Cell) storeAnswers(now time.Time) bool {
+	return now.Sub(c.registryReadAt) <= maxStoreSilence
+}
+
 // mayMove reports whether a run could continue in another cell. A task that other
 // cells have just refused may not move.
 func (c *Cell) mayMove(now time.Time, r *run) bool {
--- a/dispatcher/draining.go
+++ b/dispatcher/draining.go
@@ -26,7 +26,7 @@
 // the cell could run it, in another cell. Tasks that can be delegated are stopped once a cell has
 // capacity for them.
 func (c *Cell) canLeave(now time.Time, t *task) bool {
-	return c.selectWorker(now, t) != nil || !t.movable() && !c.capable(t)
+	return c.selectWorker(now, t) != nil || !t.movable() && !c.capable(t) && c.storeAnswers(now)
 }
 
 // mayOutliveWorker reports whether a run on a draining worker could be moved and is expected to
