--- /dev/null
+++ b/dispatcher/earlierlease.go
@@ -0,0 +1,86 @@
+package dispatcher
+
+import "time"
+
+// mayHaveRun reports whether an earlier holder may have started a task on a worker that
+// hasn't told this holder all of its runs yet, so that a run of the task may be active there or
+// be done.
+func (c *Cell) mayHaveRun(now time.Time, t *task) bool {
+	if !c.mayBeStarted(t.job()) {
+		return false
+	}
+	waits, longRunningWaits := c.unansweredWorkers(now)
+	if t.step.step.LongRunning {
+		return longRunningWaits
+	}
+	return waits
+}
+
+// unansweredWorkers reports whether a task of a restored job, and whether a long-running
+// one, has to wait for the answer of a worker that an earlier holder used, for the rest of its
+// ends, or for the leases of a process of it that no longer answers. A worker that has answered lists
+// more ends while its lease lasts, also if it isn't registered.
+func (c *Cell) unansweredWorkers(now time.Time) (waits, longRunningWaits bool) {
+	if c.pass != nil {
+		return c.pass.waits, c.pass.longRunningWaits
+	}
+	for _, w := range c.workers {
+		leased := c.mayHoldEarlierLease(now, w)
+		longRunningWaits = longRunningWaits || leased
+		waits = waits || leased || c.mayListEnds(now, w)
+	}
+	return waits, longRunningWaits
+}
+
+// mayHoldEarlierLease reports whether a lease that an earlier holder granted to a worker may last, with a run that
+// the worker hasn't told this holder.
+func (c *Cell) mayHoldEarlierLease(now time.Time, w *worker) bool {
+	return w.mayHaveEarlierLeases() && !now.After(c.earlierLeaseEnd(w))
+}
+
+// mayHaveEarlierLeases reports whether leases that earlier holders granted to a worker may last until
+// earlierLeaseEnd: it hasn't told this holder all of its runs.
+func (w *worker) mayHaveEarlierLeases() bool {
+	return w.restored && (!w.epochAccepted || w.succeeded() || w.listedIncompletely)
+}
+
+// mayListEnds reports whether a worker that an earlier holder used may list more of its ends.
+func (c *Cell) mayListEnds(now time.Time, w *worker) bool {
+	return w.restored && !w.endsListed && (!c.lost(w) || w.epochAccepted && !w.leaseExpired(now))
+}
+
+// mayBeStarted reports whether an earlier holder may have started a task of a job: it may have acted since
+// the job was accepted. The times of day of two VMs may differ, so that of the acceptance doesn't count.
+func (c *Cell) mayBeStarted(j *jobState) bool {
+	return j.restored && !j.acceptedAfter.After(c.earlierOrdersEnd())
+}
+
+// earlierOrdersEnd returns when earlier holders have certainly stopped sending orders.
+func (c *Cell) earlierOrdersEnd() time.Time {
+	end := c.activeAt.Add(c.Limits.MaxConfirmationAge)
+	if !c.earlierEndedAt.IsZero() && c.earlierEndedAt.Before(end) {
+		return c.earlierEndedAt
+	}
+	return end
+}
+
+// earlierLeasesEnd returns when all leases that earlier holders granted have certainly
+// expired. Nothing confirms an earlier holder once this one is active.
+func (c *Cell) earlierLeasesEnd() time.Time {
+	granted := c.activeAt.Add(max(c.Limits.FullLeaseAge, c.EarlierFullLeaseAge))
+	if ended := c.earlierEndedAt; !ended.IsZero() && ended.Before(granted) {
+		granted = ended
+	}
+	longest := time.Duration(float64(c.Limits.LeaseDuration) / minClockRate)
+	return granted.Add(longest + leaseExpiryMargin)
+}
+
+// earlierLeaseEnd returns when all leases that earlier holders granted on runs of a worker have certainly
+// expired.
+func (c *Cell) earlierLeaseEnd(w *worker) time.Time {
+	end := c.earlierLeasesEnd()
+	if told, found := c.EarlierLeaseEnds[w.registration.ID]; found && told.Before(end) {
+		return told
+	}
+	return end
+}
