--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -19,10 +19,30 @@
 	Earlier []EarlierHolder
 	// EarlierUnknown is true if there may be earlier holders that Earlier lacks.
 	EarlierUnknown bool
+	// Leases tells of workers that didn't answer the previous holder when it released the cell for how long,
+	// from ClaimedAt, leases on runs there may last.
+	Leases map[string]time.Duration
 	// ClaimedAt is a time before the claim, at which the holders that Earlier lacks had ended.
 	ClaimedAt time.Time
 }
 
+// EarlierFullLeaseAge returns the longest FullLeaseAge of the earlier holders. unknown stands for that of a
+// holder that doesn't tell it.
+func (t Term) EarlierFullLeaseAge(unknown time.Duration) time.Duration {
+	if t.EarlierUnknown {
+		return unknown
+	}
+	longest := time.Duration(0)
+	for _, e := range t.Earlier {
+		age := e.FullLeaseAge
+		if age == 0 {
+			age = unknown
+		}
+		longest = max(longest, age)
+	}
+	return longest
+}
+
 // EarlierHolder is the holder of an earlier term.
 type EarlierHolder struct {
 	Holder
@@ -47,9 +67,9 @@
 }
 
 func encodeTerm(self Holder, term Term) ([]byte, error) {
-	message := termMessage{Token: uuid.NewString(), Holder: holderMessage(self), EarlierUnknown: term.EarlierUnknown}
+	message := termMessage{Token: uuid.NewString(), Holder: newHolderMessage(self), EarlierUnknown: term.EarlierUnknown}
 	for _, e := range term.Earlier {
-		message.Earlier = append(message.Earlier, earlierHolderMessage{Holder: holderMessage(e.Holder), Epoch: e.Epoch})
+		message.Earlier = append(message.Earlier, earlierHolderMessage{Holder: newHolderMessage(e.Holder), Epoch: e.Epoch})
 	}
 	return json.Marshal(message)
 }
@@ -70,19 +90,23 @@
 	}
 	term.EarlierUnknown = message.EarlierUnknown
 	for _, e := range message.Earlier {
-		term.Earlier = append(term.Earlier, EarlierHolder{Holder: Holder(e.Holder), Epoch: e.Epoch})
+		term.Earlier = append(term.Earlier, EarlierHolder{Holder: e.Holder.holder(), Epoch: e.Epoch})
 	}
-	if !k.releasedAt(released) {
-		term.Earlier = append(term.Earlier, EarlierHolder{Holder: Holder(message.Holder), Epoch: previous.Revision})
+	if leases, ended := k.releasedAt(released); ended {
+		term.Leases = leases
+	} else {
+		term.Earlier = append(term.Earlier, EarlierHolder{Holder: message.Holder.holder(), Epoch: previous.Revision})
 	}
 	term.Earlier = slices.DeleteFunc(term.Earlier, func(e EarlierHolder) bool { return e.Process == k.Self.Process })
 	return term
 }
 
-// releasedAt reports whether the holder key of a revision says that the cell was released.
-func (k *candidacy) releasedAt(revision int64) bool {
+// releasedAt reports whether the holder key of a revision says that the cell was released, and returns what
+// its holder has told of its workers.
+func (k *candidacy) releasedAt(revision int64) (leases map[string]time.Duration, released bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	holder, held := k.holders[k.cell]
-	return held && holder.revision == revision && holder.Process == ""
+	released = held && holder.revision == revision && holder.Process == ""
+	return holder.leases, released
 }
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -155,7 +155,7 @@
 // capacity is needed for a part that another cell delegated, since a delegated part
 // can't be delegated again.
 func (c *Cell) NextToMove(now time.Time) (TaskID, Job, bool) {
-	if !c.mayAct(now) {
+	if !c.mayAct(now) || !c.storeAnswers(now) {
 		return TaskID{}, Job{}, false
 	}
 	for _, id := range c.Workers() {
@@ -180,6 +180,16 @@
 	return TaskID{}, Job{}, false
 }
 
+// maxStoreSilence is how long after its last answer to the watch of the registry the store counts as
+// reachable. It covers the wait and the batch delay of that watch.
+const maxStoreSilence = 2 * time.Second
+
+// storeAnswers reports whether the store has recently answered this holder. Until it does, a task that is
+// stopped to run in another cell runs nowhere.
+func (c *Cell) storeAnswers(now time.Time) bool {
+	return now.Sub(c.registryReadAt) <= maxStoreSilence
+}
+
 // mayMove reports whether a run could continue in another cell. A task that other
 // cells have just refused may not move.
 func (c *Cell) mayMove(now time.Time, r *run) bool {
@@ -258,17 +268,17 @@
 	if first.remote || len(first.runs) > 0 || !first.movable() || first.hasUnconfirmedCrash() {
 		return false
 	}
-	c.markDelegated(first, cell)
+	c.markDelegated(now, first, cell)
 	for _, t := range first.step.tasks {
 		if places > 1 && t.queued && c.unplaceable(now, t) {
-			c.markDelegated(t, cell)
+			c.markDelegated(now, t, cell)
 			places--
 		}
 	}
 	part := j.job
 	part.Progress = nil
 	part.Part, part.PartCrashes = j.occurrences[id.Occurrence].partOf(cell)
-	c.pendingPart = &Part{Cell: cell, Job: part}
+	c.pendingPart, c.pendingPartSince = &Part{Cell: cell, Job: part}, now
 	c.dirty[id.Job] = true
 	return true
 }
@@ -282,8 +292,8 @@
 	c.Cancel(now, b.Part.Job.ID)
 }
 
-func (c *Cell) markDelegated(t *task, cell string) {
-	t.remote, t.delegatedTo = true, cell
+func (c *Cell) markDelegated(now time.Time, t *task, cell string) {
+	t.remote, t.delegatedTo, t.delegatedAt = true, cell, now
 	c.record(recorder.Event{Kind: KindDelegated, Task: t.id.String(), Key: t.id.Job, Detail: "to " + cell})
 }
 
