dispatcher: no crash is recorded for a job that has left the cell

A run of a long-running task that was young when its lease expired stays with its worker (expiredYoung), so that the task is to blame if the worker turns out to have crashed. If a part of that job has gone back to its home cell meanwhile, blame marked the job as changed, and the next batch looked it up. blame leaves such jobs out now: the cell has no task of theirs any more.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -110,10 +110,10 @@
 func (r *run) mayHaveCrashed() bool { return !r.outlived(crashWindow) && !r.passedOver() }
 
 // blame records the crash of a worker for a run that may be its cause, and gives the task
-// up if it has certainly crashed too many.
+// up if it has certainly crashed too many. That of a job which has left the cell isn't recorded.
 func (c *Cell) blame(now time.Time, r *run, sign CrashSign) {
 	t := r.task
-	if t.done || t.job().state.Final() || r.worker.plansExit(r.boot) || r.number < t.outlivedRun {
+	if c.jobs[t.id.Job] != t.job() || t.done || t.job().state.Final() || r.worker.plansExit(r.boot) || r.number < t.outlivedRun {
 		return
 	}
 	if !t.blamedFor(r.number) {
