zinniashore: the holder before the last active one may act for a while yet

The store tells under which term a holder last became active, and holders of earlier terms counted as ended before the claim. But such a holder may act, cut off with a few workers, for maxConfirmationAge after that one had become active. If the last active holder ends within that time and the cell is claimed again at once, the new holder started jobs that had just arrived, and took the leases for expired 2.5 s too early.

Ended answers that they end maxConfirmationAge after it was first asked: the last active holder was active before.

--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -111,8 +111,8 @@
 	// activeAt.
 	active   bool
 	activeAt time.Time
-	// earlierEndedAt is a time at which all earlier holders had certainly stopped acting, zero
-	// if that isn't known.
+	// earlierEndedAt is a time by which all earlier holders have certainly stopped acting, zero
+	// if none is known.
 	earlierEndedAt time.Time
 	// inactiveSince is since when the holder doesn't act, zero while it does, and
 	// inactivityReportedAt when that was last reported.
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -12,12 +12,13 @@
 
 // EarlierHolders finds out whether the earlier holders of a cell have ended.
 type EarlierHolders interface {
-	// Ended reports whether all holders of earlier terms, from activeEpoch on, have certainly
-	// stopped acting, and a time at which they had.
+	// Ended reports whether all holders of earlier terms have certainly stopped acting, and a time by
+	// which they have, which may be yet to come. A holder became active under activeEpoch, so that those
+	// of terms before that stop soon.
 	Ended(ctx context.Context, activeEpoch int64) (at time.Time, ended bool)
 }
 
-// EarlierHoldersEnded records that all earlier holders had certainly stopped acting at a time.
+// EarlierHoldersEnded records that all earlier holders have certainly stopped acting by a time.
 // From then on only leases that they granted before keep runs active.
 func (c *Cell) EarlierHoldersEnded(at time.Time) {
 	if !c.earlierEndedAt.IsZero() {
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -75,7 +75,7 @@
 	// Workers are the workers on which tasks of the cell may run.
 	Workers []Registration
 	// ActiveEpoch is the newest epoch under which a holder became active; 0 if none is stored.
-	// Holders of earlier terms don't act any more.
+	// Holders of earlier terms stop acting within Limits.MaxConfirmationAge after that.
 	ActiveEpoch int64
 }
 
--- a/earlierholders.go
+++ b/earlierholders.go
@@ -27,6 +27,8 @@
 	// hasn't was logged. Only Ended uses them, which isn't called concurrently.
 	ended    map[int64]bool
 	reported bool
+	// askedAt is when Ended was first called.
+	askedAt time.Time
 }
 
 var _ dispatcher.EarlierHolders = (*earlierHolders)(nil)
@@ -43,21 +45,26 @@
 	return names
 }
 
-// Ended implements dispatcher.EarlierHolders.
+// Ended implements dispatcher.EarlierHolders. A holder of a term before that of activeEpoch isn't asked. It may act
+// for maxConfirmationAge after that term's holder became active.
 func (e *earlierHolders) Ended(ctx context.Context, activeEpoch int64) (time.Time, bool) {
 	if e.term.EarlierUnknown {
 		return time.Time{}, false
 	}
+	if e.askedAt.IsZero() {
+		e.askedAt = e.clock.Now()
+	}
 	at := e.term.ClaimedAt
 	all := true
 	for _, holder := range e.term.Earlier {
-		if holder.Epoch < activeEpoch {
-			continue
+		end := e.askedAt.Add(maxConfirmationAge)
+		if holder.Epoch >= activeEpoch {
+			all = e.holderEnded(ctx, holder) && all
+			end = e.clock.Now()
 		}
-		if !e.holderEnded(ctx, holder) {
-			all = false
+		if end.After(at) {
+			at = end
 		}
-		at = e.clock.Now()
 	}
 	return at, all
 }
