dispatcher: tests of the leases of an earlier holder that lives, and of a lost one

TestLeasesOfIsolatedHolder has an earlier holder that reaches one worker the new one doesn't reach, and extends its lease and starts tasks there for as long as it may: confirmed just before the new one is active by most workers or by the store, on clocks at 0.98 and 1, with late orders, paused after it has computed an order, suspended, or of a build that doesn't shorten leases. No task runs twice, and each long-running one runs at the end. TestLeasesOfSkippedHolder has it beside a holder that releases the cell 0.1 s after it became active.

TestRandomLostHolder loses the holder for good while some workers vanish without a trace and the store may be away, lets the next one be active up to 3.9 s later, and wants each long-running task to run after FullLeaseAge, a lease on a slow clock and 0.3 s more. The simulated network gets VMs that vanish and holders that end without a trace.

--- a/dispatcher/network_test.go
+++ b/dispatcher/network_test.go
@@ -239,6 +239,11 @@
 	return nil
 }
 
+// vanished reports whether the VM of the worker that had an address is gone, so that nothing answers there.
+func (n *network) vanished(address string) bool {
+	return slices.ContainsFunc(n.workers, func(w *remoteWorker) bool { return w.vanished && w.registration.Address == address })
+}
+
 // process returns the worker's process that may still have connections although its address is
 // closed, or nil.
 func (n *network) process(id string) *remoteWorker {
@@ -341,9 +346,9 @@
 	}
 }
 
-// oldHoldersEnded reports whether all holders but the newest have ended.
+// oldHoldersEnded reports whether all holders but the newest are known to have ended.
 func (n *network) oldHoldersEnded() bool {
-	return !slices.ContainsFunc(n.holders[:len(n.holders)-1], func(h *remoteHolder) bool { return !h.ended })
+	return !slices.ContainsFunc(n.holders[:len(n.holders)-1], func(h *remoteHolder) bool { return !h.ended || h.lost })
 }
 
 // serving counts the workers that are ready.
--- a/dispatcher/remoteholder_test.go
+++ b/dispatcher/remoteholder_test.go
@@ -28,6 +28,8 @@
 	// inbox are the answers that arrived during a pause, outbox the calls that a pause keeps back.
 	inbox, outbox []func()
 	ended         bool
+	// lost is true if the holder has ended without a trace, so that no other one knows that it has.
+	lost bool
 	// relocatedFrom are the revisions of the homes of jobs at the first attempts to relocate them.
 	relocatedFrom map[*dispatcher.Relocation]int64
 	// offering is true while another cell is asked for places, nextOffer when that is due again.
@@ -274,6 +276,9 @@
 		})
 	}
 	n.after(q.timeout, func() { conclude(reply{answer: dispatcher.AnswerUnknown}) })
+	if n.vanished(q.worker.Address) {
+		return
+	}
 	w := n.listener(q.worker.Address)
 	if w == nil {
 		if w = n.process(q.worker.ID); w == nil || !w.keepsConnections {
--- a/dispatcher/remoteworker_test.go
+++ b/dispatcher/remoteworker_test.go
@@ -45,8 +45,8 @@
 	frozenUntil  time.Time
 	// closed makes the address refuse connections. keepsConnections lets those that are open work on.
 	closed, keepsConnections bool
-	// ended is true once the process has ended.
-	ended                                    bool
+	// ended is true once the process has ended, vanished once its VM is gone as well.
+	ended, vanished                          bool
 	cut, cutFromStore, deregistered, leaving bool
 	returning                                bool
 	// mute loses all answers.
@@ -126,6 +126,12 @@
 	clear(w.running)
 }
 
+// vanish ends the worker's process and its VM, after which nothing answers at its address.
+func (w *remoteWorker) vanish() {
+	w.exit()
+	w.deregistered, w.vanished = true, true
+}
+
 // restart ends the process and starts it again under its id after a time. Its time of day may
 // have been set back, its address may be another one.
 func (w *remoteWorker) restart(away time.Duration) {
