--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -184,10 +184,10 @@
 // reachable. It covers the wait and the batch delay of that watch.
 const maxStoreSilence = 2 * time.Second
 
-// storeAnswers reports whether the store has recently answered this holder. Until it does, a task that is
-// stopped to run in another cell runs nowhere.
+// storeAnswers reports whether the store answers this holder, as far as the watch of the registry tells. While it
+// doesn't, a task that is stopped to run in another cell runs nowhere.
 func (c *Cell) storeAnswers(now time.Time) bool {
-	return now.Sub(c.registryReadAt) <= maxStoreSilence
+	return c.registryReadAt.IsZero() || now.Sub(c.registryReadAt) <= maxStoreSilence
 }
 
 // mayMove reports whether a run could continue in another cell. A task that other
