--- a/dispatcher/lostholder_test.go
+++ b/dispatcher/lostholder_test.go
@@ -29,7 +29,7 @@
 		takeover time.Duration
 	}{
 		"workers leave at once": {lose: leaveSilently, takeover: maxTakeover},
-		"workers crash": {takeover: maxTakeover, lose: func(s *simulation, lost []*fakeWorker) {
+		"workers crash": {takeover: maxTakeover, lose: func(_ *simulation, lost []*fakeWorker) {
 			for _, f := range lost {
 				f.reboot()
 				f.reachable = false
