standin: leases of the platform's store pause or are renewed in an outage

PauseLeases keeps the remaining time, RenewLeases gives the full duration at the end of the outage, as stores do that fail over.

--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -22,6 +22,10 @@
 	// LoseEvery loses the answer of every LoseEvery-th committed transaction, if above
 	// zero.
 	LoseEvery int
+	// PauseLeases keeps the time of the leases from passing. Without it they expire in an outage, too.
+	PauseLeases bool
+	// RenewLeases gives the leases that it pauses their full duration at the end.
+	RenewLeases bool
 }
 
 type platformItem struct {
@@ -36,10 +40,12 @@
 // PlatformStore is a stand-in for the store of the users' platform that implements its
 // published protocol. The zero value is ready for use as an http.Handler.
 type PlatformStore struct {
-	mu           sync.Mutex
-	items        map[string]platformItem
-	history      []platformItem
-	leases       map[int64]storeLease
+	mu      sync.Mutex
+	items   map[string]platformItem
+	history []platformItem
+	leases  map[int64]storeLease
+	// pausedAt is when the time of the leases stopped, zero while it passes.
+	pausedAt     time.Time
 	revision     int64
 	nextLease    int64
 	transactions int
@@ -59,9 +65,30 @@
 	if faults.Silent && !s.faults.Silent {
 		s.silences++
 	}
+	s.pauseLeases(faults.PauseLeases || faults.RenewLeases)
 	s.faults = faults
 }
 
+// pauseLeases stops the time of the leases, or lets it pass, before the faults are replaced; the caller holds
+// the mutex.
+func (s *PlatformStore) pauseLeases(paused bool) {
+	now := time.Now()
+	switch {
+	case paused && s.pausedAt.IsZero():
+		s.initAndExpire()
+		s.pausedAt = now
+	case !paused && !s.pausedAt.IsZero():
+		for id, lease := range s.leases {
+			lease.expires = lease.expires.Add(now.Sub(s.pausedAt))
+			if s.faults.RenewLeases {
+				lease.expires = now.Add(lease.ttl)
+			}
+			s.leases[id] = lease
+		}
+		s.pausedAt = time.Time{}
+	}
+}
+
 // SilenceConnections makes all connections that clients have used silent for good. New ones
 // work.
 func (s *PlatformStore) SilenceConnections() {
@@ -130,6 +157,9 @@
 		s.changed = make(chan struct{})
 		s.revision = 1
 	}
+	if !s.pausedAt.IsZero() {
+		return
+	}
 	now := time.Now()
 	for id, lease := range s.leases {
 		if now.After(lease.expires) {
