soak: lose the holder of a cell for good, beside workers that leave

What callers saw: a long-running task without a run for 15 s.

The bound is that of the rule LOST: within 10 s of the last fault (3 + 4 + 3) and 9 s of its last run a long-running task runs again. All checks of the soak run, too.

--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -17,18 +17,19 @@
 )
 
 var (
-	soakSeeds     = flag.Int("soak.seeds", 0, "number of seeds of TestSoak to run by hand; 0 runs the fixed ones")
-	soakFirst     = flag.Uint64("soak.first", 1000, "first of these seeds")
-	soakLength    = flag.Duration("soak.faults", 20*time.Second, "time with faults of each of these seeds")
-	soakParallel  = flag.Int("soak.parallel", 2, "how many seeds run at a time")
-	soakProcesses = flag.Int("soak.processes", 0, "number of processes of each seed; 0 leaves it to the seed")
-	soakDeadly    = flag.Bool("soak.deadly", false, "submit jobs with a task that crashes each worker that starts it")
-	soakChanges   = flag.Bool("soak.changes", false, "only change the configuration and make the store silent, with calm times between")
-	soakLong      = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, and have long outages of the store")
-	soakCells     = flag.Bool("soak.cells", false, "divide the workers of each failure domain among two cells")
-	soakEvacuates = flag.Bool("soak.evacuations", false, "evacuate failure domains during stops of processes and kills of holders")
-	soakRefusals  = flag.Bool("soak.refusals", false, "only make workers refuse connections for longer than their lease while they live, and starts get no answer")
-	soakLogs      = flag.String("soak.logs", "", "directory in which the logs of failed seeds are kept; by default one below the temporary directory")
+	soakSeeds      = flag.Int("soak.seeds", 0, "number of seeds of TestSoak to run by hand; 0 runs the fixed ones")
+	soakFirst      = flag.Uint64("soak.first", 1000, "first of these seeds")
+	soakLength     = flag.Duration("soak.faults", 20*time.Second, "time with faults of each of these seeds")
+	soakParallel   = flag.Int("soak.parallel", 2, "how many seeds run at a time")
+	soakProcesses  = flag.Int("soak.processes", 0, "number of processes of each seed; 0 leaves it to the seed")
+	soakDeadly     = flag.Bool("soak.deadly", false, "submit jobs with a task that crashes each worker that starts it")
+	soakChanges    = flag.Bool("soak.changes", false, "only change the configuration and make the store silent, with calm times between")
+	soakLong       = flag.Bool("soak.long", false, "run tasks of seconds on many workers that freeze, are late or leave together, and have long outages of the store")
+	soakCells      = flag.Bool("soak.cells", false, "divide the workers of each failure domain among two cells")
+	soakEvacuates  = flag.Bool("soak.evacuations", false, "evacuate failure domains during stops of processes and kills of holders")
+	soakRefusals   = flag.Bool("soak.refusals", false, "only make workers refuse connections for longer than their lease while they live, and starts get no answer")
+	soakLostHolder = flag.Bool("soak.lostholder", false, "lose or freeze the holder of a cell, and workers that leave, beside a silence of the store, and check when long-running tasks run again")
+	soakLogs       = flag.String("soak.logs", "", "directory in which the logs of failed seeds are kept; by default one below the temporary directory")
 )
 
 const (
@@ -78,6 +79,8 @@
 	evacuations bool
 	// refusals leaves out all faults but what soakRefusalKinds names.
 	refusals bool
+	// lostHolder leaves out all faults but soakLoseHolder or soakTakeOver.
+	lostHolder bool
 }
 
 // soakCases run in CI. A seed that failed once has its cause as its name.
@@ -121,12 +124,15 @@
 	long     bool
 	cells    bool
 	refusals bool
-	binary   string
-	logs     string
-	began    time.Time
-	ctx      context.Context
-	store    *standin.PlatformStore
-	ledger   *standin.PlatformLedger
+	// lostHolder is true in a case in which a cell loses its holder, loss is what happened then.
+	lostHolder bool
+	loss       soakLoss
+	binary     string
+	logs       string
+	began      time.Time
+	ctx        context.Context
+	store      *standin.PlatformStore
+	ledger     *standin.PlatformLedger
 
 	processes []*soakProcess
 
@@ -177,7 +183,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &soak{
-		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, refusals: c.refusals, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
+		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, refusals: c.refusals, lostHolder: c.lostHolder, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
 		callers: map[workerConnection]string{}, jobs: map[string]*soakJob{}, innocent: map[string]bool{}, absences: map[string][]soakSpan{},
 		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, racks: map[string]string{}, versions: soakVersions{shown: map[string][]soakShown{}},
 	}
@@ -187,6 +193,9 @@
 	}
 	rng := rand.New(rand.NewPCG(c.seed, 0))
 	processes := 3 + rng.IntN(3)
+	if s.lostHolder {
+		processes = soakLostProcesses
+	}
 	if *soakProcesses > 0 {
 		processes = *soakProcesses
 	}
@@ -244,6 +253,9 @@
 	s.mu.Unlock()
 	history := newSoakHistory(s.ledger.Events(), s.cellOf)
 	s.checkHistory(history)
+	if s.lostHolder {
+		s.checkRestarts(history)
+	}
 	s.conclude(plan, history)
 }
 
@@ -281,7 +293,7 @@
 			if over || state == "gone" && (job.acceptedAt().IsZero() || acknowledged) {
 				delete(open, id)
 			}
-			client.current = client.rng.IntN(len(s.processes))
+			client.choose()
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -304,7 +316,7 @@
 		cases = map[string]soakCase{}
 		for i := range *soakSeeds {
 			seed := *soakFirst + uint64(i)
-			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells, evacuations: *soakEvacuates, refusals: *soakRefusals}
+			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells, evacuations: *soakEvacuates, refusals: *soakRefusals, lostHolder: *soakLostHolder}
 		}
 	}
 	names := make([]string, 0, len(cases))
--- a/cmd/zinniashore/soakclient_test.go
+++ b/cmd/zinniashore/soakclient_test.go
@@ -184,11 +184,19 @@
 func (c *soakClient) process(after int) *soakProcess {
 	failed := after == http.StatusBadGateway || after == http.StatusGatewayTimeout || after == http.StatusServiceUnavailable
 	if after == 0 || failed && !c.stays {
-		c.current = c.rng.IntN(len(c.s.processes))
+		c.choose()
 	}
 	return c.s.processes[c.current]
 }
 
+// choose makes the client use any process of which the VM isn't lost.
+func (c *soakClient) choose() {
+	c.current = c.rng.IntN(len(c.s.processes))
+	for c.s.processes[c.current].lost.Load() {
+		c.current = c.rng.IntN(len(c.s.processes))
+	}
+}
+
 // run submits, cancels and asks for jobs until stop is closed.
 func (c *soakClient) run(stop <-chan struct{}) {
 	for {
--- a/cmd/zinniashore/soakfaults_test.go
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -60,6 +60,9 @@
 	if c.refusals {
 		return refusalsPlan(seed, length)
 	}
+	if c.lostHolder {
+		return lostHolderPlan(seed)
+	}
 	plan := drawFaults(rand.New(rand.NewPCG(seed, 1<<32)), soakKinds, soakFaultEvery, length)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 2<<32)), soakFleetKinds, soakFleetEvery, length)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3<<32)), soakSeriesKinds, soakSeriesEvery, length)...)
@@ -136,16 +139,12 @@
 	if strings.HasSuffix(f.kind, "a holder") {
 		p = s.holder(p)
 	}
+	if s.injectLost(f, p) {
+		return
+	}
 	if !slices.Contains(soakPlannedKinds, f.kind) {
-		span := &soakSpan{from: time.Now(), kind: f.kind, process: p.name}
-		s.mu.Lock()
-		s.faults = append(s.faults, span)
-		s.mu.Unlock()
-		defer func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			span.to = time.Now()
-		}()
+		end := s.disturb(f.kind, p.name)
+		defer func() { end(time.Now()) }()
 	}
 	if s.injectProcess(f, p) || s.injectStore(f, p) || s.injectSeries(f, p) || s.injectLong(f, p) || s.injectRefusals(f, p) {
 		return
@@ -153,6 +152,19 @@
 	s.injectWorker(f, p)
 }
 
+// disturb notes that an unplanned fault begins and returns a function that notes when it ends.
+func (s *soak) disturb(kind, process string) func(at time.Time) {
+	span := &soakSpan{from: time.Now(), kind: kind, process: process}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, span)
+	return func(at time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		span.to = at
+	}
+}
+
 func (s *soak) injectProcess(f soakFault, p *soakProcess) bool {
 	switch f.kind {
 	case "kill a process", "kill a holder":
@@ -226,28 +238,39 @@
 // outages it drops the workers, which are back soon after its return. The configuration
 // changes as it returns.
 func (s *soak) storeOutage(f soakFault, faults standin.PlatformFaults, drop bool) {
+	s.beginOutage(faults, drop)
+	time.Sleep(f.length)
+	workers := s.endOutage()
+	s.configure(f.number)
+	time.Sleep(time.Duration(f.number % uint64(soakReappear)))
+	for _, w := range workers {
+		s.register(w)
+	}
+}
+
+// beginOutage begins an outage of the store, which drops the workers in some.
+func (s *soak) beginOutage(faults standin.PlatformFaults, drop bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.outages++
 	s.store.SetFaults(faults)
-	if drop {
-		for _, w := range s.workers {
-			s.store.Remove("servers/" + w.id)
-		}
+	if !drop {
+		return
 	}
-	s.mu.Unlock()
-	time.Sleep(f.length)
+	for _, w := range s.workers {
+		s.store.Remove("servers/" + w.id)
+	}
+}
+
+// endOutage ends an outage of the store and returns all workers.
+func (s *soak) endOutage() []*soakWorker {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.outages--
 	if s.outages == 0 {
 		s.store.SetFaults(standin.PlatformFaults{})
 	}
-	workers := append([]*soakWorker(nil), s.workers...)
-	s.mu.Unlock()
-	s.configure(f.number)
-	time.Sleep(time.Duration(f.number % uint64(soakReappear)))
-	for _, w := range workers {
-		s.register(w)
-	}
+	return append([]*soakWorker(nil), s.workers...)
 }
 
 func (s *soak) injectWorker(f soakFault, p *soakProcess) {
--- a/cmd/zinniashore/soakprocess_test.go
+++ b/cmd/zinniashore/soakprocess_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,6 +22,10 @@
 	store                                soakLink
 	refused                              atomic.Int64
 	reads                                soakReads
+	// port is the first of the ports of the process.
+	port int
+	// lost is true once the VM of the process is lost for good.
+	lost atomic.Bool
 
 	mu          sync.Mutex
 	command     *exec.Cmd
@@ -50,13 +55,23 @@
 	proxy.link = func(net.Conn) (*soakLink, string) { return &p.store, name }
 	go proxy.run(proxy.listener)
 	ports := freePorts(s.t)
+	p.port = ports
 	p.clients = fmt.Sprintf("127.0.0.1:%d", ports)
-	if err := os.WriteFile(p.settings, []byte(platformSettings(name, domain, ports, soakGrace, proxy.address())), 0o600); err != nil {
+	if err := os.WriteFile(p.settings, []byte(s.platformSettings(name, domain, ports, proxy.address())), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 	s.processes = append(s.processes, p)
 }
 
+// platformSettings returns the settings of a process with the given first port.
+func (s *soak) platformSettings(name, domain string, ports int, store string) string {
+	settings := platformSettings(name, domain, ports, soakGrace, store)
+	if !s.lostHolder {
+		return settings
+	}
+	return strings.Replace(settings, `"max-hold-ms":5000`, fmt.Sprintf(`"max-hold-ms":%d`, soakLostMaxLease.Milliseconds()), 1)
+}
+
 // start starts a process if none runs.
 func (s *soak) start(p *soakProcess) {
 	p.mu.Lock()
--- a/cmd/zinniashore/soakrefusals_test.go
+++ b/cmd/zinniashore/soakrefusals_test.go
@@ -240,8 +240,11 @@
 
 // longRunningEvery returns one in how many jobs runs until it is stopped.
 func (s *soak) longRunningEvery() int {
-	if s.refusals {
+	switch {
+	case s.refusals:
 		return soakRefusalsLongRunning
+	case s.lostHolder:
+		return soakLostLongRunning
 	}
 	return soakLongRunningEvery
 }
--- a/cmd/zinniashore/soakreport_test.go
+++ b/cmd/zinniashore/soakreport_test.go
@@ -71,6 +71,9 @@
 	if s.refusals {
 		s.t.Logf("seed %d: workers counted as crashed under a run %d times, %d tasks given up", s.seed, s.countLogged("task_crash"), s.countLogged("task_given_up"))
 	}
+	if s.lostHolder {
+		s.t.Logf("seed %d: %s", s.seed, s.describeRestarts(history))
+	}
 	if accepted == 0 || len(history.runs) == 0 {
 		s.t.Errorf("seed %d: nothing ran", s.seed)
 	}
--- a/cmd/zinniashore/soakworker_test.go
+++ b/cmd/zinniashore/soakworker_test.go
@@ -28,6 +28,8 @@
 	closing bool
 	// refusing is true while the address refuses connections though the worker lives.
 	refusing bool
+	// silent is true once the address accepts connections and answers nothing for good.
+	silent   bool
 	hidden   int
 	sequence int
 	capacity soakSize
@@ -59,7 +61,7 @@
 	}
 	s.mu.Unlock()
 	w.worker = &standin.PlatformWorker{
-		ID: w.id, Ledger: s.ledger, MaxLease: soakMaxLease, ClockRate: 1 - 0.02*rng.Float64(),
+		ID: w.id, Ledger: s.ledger, MaxLease: s.maxLease(), ClockRate: 1 - 0.02*rng.Float64(),
 		LengthOf:    s.lengthOf,
 		LongRunning: func(task string) bool { return strings.HasPrefix(task, soakLongRunningPrefix) },
 		OutcomeOf: func(task string, run int64) string {
@@ -188,7 +190,7 @@
 		s.mu.Unlock()
 		for _, w := range workers {
 			w.worker.Advance()
-			w.proxy.setOpen(w.worker.Up() && !s.refusesConnections(w))
+			w.proxy.setOpen(s.acceptsConnections(w))
 		}
 		if time.Since(renewed) > soakHeartbeat {
 			renewed = time.Now()
@@ -238,10 +240,10 @@
 	s.remove(w)
 }
 
-func (s *soak) refusesConnections(w *soakWorker) bool {
+func (s *soak) acceptsConnections(w *soakWorker) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return w.closing || w.refusing
+	return w.silent || w.worker.Up() && !w.closing && !w.refusing
 }
 
 // remove ends a worker with everything that runs on it.
