--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -81,14 +81,52 @@
 	// Processors is how many processors the process may use, less than 1 for a part of
 	// one; 0 if unknown.
 	Processors float64
+	// FullLeaseAge is the age of its newest confirmation up to which the holder grants leases of full
+	// duration; 0 if unknown.
+	FullLeaseAge time.Duration
 }
 
 type holderMessage struct {
-	Process       string  `json:"process"`
-	FailureDomain string  `json:"failure_domain,omitempty"`
-	Address       string  `json:"address"`
-	Incarnation   string  `json:"incarnation"`
-	Processors    float64 `json:"processors,omitempty"`
+	Process        string  `json:"process"`
+	FailureDomain  string  `json:"failure_domain,omitempty"`
+	Address        string  `json:"address"`
+	Incarnation    string  `json:"incarnation"`
+	Processors     float64 `json:"processors,omitempty"`
+	FullLeaseAgeMS int64   `json:"full_lease_age_ms,omitempty"`
+	// LeasesMS is what a holder tells of its workers when it releases the cell, see Term.Leases.
+	LeasesMS map[string]int64 `json:"leases_ms,omitempty"`
+}
+
+func newHolderMessage(h Holder) holderMessage {
+	return holderMessage{
+		Process: h.Process, FailureDomain: h.FailureDomain, Address: h.Address, Incarnation: h.Incarnation,
+		Processors: h.Processors, FullLeaseAgeMS: h.FullLeaseAge.Milliseconds(),
+	}
+}
+
+func (m holderMessage) holder() Holder {
+	return Holder{
+		Process: m.Process, FailureDomain: m.FailureDomain, Address: m.Address, Incarnation: m.Incarnation,
+		Processors: m.Processors, FullLeaseAge: time.Duration(m.FullLeaseAgeMS) * time.Millisecond,
+	}
+}
+
+// leases returns what a holder has told of its workers with its release.
+func (m holderMessage) leases() map[string]time.Duration {
+	leases := make(map[string]time.Duration, len(m.LeasesMS))
+	for worker, left := range m.LeasesMS {
+		leases[worker] = time.Duration(left) * time.Millisecond
+	}
+	return leases
+}
+
+// newReleaseMessage returns the value of the key of a cell that is released.
+func newReleaseMessage(leases map[string]time.Duration) holderMessage {
+	message := holderMessage{LeasesMS: make(map[string]int64, len(leases))}
+	for worker, left := range leases {
+		message.LeasesMS[worker] = (left + time.Millisecond - 1).Milliseconds()
+	}
+	return message
 }
 
 // Claimer claims cells. Its exported fields are set before Run.
@@ -109,11 +147,17 @@
 	OtherCells []string
 	// Hold runs the cell until ctx ends or the cell is lost.
 	Hold func(ctx context.Context, cell string, term Term) error
+	// Leases, if set, returns what Term.Leases tells the next holder of a cell. It is called once Hold has
+	// returned, before the cell is released.
+	Leases func(cell string) map[string]time.Duration
 	// Eligible reports whether this process may hold a cell now.
 	Eligible func() bool
 	// Holds asks another process whether it still holds a cell according to its
 	// workers.
 	Holds func(ctx context.Context, holder Holder, cell string) bool
+	// Unanswered, if set, returns how many calls of this process in a row another one hasn't answered. It is
+	// for logs only.
+	Unanswered func(holder Holder) int
 	// HasWorkers reports whether the registry lists the workers of a cell, so that they can be
 	// reached although no holder is registered.
 	HasWorkers func(ctx context.Context, cell string) bool
@@ -169,8 +213,9 @@
 		return
 	}
 	c.holders[cell] = claim{
-		Holder:   Holder(message),
+		Holder:   message.holder(),
 		revision: item.Revision,
+		leases:   message.leases(),
 	}
 	c.strongest = max(c.strongest, message.Processors)
 }
@@ -179,6 +224,8 @@
 type claim struct {
 	Holder
 	revision int64
+	// leases is what the holder has told with its release.
+	leases map[string]time.Duration
 }
 
 // notifyChange updates the state that follows from the holders and wakes the
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -19,6 +19,7 @@
 	previous, err := k.Store.Get(ctx, k.TermPrefix+k.cell)
 	if err != nil {
 		klog.ErrorS(err, "Failed to read the term of the cell", "cell", k.cell)
+		k.waitForStore(waitStore, err)
 	}
 	if first := k.recordStoreResult(err); err != nil || first && k.leftToLastHolder(ctx) {
 		return false
@@ -26,16 +27,19 @@
 	lease, _, err := k.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		klog.ErrorS(err, "Failed to get a store lease for the claim", "cell", k.cell)
+		k.waitForStore(waitStore, err)
 		return false
 	}
 	term := k.nextTerm(previous, expected)
 	term.Epoch, err = k.beginTerm(ctx, lease, expected, previous.Revision, term)
 	if err != nil {
 		klog.InfoS("Failed to claim the cell", "cell", k.cell, "expected", expected, "err", err)
+		k.waitForStore(waitRefused, err)
 		k.releaseLease(ctx, lease)
 		return false
 	}
 	klog.InfoS("Cell claimed", "cell", k.cell, "epoch", term.Epoch, "earlierHolders", len(term.Earlier), "unknownHolders", term.EarlierUnknown)
+	k.reportClaim(term.Epoch)
 	k.hold(ctx, lease, term)
 	return true
 }
@@ -61,7 +65,7 @@
 // If the answer of the store is lost, beginTerm reads the term back to find out
 // whether it was stored.
 func (k *candidacy) beginTerm(ctx context.Context, lease, expected, previous int64, term Term) (int64, error) {
-	item, err := k.holderItem(k.Self, lease)
+	item, err := k.holderItem(lease)
 	if err != nil {
 		return 0, err
 	}
@@ -88,12 +92,22 @@
 	return 0, err
 }
 
-// holderItem returns the key and value that register a holder.
-func (k *candidacy) holderItem(holder Holder, lease int64) (platform.Item, error) {
-	content, err := json.Marshal(holderMessage(holder))
+// holderItem returns the key and value that register this process as the holder.
+func (k *candidacy) holderItem(lease int64) (platform.Item, error) {
+	content, err := json.Marshal(newHolderMessage(k.Self))
 	return platform.Item{Key: k.Prefix + k.cell, Value: content, Lease: lease}, err
 }
 
+// releaseItem returns the key and value that release the cell.
+func (k *candidacy) releaseItem() (platform.Item, error) {
+	var leases map[string]time.Duration
+	if k.Leases != nil {
+		leases = k.Leases(k.cell)
+	}
+	content, err := json.Marshal(newReleaseMessage(leases))
+	return platform.Item{Key: k.Prefix + k.cell, Value: content}, err
+}
+
 func (k *candidacy) releaseLease(ctx context.Context, lease int64) {
 	if err := k.Store.Release(ctx, lease); err != nil {
 		klog.V(1).InfoS("Failed to release the store lease; it will expire", "lease", lease, "err", err)
@@ -142,7 +156,7 @@
 	k.mu.Lock()
 	current := k.holders[k.cell]
 	k.mu.Unlock()
-	if item, err := k.holderItem(Holder{}, 0); err != nil {
+	if item, err := k.releaseItem(); err != nil {
 		klog.ErrorS(err, "Failed to release the cell", "cell", k.cell)
 	} else if _, err := k.Store.Commit(ctx, platform.Transaction{
 		Expect: []platform.Expectation{{Key: item.Key, Revision: current.revision}},
@@ -218,7 +232,7 @@
 		klog.V(1).InfoS("Failed to get a store lease for the claim", "cell", k.cell, "err", err)
 		return old, false
 	}
-	item, err := k.holderItem(k.Self, lease)
+	item, err := k.holderItem(lease)
 	if err != nil {
 		klog.ErrorS(err, "Failed to re-register the holder of the cell", "cell", k.cell)
 		return old, false
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -48,6 +48,10 @@
 	// MaxConfirmationAge is the age up to which the workers' answers confirm that the
 	// holder still holds the cell.
 	MaxConfirmationAge time.Duration
+	// FullLeaseAge is the age of the newest confirmation up to which leases have their full
+	// duration. An older one shortens them by the rest, so that no lease lasts longer than
+	// FullLeaseAge and LeaseDuration after the holder was last confirmed.
+	FullLeaseAge time.Duration
 	// StateRetention is how long the state of a final job is kept.
 	StateRetention time.Duration
 	// RemoteFactor is how many times as long a task takes outside the rack of its data or of its
@@ -67,8 +71,15 @@
 	Epoch int64
 	// Limits are the durations that govern the cell.
 	Limits Limits
+	// EarlierFullLeaseAge is the FullLeaseAge of the earlier holders, the longest if they differ.
+	EarlierFullLeaseAge time.Duration
+	// EarlierLeaseEnds are the times by which leases on runs of workers have expired, as the previous
+	// holder has told when it released the cell. It tells nothing of other workers.
+	EarlierLeaseEnds map[string]time.Time
 	// Recorder records the events of decisions.
 	Recorder Recorder
+	// EarlierTerms names, for logs, the holders of earlier terms that may act on.
+	EarlierTerms []string
 
 	jobs    map[string]*jobState
 	workers map[string]*worker
@@ -106,6 +117,8 @@
 	// inactiveSince is since when the holder doesn't act, zero while it does, and
 	// inactivityReportedAt when that was last reported.
 	inactiveSince, inactivityReportedAt time.Time
+	// waits is what was found and reported of waiting tasks.
+	waits waitLog
 	// resumedAt is when the holder's VM was last found to have been suspended.
 	resumedAt time.Time
 	// registryReadAt is the time up to which the changes of the registry are known.
@@ -131,6 +144,8 @@
 	// pendingPart is the part of a job that is being delegated to another cell, until
 	// it is stored.
 	pendingPart *Part
+	// pendingPartSince is when pendingPart was last set.
+	pendingPartSince time.Time
 	// pendingRelocation is the relocation of a job, until it is stored or refused.
 	pendingRelocation *Relocation
 	// departed holds the jobs that were relocated, and those of which a part was given back, each
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"zinniashore.example/recorder"
@@ -76,59 +77,46 @@
 	return w.registered || (w.restored || w.stored) && !w.displaced() && !c.crashed(w) && c.mayConfirmOther(now, w)
 }
 
-// mayHaveRun reports whether an earlier holder may have started a task on a worker that
-// hasn't told this holder all of its runs yet, so that a run of the task may be active there or
-// be done.
-func (c *Cell) mayHaveRun(now time.Time, t *task) bool {
-	if !c.mayBeStarted(t.job()) {
-		return false
+// confirmedAt returns the newest time at which certainly no other holder was active: a majority of the
+// workers, or the store, has confirmed this holder since. It is zero if nothing has.
+func (c *Cell) confirmedAt(now time.Time) time.Time {
+	var newest time.Time
+	if c.termCheckedAt.After(c.resumedAt) {
+		newest = c.termCheckedAt
 	}
-	waits, longRunningWaits := c.unansweredWorkers(now)
-	if t.step.step.LongRunning {
-		return longRunningWaits
+	if majority := c.majorityConfirmedAt(now); majority.After(newest) {
+		return majority
 	}
-	return waits
+	return newest
 }
 
-// unansweredWorkers reports whether a task of a restored job, and whether a long-running
-// one, has to wait for the answer of a worker that an earlier holder used, for the rest of its
-// ends, or for the leases of a process of it that no longer answers. A worker that has answered lists
-// more ends while its lease lasts, also if it isn't registered.
-func (c *Cell) unansweredWorkers(now time.Time) (waits, longRunningWaits bool) {
-	if c.pass != nil {
-		return c.pass.waits, c.pass.longRunningWaits
-	}
-	expired := now.After(c.earlierLeasesEnd())
+// majorityConfirmedAt returns the newest time since which a majority of the workers has accepted an
+// order of this epoch, zero if there is none.
+func (c *Cell) majorityConfirmedAt(now time.Time) time.Time {
+	voters := 0
+	var accepted []time.Time
 	for _, w := range c.workers {
-		if !w.restored {
-			continue
+		if c.isVoter(now, w) {
+			voters++
+		}
+		if c.vouches(w) {
+			accepted = append(accepted, w.answeredAt)
 		}
-		leased := !expired && (!w.epochAccepted || w.succeeded() || w.listedIncompletely)
-		longRunningWaits = longRunningWaits || leased
-		listsMore := !c.lost(w) || w.epochAccepted && !w.leaseExpired(now)
-		waits = waits || leased || !w.endsListed && listsMore
 	}
-	return waits, longRunningWaits
-}
-
-// mayBeStarted reports whether an earlier holder may have started a task of a job: it may have acted since
-// the job was accepted. The times of day of two VMs may differ, so that of the acceptance doesn't count.
-func (c *Cell) mayBeStarted(j *jobState) bool {
-	return j.restored && !j.acceptedAfter.After(c.earlierOrdersEnd())
-}
-
-// earlierOrdersEnd returns when earlier holders have certainly stopped sending orders.
-func (c *Cell) earlierOrdersEnd() time.Time {
-	end := c.activeAt.Add(c.Limits.MaxConfirmationAge)
-	if !c.earlierEndedAt.IsZero() && c.earlierEndedAt.Before(end) {
-		return c.earlierEndedAt
+	minority := voters / 2
+	if voters == 0 || len(accepted) <= minority {
+		return time.Time{}
 	}
-	return end
+	slices.SortFunc(accepted, func(a, b time.Time) int { return b.Compare(a) })
+	return accepted[minority]
 }
 
-// earlierLeasesEnd returns when all leases that earlier holders granted have certainly
-// expired.
-func (c *Cell) earlierLeasesEnd() time.Time {
-	longest := time.Duration(float64(c.Limits.LeaseDuration) / minClockRate)
-	return c.earlierOrdersEnd().Add(longest + leaseExpiryMargin)
+// leaseDuration returns how long a lease that is granted now lasts. It counts from the newest confirmation
+// of the holder if that is older than FullLeaseAge.
+func (c *Cell) leaseDuration(now time.Time) time.Duration {
+	if c.termCheckedAt.After(c.resumedAt) && now.Sub(c.termCheckedAt) <= c.Limits.FullLeaseAge {
+		return c.Limits.LeaseDuration
+	}
+	overdue := now.Sub(c.confirmedAt(now)) - c.Limits.FullLeaseAge
+	return max(0, c.Limits.LeaseDuration-max(0, overdue))
 }
--- a/scheduler.go
+++ b/scheduler.go
@@ -142,12 +142,14 @@
 		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix,
 		Self: claimer.Holder{
 			Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Address: s.Settings.PeerAddress,
-			Incarnation: uuid.NewString(), Processors: s.Settings.Processors,
+			Incarnation: uuid.NewString(), Processors: s.Settings.Processors, FullLeaseAge: fullLeaseAge,
 		},
 		AssumedProcessors: wholeProcessor,
 		Hold:              s.heldCells.run,
+		Leases:            s.heldCells.silentWorkers,
 		Eligible:          func() bool { return !s.draining.Load() },
 		Holds:             s.queryHolder,
+		Unanswered:        func(holder claimer.Holder) int { return s.peerClient.Unanswered(holder.Address) },
 		HasWorkers:        (&cellWorkers{store: s.store, archiver: archive, configurations: s.configurations, partition: s.partition}).registered,
 	}
 	selector := &cellSelector{
