--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -15,6 +16,9 @@
 // again.
 const delegationRetryDelay = 1500 * time.Millisecond
 
+// ErrPartRefused is the error of a batch whose part isn't stored: the job has been cancelled through the store.
+var ErrPartRefused = errors.New("the job to delegate a part of has been cancelled")
+
 // DelegationRefused records that no other cell has capacity for a task. This applies
 // to all tasks of its step.
 func (c *Cell) DelegationRefused(now time.Time, id TaskID) {
@@ -28,6 +32,12 @@
 // includes reports whether the cell runs a task of the job.
 func (j *Job) includes(id TaskID) bool { return j.Part == nil || slices.Contains(j.Part, id) }
 
+// RunsPart reports whether the cell runs a part of a job that belongs to another cell.
+func (c *Cell) RunsPart(id string) bool {
+	j, known := c.jobs[id]
+	return known && j.job.Part != nil
+}
+
 // extendPart adds tasks to the delegated part of a known job.
 func (c *Cell) extendPart(now time.Time, j *jobState, job *Job) {
 	if j.job.Part == nil || j.state.Final() {
@@ -174,10 +184,10 @@
 // reachable. It covers the wait and the batch delay of that watch.
 const maxStoreSilence = 2 * time.Second
 
-// storeAnswers reports whether the store has recently answered this holder. Until it does, a task that is
-// stopped to run in another cell runs nowhere.
+// storeAnswers reports whether the store answers this holder, as far as the watch of the registry tells. While it
+// doesn't, a task that is stopped to run in another cell runs nowhere.
 func (c *Cell) storeAnswers(now time.Time) bool {
-	return now.Sub(c.registryReadAt) <= maxStoreSilence
+	return c.registryReadAt.IsZero() || now.Sub(c.registryReadAt) <= maxStoreSilence
 }
 
 // mayMove reports whether a run could continue in another cell. A task that other
@@ -273,6 +283,15 @@
 	return true
 }
 
+// PartRefused cancels the job of a batch's part, which the store has as cancelled. The other cell learns of it
+// as well: an earlier attempt to store the part may have succeeded without an answer.
+func (c *Cell) PartRefused(now time.Time, b *Batch) {
+	if c.pendingPart == b.Part {
+		c.pendingPart = nil
+	}
+	c.Cancel(now, b.Part.Job.ID)
+}
+
 func (c *Cell) markDelegated(now time.Time, t *task, cell string) {
 	t.remote, t.delegatedTo, t.delegatedAt = true, cell, now
 	c.record(recorder.Event{Kind: KindDelegated, Task: t.id.String(), Key: t.id.Job, Detail: "to " + cell})
