--- a/dispatcher/waitingtask_test.go
+++ b/dispatcher/waitingtask_test.go
@@ -161,6 +161,16 @@
 			_ = c.runners[name].Run(ctx)
 		}()
 	}
+	running.Add(1)
+	go func() { // the watch of the registry
+		defer running.Done()
+		for ctx.Err() == nil {
+			for _, runner := range c.runners {
+				runner.RegistryRead(time.Now())
+			}
+			time.Sleep(700 * time.Millisecond)
+		}
+	}()
 	t.Cleanup(func() {
 		cancel()
 		running.Wait()
