claimer: a process doesn't release a cell that another one has taken over

A process that shuts down wrote the key of its cell as released on the condition of the revision that it knew last, which may be that of the next holder, or of no key, however late the store executed it. The next claim then took that holder for ended and waited for none of its leases but those that the first one told of, which is worse since a release tells that: two runs of a task.

A release is now written only by the process that is registered, and on the condition that its term is the newest.

--- a/claimer/term.go
+++ b/claimer/term.go
@@ -130,7 +130,7 @@
 		klog.InfoS("Cell lost", "cell", k.cell, "epoch", term.Epoch, "err", err)
 	}
 	if ctx.Err() != nil {
-		k.releaseCell(lease)
+		k.releaseCell(lease, term.Epoch)
 		return
 	}
 	k.mu.Lock()
@@ -150,23 +150,34 @@
 	}
 }
 
-func (k *candidacy) releaseCell(lease int64) {
+// releaseCell releases the cell, unless another process holds it or has begun a term since.
+func (k *candidacy) releaseCell(lease, epoch int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	k.mu.Lock()
-	current := k.holders[k.cell]
-	k.mu.Unlock()
-	if item, err := k.releaseItem(); err != nil {
-		klog.ErrorS(err, "Failed to release the cell", "cell", k.cell)
-	} else if _, err := k.Store.Commit(ctx, platform.Transaction{
-		Expect: []platform.Expectation{{Key: item.Key, Revision: current.revision}},
-		Writes: []platform.Item{item},
-	}); err != nil {
+	if err := k.storeRelease(ctx, epoch); err != nil {
 		klog.InfoS("Failed to release the cell; the claim will expire", "cell", k.cell, "err", err)
 	}
 	k.releaseLease(ctx, lease)
 }
 
+func (k *candidacy) storeRelease(ctx context.Context, epoch int64) error {
+	k.mu.Lock()
+	current, held := k.holders[k.cell]
+	k.mu.Unlock()
+	if held && current.Incarnation != k.Self.Incarnation {
+		return nil
+	}
+	item, err := k.releaseItem()
+	if err != nil {
+		return err
+	}
+	_, err = k.Store.Commit(ctx, platform.Transaction{
+		Expect: []platform.Expectation{{Key: item.Key, Revision: current.revision}, {Key: k.TermPrefix + k.cell, Revision: epoch}},
+		Writes: []platform.Item{item},
+	})
+	return err
+}
+
 // maintain renews the lease, or re-registers this process if its registration is gone,
 // until another process has begun a term, ctx ends or the cell has ended. It returns
 // the lease in use, and puts an error of the cell back into ended.
