dispatcher, claimer: a release tells only of workers that may be silent, and only for its own term

Nothing is told once another term is known to have begun, and nothing of an earlier term of the process.

A failed check of the term is logged when that changes, not up to three times a second. The tests cover the way of the told leases through the store, which no test did, and releases that tell nothing, as by an earlier build.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -55,6 +55,8 @@
 	epoch   int64
 	// earlier are the earlier holders that may still act.
 	earlier []claimer.EarlierHolder
+	// leases is what the holder before has told of its workers.
+	leases map[string]time.Duration
 }
 
 func (h *harness) start(t *testing.T, process, address string) context.CancelFunc {
@@ -78,11 +80,12 @@
 				<-ctx.Done()
 				return nil
 			}
-			h.began <- term{process, held.Epoch, held.Earlier}
+			h.began <- term{process, held.Epoch, held.Earlier, held.Leases}
 			<-ctx.Done()
-			h.ended <- term{process, held.Epoch, held.Earlier}
+			h.ended <- term{process, held.Epoch, held.Earlier, held.Leases}
 			return nil
 		},
+		Leases:     func(string) map[string]time.Duration { return testLeases },
 		Eligible:   func() bool { return true },
 		Holds:      func(_ context.Context, holder claimer.Holder, _ string) bool { return h.alive[holder.Process] },
 		Unanswered: func(holder claimer.Holder) int { return h.unanswered[holder.Process] },
--- a/claimer/earlier_test.go
+++ b/claimer/earlier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -66,8 +67,13 @@
 var earlierTests = map[string]struct {
 	end   func(t *testing.T, stop context.CancelFunc, silent chan struct{}, address string)
 	named []string
+	// leases is what that term tells of workers.
+	leases map[string]time.Duration
 }{
-	"released": {end: func(_ *testing.T, stop context.CancelFunc, _ chan struct{}, _ string) { stop() }},
+	"released": {
+		end:    func(_ *testing.T, stop context.CancelFunc, _ chan struct{}, _ string) { stop() },
+		leases: map[string]time.Duration{"w1": 0, "w2": 1500 * time.Millisecond, "w3": 2 * time.Millisecond},
+	},
 	"silent": {
 		end: func(t *testing.T, _ context.CancelFunc, silent chan struct{}, address string) {
 			close(silent)
@@ -101,6 +107,9 @@
 			if !slices.Equal(named, test.named) {
 				t.Errorf("the term names the earlier holders %q, want %q", named, test.named)
 			}
+			if !maps.Equal(second.leases, test.leases) {
+				t.Errorf("the term tells the leases %v, want %v", second.leases, test.leases)
+			}
 			for _, earlier := range second.earlier {
 				if earlier.FullLeaseAge != testFullLeaseAge {
 					t.Errorf("full lease age of %s = %v, want %v", earlier.Process, earlier.FullLeaseAge, testFullLeaseAge)
@@ -110,6 +119,10 @@
 	}
 }
 
+// testLeases is what the holders of these tests tell of their workers with a release, in which parts of a
+// millisecond are rounded up.
+var testLeases = map[string]time.Duration{"w1": 0, "w2": 1500 * time.Millisecond, "w3": 1001 * time.Microsecond}
+
 // testFullLeaseAge is the FullLeaseAge of the processes of these tests.
 const testFullLeaseAge = 500 * time.Millisecond
 
--- a/dispatcher/calls.go
+++ b/dispatcher/calls.go
@@ -20,7 +20,7 @@
 	return r.Cell.FreeCapacity(r.Clock.Now(), service, &step)
 }
 
-// LeasesOfSilentWorkers returns the workers that don't answer the holder, each with how long leases on runs
+// LeasesOfSilentWorkers returns the workers that may have stopped answering, each with how long leases on runs
 // there still last if the holder stops acting now.
 func (r *Runner) LeasesOfSilentWorkers() map[string]time.Duration {
 	r.mu.Lock()
--- a/dispatcher/exitrandom_test.go
+++ b/dispatcher/exitrandom_test.go
@@ -76,7 +76,7 @@
 	case "pause":
 		s.pauseHolder(time.Duration(rapid.IntRange(1, 100).Draw(t, "holder pause")) * 50 * time.Millisecond)
 	case "take":
-		s.take(rapid.Bool().Draw(t, "ended"))
+		s.take(rapid.SampledFrom([]string{"lost", "ended", "released"}).Draw(t, "earlier holder"))
 	case "store":
 		s.storeDown = !s.storeDown
 	case "hear":
@@ -132,17 +132,21 @@
 	}
 }
 
-// take changes the holder. If the earlier one has ended, it has released the cell.
-func (s *exits) take(ended bool) {
+// take changes the holder. The earlier one is lost, has ended and tells nothing, as an earlier build does, or has
+// released the cell.
+func (s *exits) take(earlier string) {
 	for _, f := range s.workers {
 		f.lateAnswer = nil
 	}
 	s.storeDown = false
 	listed := slices.DeleteFunc(s.present(), func(f *fakeWorker) bool { return !s.registered[f] })
-	if ended {
+	if earlier == "released" {
 		s.release(listed...)
-	} else {
-		s.changeHolder(listed...)
+		return
+	}
+	s.changeHolder(listed...)
+	if earlier == "ended" {
+		s.cell.EarlierHoldersEnded(s.now)
 	}
 }
 
--- a/dispatcher/poller.go
+++ b/dispatcher/poller.go
@@ -39,6 +39,9 @@
 		order.Wait = 0
 	}
 	listing, answer, err := r.Workers.Poll(ctx, order)
+	if ctx.Err() != nil {
+		return answer, true // that it has no answer tells nothing of the worker
+	}
 	if err != nil {
 		klog.V(1).InfoS("Poll failed", "worker", id, "answer", answer, "err", err)
 	}
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -125,8 +125,9 @@
 	suspendedTime time.Duration
 	// delivered is signalled when a delegated part has been sent to its cell.
 	delivered chan struct{}
-	// checkingTerm is true while the store is asked whether the term is still the newest.
-	checkingTerm bool
+	// checkingTerm is true while the store is asked whether the term is still the newest, termUnconfirmed if the
+	// last such question got no answer.
+	checkingTerm, termUnconfirmed bool
 	// activeEpoch is the newest epoch under which an earlier holder became active.
 	activeEpoch int64
 	// askingEarlierHolders is true while EarlierHolders is asked.
--- a/dispatcher/silentworkers.go
+++ b/dispatcher/silentworkers.go
@@ -2,25 +2,25 @@
 
 import "time"
 
-// LeasesOfSilentWorkers returns the workers that don't answer the holder, each with how long leases on runs
+// LeasesOfSilentWorkers returns the workers that may have stopped answering, each with how long leases on runs
 // there still last if the holder stops acting now: 0 if nothing runs there. A worker that it can't tell this of is
-// left out. It is nil unless the holder is active.
+// left out. It is nil unless the holder is active, and no other one is known to have begun a term.
 func (c *Cell) LeasesOfSilentWorkers(now time.Time) map[string]time.Duration {
-	if !c.active {
+	if !c.active || c.superseded {
 		return nil
 	}
 	left := map[string]time.Duration{}
 	for id, w := range c.workers {
-		if end, known := c.leasesEnd(now, w); known && w.silent(now) {
+		if end, known := c.leasesEnd(now, w); known && c.mayBeSilent(now, w) {
 			left[id] = max(0, end.Sub(now))
 		}
 	}
 	return left
 }
 
-// silent reports whether the worker may have stopped answering.
-func (w *worker) silent(now time.Time) bool {
-	return !w.answeredAt.After(w.unansweredAt) || now.Sub(w.answeredAt) > unresponsiveTimeout
+// mayBeSilent reports whether the worker may have stopped answering: its last poll went unanswered, or is overdue.
+func (c *Cell) mayBeSilent(now time.Time, w *worker) bool {
+	return !w.answeredAt.After(w.unansweredAt) || now.Sub(w.answeredAt) > unresponsiveTimeout+c.Limits.PollWait
 }
 
 // leasesEnd returns when the leases that any holder so far has granted on runs of the worker have certainly
--- a/dispatcher/term.go
+++ b/dispatcher/term.go
@@ -20,8 +20,8 @@
 const termCheckInterval = time.Second
 
 // storeConfirms reports whether the store has recently confirmed that the holder's term is the
-// newest. A holder of a newer term waits for MaxConfirmationAge, and for the leases that were
-// granted until then, before it takes runs of this one for ended.
+// newest. A holder of a newer term waits for MaxConfirmationAge before it takes this one for ended, and for
+// the leases that this one granted before it takes its runs for ended.
 func (c *Cell) storeConfirms(now time.Time) bool {
 	return c.termCheckedAt.After(c.resumedAt) && now.Sub(c.termCheckedAt) < c.Limits.MaxConfirmationAge
 }
@@ -76,8 +76,9 @@
 func (r *Runner) checkTerm(ctx context.Context) {
 	began := r.Clock.Now()
 	err := r.Archive.CheckTerm(ctx)
-	if err != nil {
-		klog.InfoS("The store didn't confirm the term", "cell", r.Cell.Name, "err", err)
+	if unconfirmed := err != nil; unconfirmed != r.termUnconfirmed {
+		klog.InfoS("Check of the term changed", "cell", r.Cell.Name, "confirmed", !unconfirmed, "err", err)
+		r.termUnconfirmed = unconfirmed
 	}
 	if err != nil && !errors.Is(err, ErrSuperseded) {
 		r.sleep(ctx, storeRetryDelay)
--- a/heldcells.go
+++ b/heldcells.go
@@ -119,6 +119,7 @@
 		CheckpointInterval: h.settings.CheckpointInterval,
 		RestoreTime:        h.settings.RestoreTime,
 	}
+	h.setLeases(cell, nil)
 	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: term.Epoch}
 	state := dispatcher.NewCell(cell, term.Epoch, limits, h.recorder)
 	state.EarlierFullLeaseAge = term.EarlierFullLeaseAge(maxConfirmationAge)
