--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -93,7 +93,7 @@
 	Incarnation    string  `json:"incarnation"`
 	Processors     float64 `json:"processors,omitempty"`
 	FullLeaseAgeMS int64   `json:"full_lease_age_ms,omitempty"`
-	// LeasesMS is what a holder tells of its workers when it releases the cell, see Term.Leases.
+	// LeasesMS holds Term.Leases of the next term. It is set when the cell is released.
 	LeasesMS map[string]int64 `json:"leases_ms,omitempty"`
 }
 
@@ -111,7 +111,7 @@
 	}
 }
 
-// leases returns what a holder has told of its workers with its release.
+// leases returns Term.Leases of the term after a release.
 func (m holderMessage) leases() map[string]time.Duration {
 	leases := make(map[string]time.Duration, len(m.LeasesMS))
 	for worker, left := range m.LeasesMS {
@@ -147,8 +147,8 @@
 	OtherCells []string
 	// Hold runs the cell until ctx ends or the cell is lost.
 	Hold func(ctx context.Context, cell string, term Term) error
-	// Leases, if set, returns what Term.Leases tells the next holder of a cell. It is called once Hold has
-	// returned, before the cell is released.
+	// Leases, if set, returns Term.Leases of the next term of a cell. It is called once Hold has returned, before
+	// the cell is released.
 	Leases func(cell string) map[string]time.Duration
 	// Eligible reports whether this process may hold a cell now.
 	Eligible func() bool
@@ -224,7 +224,7 @@
 type claim struct {
 	Holder
 	revision int64
-	// leases is what the holder has told with its release.
+	// leases is Term.Leases of the term after a release.
 	leases map[string]time.Duration
 }
 
--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -19,8 +19,8 @@
 	Earlier []EarlierHolder
 	// EarlierUnknown is true if there may be earlier holders that Earlier lacks.
 	EarlierUnknown bool
-	// Leases tells of workers that didn't answer the previous holder when it released the cell for how long,
-	// from ClaimedAt, leases on runs there may last.
+	// Leases holds, by worker, how long leases on runs there may last from ClaimedAt. It covers workers that may
+	// have stopped answering before the previous holder released the cell.
 	Leases map[string]time.Duration
 	// ClaimedAt is a time before the claim, at which the holders that Earlier lacks had ended.
 	ClaimedAt time.Time
@@ -101,8 +101,8 @@
 	return term
 }
 
-// releasedAt reports whether the holder key of a revision says that the cell was released, and returns what
-// its holder has told of its workers.
+// releasedAt reports whether the holder key of a revision says that the cell was released, and returns
+// Term.Leases of the next term.
 func (k *candidacy) releasedAt(revision int64) (leases map[string]time.Duration, released bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/claimer/earlier_test.go
+++ b/claimer/earlier_test.go
@@ -67,7 +67,7 @@
 var earlierTests = map[string]struct {
 	end   func(t *testing.T, stop context.CancelFunc, silent chan struct{}, address string)
 	named []string
-	// leases is what that term tells of workers.
+	// leases are the leases of that term.
 	leases map[string]time.Duration
 }{
 	"released": {
@@ -108,7 +108,7 @@
 				t.Errorf("the term names the earlier holders %q, want %q", named, test.named)
 			}
 			if !maps.Equal(second.leases, test.leases) {
-				t.Errorf("the term tells the leases %v, want %v", second.leases, test.leases)
+				t.Errorf("the term has the leases %v, want %v", second.leases, test.leases)
 			}
 			for _, earlier := range second.earlier {
 				if earlier.FullLeaseAge != testFullLeaseAge {
@@ -137,7 +137,7 @@
 		want time.Duration
 	}{
 		"all have ended":               {},
-		"each holder tells its own":    {term: claimer.Term{Earlier: []claimer.EarlierHolder{told}}, want: testFullLeaseAge},
+		"each holder reports its own":  {term: claimer.Term{Earlier: []claimer.EarlierHolder{told}}, want: testFullLeaseAge},
 		"one is of an earlier build":   {term: claimer.Term{Earlier: []claimer.EarlierHolder{told, silent}}, want: unknown},
 		"there may be further holders": {term: claimer.Term{Earlier: []claimer.EarlierHolder{told}, EarlierUnknown: true}, want: unknown},
 	}
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -74,7 +74,7 @@
 	// EarlierFullLeaseAge is the FullLeaseAge of the earlier holders, the longest if they differ.
 	EarlierFullLeaseAge time.Duration
 	// EarlierLeaseEnds are the times by which leases on runs of workers have expired, as the previous
-	// holder has told when it released the cell. It tells nothing of other workers.
+	// holder reported when it released the cell. Of other workers nothing is known.
 	EarlierLeaseEnds map[string]time.Time
 	// Recorder records the events of decisions.
 	Recorder Recorder
--- a/dispatcher/silentworkers.go
+++ b/dispatcher/silentworkers.go
@@ -3,7 +3,7 @@
 import "time"
 
 // LeasesOfSilentWorkers returns the workers that may have stopped answering, each with how long leases on runs
-// there still last if the holder stops acting now: 0 if nothing runs there. A worker that it can't tell this of is
+// there still last if the holder stops acting now: 0 if nothing runs there. A worker of which that isn't known is
 // left out. It is nil unless the holder is active, and no other one is known to have begun a term.
 func (c *Cell) LeasesOfSilentWorkers(now time.Time) map[string]time.Duration {
 	if !c.active || c.superseded {
--- a/heldcells.go
+++ b/heldcells.go
@@ -67,7 +67,7 @@
 	services map[string]bool
 	// evacuated are the evacuated failure domains. They are known once the services are known.
 	evacuated dispatcher.FailureDomains
-	// leases holds, by cell that was held, what the holder of the next term has to know of silent workers.
+	// leases holds, by cell that was held, the leases of silent workers that the release reports.
 	leases map[string]map[string]time.Duration
 	// yielded holds, by cell, the epoch before which this process doesn't hold it any more.
 	yielded map[string]int64
@@ -199,7 +199,7 @@
 	}
 }
 
-// setLeases sets what the next holder of a cell has to know of silent workers.
+// setLeases sets the leases of silent workers that the release of a cell reports.
 func (h *heldCells) setLeases(cell string, leases map[string]time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
