--- a/dispatcher/lostpollsilentstore_test.go
+++ b/dispatcher/lostpollsilentstore_test.go
@@ -96,7 +96,7 @@
 			}}})
 			time.Sleep(50 * time.Millisecond)
 		}
-		time.Sleep(began.Add(20 * time.Second).Sub(time.Now()))
+		time.Sleep(time.Until(began.Add(20 * time.Second)))
 		cancel()
 		<-ended
 		if !workers.loseAt.IsZero() || workers.leaseEnd == 0 {
