--- a/claimer/stalerelease_test.go
+++ b/claimer/stalerelease_test.go
@@ -22,7 +22,7 @@
 
 // TestReleaseKeepsNextHolder guards against two holders that act at a time: a process that shuts down releases
 // the cell in the name of the holder that has taken it over, so that a third one takes that one for ended, and
-// what the first one tells of workers for what the second one knows.
+// what the first one reports about workers for what the second one knows.
 func TestReleaseKeepsNextHolder(t *testing.T) {
 	_, _, address := newHarness(t)
 	store := platform.NewStore(address)
@@ -64,7 +64,7 @@
 
 // TestReleaseAfterAnotherTerm guards against two runs of a task: a process releases the cell after another one
 // has begun a term and lost its registration. A third one takes that other one for ended, and the leases of its
-// workers for those that the first one tells of.
+// workers for those that the first one reports.
 func TestReleaseAfterAnotherTerm(t *testing.T) {
 	h, _, address := newHarness(t)
 	stop := h.start(t, "edge-1", address)
@@ -77,7 +77,7 @@
 	}
 	for limit := time.Now().Add(waitLimit); h.claimers["edge-1"].HasHolder("graz-a"); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(limit) {
-			t.Fatal("edge-1 doesn't learn that the key of the cell is gone")
+			t.Fatal("edge-1 doesn't learn that the key of the cell was removed")
 		}
 	}
 	stop()
--- a/claimer/wait.go
+++ b/claimer/wait.go
@@ -152,8 +152,8 @@
 // minUnansweredCalls is how many calls in a row the holder of a cell hasn't answered when that is logged.
 const minUnansweredCalls = 2
 
-// noteHolder notes whether the registered holder of the cell answers the calls that this process makes anyway, so
-// that the log tells of a registration that only remains; the caller holds mu.
+// noteHolder notes whether the registered holder of the cell answers the calls that this process makes anyway,
+// so that a registration that outlives its holder is logged; the caller holds mu.
 func (k *candidacy) noteHolder(holder Holder) {
 	if k.outside || k.Unanswered == nil || holder.Process == k.Self.Process {
 		return
--- a/claimer/wait_test.go
+++ b/claimer/wait_test.go
@@ -12,7 +12,7 @@
 )
 
 // claimWaitTests are the cases of TestClaimWaitIsLogged: how the last holder ends, and what the log of the next one
-// tells.
+// reports.
 var claimWaitTests = map[string]struct {
 	released, alive bool
 	unanswered      int
@@ -26,7 +26,7 @@
 	"it answers that it acts": {alive: true, want: []string{`reason="last_holder_acts"`, `lastHolderActs="1.`}},
 }
 
-// TestClaimWaitIsLogged guards against a free cell of which no line tells for what its claim waits.
+// TestClaimWaitIsLogged guards against a free cell whose claim waits without a log line that says why.
 func TestClaimWaitIsLogged(t *testing.T) {
 	for name, test := range claimWaitTests {
 		t.Run(name, func(t *testing.T) {
