--- a/archiver/cellarchive.go
+++ b/archiver/cellarchive.go
@@ -56,7 +56,11 @@
 		}
 		a.activeEpoch = save.ActiveEpoch
 	}
-	stored.ActiveEpoch = a.activeEpoch
+	contact, err := a.Archiver.Store.Get(ctx, contactPrefix+a.Cell)
+	if err != nil {
+		return stored, err
+	}
+	stored.Earlier = dispatcher.EarlierTraces{ActiveEpoch: a.activeEpoch, LastContact: max(item.Revision, contact.Revision)}
 	stored.Jobs, err = a.loadJobs(ctx)
 	return stored, err
 }
@@ -160,6 +164,22 @@
 	return err
 }
 
+// contactValue is the value of the keys below contactPrefix, of which only the revision counts.
+const contactValue = "{}"
+
+// Contact implements dispatcher.Archive.
+func (a *CellArchive) Contact(ctx context.Context) error {
+	_, err := a.Archiver.Store.Commit(ctx, platform.Transaction{
+		Expect: []platform.Expectation{{Key: TermPrefix + a.Cell, Revision: a.Epoch}},
+		Writes: []platform.Item{{Key: contactPrefix + a.Cell, Value: []byte(contactValue)}},
+	})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return dispatcher.ErrSuperseded
+	}
+	return err
+}
+
 // commit commits a transaction on condition that the term and the last save are
 // unchanged. It returns dispatcher.ErrSuperseded if the term has changed. After any
 // other conflict it adopts the revision of the last save, so that a retry can succeed.
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -84,6 +84,9 @@
 	// FullLeaseAge is the age of its newest confirmation up to which the holder grants leases of full
 	// duration; 0 if unknown.
 	FullLeaseAge time.Duration
+	// MaxIsolation is how long after its last write under its term the holder acts, and its leases last; 0 if
+	// that has no limit.
+	MaxIsolation time.Duration
 }
 
 type holderMessage struct {
@@ -93,6 +96,7 @@
 	Incarnation    string  `json:"incarnation"`
 	Processors     float64 `json:"processors,omitempty"`
 	FullLeaseAgeMS int64   `json:"full_lease_age_ms,omitempty"`
+	MaxIsolationMS int64   `json:"max_isolation_ms,omitempty"`
 	// LeasesMS holds Term.Leases of the next term. It is set when the cell is released.
 	LeasesMS map[string]int64 `json:"leases_ms,omitempty"`
 }
@@ -101,6 +105,7 @@
 	return holderMessage{
 		Process: h.Process, FailureDomain: h.FailureDomain, Address: h.Address, Incarnation: h.Incarnation,
 		Processors: h.Processors, FullLeaseAgeMS: h.FullLeaseAge.Milliseconds(),
+		MaxIsolationMS: h.MaxIsolation.Milliseconds(),
 	}
 }
 
@@ -108,6 +113,7 @@
 	return Holder{
 		Process: m.Process, FailureDomain: m.FailureDomain, Address: m.Address, Incarnation: m.Incarnation,
 		Processors: m.Processors, FullLeaseAge: time.Duration(m.FullLeaseAgeMS) * time.Millisecond,
+		MaxIsolation: time.Duration(m.MaxIsolationMS) * time.Millisecond,
 	}
 }
 
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -73,7 +73,7 @@
 	c := &claimer.Claimer{
 		Store: store, Clock: clockwork.NewRealClock(),
 		Prefix: "holders/", TermPrefix: "terms/", HomeCells: []string{domain},
-		Self:       claimer.Holder{Process: process, FailureDomain: domain, Address: "127.0.0.1:1", Incarnation: process + "/" + time.Now().String(), Processors: h.processors[process], FullLeaseAge: testFullLeaseAge},
+		Self:       claimer.Holder{Process: process, FailureDomain: domain, Address: "127.0.0.1:1", Incarnation: process + "/" + time.Now().String(), Processors: h.processors[process], FullLeaseAge: testFullLeaseAge, MaxIsolation: testIsolation},
 		HasWorkers: func(context.Context, string) bool { return h.withWorkers.Load() },
 		Hold: func(ctx context.Context, cell string, held claimer.Term) error {
 			if cell != "graz-a" {
--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -43,6 +43,21 @@
 	return longest
 }
 
+// EarlierIsolation returns the longest MaxIsolation of the earlier holders, 0 if one has none, or may be unknown.
+func (t Term) EarlierIsolation() time.Duration {
+	longest := time.Duration(0)
+	for _, e := range t.Earlier {
+		if e.MaxIsolation == 0 {
+			return 0
+		}
+		longest = max(longest, e.MaxIsolation)
+	}
+	if t.EarlierUnknown {
+		return 0
+	}
+	return longest
+}
+
 // EarlierHolder is the holder of an earlier term.
 type EarlierHolder struct {
 	Holder
--- a/claimer/earlier_test.go
+++ b/claimer/earlier_test.go
@@ -111,6 +111,9 @@
 				t.Errorf("the term has the leases %v, want %v", second.leases, test.leases)
 			}
 			for _, earlier := range second.earlier {
+				if earlier.MaxIsolation != testIsolation {
+					t.Errorf("longest isolation of %s = %v, want %v", earlier.Process, earlier.MaxIsolation, testIsolation)
+				}
 				if earlier.FullLeaseAge != testFullLeaseAge {
 					t.Errorf("full lease age of %s = %v, want %v", earlier.Process, earlier.FullLeaseAge, testFullLeaseAge)
 				}
@@ -126,6 +129,30 @@
 // testFullLeaseAge is the FullLeaseAge of the processes of these tests.
 const testFullLeaseAge = 500 * time.Millisecond
 
+// testIsolation is the MaxIsolation of the processes of these tests.
+const testIsolation = 7500 * time.Millisecond
+
+// TestEarlierIsolation guards against a holder that is taken for ended although nothing bounds how long it acts.
+func TestEarlierIsolation(t *testing.T) {
+	bounded := claimer.EarlierHolder{Holder: claimer.Holder{Process: "edge-1", MaxIsolation: testIsolation}}
+	longer := claimer.EarlierHolder{Holder: claimer.Holder{Process: "edge-2", MaxIsolation: 2 * testIsolation}}
+	tests := map[string]struct {
+		term claimer.Term
+		want time.Duration
+	}{
+		"all are bounded":              {term: claimer.Term{Earlier: []claimer.EarlierHolder{bounded, longer, bounded}}, want: 2 * testIsolation},
+		"one is of an earlier build":   {term: claimer.Term{Earlier: []claimer.EarlierHolder{bounded, {}}}},
+		"there may be further holders": {term: claimer.Term{Earlier: []claimer.EarlierHolder{bounded}, EarlierUnknown: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.term.EarlierIsolation(); got != test.want {
+				t.Errorf("EarlierIsolation() = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // TestEarlierFullLeaseAge guards against two runs of a task: a new holder takes the leases of an earlier
 // build, which don't count from its newest confirmation, for expired too early.
 func TestEarlierFullLeaseAge(t *testing.T) {
--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -112,6 +112,9 @@
 	// Workers that refused connections for longer than their lease counted as crashed under starts that
 	// never reached them, and three such counts ended a job. Failed on d15cb91 (issue 49).
 	"jobs failed for refused connections": {seed: 30010, length: 17 * time.Second, refusals: true},
+	// A holder was lost for good with most of its workers, and the next one never acted. Failed in each run on
+	// c24de96.
+	"cell stays inactive after a holder and most workers are lost": {seed: 60016, lostHolder: true},
 	// The same with frozen holders and late starts.
 	"jobs failed for refused connections and late starts": {seed: 30007, length: 17 * time.Second, refusals: true},
 }
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -52,6 +52,10 @@
 	// duration. An older one shortens them by the rest, so that no lease lasts longer than
 	// FullLeaseAge and LeaseDuration after the holder was last confirmed.
 	FullLeaseAge time.Duration
+	// MaxIsolation is how long after its last contact (Cell.Contacted) the holder acts, and its leases last, by the
+	// holder's clock; 0 is without limit. It turns a holder that is lost, and may act with workers that are
+	// lost as well, into one that has ended by a known time.
+	MaxIsolation time.Duration
 	// StateRetention is how long the state of a final job is kept.
 	StateRetention time.Duration
 	// RemoteFactor is how many times as long a task takes outside the rack of its data or of its
@@ -114,6 +118,9 @@
 	// earlierEndedAt is a time by which all earlier holders have certainly stopped acting, zero
 	// if none is known.
 	earlierEndedAt time.Time
+	// earlierExpiredAt is a time by which all leases that earlier holders granted have expired as well, zero if
+	// that follows only from the ends of those holders.
+	earlierExpiredAt time.Time
 	// inactiveSince is since when the holder doesn't act, zero while it does, and
 	// inactivityReportedAt when that was last reported.
 	inactiveSince, inactivityReportedAt time.Time
@@ -133,6 +140,8 @@
 	// termCheckedAt is when the newest check of the store began that showed that no other
 	// holder's term has begun.
 	termCheckedAt time.Time
+	// contactAt is when the newest contact of the holder began.
+	contactAt time.Time
 	// pendingStops are the runs to stop whose stop the worker hasn't accepted yet.
 	pendingStops []*run
 	// headrooms estimates the headroom of long-running tasks and the effect of
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -11,7 +11,7 @@
 // of this epoch, so that no other holder can have become active. Where no worker is left there
 // is nothing to act on but the store, which takes changes under the newest term only.
 func (c *Cell) Confirmed(now time.Time) bool {
-	if !c.active {
+	if !c.active || c.isolated(now) {
 		return false
 	}
 	return c.majority(now, func(w *worker) bool { return c.confirms(now, w) }) || !c.hasVoters(now)
@@ -112,8 +112,13 @@
 }
 
 // leaseDuration returns how long a lease that is granted now lasts. It counts from the newest confirmation
-// of the holder if that is older than FullLeaseAge.
+// of the holder if that is older than FullLeaseAge, and ends with the holder's isolation.
 func (c *Cell) leaseDuration(now time.Time) time.Duration {
+	return min(c.confirmedLeaseDuration(now), c.isolationLeft(now))
+}
+
+// confirmedLeaseDuration returns how long a lease that is granted now lasts by the newest confirmation of the holder.
+func (c *Cell) confirmedLeaseDuration(now time.Time) time.Duration {
 	if c.termCheckedAt.After(c.resumedAt) && now.Sub(c.termCheckedAt) <= c.Limits.FullLeaseAge {
 		return c.Limits.LeaseDuration
 	}
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -12,10 +12,25 @@
 
 // EarlierHolders finds out whether the earlier holders of a cell have ended.
 type EarlierHolders interface {
-	// Ended reports whether all holders of earlier terms have certainly stopped acting, and a time by
-	// which they have, which may be yet to come. A holder became active under activeEpoch, so that those
-	// of terms before that stop soon.
-	Ended(ctx context.Context, activeEpoch int64) (at time.Time, ended bool)
+	// Ended reports whether all holders of earlier terms have certainly stopped acting.
+	Ended(ctx context.Context, traces EarlierTraces) (EarlierEnd, bool)
+}
+
+// EarlierTraces is what earlier holders have left in the store.
+type EarlierTraces struct {
+	// ActiveEpoch is the newest epoch under which a holder became active, so that those of terms before that
+	// stop within Limits.MaxConfirmationAge; 0 if none is stored.
+	ActiveEpoch int64
+	// LastContact is the revision of the newest save or contact of any of them; 0 if there is none.
+	LastContact int64
+}
+
+// EarlierEnd is when all holders of earlier terms have stopped acting.
+type EarlierEnd struct {
+	// At is a time by which they have, which may be yet to come.
+	At time.Time
+	// LeasesExpired is true if all leases that they granted have expired by then too.
+	LeasesExpired bool
 }
 
 // EarlierHoldersEnded records that all earlier holders have certainly stopped acting by a time.
@@ -28,6 +43,15 @@
 	c.record(recorder.Event{Kind: KindCell, Detail: "all earlier holders have ended"})
 }
 
+// EarlierHoldersExpired records that all earlier holders have certainly stopped acting by a time, by which all leases
+// that they granted have expired.
+func (c *Cell) EarlierHoldersExpired(at time.Time) {
+	if c.earlierEndedAt.IsZero() {
+		c.earlierExpiredAt = at
+	}
+	c.EarlierHoldersEnded(at)
+}
+
 // AwaitsEarlierHolders reports whether it matters that the earlier holders aren't known to have
 // ended: a worker that one of them used hasn't answered, or only another process of it, or no worker is left.
 func (c *Cell) AwaitsEarlierHolders(now time.Time) bool {
@@ -70,15 +94,20 @@
 
 // askEarlierHolders asks once whether the earlier holders have ended.
 func (r *Runner) askEarlierHolders(ctx context.Context) {
-	at, ended := r.EarlierHolders.Ended(ctx, r.activeEpoch)
+	end, ended := r.EarlierHolders.Ended(ctx, r.earlierTraces)
 	if !ended {
 		r.sleep(ctx, earlierHoldersRetryDelay)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.askingEarlierHolders = false
-	if ended {
-		r.Cell.EarlierHoldersEnded(at)
-		signal(r.wake)
+	switch {
+	case !ended:
+		return
+	case end.LeasesExpired:
+		r.Cell.EarlierHoldersExpired(end.At)
+	default:
+		r.Cell.EarlierHoldersEnded(end.At)
 	}
+	signal(r.wake)
 }
--- a/dispatcher/earlierlease.go
+++ b/dispatcher/earlierlease.go
@@ -72,7 +72,11 @@
 		granted = ended
 	}
 	longest := time.Duration(float64(c.Limits.LeaseDuration) / minClockRate)
-	return granted.Add(longest + leaseExpiryMargin)
+	end := granted.Add(longest + leaseExpiryMargin)
+	if expired := c.earlierExpiredAt; !expired.IsZero() && expired.Before(end) {
+		return expired
+	}
+	return end
 }
 
 // earlierLeaseEnd returns when all leases that earlier holders granted on runs of a worker have certainly
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -57,6 +57,9 @@
 	Save(ctx context.Context, batch *Batch) error
 	// CheckTerm returns nil if the holder's term is the newest in the store.
 	CheckTerm(ctx context.Context) error
+	// Contact does the same and leaves a trace in the store, by which the next holder knows until when this one
+	// may act.
+	Contact(ctx context.Context) error
 }
 
 // OtherCells gives access to the other cells.
@@ -74,9 +77,8 @@
 	Jobs []StoredJob
 	// Workers are the workers on which tasks of the cell may run.
 	Workers []Registration
-	// ActiveEpoch is the newest epoch under which a holder became active; 0 if none is stored.
-	// Holders of earlier terms stop acting within Limits.MaxConfirmationAge after that.
-	ActiveEpoch int64
+	// Earlier is what earlier holders have left.
+	Earlier EarlierTraces
 }
 
 // StoredJob is the stored state of a job.
@@ -110,6 +112,9 @@
 	// SuspendedTime, if set, returns for how long in all the VM has been suspended, which
 	// Clock doesn't count.
 	SuspendedTime func() time.Duration
+	// OutageSeen, if set, returns when this process last began to find that the store is down for all
+	// processes, zero if it never has.
+	OutageSeen func() time.Time
 
 	mu      sync.Mutex
 	loaded  chan struct{}
@@ -128,8 +133,8 @@
 	// checkingTerm is true while the store is asked whether the term is still the newest, termUnconfirmed if the
 	// last such question got no answer.
 	checkingTerm, termUnconfirmed bool
-	// activeEpoch is the newest epoch under which an earlier holder became active.
-	activeEpoch int64
+	// earlierTraces is what earlier holders have left in the store.
+	earlierTraces EarlierTraces
 	// askingEarlierHolders is true while EarlierHolders is asked.
 	askingEarlierHolders bool
 	goroutines           sync.WaitGroup
@@ -231,7 +236,7 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	r.Cell.TermChecked(checked)
-	r.activeEpoch = stored.ActiveEpoch
+	r.earlierTraces = stored.Earlier
 	for _, registration := range stored.Workers {
 		r.Cell.RestoreWorker(now, registration)
 	}
@@ -263,6 +268,7 @@
 func (r *Runner) runOnce(ctx context.Context) bool {
 	r.mu.Lock()
 	r.detectSuspension()
+	r.noteOutage()
 	orders := r.Cell.Plan(r.Clock.Now())
 	superseded := r.Cell.Superseded()
 	changed, _ := r.Cell.Changed()
--- a/dispatcher/term.go
+++ b/dispatcher/term.go
@@ -29,7 +29,7 @@
 // mayAct reports whether no other holder can have become active for longer than this one's
 // orders are allowed for: a majority of the workers or the store has recently confirmed it.
 func (c *Cell) mayAct(now time.Time) bool {
-	return c.active && !c.superseded && (c.Confirmed(now) || c.storeConfirms(now))
+	return c.active && !c.superseded && !c.isolated(now) && (c.Confirmed(now) || c.storeConfirms(now))
 }
 
 // fullLeaseCheckAge is the age of the newest confirmation at which the store is asked, so that leases
@@ -65,7 +65,8 @@
 
 // checkTermIfDue begins a check of the term; the caller holds mu.
 func (r *Runner) checkTermIfDue(ctx context.Context) {
-	if r.checkingTerm || !r.Cell.TermCheckDue(r.Clock.Now()) {
+	now := r.Clock.Now()
+	if r.checkingTerm || !r.Cell.TermCheckDue(now) && !r.Cell.ContactDue(now) {
 		return
 	}
 	r.checkingTerm = true
@@ -75,7 +76,14 @@
 // checkTerm asks the store once whether the holder's term is still the newest.
 func (r *Runner) checkTerm(ctx context.Context) {
 	began := r.Clock.Now()
-	err := r.Archive.CheckTerm(ctx)
+	r.mu.Lock()
+	contact := r.Cell.ContactDue(began)
+	r.mu.Unlock()
+	check := r.Archive.CheckTerm
+	if contact {
+		check = r.Archive.Contact
+	}
+	err := check(ctx)
 	if unconfirmed := err != nil; unconfirmed != r.termUnconfirmed {
 		klog.InfoS("Check of the term changed", "cell", r.Cell.Name, "confirmed", !unconfirmed, "err", err)
 		r.termUnconfirmed = unconfirmed
@@ -87,6 +95,9 @@
 	defer r.mu.Unlock()
 	r.checkingTerm = false
 	switch {
+	case err == nil && contact:
+		r.Cell.Contacted(began)
+		r.Cell.TermChecked(began)
 	case err == nil:
 		r.Cell.TermChecked(began)
 	case errors.Is(err, ErrSuperseded):
--- a/earlierholders.go
+++ b/earlierholders.go
@@ -10,6 +10,7 @@
 
 	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
+	"zinniashore.example/historian"
 	"zinniashore.example/relayer"
 )
 
@@ -22,11 +23,17 @@
 	term  claimer.Term
 	clock clockwork.Clock
 	peers *relayer.Client
+	// history tells for how long a trace of an earlier holder has been in the store.
+	history *historian.Historian
+	// othersReachStore reports whether a holder of another cell reaches the store, unless no other process holds one.
+	othersReachStore func(ctx context.Context) bool
 
 	// ended holds the epochs of the holders that have ended, reported is true once one that
-	// hasn't was logged. Only Ended uses them, which isn't called concurrently.
+	// hasn't was logged. Only Ended uses these, which isn't called concurrently.
 	ended    map[int64]bool
 	reported bool
+	// isolationReported is true once it was logged until when earlier holders may act.
+	isolationReported bool
 	// askedAt is when Ended was first called.
 	askedAt time.Time
 }
@@ -45,12 +52,24 @@
 	return names
 }
 
-// Ended implements dispatcher.EarlierHolders. A holder of a term before that of activeEpoch isn't asked. It may act
-// for maxConfirmationAge after that term's holder became active.
-func (e *earlierHolders) Ended(ctx context.Context, activeEpoch int64) (time.Time, bool) {
+// Ended implements dispatcher.EarlierHolders. Holders that don't answer have ended once their last trace in the store is
+// old enough.
+func (e *earlierHolders) Ended(ctx context.Context, traces dispatcher.EarlierTraces) (dispatcher.EarlierEnd, bool) {
 	if e.term.EarlierUnknown {
-		return time.Time{}, false
+		return dispatcher.EarlierEnd{}, false
+	}
+	if at, ended := e.askAll(ctx, traces.ActiveEpoch); ended {
+		return dispatcher.EarlierEnd{At: at}, true
+	}
+	if at, ended := e.isolationEnd(ctx, traces.LastContact); ended {
+		return dispatcher.EarlierEnd{At: at, LeasesExpired: true}, true
 	}
+	return dispatcher.EarlierEnd{}, false
+}
+
+// askAll asks the earlier holders whether they have ended, and returns a time by which all have. A holder of a term
+// before that of activeEpoch isn't asked. It may act for maxConfirmationAge after that term's holder became active.
+func (e *earlierHolders) askAll(ctx context.Context, activeEpoch int64) (time.Time, bool) {
 	if e.askedAt.IsZero() {
 		e.askedAt = e.clock.Now()
 	}
@@ -69,6 +88,44 @@
 	return at, all
 }
 
+// isolationEnd returns when all earlier holders have stopped acting and their leases have expired, by the newest trace
+// that one of them has left, and whether that time has passed. An outage of the store may have let them act on
+// without one. This process mustn't be cut off itself: another one has to reach the store too.
+func (e *earlierHolders) isolationEnd(ctx context.Context, lastContact int64) (time.Time, bool) {
+	isolation := e.term.EarlierIsolation()
+	if isolation == 0 {
+		return time.Time{}, false
+	}
+	for _, holder := range e.term.Earlier {
+		lastContact = max(lastContact, holder.Epoch)
+	}
+	since, known := e.history.Since(lastContact)
+	if !known {
+		return time.Time{}, false
+	}
+	end := dispatcher.IsolationEnd(since, isolation)
+	if now := e.clock.Now(); now.Before(end) {
+		e.reportIsolation(lastContact, since, end.Sub(now))
+		return time.Time{}, false
+	}
+	if !e.othersReachStore(ctx) {
+		return time.Time{}, false
+	}
+	klog.InfoS("Earlier holders of the cell have ended, as their last contact with the store is old", "cell", e.cell,
+		"lastContact", lastContact, "for", e.clock.Since(since))
+	return end, true
+}
+
+// reportIsolation logs once until when the earlier holders may act.
+func (e *earlierHolders) reportIsolation(lastContact int64, since time.Time, left time.Duration) {
+	if e.isolationReported {
+		return
+	}
+	e.isolationReported = true
+	klog.InfoS("Earlier holders of the cell that don't answer may act for a while", "cell", e.cell,
+		"lastContact", lastContact, "for", e.clock.Since(since), "left", left)
+}
+
 // holderEnded reports whether an earlier holder has certainly stopped acting.
 func (e *earlierHolders) holderEnded(ctx context.Context, holder claimer.EarlierHolder) bool {
 	if e.ended[holder.Epoch] {
--- a/heldcells.go
+++ b/heldcells.go
@@ -13,6 +13,7 @@
 	"zinniashore.example/archiver"
 	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
+	"zinniashore.example/historian"
 	"zinniashore.example/platform"
 	"zinniashore.example/relayer"
 	"zinniashore.example/watcher"
@@ -44,6 +45,9 @@
 	// fullLeaseAge covers the time between two saves of a busy cell, or two checks of the term of
 	// another one. A new holder waits for as much longer before it takes earlier leases for expired.
 	fullLeaseAge = 500 * time.Millisecond
+	// maxIsolation is how long a holder acts, and its leases last, without a contact. It outlasts the usual cuts of a
+	// failure domain, and leaves time to run the tasks of one that is lost elsewhere.
+	maxIsolation = 7500 * time.Millisecond
 )
 
 // heldCells runs the cells that this process holds.
@@ -60,6 +64,11 @@
 
 	// peers sends requests to earlier holders.
 	peers *relayer.Client
+	// history is when the store had reached which revision.
+	history *historian.Historian
+	// others are the holders of the other cells; outageSeen is dispatcher.Runner.OutageSeen.
+	others     *otherHolders
+	outageSeen func() time.Time
 
 	mu      sync.Mutex
 	runners map[string]heldCell
@@ -114,6 +123,7 @@
 		PollWait:           pollWait,
 		MaxConfirmationAge: maxConfirmationAge,
 		FullLeaseAge:       fullLeaseAge,
+		MaxIsolation:       isolationLimit(h.settings),
 		StateRetention:     h.settings.StateRetention,
 		RemoteFactor:       h.settings.RemoteFactor,
 		CheckpointInterval: h.settings.CheckpointInterval,
@@ -130,7 +140,11 @@
 	runner := dispatcher.NewRunner(state, h.clock, h.workers, archive)
 	runner.OtherCells = h.selector
 	runner.SuspendedTime = suspendedTime
-	runner.EarlierHolders = &earlierHolders{cell: cell, term: term, clock: h.clock, peers: h.peers}
+	runner.OutageSeen = h.outageSeen
+	runner.EarlierHolders = &earlierHolders{
+		cell: cell, term: term, clock: h.clock, peers: h.peers, history: h.history, othersReachStore: h.others.anyReachesStore,
+	}
+	runner.Cell.Contacted(term.ClaimedAt)
 	runner.Cell.EarlierTerms = describeEarlier(term)
 	if !h.set(cell, heldCell{runner: runner, epoch: term.Epoch, stop: stop}) {
 		return dispatcher.ErrSuperseded
@@ -145,6 +159,15 @@
 	return group.Wait()
 }
 
+// isolationLimit returns how long a holder acts without a contact; 0 is without limit. Where there is one failure domain,
+// nothing tells an outage of the store from a cut.
+func isolationLimit(settings platform.Settings) time.Duration {
+	if len(settings.FailureDomains) < 2 {
+		return 0
+	}
+	return maxIsolation
+}
+
 // watches returns the watches that keep the runner of a cell up to date.
 func (h *heldCells) watches(cell string, runner *dispatcher.Runner) []watcher.Watcher {
 	watches := []watcher.Watcher{
--- a/heldcells_test.go
+++ b/heldcells_test.go
@@ -32,6 +32,10 @@
 
 func (unreachableArchive) Save(context.Context, *dispatcher.Batch) error { return nil }
 
+func (unreachableArchive) Contact(context.Context) error {
+	return errors.New("the store is unreachable")
+}
+
 func (unreachableArchive) CheckTerm(context.Context) error {
 	return errors.New("the store is unreachable")
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -28,11 +28,19 @@
 
 // Peers queries processes in other failure domains.
 type Peers interface {
-	// ReachStore returns the number of peers that answered and how many of those
-	// can reach the store.
-	ReachStore(ctx context.Context) (answered, reaching int)
+	// ReachStore asks the peers whether they can reach the store.
+	ReachStore(ctx context.Context) PeerAnswers
 }
 
+// PeerAnswers counts the peers that were asked, those that answered, and those that can reach the store.
+type PeerAnswers struct{ Asked, Answered, Reaching int }
+
+// isolated reports whether peers may reach the store: one answered that it can, or none answered.
+func (a PeerAnswers) isolated() bool { return a.Answered == 0 || a.Reaching > 0 }
+
+// outage reports whether the store is down for all: most peers answered, and none can reach it.
+func (a PeerAnswers) outage() bool { return 2*a.Answered > a.Asked && a.Reaching == 0 }
+
 // Prober probes the store periodically. Its exported fields are set before Run.
 type Prober struct {
 	Store Store
@@ -43,6 +51,8 @@
 	// unreachable is whether the last probe of the store failed; isolated is whether
 	// peers may reach the store although this process does not.
 	unreachable, isolated bool
+	// outageSeen is when the newest probe began that found the store down for all.
+	outageSeen time.Time
 }
 
 // StoreReached reports whether the store responded to the last probe. It reports
@@ -63,6 +73,14 @@
 	return p.isolated
 }
 
+// OutageSeen returns when the newest probe began that found the store down for all: neither this process nor a
+// peer can reach it, and most peers answered; zero if none has.
+func (p *Prober) OutageSeen() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.outageSeen
+}
+
 // Run probes the store until ctx is done. It always returns nil.
 func (p *Prober) Run(ctx context.Context) error {
 	for {
@@ -76,6 +94,7 @@
 }
 
 func (p *Prober) probe(ctx context.Context) {
+	began := p.Clock.Now()
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	err := p.Store.Probe(limited)
 	cancel()
@@ -88,8 +107,17 @@
 	}
 	limited, cancel = context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	answered, reaching := p.Peers.ReachStore(limited)
-	p.update(true, answered == 0 || reaching > 0, err)
+	answers := p.Peers.ReachStore(limited)
+	p.update(true, answers.isolated(), err)
+	if answers.outage() {
+		p.noteOutage(began)
+	}
+}
+
+func (p *Prober) noteOutage(began time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outageSeen = began
 }
 
 // update stores the result of a probe and logs a change.
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -15,9 +15,14 @@
 
 func (s fakeStore) Probe(context.Context) error { return s.err }
 
+// askedPeers is the number of peers.
+const askedPeers = 3
+
 type fakePeers struct{ answered, reaching int }
 
-func (p fakePeers) ReachStore(context.Context) (int, int) { return p.answered, p.reaching }
+func (p fakePeers) ReachStore(context.Context) prober.PeerAnswers {
+	return prober.PeerAnswers{Asked: askedPeers, Answered: p.answered, Reaching: p.reaching}
+}
 
 func TestProber(t *testing.T) {
 	down := errors.New("no answer")
@@ -26,11 +31,13 @@
 		peers        fakePeers
 		wantReached  bool
 		wantIsolated bool
+		wantOutage   bool
 	}{
 		"the store answers":              {peers: fakePeers{answered: 2, reaching: 2}, wantReached: true},
 		"the store refuses this process": {store: down, peers: fakePeers{answered: 2, reaching: 1}, wantIsolated: true},
 		"this process is cut off":        {store: down, wantIsolated: true},
-		"the store is down for all":      {store: down, peers: fakePeers{answered: 2}},
+		"the store is down for all":      {store: down, peers: fakePeers{answered: 2}, wantOutage: true},
+		"few peers answer":               {store: down, peers: fakePeers{answered: 1}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -52,6 +59,9 @@
 			if p.StoreReached() != test.wantReached || p.Isolated() != test.wantIsolated {
 				t.Errorf("reached %v, isolated %v; want %v, %v", p.StoreReached(), p.Isolated(), test.wantReached, test.wantIsolated)
 			}
+			if got := !p.OutageSeen().IsZero(); got != test.wantOutage {
+				t.Errorf("an outage for all is seen: %v, want %v", got, test.wantOutage)
+			}
 			cancel()
 			<-done
 		})
--- a/scheduler.go
+++ b/scheduler.go
@@ -20,6 +20,7 @@
 	"zinniashore.example/archiver"
 	"zinniashore.example/claimer"
 	"zinniashore.example/evacuator"
+	"zinniashore.example/historian"
 	"zinniashore.example/meter"
 	"zinniashore.example/partitioner"
 	"zinniashore.example/platform"
@@ -121,6 +122,8 @@
 
 func (s *Scheduler) build() {
 	s.store = platform.NewStore(s.Settings.StoreAddress)
+	history := &historian.Historian{Clock: s.Clock}
+	s.store.Reached = history.Reached
 	archive := &archiver.Archiver{Store: s.store}
 	s.partition = &sharedPartition{}
 	s.partitioner = &partitioner.Partitioner{
@@ -137,12 +140,13 @@
 	s.configurations.changed = s.heldCells.setServices
 	s.evacuations = &evacuator.Tracker{Changed: s.heldCells.setEvacuated}
 	s.peerClient = &relayer.Client{}
-	s.heldCells.peers = s.peerClient
+	s.heldCells.peers, s.heldCells.history = s.peerClient, history
 	s.claimer = &claimer.Claimer{
 		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix,
 		Self: claimer.Holder{
 			Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Address: s.Settings.PeerAddress,
 			Incarnation: uuid.NewString(), Processors: s.Settings.Processors, FullLeaseAge: fullLeaseAge,
+			MaxIsolation: isolationLimit(s.Settings),
 		},
 		AssumedProcessors: wholeProcessor,
 		Hold:              s.heldCells.run,
@@ -157,10 +161,9 @@
 		capacities: &capacityQueries{claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient},
 	}
 	s.heldCells.selector = selector
-	s.prober = &prober.Prober{
-		Store: s.store, Clock: s.Clock,
-		Peers: &otherHolders{self: s.Settings.Process, failureDomain: s.Settings.FailureDomain, partition: s.partition, claimer: s.claimer, peers: s.peerClient},
-	}
+	others := &otherHolders{self: s.Settings.Process, failureDomain: s.Settings.FailureDomain, partition: s.partition, claimer: s.claimer, peers: s.peerClient}
+	s.prober = &prober.Prober{Store: s.store, Clock: s.Clock, Peers: others}
+	s.heldCells.others, s.heldCells.outageSeen = others, s.prober.OutageSeen
 	s.intake = acceptor.NewIntake(s.Clock, archive)
 	serving, endRequests := context.WithCancel(context.Background())
 	s.endRequests = endRequests
