--- a/claimer/takeover.go
+++ b/claimer/takeover.go
@@ -15,6 +15,9 @@
 	// abandoned. Registrations of a failure domain that was cut off may be back before its
 	// holder's.
 	abandonmentPeriod = 2 * time.Second
+	// lostDomainDelay is how long a cell whose workers aren't registered either is left to its last holder. Most cuts of a
+	// failure domain are over by then, and the authority of a holder that is lost, or cut off for longer, soon ends.
+	lostDomainDelay = 5500 * time.Millisecond
 	// outsideRankDelay separates the claims of processes of other failure domains,
 	// secondCellDelay delays that of one that already holds a cell.
 	outsideRankDelay = 200 * time.Millisecond
@@ -37,19 +40,38 @@
 // abandoned reports whether no process of the cell's failure domain holds a free cell or is going
 // to. A cell that was released has no holder that acts. Otherwise the last holder may be cut off from the
 // store or from this process: then its workers aren't registered, or it answers that it still
-// has them.
+// has them. Of a holder that doesn't answer nothing more is known after lostDomainDelay.
 func (k *candidacy) abandoned(ctx context.Context) bool {
 	if k.released() {
 		return true
 	}
-	acts := k.lastHolderActs(ctx)
-	if acts || !k.HasWorkers(ctx, k.cell) {
+	if k.lastHolderActs(ctx) {
 		k.setAbandoned(time.Time{})
 		return false
 	}
+	if !k.HasWorkers(ctx, k.cell) {
+		k.setAbandoned(time.Time{})
+		return k.lost()
+	}
 	return k.abandonedFor() >= abandonmentPeriod
 }
 
+// lost reports whether the failure domain of a free cell is to be taken for lost. A last holder whose authority doesn't
+// end by itself keeps the cell, as a next one couldn't act.
+func (k *candidacy) lost() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if last, found := k.lastHolders[k.cell]; found && last.MaxIsolation == 0 || k.freeSince.IsZero() {
+		return false
+	}
+	free := k.Clock.Now().Sub(k.freeSince)
+	if free < lostDomainDelay+k.claimDelay()-takeoverDelay {
+		return false
+	}
+	klog.InfoS("Cell of a failure domain that is silent has no holder", "cell", k.cell, "for", free)
+	return true
+}
+
 // released reports whether the last holder has released the cell.
 func (k *candidacy) released() bool {
 	k.mu.Lock()
--- a/cmd/zinniashore/soakrefusals_test.go
+++ b/cmd/zinniashore/soakrefusals_test.go
@@ -245,6 +245,8 @@
 		return soakRefusalsLongRunning
 	case s.lostHolder:
 		return soakLostLongRunning
+	case s.lostDomain:
+		return soakDomainLongRunning
 	}
 	return soakLongRunningEvery
 }
--- a/dispatcher/isolation_test.go
+++ b/dispatcher/isolation_test.go
@@ -154,3 +154,37 @@
 		})
 	}
 }
+
+// TestTasksOfLostCell guards against accepted jobs that run nowhere: their failure domain was lost with its processes and
+// workers, and the process of another one that holds their cell keeps them.
+func TestTasksOfLostCell(t *testing.T) {
+	s := newIsolatedSimulation(4)
+	s.submit(longRunningJob(jobID, 2, 1500))
+	s.submit(plainJob(otherID, 2, 6*time.Second, 1))
+	s.runFor(time.Second)
+	contact := s.now
+	for _, f := range s.workers {
+		s.unregister(f)
+		f.reboot()
+		f.reachable = false
+	}
+	s.pauseHolder(8 * time.Second)
+	s.changeHolder()
+	s.limitIsolation()
+	s.cell.EarlierHoldersExpired(dispatcher.IsolationEnd(contact, testIsolation))
+	s.runFor(registrationGrace + time.Second)
+	if id, _, found := s.cell.NextToDelegate(s.now); !found || id.Job != jobID {
+		t.Errorf("a task of %q is to be delegated (%v), want one of the long-running job", id.Job, found)
+	}
+	id, _, found := s.cell.NextToRelocate(s.now)
+	if !found || id.Job != otherID || !s.cell.Relocate(s.now, id, "graz-b") {
+		t.Fatalf("the job %q is to be relocated (%v), want the short one", id.Job, found)
+	}
+	s.step(50 * time.Millisecond)
+	if len(s.archive.relocations) != 1 || s.archive.relocations[0].Job.ID != otherID {
+		t.Errorf("relocations = %+v, want that of the short job", s.archive.relocations)
+	}
+}
+
+// registrationGrace is how long workers may be missing from the registry before they count as gone.
+const registrationGrace = 3 * time.Second
