--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -10,8 +10,8 @@
 	delegationInterval = 150 * time.Millisecond
 	// maxOffersPerRound is how many tasks are offered to other cells in a row.
 	maxOffersPerRound = 16
-	// deliveryTimeout is how long the next offer waits until a delegated part is stored and
-	// the other cell has it. Until then that cell's free capacity includes the part's.
+	// deliveryTimeout is how long the next offer waits until a delegated part, or a relocated job, is stored and
+	// the other cell has it. Until then that cell's free capacity includes what it takes.
 	deliveryTimeout = 500 * time.Millisecond
 )
 
@@ -81,24 +81,30 @@
 	return r.OtherCells.FindCell(ctx, append(home, partCells...), service, step, true)
 }
 
-// relocateOnce offers the next job that no worker of the cell can run to the other cells. It reports
+// relocateOnce offers the next job that has no room in the cell to the other cells. It reports
 // whether there was one.
 func (r *Runner) relocateOnce(ctx context.Context) bool {
 	r.mu.Lock()
-	id, job, found := r.Cell.NextToRelocate(r.Clock.Now())
+	now := r.Clock.Now()
+	id, job, found := r.Cell.NextToRelocate(now)
+	needed, later := r.Cell.PlacesToMove(now, id)
 	r.mu.Unlock()
 	if !found {
 		return r.returnOnce()
 	}
-	cell, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, job.Steps[id.Step], true)
+	cell, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, job.Steps[id.Step], later)
+	relocated := false
 	r.mu.Lock()
-	if places == 0 {
+	if places < needed {
 		r.Cell.RelocationUnplaced(r.Clock.Now(), id)
 	} else {
-		r.Cell.Relocate(r.Clock.Now(), id, cell)
+		relocated = r.Cell.Relocate(r.Clock.Now(), id, cell)
 	}
 	r.mu.Unlock()
 	signal(r.changed)
+	if relocated {
+		r.awaitDelivery(ctx)
+	}
 	return true
 }
 
@@ -132,7 +138,7 @@
 // third cell may find the same places.
 func shareOfPlaces(places int) int { return (places + 1) / 2 }
 
-// awaitDelivery waits until the delegated part has been sent to its cell, for at most
+// awaitDelivery waits until the delegated part, or the relocated job, has been sent to its cell, for at most
 // deliveryTimeout.
 func (r *Runner) awaitDelivery(ctx context.Context) {
 	select {
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -20,16 +20,16 @@
 	Job Job
 }
 
-// NextToRelocate returns a task that no worker of the cell can run, whatever capacity is
-// free, with its job, which may be relocated to another cell: nothing of it is active here or elsewhere. Of
-// several it is the one whose last offer is longest ago.
+// NextToRelocate returns a task that has no room in the cell, with its job, which may be relocated to another cell:
+// nothing of it is active here or elsewhere. Of several it is the one whose last offer is longest ago.
 func (c *Cell) NextToRelocate(now time.Time) (TaskID, Job, bool) {
 	if c.pendingRelocation != nil || !c.mayAct(now) {
 		return TaskID{}, Job{}, false
 	}
 	var longest *task
+	lacking := c.newRoomless(now)
 	for _, t := range c.ready {
-		if (longest == nil || t.refusedAt.Before(longest.refusedAt)) && c.relocatable(now, t) {
+		if (longest == nil || t.refusedAt.Before(longest.refusedAt)) && c.relocatable(now, t, lacking) {
 			longest = t
 		}
 	}
@@ -40,7 +40,7 @@
 }
 
 // relocatable reports whether the job of a waiting task may be relocated, and has to be.
-func (c *Cell) relocatable(now time.Time, t *task) bool {
+func (c *Cell) relocatable(now time.Time, t *task, lacking *roomless) bool {
 	j := t.job()
 	switch {
 	case t.movable() || t.remote || j.job.Part != nil || j.running > 0 || j.state.Final():
@@ -48,31 +48,15 @@
 	case now.Sub(t.readyAt) < delegationDelay || now.Sub(t.refusedAt) < delegationRetryDelay:
 		return false
 	}
-	return !c.mayHaveRun(now, t) && !c.capable(t) && len(j.partCells()) == 0 && !c.hasUnconfirmedCrash(j)
+	return !c.mayHaveRun(now, t) && (lacking.has(t) || !c.capable(t)) && len(j.partCells()) == 0 && !c.hasUnconfirmedCrash(j)
 }
 
-// Capable reports whether a worker of the cell could run a task if all of its capacity were free.
+// Capable reports whether the workers of the cell could run a task if all of their capacity were free.
 func (c *Cell) Capable(now time.Time, id TaskID) bool {
 	t := c.task(now, id)
 	return t != nil && c.capable(t)
 }
 
-// capable reports whether a worker of the cell could run a task if all of its capacity were free. A
-// worker that may register again counts, as its capacity may not be known. One of an evacuated failure
-// domain doesn't: nobody knows when the domain is taken back.
-func (c *Cell) capable(t *task) bool {
-	step := t.step.step
-	for _, w := range c.workers {
-		suitable := w.registration.Phase != PhaseDraining && !c.evacuated.Contains(w.registration.FailureDomain) &&
-			w.registration.Service == t.job().job.Queue.Service && w.hasLabel(step.Label)
-		large := w.registered && w.registration.Capacity.Holds(step.Size)
-		if suitable && (large || !w.registered && !c.gone(w)) {
-			return true
-		}
-	}
-	return false
-}
-
 // RelocationUnplaced records that no other cell could run a task. That applies to all waiting tasks that
 // need as much, so that many jobs that can never run cost few questions.
 func (c *Cell) RelocationUnplaced(now time.Time, id TaskID) {
@@ -80,10 +64,9 @@
 	if unplaced == nil {
 		return
 	}
-	service, step := unplaced.job().job.Queue.Service, unplaced.step.step
+	least := needOf(unplaced)
 	for _, t := range c.ready {
-		s := t.step.step
-		if t.job().job.Queue.Service == service && s.Label == step.Label && s.Size.Holds(step.Size) {
+		if needOf(t).includes(least) {
 			t.refusedAt = now
 		}
 	}
@@ -93,7 +76,7 @@
 // job may not be relocated any more.
 func (c *Cell) Relocate(now time.Time, id TaskID, cell string) bool {
 	t := c.task(now, id)
-	if t == nil || c.pendingRelocation != nil || !c.relocatable(now, t) {
+	if t == nil || c.pendingRelocation != nil || !c.relocatable(now, t, c.newRoomless(now)) {
 		return false
 	}
 	j := t.job()
@@ -102,7 +85,7 @@
 	job.Progress = &progress
 	j.relocating = true
 	c.pendingRelocation = &Relocation{Cell: cell, Job: job}
-	c.record(recorder.Event{Kind: KindRelocated, Key: id.Job, Detail: "to " + cell + ": no worker here can run " + id.String()})
+	c.record(recorder.Event{Kind: KindRelocated, Key: id.Job, Detail: "to " + cell + ": no room here for " + id.String()})
 	return true
 }
 
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -128,7 +128,7 @@
 	lookups map[string]bool
 	// suspendedTime is the newest value of SuspendedTime.
 	suspendedTime time.Duration
-	// delivered is signalled when a delegated part has been sent to its cell.
+	// delivered is signalled when a delegated part, or a relocated job, has been sent to its cell.
 	delivered chan struct{}
 	// checkingTerm is true while the store is asked whether the term is still the newest, termUnconfirmed if the
 	// last such question got no answer.
--- a/dispatcher/saver.go
+++ b/dispatcher/saver.go
@@ -96,7 +96,10 @@
 		})
 	}
 	if err == nil && batch.Relocation != nil {
-		r.runAsync(func() { r.OtherCells.Deliver(ctx, Part{Cell: batch.Relocation.Cell, Job: batch.Relocation.Job}) })
+		r.runAsync(func() {
+			r.OtherCells.Deliver(ctx, Part{Cell: batch.Relocation.Cell, Job: batch.Relocation.Job})
+			signal(r.delivered)
+		})
 	}
 	return true, err
 }
