--- a/archiver/change.go
+++ b/archiver/change.go
@@ -34,21 +34,17 @@
 		return Change{ID: id, FailedIn: failure.Cell, FailureCause: failure.Cause}, nil
 	}
 	if id, from, returned := strings.Cut(name, returnedInfix); returned {
-		part, err := decodeReturned(id, from, item)
-		return Change{ID: id, Returned: part}, err
+		part, err := dispatcher.DecodeReturn(id, from, item.Value)
+		part.Revision = item.Revision
+		return Change{ID: id, Returned: &part}, err
 	}
 	job, err := dispatcher.DecodeJob(item.Value)
 	return Change{ID: name, Job: job}, err
 }
 
-// returnedKey returns the key by which a cell gives a part of a job back to the job's home cell.
+// returnedKey returns the key by which a cell gives a part of a job, or some of its tasks, back to the job's home cell.
 func returnedKey(home, id, cell string) string { return JobPrefix(home) + id + returnedInfix + cell }
 
-func decodeReturned(id, from string, item platform.Item) (*dispatcher.ReturnedPart, error) {
-	progress, err := dispatcher.DecodeProgress(id, item.Value)
-	return &dispatcher.ReturnedPart{Cell: from, Crashes: progress.Crashes, Revision: item.Revision}, err
-}
-
 // unacceptedValue is the value of the cancellation of a job that wasn't accepted before. It isn't
 // empty, so that no store can take the write for one without a value.
 const unacceptedValue = `{"unaccepted":true}`
--- a/archiver/save.go
+++ b/archiver/save.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/platform"
@@ -56,7 +57,7 @@
 	switch {
 	case batch.Relocation != nil && a.cancelledMeanwhile(err, batch.Relocation.Job.ID):
 		return dispatcher.ErrRelocationRefused
-	case batch.Return != nil && a.cancelledMeanwhile(err, batch.Return.Job):
+	case batch.Return != nil && (a.cancelledMeanwhile(err, batch.Return.Job) || a.notTakenBack(err, batch.Return.Job)):
 		return dispatcher.ErrRelocationRefused
 	case batch.Part != nil && a.cancelledMeanwhile(err, batch.Part.Job.ID):
 		return dispatcher.ErrPartRefused
@@ -105,8 +106,9 @@
 	return nil
 }
 
-// addReturn adds the rows that give a part back to the home cell of its job, unless an earlier save whose
-// answer was lost has done so. A part that the home cell has extended isn't given back.
+// addReturn adds the rows that give a part, or some of its tasks, back to the home cell of its job, unless an earlier save
+// whose answer was lost has done so. A part that the home cell has extended isn't given back, nor is one of which the home
+// cell hasn't taken back yet what was given back before.
 func (a *CellArchive) addReturn(ctx context.Context, transaction *platform.Transaction, r *dispatcher.PartReturn) error {
 	key := JobPrefix(a.Cell) + r.Job
 	item, err := a.Archiver.Store.Get(ctx, key)
@@ -114,25 +116,37 @@
 		return err
 	}
 	job, err := dispatcher.DecodeJob(item.Value)
-	if err != nil {
-		return err
+	if err != nil || !includesAll(job.Part, r.Part) {
+		return err // tasks that were given back may have been delegated again, but not all of them
 	}
-	if len(job.Part) != len(r.Part) {
+	if len(job.Part) != len(r.Part)+len(r.Rest) || !includesAll(job.Part, r.Rest) {
 		return dispatcher.ErrRelocationRefused
 	}
 	home, err := a.home(ctx, r.Job)
 	if err != nil {
 		return err
 	}
-	content, err := dispatcher.EncodeProgress(r.Progress)
+	transaction.Expect = append(transaction.Expect,
+		platform.Expectation{Key: key, Revision: item.Revision}, platform.Expectation{Key: cancellationKey(a.Cell, r.Job)},
+		platform.Expectation{Key: returnedKey(home, r.Job, a.Cell)})
+	content, err := dispatcher.EncodeReturn(r)
 	if err != nil {
 		return err
 	}
-	transaction.Expect = append(transaction.Expect,
-		platform.Expectation{Key: key, Revision: item.Revision}, platform.Expectation{Key: cancellationKey(a.Cell, r.Job)})
 	transaction.Writes = append(transaction.Writes, platform.Item{Key: returnedKey(home, r.Job, a.Cell), Value: content})
-	transaction.Remove = append(transaction.Remove, key, progressPrefix+a.Cell+"/"+r.Job)
-	return nil
+	if len(r.Rest) == 0 {
+		transaction.Remove = append(transaction.Remove, key, progressPrefix+a.Cell+"/"+r.Job)
+		return nil
+	}
+	job.Part, job.Home = r.Rest, home
+	record, err := dispatcher.EncodeJob(job)
+	transaction.Writes = append(transaction.Writes, platform.Item{Key: key, Value: record})
+	return err
+}
+
+// includesAll reports whether a list has all tasks of another one.
+func includesAll(list, tasks []dispatcher.TaskID) bool {
+	return !slices.ContainsFunc(tasks, func(id dispatcher.TaskID) bool { return !slices.Contains(list, id) })
 }
 
 // cancelledMeanwhile reports whether a transaction was refused because the cancellation of a job of the cell
@@ -147,6 +161,18 @@
 	})
 }
 
+// notTakenBack reports whether a transaction was refused because the home cell of a part hasn't taken back yet what this
+// cell has given back of it before.
+func (a *CellArchive) notTakenBack(err error, id string) bool {
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	return slices.ContainsFunc(conflict.Items, func(item platform.Item) bool {
+		return item.Revision != 0 && strings.HasSuffix(item.Key, "/"+id+returnedInfix+a.Cell)
+	})
+}
+
 // addJob adds the rows of a changed job to a transaction.
 func (a *CellArchive) addJob(ctx context.Context, transaction *platform.Transaction, j dispatcher.BatchJob) error {
 	content, err := dispatcher.EncodeProgress(j.Progress)
@@ -157,8 +183,10 @@
 	if j.Progress.State.Final() {
 		transaction.Remove = append(transaction.Remove, JobPrefix(a.Cell)+j.ID)
 	}
-	for _, cell := range j.TakenBackFrom {
-		transaction.Remove = append(transaction.Remove, returnedKey(a.Cell, j.ID, cell))
+	for _, taken := range j.TakenBack {
+		if err := a.removeReturned(ctx, transaction, j.ID, taken); err != nil {
+			return err
+		}
 	}
 	for _, cell := range j.CancelIn {
 		transaction.Writes = append(transaction.Writes, cancellationItem(cell, j.ID))
@@ -175,6 +203,18 @@
 	return err
 }
 
+// removeReturned adds the removal of a record by which another cell has given back a part, unless an earlier save whose
+// answer was lost has removed it: the cell may have written the next one since.
+func (a *CellArchive) removeReturned(ctx context.Context, transaction *platform.Transaction, id string, taken dispatcher.TakenBack) error {
+	key := returnedKey(a.Cell, id, taken.Cell)
+	item, err := a.Archiver.Store.Get(ctx, key)
+	if err != nil || item.Revision != taken.Revision {
+		return err
+	}
+	transaction.Remove = append(transaction.Remove, key)
+	return nil
+}
+
 // home returns the cell that a job was accepted for, or an empty string if that isn't
 // stored any more.
 func (a *CellArchive) home(ctx context.Context, id string) (string, error) {
--- a/dispatcher/archive_test.go
+++ b/dispatcher/archive_test.go
@@ -67,8 +67,13 @@
 	}
 	if b.Return != nil {
 		a.returns = append(a.returns, *b.Return)
-		delete(a.jobs, b.Return.Job)
-		delete(a.progress, b.Return.Job)
+		if job, live := a.jobs[b.Return.Job]; live && len(b.Return.Rest) > 0 {
+			job.Part = b.Return.Rest
+			a.jobs[b.Return.Job] = job
+		} else {
+			delete(a.jobs, b.Return.Job)
+			delete(a.progress, b.Return.Job)
+		}
 	}
 	if b.Relocation != nil {
 		a.relocations = append(a.relocations, *b.Relocation)
--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -55,14 +55,22 @@
 	// CancelIn are the names of the cells that have to cancel delegated parts of the
 	// job.
 	CancelIn []string
-	// TakenBackFrom are the names of cells that have given back parts of the job, which
-	// Progress takes into account.
-	TakenBackFrom []string
+	// TakenBack are the records by which cells have given back parts of the job, which Progress takes into
+	// account.
+	TakenBack []TakenBack
+}
+
+// TakenBack identifies a record by which a cell has given back a part of a job.
+type TakenBack struct {
+	// Cell is the name of that cell.
+	Cell string
+	// Revision is that of the record. The cell may have written another one since.
+	Revision int64
 }
 
 // rows returns how many rows of a transaction the job takes at most: its progress, the
 // removal of its description, and what other cells have to know.
-func (b *BatchJob) rows() int { return max(rowsPerJob, 2+len(b.CancelIn)+len(b.TakenBackFrom)) }
+func (b *BatchJob) rows() int { return max(rowsPerJob, 2+len(b.CancelIn)+len(b.TakenBack)) }
 
 // Part is a part of a job that one cell delegates to another.
 type Part struct {
@@ -96,6 +104,7 @@
 // BatchFailed must be called before the next batch.
 func (c *Cell) NextBatch(now time.Time, limit int) *Batch {
 	c.dropFinalPart()
+	c.dropFinalReturn()
 	b := &Batch{begun: now, Active: c.active, Relocation: c.pendingRelocation}
 	if b.Relocation == nil {
 		b.Return = c.pendingReturn
@@ -131,7 +140,7 @@
 		b.Jobs = append(b.Jobs, changed)
 		delete(c.dirty, id)
 	}
-	if c.pendingPart != nil && !c.dirty[c.pendingPart.Job.ID] {
+	if c.pendingPart != nil && !c.dirty[c.pendingPart.Job.ID] && !c.returnUnstored(c.pendingPart) {
 		b.Part = c.pendingPart
 	}
 	if len(c.dirty) == 0 {
@@ -147,13 +156,19 @@
 	if len(b.Jobs) == 0 {
 		c.addExpired(now, b, limit*rowsPerJob/rowsPerExpiredJob)
 	}
-	if len(b.Jobs)+len(b.Expired)+len(b.ExpiredParts) == 0 && b.Workers == nil && b.Relocation == nil && b.Return == nil {
+	if len(b.Jobs)+len(b.Expired)+len(b.ExpiredParts) == 0 && b.Workers == nil && b.Part == nil && b.Relocation == nil && b.Return == nil {
 		return nil
 	}
 	c.storing = true
 	return b
 }
 
+// returnUnstored reports whether the cell of a part has given tasks of the job back and the store still has them as
+// delegated: it takes no part for that cell before.
+func (c *Cell) returnUnstored(p *Part) bool {
+	return slices.Contains(c.jobs[p.Job.ID].unstoredReturns, p.Cell)
+}
+
 // dropFinalPart drops the pending part of a job that has become final. If an earlier save
 // stored it although it failed, the part is cancelled with the job.
 func (c *Cell) dropFinalPart() {
@@ -167,7 +182,10 @@
 
 func (c *Cell) batchJob(id string) BatchJob {
 	j := c.jobs[id]
-	changed := BatchJob{ID: id, Progress: j.progress(), Own: j.job.Part == nil, TakenBackFrom: slices.Clone(j.unstoredReturns)}
+	changed := BatchJob{ID: id, Progress: j.progress(), Own: j.job.Part == nil}
+	for _, cell := range j.unstoredReturns {
+		changed.TakenBack = append(changed.TakenBack, TakenBack{Cell: cell, Revision: j.returnedAt[cell]})
+	}
 	if j.state == StateCancelled || j.state == StateFailed {
 		changed.CancelIn = j.partCells()
 	}
@@ -197,7 +215,9 @@
 	for _, changed := range b.Jobs {
 		j := c.jobs[changed.ID]
 		j.stored = changed.Progress.State
-		j.unstoredReturns = slices.DeleteFunc(j.unstoredReturns, func(cell string) bool { return slices.Contains(changed.TakenBackFrom, cell) })
+		j.unstoredReturns = slices.DeleteFunc(j.unstoredReturns, func(cell string) bool {
+			return slices.Contains(changed.TakenBack, TakenBack{Cell: cell, Revision: j.returnedAt[cell]})
+		})
 		c.markCrashesStored(j, &changed.Progress)
 		if j.stored != j.state {
 			continue
@@ -221,8 +241,7 @@
 		c.pendingRelocation = nil
 	}
 	if b.Return != nil {
-		c.relocated(now, b.Return.Job)
-		c.pendingReturn = nil
+		c.partReturned(now, b.Return)
 	}
 	c.removedWorkers -= b.removedWorkers
 	for _, registration := range b.Workers {
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -207,8 +207,8 @@
 // in the store first.
 func (c *Cell) AddJob(now time.Time, job Job, progress *Progress, restored bool) {
 	if j, known := c.jobs[job.ID]; known {
-		j.deliveredAgain = j.deliveredAgain || j.relocating
-		c.extendPart(now, j, &job)
+		j.deliveredAgain = j.deliveredAgain || j.relocating || c.pendingReturn != nil && c.pendingReturn.Job == job.ID
+		c.extendPart(now, j, &job, false)
 		return
 	}
 	if _, departed := c.departed[job.ID]; departed {
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -38,8 +38,9 @@
 	return known && j.job.Part != nil
 }
 
-// extendPart adds tasks to the delegated part of a known job.
-func (c *Cell) extendPart(now time.Time, j *jobState, job *Job) {
+// extendPart adds tasks to the delegated part of a known job. stored is true if the store was just found to have the
+// part. A task that was given back is looked up there first: the record may be an old one.
+func (c *Cell) extendPart(now time.Time, j *jobState, job *Job, stored bool) {
 	if j.job.Part == nil || j.state.Final() {
 		return
 	}
@@ -47,6 +48,11 @@
 		if j.job.includes(id) {
 			continue
 		}
+		if at, back := j.givenBack[id]; back && !stored && now.Sub(at) < absentJobTTL {
+			c.unknownJobs[id.Job] = now.Add(-unknownJobTimeout)
+			continue
+		}
+		delete(j.givenBack, id)
 		j.job.Part = append(j.job.Part, id)
 		if t := c.task(now, id); t != nil {
 			t.remote = false
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -90,7 +90,7 @@
 	needed, later := r.Cell.PlacesToMove(now, id)
 	r.mu.Unlock()
 	if !found {
-		return r.returnOnce()
+		return r.returnOnce() || r.giveBackOnce(ctx)
 	}
 	cell, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, job.Steps[id.Step], later)
 	relocated := false
@@ -123,6 +123,27 @@
 	return found
 }
 
+// giveBackOnce gives the next task of a part back that has no place here, if another cell has one, with those of its step
+// that wait as well. It reports whether there was such a task.
+func (r *Runner) giveBackOnce(ctx context.Context) bool {
+	r.mu.Lock()
+	id, job, found := r.Cell.NextToGiveBack(r.Clock.Now())
+	r.mu.Unlock()
+	if !found {
+		return false
+	}
+	_, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, job.Steps[id.Step], false)
+	r.mu.Lock()
+	if places == 0 {
+		r.Cell.DelegationRefused(r.Clock.Now(), id)
+	} else {
+		r.Cell.GiveBack(r.Clock.Now(), id, shareOfPlaces(places))
+	}
+	r.mu.Unlock()
+	signal(r.changed)
+	return true
+}
+
 // FailPart fails a job of which another cell has given up a delegated part, for a cause that logs tell. It
 // reports whether the cell knows the job.
 func (r *Runner) FailPart(id, cell, cause string) bool {
--- /dev/null
+++ b/dispatcher/giveback_test.go
@@ -0,0 +1,190 @@
+package dispatcher_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"zinniashore.example/dispatcher"
+)
+
+// partOfTwo returns a job of three long-running tasks that take a worker each, of which this cell runs the last two.
+func partOfTwo(id string) dispatcher.Job {
+	job := longRunningJob(id, 3, fullCapacity.MilliProcessors)
+	job.Steps[0].Size = fullCapacity
+	job.Part, job.Home = []dispatcher.TaskID{{Job: id, Index: 1}, {Job: id, Index: 2}}, "graz-b"
+	return job
+}
+
+// awaitGivenBack runs the simulation until a task is to be given back, for at most span.
+func awaitGivenBack(s *simulation, span time.Duration) (dispatcher.TaskID, bool) {
+	for end := s.now.Add(span); s.now.Before(end); s.step(50 * time.Millisecond) {
+		if id, _, found := s.cell.NextToGiveBack(s.now); found {
+			return id, true
+		}
+	}
+	return dispatcher.TaskID{}, false
+}
+
+// newPartWithoutPlace returns a simulation in which the worker of a task of a part has left for good, while the other task
+// of the part runs on and long-running tasks take all other workers.
+func newPartWithoutPlace(t *testing.T) (*simulation, dispatcher.TaskID) {
+	t.Helper()
+	s := newActiveSimulation(4)
+	fillWithLongRunning(s, 2)
+	s.submit(partOfTwo(jobID))
+	s.runFor(time.Second)
+	for _, f := range s.workers {
+		if f.runs(jobID) {
+			f.reboot()
+			f.reachable = false
+			s.unregister(f)
+			break
+		}
+	}
+	id, found := awaitGivenBack(s, 15*time.Second)
+	if !found {
+		t.Fatal("no task is to be given back")
+	}
+	return s, id
+}
+
+// bringBack lets all workers be reached and registered.
+func (s *simulation) bringBack() {
+	for _, f := range s.workers {
+		f.reachable = true
+		s.register(f)
+	}
+}
+
+// TestTaskOfPartWithoutPlace guards against a delegated task that never runs again: its worker is lost, long-running tasks
+// fill the cell, and the rest of its part runs on there.
+func TestTaskOfPartWithoutPlace(t *testing.T) {
+	s, id := newPartWithoutPlace(t)
+	if !s.cell.GiveBack(s.now, id, 3) {
+		t.Fatal("the task isn't given back")
+	}
+	if next, _, found := s.cell.NextToGiveBack(s.now); found {
+		t.Errorf("%s is to be given back before the store has the return of %s", next, id)
+	}
+	s.runFor(200 * time.Millisecond)
+	if len(s.archive.returns) != 1 || !slices.Equal(s.archive.returns[0].Part, []dispatcher.TaskID{id}) || len(s.archive.returns[0].Rest) != 1 {
+		t.Fatalf("given back: %+v, want %s, with one task that stays", s.archive.returns, id)
+	}
+	s.bringBack()
+	s.runFor(12 * time.Second)
+	if s.running[id] > 0 {
+		t.Errorf("%s runs here again after it was given back", id)
+	}
+	if rest := s.archive.returns[0].Rest[0]; s.running[rest] != 1 {
+		t.Errorf("%s, which stays, has %d runs, want 1", rest, s.running[rest])
+	}
+	requireNoViolations(t, s)
+}
+
+// TestPlaceOfPartComesFree guards against delegated tasks that leave a cell in which they have a place, or get one once
+// short tasks have ended.
+func TestPlaceOfPartComesFree(t *testing.T) {
+	s := newActiveSimulation(4)
+	fillWithLongRunning(s, 2)
+	s.submit(wholeWorkers(otherID, 2, 5*time.Second))
+	s.runFor(500 * time.Millisecond)
+	s.submit(partOfTwo(jobID))
+	if id, found := awaitGivenBack(s, 6*time.Second); found {
+		t.Errorf("%s is to be given back", id)
+	}
+	s.runFor(2 * time.Second)
+	if got := s.running[dispatcher.TaskID{Job: jobID, Index: 1}]; got != 1 {
+		t.Errorf("the task has %d runs, want 1", got)
+	}
+}
+
+// TestRecordsOfGivenBackTask guards against two runs of a task, or none: a record of the part arrives that is older than
+// the return of one of its tasks, or one by which the home cell has delegated the task again.
+func TestRecordsOfGivenBackTask(t *testing.T) {
+	tests := map[string]struct {
+		// early is true if the record arrives before the answer to the save of the return.
+		early bool
+		// again is true if the store has the task in the part again.
+		again bool
+	}{
+		"an old record":                       {},
+		"delegated again":                     {again: true},
+		"an old record before the answer":     {early: true},
+		"delegated again before the answer":   {early: true, again: true},
+		"delegated again, the record is late": {again: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, id := newPartWithoutPlace(t)
+			s.cell.GiveBack(s.now, id, 1)
+			batch := s.cell.NextBatch(s.now, 4)
+			if batch == nil || batch.Return == nil {
+				t.Fatal("nothing is given back")
+			}
+			s.archive.save(s.cell.Epoch, batch)
+			part := s.archive.jobs[jobID]
+			full := partOfTwo(jobID)
+			if test.again {
+				part.Part = full.Part
+				s.archive.jobs[jobID] = part
+			}
+			if test.early {
+				s.cell.AddJob(s.now, full, nil, true)
+			}
+			s.cell.BatchStored(s.now, batch)
+			if !test.early {
+				s.cell.AddJob(s.now, full, nil, true)
+			}
+			s.bringBack()
+			s.runFor(5 * time.Second)
+			if got := s.running[id] > 0; got != test.again {
+				t.Errorf("the task runs: %v, want %v", got, test.again)
+			}
+			requireNoViolations(t, s)
+		})
+	}
+}
+
+// TestRefusedReturnOfTask guards against a task that no cell runs: the store has refused its return.
+func TestRefusedReturnOfTask(t *testing.T) {
+	s, id := newPartWithoutPlace(t)
+	s.cell.GiveBack(s.now, id, 1)
+	batch := s.cell.NextBatch(s.now, 4)
+	s.cell.BatchFailed(batch)
+	s.cell.RelocationRefused(s.now, batch)
+	if next, _, found := s.cell.NextToGiveBack(s.now); found {
+		t.Errorf("%s is to be given back again at once", next)
+	}
+	s.bringBack()
+	s.runFor(5 * time.Second)
+	if s.running[id] != 1 {
+		t.Errorf("%s has %d runs, want 1", id, s.running[id])
+	}
+}
+
+// TestTaskGivenBackAlone guards against two runs of a task: its home cell takes back all tasks of a part of which one was
+// given back. It also keeps the part that is just being delegated to the same cell, without that task.
+func TestTaskGivenBackAlone(t *testing.T) {
+	s := newActiveSimulation(1)
+	s.workers[0].registration.Phase = dispatcher.PhaseDraining
+	s.register(s.workers[0])
+	s.submit(longRunningJob(jobID, 3, 1500))
+	s.runFor(time.Second)
+	first, second, third := dispatcher.TaskID{Job: jobID}, dispatcher.TaskID{Job: jobID, Index: 1}, dispatcher.TaskID{Job: jobID, Index: 2}
+	for _, id := range []dispatcher.TaskID{first, second} {
+		if !s.cell.Delegate(s.now, id, "graz-b", 1) {
+			t.Fatalf("%s isn't delegated", id)
+		}
+		s.runFor(200 * time.Millisecond)
+	}
+	s.cell.Delegate(s.now, third, "graz-b", 1)
+	s.cell.AddReturned(s.now, jobID, dispatcher.ReturnedPart{Cell: "graz-b", Revision: 7, Tasks: []dispatcher.TaskID{second}})
+	s.runFor(time.Second)
+	if last := s.archive.parts[len(s.archive.parts)-1]; !slices.Equal(last.Job.Part, []dispatcher.TaskID{first, third}) {
+		t.Errorf("the part of graz-b is %v, want %s and %s", last.Job.Part, first, third)
+	}
+	if next, _, found := s.cell.NextToDelegate(s.now); !found || next != second {
+		t.Errorf("%s is to be delegated (%v), want %s", next, found, second)
+	}
+}
--- a/dispatcher/network_test.go
+++ b/dispatcher/network_test.go
@@ -74,7 +74,7 @@
 	// returned are the parts that the other cell has given back, with the revisions of these records;
 	// toCancel are the jobs whose cancellation is stored for this cell, by the other one or by a process that
 	// couldn't reach the holder.
-	returned map[string]int64
+	returned map[string]dispatcher.ReturnedPart
 	toCancel map[string]bool
 }
 
@@ -100,7 +100,7 @@
 
 func emptyNetwork(name string, seed uint64) *network {
 	return &network{
-		name: name, trace: &[]string{}, homes: map[string]homeRecord{}, returned: map[string]int64{}, toCancel: map[string]bool{},
+		name: name, trace: &[]string{}, homes: map[string]homeRecord{}, returned: map[string]dispatcher.ReturnedPart{}, toCancel: map[string]bool{},
 		now: time.UnixMilli(1_000_000), random: rand.New(rand.NewPCG(seed, 1)), archive: newArchive(), events: &events{},
 		jobs: map[string]dispatcher.Job{}, entries: map[string]dispatcher.Registration{},
 		starts: map[string][]time.Time{}, noted: map[string]bool{}, failures: map[string]int{}, crashes: map[string]int{}, cancelAsked: map[string]bool{}, cancelled: map[string]bool{},
--- a/dispatcher/networkparts_test.go
+++ b/dispatcher/networkparts_test.go
@@ -32,8 +32,8 @@
 // load restores the stored state to a new holder.
 func (n *network) load(h *remoteHolder) {
 	n.archive.load(h.cell, h.now())
-	for id, revision := range n.returned {
-		h.cell.AddReturned(h.now(), id, dispatcher.ReturnedPart{Cell: n.other.name, Revision: revision})
+	for id, returned := range n.returned {
+		h.cell.AddReturned(h.now(), id, returned)
 	}
 	for id := range n.toCancel {
 		h.cell.Cancel(h.now(), id)
@@ -49,10 +49,11 @@
 	changes := *batch
 	if r := batch.Return; r != nil {
 		item, found := n.archive.jobs[r.Job]
+		_, given := n.other.returned[r.Job]
 		switch {
-		case !found:
+		case !found || slices.ContainsFunc(r.Part, func(id dispatcher.TaskID) bool { return !slices.Contains(item.Part, id) }):
 			changes.Return = nil
-		case len(item.Part) != len(r.Part) || n.toCancel[r.Job]:
+		case len(item.Part) != len(r.Part)+len(r.Rest) || given || n.toCancel[r.Job]:
 			return dispatcher.ErrRelocationRefused
 		}
 	}
@@ -72,7 +73,7 @@
 		switch {
 		case n.toCancel[p.Job.ID]:
 			return dispatcher.ErrPartRefused
-		case n.returned[p.Job.ID] != 0:
+		case n.returned[p.Job.ID].Revision != 0:
 			return errNotStored
 		}
 	}
@@ -100,10 +101,18 @@
 		other.storeJob(r.Job)
 	}
 	if r := b.Return; r != nil {
-		n.logf("%s: part %v given back", r.Job, r.Part)
+		n.logf("%s: part %v given back, %d tasks stay", r.Job, r.Part, len(r.Rest))
 		n.homes["returns"] = homeRecord{revision: n.homes["returns"].revision + 1}
-		returned := dispatcher.ReturnedPart{Cell: n.name, Revision: n.homes["returns"].revision}
-		other.returned[r.Job] = returned.Revision
+		content, err := dispatcher.EncodeReturn(r)
+		if err != nil {
+			panic(err)
+		}
+		returned, err := dispatcher.DecodeReturn(r.Job, n.name, content)
+		if err != nil {
+			panic(err)
+		}
+		returned.Revision = n.homes["returns"].revision
+		other.returned[r.Job] = returned
 		other.tell(func(h *remoteHolder) { h.cell.AddReturned(h.now(), r.Job, returned) })
 	}
 	for _, j := range b.Jobs {
@@ -114,8 +123,10 @@
 // passOnJob stores what a changed job means for the other cell.
 func (n *network) passOnJob(j dispatcher.BatchJob) {
 	other := n.other
-	if len(j.TakenBackFrom) > 0 {
-		delete(n.returned, j.ID)
+	for _, taken := range j.TakenBack {
+		if n.returned[j.ID].Revision == taken.Revision {
+			delete(n.returned, j.ID)
+		}
 	}
 	if len(j.CancelIn) > 0 {
 		other.storeCancellation(j.ID)
@@ -184,6 +195,10 @@
 	}
 	if !found {
 		h.giveBack()
+		id, _, found = h.cell.NextToGiveBack(now)
+		apply = func(places int) { h.giveTasksBack(id, places) }
+	}
+	if !found {
 		return
 	}
 	h.offering = true
@@ -225,6 +240,14 @@
 	h.cell.Relocate(h.now(), id, h.n.other.name)
 }
 
+func (h *remoteHolder) giveTasksBack(id dispatcher.TaskID, places int) {
+	if places == 0 {
+		h.cell.DelegationRefused(h.now(), id)
+		return
+	}
+	h.cell.GiveBack(h.now(), id, places)
+}
+
 // giveBack gives a part back that no worker of the cell can run.
 func (h *remoteHolder) giveBack() {
 	if id, found := h.cell.NextToReturn(h.now()); found {
--- a/dispatcher/partreturn.go
+++ b/dispatcher/partreturn.go
@@ -7,12 +7,14 @@
 	"zinniashore.example/recorder"
 )
 
-// PartReturn gives a delegated part back to the home cell of its job.
+// PartReturn gives a delegated part, or some of its tasks, back to the home cell of its job.
 type PartReturn struct {
 	// Job is the id of the job.
 	Job string
-	// Part lists the tasks of the part, none of which is active.
+	// Part lists the tasks that go back, none of which is active.
 	Part []TaskID
+	// Rest lists the tasks of the part that stay.
+	Rest []TaskID
 	// Progress is the progress of the part.
 	Progress Progress
 }
@@ -21,6 +23,8 @@
 type ReturnedPart struct {
 	// Cell is the name of that cell.
 	Cell string
+	// Tasks are the tasks that it has given back; nil if all of its part.
+	Tasks []TaskID
 	// Crashes are the crashes of workers that it recorded under tasks of the part.
 	Crashes []TaskCrashes
 	// Revision is that of the record in the store.
@@ -35,14 +39,124 @@
 	}
 	for _, t := range c.ready {
 		j := t.job()
-		waits := j.job.Part != nil && !t.remote && j.running == 0 && !j.state.Final() && !j.relocating && now.Sub(t.readyAt) >= delegationDelay
-		if waits && !c.mayHaveRun(now, t) && !c.capable(t) && !c.hasUnconfirmedCrash(j) {
+		if j.running == 0 && c.waitsInPart(now, t) && !c.capable(t) && !c.hasUnconfirmedCrash(j) {
 			return t.id.Job, true
 		}
 	}
 	return "", false
 }
 
+// waitsInPart reports whether a task of a part has waited for long enough to be given back, and isn't active.
+func (c *Cell) waitsInPart(now time.Time, t *task) bool {
+	j := t.job()
+	return j.job.Part != nil && !t.remote && len(t.runs) == 0 && !j.state.Final() && !j.relocating &&
+		now.Sub(t.readyAt) >= delegationDelay && now.Sub(t.refusedAt) >= delegationRetryDelay && !c.mayHaveRun(now, t)
+}
+
+// NextToGiveBack returns a task of a part, with its job, that has no place in this cell and gets none when others end by
+// themselves: it may go back alone if another cell has one. Of several it is the one whose last offer is longest ago.
+func (c *Cell) NextToGiveBack(now time.Time) (TaskID, Job, bool) {
+	if c.pendingReturn != nil || !c.mayAct(now) {
+		return TaskID{}, Job{}, false
+	}
+	var longest *task
+	for _, t := range c.ready {
+		if (longest == nil || t.refusedAt.Before(longest.refusedAt)) && c.mayGiveBack(now, t) {
+			longest = t
+		}
+	}
+	if longest == nil {
+		return TaskID{}, Job{}, false
+	}
+	return longest.id, longest.job().job, true
+}
+
+func (c *Cell) mayGiveBack(now time.Time, t *task) bool {
+	return c.waitsInPart(now, t) && now.Sub(t.readyAt) >= roomPatience && c.unplaceablePart(now, t) && !t.hasUnconfirmedCrash() && !t.awaitsCrashReview()
+}
+
+// GiveBack begins to give a task of a part back, and with it the tasks of its step that wait as it does, up to places
+// tasks, which the next batch stores. It reports whether it has begun.
+func (c *Cell) GiveBack(now time.Time, id TaskID, places int) bool {
+	first := c.task(now, id)
+	if first == nil || c.pendingReturn != nil || !c.mayGiveBack(now, first) {
+		return false
+	}
+	j := first.job()
+	back := []*task{first}
+	for _, t := range first.step.tasks {
+		if t != first && len(back) < places && t.queued && c.mayGiveBack(now, t) {
+			back = append(back, t)
+		}
+	}
+	r := &PartReturn{Job: id.Job, Progress: j.progress()}
+	for _, t := range back {
+		t.remote = true
+		r.Part = append(r.Part, t.id)
+		c.record(recorder.Event{Kind: KindRelocated, Task: t.id.String(), Key: id.Job, Detail: "given back: no place here"})
+	}
+	for _, task := range j.job.Part {
+		if !slices.Contains(r.Part, task) {
+			r.Rest = append(r.Rest, task)
+		}
+	}
+	if len(r.Rest) == 0 {
+		j.relocating = true
+	}
+	c.pendingReturn = r
+	return true
+}
+
+// partReturned applies a stored return. Of a part that stays in part, an old record of it may still arrive that has the
+// tasks.
+func (c *Cell) partReturned(now time.Time, r *PartReturn) {
+	c.pendingReturn = nil
+	if len(r.Rest) == 0 {
+		c.relocated(now, r.Job)
+		return
+	}
+	j := c.jobs[r.Job]
+	if j == nil {
+		return
+	}
+	if j.givenBack == nil {
+		j.givenBack = map[TaskID]time.Time{}
+	}
+	for _, id := range r.Part {
+		j.givenBack[id] = now
+	}
+	j.job.Part = slices.DeleteFunc(slices.Clone(j.job.Part), func(id TaskID) bool { return slices.Contains(r.Part, id) })
+	if j.deliveredAgain {
+		j.deliveredAgain = false
+		c.unknownJobs[r.Job] = now.Add(-unknownJobTimeout)
+	}
+}
+
+// returnRefused ends a return that certainly won't be stored.
+func (c *Cell) returnRefused(now time.Time, r *PartReturn) {
+	c.pendingReturn = nil
+	for _, id := range r.Part {
+		if t := c.task(now, id); t != nil {
+			t.remote, t.refusedAt = false, now
+			c.enqueue(now, t)
+		}
+	}
+	if j := c.jobs[r.Job]; len(r.Rest) > 0 && j != nil {
+		j.deliveredAgain = false
+	} else {
+		c.resume(now, r.Job)
+	}
+}
+
+// dropFinalReturn drops a return of tasks whose job has become final meanwhile.
+func (c *Cell) dropFinalReturn() {
+	if r := c.pendingReturn; r != nil && len(r.Rest) > 0 {
+		if j := c.jobs[r.Job]; j == nil || j.state.Final() {
+			c.pendingReturn = nil
+		}
+	}
+}
+
 // ReturnPart begins to give a part back, which the next batch stores.
 func (c *Cell) ReturnPart(id string) {
 	j := c.jobs[id]
@@ -65,15 +179,14 @@
 		j.returnedAt = map[string]int64{}
 	}
 	j.returnedAt[returned.Cell] = returned.Revision
-	j.unstoredReturns = append(j.unstoredReturns, returned.Cell)
-	c.dirty[id] = true
-	if c.pendingPart != nil && c.pendingPart.Job.ID == id && c.pendingPart.Cell == returned.Cell {
-		c.pendingPart = nil
+	if !slices.Contains(j.unstoredReturns, returned.Cell) {
+		j.unstoredReturns = append(j.unstoredReturns, returned.Cell)
 	}
+	c.dirty[id] = true
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.delegatedTo == returned.Cell {
+				if t.delegatedTo == returned.Cell && (returned.Tasks == nil || slices.Contains(returned.Tasks, t.id)) {
 					t.remote, t.delegatedTo = false, ""
 					c.addCrashes(now, t, returned.Crashes)
 					c.record(recorder.Event{Kind: KindRelocated, Task: t.id.String(), Key: id, Detail: "given back by " + returned.Cell})
@@ -82,9 +195,27 @@
 			}
 		}
 	}
+	c.renewPendingPart(id, returned.Cell)
 	return true
 }
 
+// renewPendingPart leaves the tasks out of a part that is being stored which its cell has just given back.
+func (c *Cell) renewPendingPart(id, cell string) {
+	p := c.pendingPart
+	if p == nil || p.Job.ID != id || p.Cell != cell {
+		return
+	}
+	c.pendingPart = nil
+	part := p.Job
+	for _, o := range c.jobs[id].occurrences {
+		tasks, crashes := o.partOf(cell)
+		part.Part, part.PartCrashes = tasks, crashes
+	}
+	if len(part.Part) > 0 {
+		c.pendingPart = &Part{Cell: cell, Job: part}
+	}
+}
+
 // AddReturned takes back a part of a job that another cell has given back. It reports whether the
 // cell knows the job.
 func (r *Runner) AddReturned(id string, returned ReturnedPart) bool {
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -111,8 +111,7 @@
 		c.resume(now, b.Relocation.Job.ID)
 	}
 	if b.Return != nil {
-		c.pendingReturn = nil
-		c.resume(now, b.Return.Job)
+		c.returnRefused(now, b.Return)
 	}
 }
 
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -82,6 +82,10 @@
 // AddFound adds a job that the store has in this cell.
 func (c *Cell) AddFound(now time.Time, job Job, progress *Progress) {
 	delete(c.departed, job.ID)
+	if j, known := c.jobs[job.ID]; known {
+		delete(c.unknownJobs, job.ID)
+		c.extendPart(now, j, &job, true)
+	}
 	c.AddJob(now, job, progress, true)
 	c.jobs[job.ID].acceptedAfter = time.Time{}
 }
