--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -116,9 +116,15 @@
 	if c.pendingPart != nil || !c.mayAct(now) {
 		return TaskID{}, Job{}, false
 	}
+	return c.longestUnoffered(func(t *task) bool { return c.unplaceable(now, t) })
+}
+
+// longestUnoffered returns the ready task that meets a condition, with its job, whose last offer to other cells is longest
+// ago.
+func (c *Cell) longestUnoffered(met func(*task) bool) (TaskID, Job, bool) {
 	var longest *task
 	for _, t := range c.ready {
-		if (longest == nil || t.refusedAt.Before(longest.refusedAt)) && c.unplaceable(now, t) {
+		if (longest == nil || t.refusedAt.Before(longest.refusedAt)) && met(t) {
 			longest = t
 		}
 	}
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -26,17 +26,8 @@
 	if c.pendingRelocation != nil || !c.mayAct(now) {
 		return TaskID{}, Job{}, false
 	}
-	var longest *task
 	lacking := c.newRoomless(now)
-	for _, t := range c.ready {
-		if (longest == nil || t.refusedAt.Before(longest.refusedAt)) && c.relocatable(now, t, lacking) {
-			longest = t
-		}
-	}
-	if longest == nil {
-		return TaskID{}, Job{}, false
-	}
-	return longest.id, longest.job().job, true
+	return c.longestUnoffered(func(t *task) bool { return c.relocatable(now, t, lacking) })
 }
 
 // relocatable reports whether the job of a waiting task may be relocated, and has to be.
