--- a/jobrouter.go
+++ b/jobrouter.go
@@ -42,13 +42,15 @@
 // jobRouter routes calls about jobs to the processes that hold the cells of the jobs.
 type jobRouter struct {
 	failureDomain string
-	self          string
-	partition     *sharedPartition
-	claimer       *claimer.Claimer
-	heldCells     *heldCells
-	archiver      *archiver.Archiver
-	peers         *relayer.Client
-	selector      *cellSelector
+	// failureDomains are all failure domains of the deployment.
+	failureDomains []string
+	self           string
+	partition      *sharedPartition
+	claimer        *claimer.Claimer
+	heldCells      *heldCells
+	archiver       *archiver.Archiver
+	peers          *relayer.Client
+	selector       *cellSelector
 
 	// unaccepted limits the cancellations of unaccepted jobs that are stored.
 	unaccepted *rate.Limiter
@@ -257,14 +259,17 @@
 	return r.peers.Cancel(ctx, holder.Address, cell, id)
 }
 
-// Pending implements acceptor.JobService. It fails if the holder of a cell can't be
+// Pending implements acceptor.JobService. It fails if the holder of a cell isn't known or can't be
 // reached and the cached count of the cell is too old.
 func (r *jobRouter) Pending(ctx context.Context, queue string) (int, error) {
-	cells := r.claimer.Cells()
+	var cells []string
+	for _, domain := range r.failureDomains {
+		cells = append(cells, r.partition.cells(domain)...)
+	}
 	counts := make(chan pendingResult, len(cells))
-	for cell, holder := range cells {
+	for _, cell := range cells {
 		go func() {
-			count, err := r.pendingInCell(ctx, cell, holder, queue)
+			count, err := r.pendingInCell(ctx, cell, queue)
 			counts <- pendingResult{count, err}
 		}()
 	}
@@ -284,9 +289,11 @@
 	err   error
 }
 
-func (r *jobRouter) pendingInCell(ctx context.Context, cell string, holder claimer.Holder, queue string) (int, error) {
+func (r *jobRouter) pendingInCell(ctx context.Context, cell, queue string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
 	if runner := r.heldCells.Runner(cell); runner != nil {
-		return runner.Pending(queue), nil
+		return pendingOf(ctx, runner, queue)
 	}
 	key := cell + " " + queue
 	r.mu.Lock()
@@ -296,9 +303,7 @@
 	if !last.at.IsZero() && now.Sub(last.at) < pendingTTL {
 		return last.count, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	count, err := r.peers.Pending(ctx, holder.Address, cell, queue)
+	count, err := r.askPending(ctx, cell, queue)
 	if err != nil && !last.at.IsZero() && now.Sub(last.at) < maxStalePendingAge {
 		klog.InfoS("Using a cached count of pending jobs", "cell", cell, "queue", queue, "age", now.Sub(last.at), "err", err)
 		return last.count, nil
@@ -314,3 +319,22 @@
 	r.pending[key] = pendingCount{count: count, at: now}
 	return count, nil
 }
+
+// pendingOf counts the pending jobs of a cell that this process holds, once its jobs are loaded.
+func pendingOf(ctx context.Context, runner *dispatcher.Runner, queue string) (int, error) {
+	select {
+	case <-runner.Loaded():
+		return runner.Pending(queue), nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// askPending asks the holder of a cell for the count.
+func (r *jobRouter) askPending(ctx context.Context, cell, queue string) (int, error) {
+	holder, known := r.claimer.Holder(cell)
+	if !known {
+		return 0, relayer.ErrNotHeld
+	}
+	return r.peers.Pending(ctx, holder.Address, cell, queue)
+}
