--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -219,6 +219,12 @@
 	return dispatcher.DecodeWorkers(item.Value)
 }
 
+// HasJobs reports whether the store has live jobs, or cancellations of jobs, in a cell.
+func (a *Archiver) HasJobs(ctx context.Context, cell string) (bool, error) {
+	items, _, err := a.Store.List(ctx, JobPrefix(cell))
+	return len(items) > 0, err
+}
+
 // maxCancelAttempts is how often a cancellation is stored again because the job was relocated
 // meanwhile.
 const maxCancelAttempts = 3
--- a/jobrouter.go
+++ b/jobrouter.go
@@ -330,11 +330,15 @@
 	}
 }
 
-// askPending asks the holder of a cell for the count.
+// askPending asks the holder of a cell for the count. A cell that has never had a holder may have jobs only in the
+// store, and a failure domain without VMs has none.
 func (r *jobRouter) askPending(ctx context.Context, cell, queue string) (int, error) {
-	holder, known := r.claimer.Holder(cell)
-	if !known {
-		return 0, relayer.ErrNotHeld
+	if holder, known := r.claimer.Holder(cell); known {
+		return r.peers.Pending(ctx, holder.Address, cell, queue)
 	}
-	return r.peers.Pending(ctx, holder.Address, cell, queue)
+	stored, err := r.archiver.HasJobs(ctx, cell)
+	if err == nil && stored {
+		err = relayer.ErrNotHeld
+	}
+	return 0, err
 }
