--- a/cmd/zinniashore/soaklostdomain_test.go
+++ b/cmd/zinniashore/soaklostdomain_test.go
@@ -66,15 +66,16 @@
 // addPeers gives each process a proxy. Processes learn its address from the store in place of the process's own.
 func (s *soak) addPeers() {
 	for _, p := range s.processes {
-		p.peers = &soakPeers{proxy: newSoakProxy(s.t, p.peerAddress()), links: map[string]*soakLink{}}
+		peers := &soakPeers{proxy: newSoakProxy(s.t, p.peerAddress()), links: map[string]*soakLink{}}
 		for _, other := range s.processes {
-			p.peers.links[other.name] = &soakLink{}
+			peers.links[other.name] = &soakLink{}
 		}
-		p.peers.proxy.link = func(near net.Conn) (*soakLink, string) {
+		peers.proxy.link = func(near net.Conn) (*soakLink, string) {
 			name, _ := s.owner(near)
-			return p.peers.links[name], name
+			return peers.links[name], name
 		}
-		go p.peers.proxy.run(p.peers.proxy.listener)
+		p.peers.Store(peers)
+		go peers.proxy.run(peers.proxy.listener)
 	}
 }
 
@@ -86,7 +87,7 @@
 
 // redirectPeers replaces the address of the process in what it writes to the store by that of its proxy.
 func (p *soakProcess) redirectPeers(r *http.Request) {
-	if p.peers == nil || !strings.HasSuffix(r.URL.Path, "/kv-txn") {
+	if p.peers.Load() == nil || !strings.HasSuffix(r.URL.Path, "/kv-txn") {
 		return
 	}
 	content, err := io.ReadAll(r.Body)
@@ -111,7 +112,7 @@
 	if err != nil || json.Unmarshal(encoded, &value) != nil {
 		return
 	}
-	write["value"] = bytes.ReplaceAll(value, []byte(`"`+p.peerAddress()+`"`), []byte(`"`+p.peers.proxy.address()+`"`))
+	write["value"] = bytes.ReplaceAll(value, []byte(`"`+p.peerAddress()+`"`), []byte(`"`+p.peers.Load().proxy.address()+`"`))
 }
 
 // injectDomain carries out the faults of cases with a lost failure domain.
@@ -168,7 +169,7 @@
 	fault := &linkFault{silentUp: true, silentDown: true, drop: true}
 	for _, p := range inside {
 		p.lost.Store(true)
-		for _, link := range p.peers.links {
+		for _, link := range p.peers.Load().links {
 			link.begin(fault)
 		}
 		<-s.signal(p, syscall.SIGKILL)
@@ -193,7 +194,7 @@
 			s.show(w)
 		}
 		for _, p := range inside {
-			for _, link := range p.peers.links {
+			for _, link := range p.peers.Load().links {
 				link.end(fault)
 			}
 			p.lost.Store(false)
@@ -252,7 +253,7 @@
 	for _, p := range inside {
 		links = append(links, &p.store)
 		for _, other := range outside {
-			links = append(links, p.peers.links[other.name], other.peers.links[p.name])
+			links = append(links, p.peers.Load().links[other.name], other.peers.Load().links[p.name])
 		}
 	}
 	for _, w := range workers {
--- a/cmd/zinniashore/soakprocess_test.go
+++ b/cmd/zinniashore/soakprocess_test.go
@@ -25,7 +25,7 @@
 	// port is the first of the ports of the process.
 	port int
 	// peers is the proxy at which the others reach the process, nil if they reach it directly.
-	peers *soakPeers
+	peers atomic.Pointer[soakPeers]
 	// lost is true once the VM of the process is lost for good.
 	lost atomic.Bool
 
