--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -41,9 +41,9 @@
 	// savePrefix is the prefix of the keys that each save of a cell writes, so that
 	// their revision is the revision of the last save.
 	savePrefix = keyRoot + "saves/"
-	// contactPrefix is the prefix of the keys that the holders of cells write while they have nothing to save, so that
-	// the next holder knows when one last reached the store.
-	contactPrefix = keyRoot + "contacts/"
+	// heartbeatPrefix is the prefix of the keys that the holders of cells write while they have nothing to save, so that
+	// the next holder knows when they last reached the store.
+	heartbeatPrefix = keyRoot + "heartbeats/"
 	// workerPrefix is the prefix of the keys that list the workers on which tasks of a
 	// cell may run.
 	workerPrefix = keyRoot + "workers/"
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -133,27 +133,27 @@
 	}
 }
 
-// TestContact guards against a next holder that doesn't know when an earlier one last reached the store, and against
-// contacts that count although they reached it after the end of their term.
-func TestContact(t *testing.T) {
+// TestHeartbeat guards against a next holder that doesn't know when an earlier one last reached the store, and against
+// heartbeats that are stored after the end of their term.
+func TestHeartbeat(t *testing.T) {
 	a, store := newArchiver(t)
 	first := startTerm(t, a, store)
-	if err := first.Contact(t.Context()); err != nil {
+	if err := first.Heartbeat(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	second := &archiver.CellArchive{Archiver: a, Cell: cell, Epoch: first.Epoch}
 	stored, err := second.Load(t.Context())
-	if err != nil || stored.Earlier.LastContact <= first.Epoch {
-		t.Errorf("the last contact is %d (%v), want one after the term %d", stored.Earlier.LastContact, err, first.Epoch)
+	if err != nil || stored.Earlier.LastWrite <= first.Epoch {
+		t.Errorf("the last write is %d (%v), want one after the term %d", stored.Earlier.LastWrite, err, first.Epoch)
 	}
 	mustSave(t, first, jobBatch(dispatcher.StateRunning))
 	saved, err := second.Load(t.Context())
-	if err != nil || saved.Earlier.LastContact <= stored.Earlier.LastContact {
-		t.Errorf("the last contact after a save is %d (%v), want one after %d", saved.Earlier.LastContact, err, stored.Earlier.LastContact)
+	if err != nil || saved.Earlier.LastWrite <= stored.Earlier.LastWrite {
+		t.Errorf("the last write after a save is %d (%v), want one after %d", saved.Earlier.LastWrite, err, stored.Earlier.LastWrite)
 	}
 	startTerm(t, a, store)
-	if err := first.Contact(t.Context()); !errors.Is(err, dispatcher.ErrSuperseded) {
-		t.Errorf("a contact of the previous holder: %v, want ErrSuperseded", err)
+	if err := first.Heartbeat(t.Context()); !errors.Is(err, dispatcher.ErrSuperseded) {
+		t.Errorf("a heartbeat of the previous holder: %v, want ErrSuperseded", err)
 	}
 }
 
--- a/archiver/cellarchive.go
+++ b/archiver/cellarchive.go
@@ -56,11 +56,11 @@
 		}
 		a.activeEpoch = save.ActiveEpoch
 	}
-	contact, err := a.Archiver.Store.Get(ctx, contactPrefix+a.Cell)
+	heartbeat, err := a.Archiver.Store.Get(ctx, heartbeatPrefix+a.Cell)
 	if err != nil {
 		return stored, err
 	}
-	stored.Earlier = dispatcher.EarlierTraces{ActiveEpoch: a.activeEpoch, LastContact: max(item.Revision, contact.Revision)}
+	stored.Earlier = dispatcher.EarlierRecords{ActiveEpoch: a.activeEpoch, LastWrite: max(item.Revision, heartbeat.Revision)}
 	stored.Jobs, err = a.loadJobs(ctx)
 	return stored, err
 }
@@ -164,14 +164,14 @@
 	return err
 }
 
-// contactValue is the value of the keys below contactPrefix, of which only the revision counts.
-const contactValue = "{}"
+// heartbeatValue is the value of the keys below heartbeatPrefix, of which only the revision counts.
+const heartbeatValue = "{}"
 
-// Contact implements dispatcher.Archive.
-func (a *CellArchive) Contact(ctx context.Context) error {
+// Heartbeat implements dispatcher.Archive.
+func (a *CellArchive) Heartbeat(ctx context.Context) error {
 	_, err := a.Archiver.Store.Commit(ctx, platform.Transaction{
 		Expect: []platform.Expectation{{Key: TermPrefix + a.Cell, Revision: a.Epoch}},
-		Writes: []platform.Item{{Key: contactPrefix + a.Cell, Value: []byte(contactValue)}},
+		Writes: []platform.Item{{Key: heartbeatPrefix + a.Cell, Value: []byte(heartbeatValue)}},
 	})
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
--- a/archiver/return_test.go
+++ b/archiver/return_test.go
@@ -84,9 +84,9 @@
 	return loaded.Jobs[0].Job.Part
 }
 
-// TestTasksGivenBack guards against a task that two cells have, or none: it goes back alone, the answer to that save is
+// TestReturnedTasks guards against a task that two cells have, or none: it goes back alone, the answer to that save is
 // lost, and it is delegated again, or another task of the part goes back, before the save is repeated.
-func TestTasksGivenBack(t *testing.T) {
+func TestReturnedTasks(t *testing.T) {
 	first, second, third := dispatcher.TaskID{Job: jobID}, dispatcher.TaskID{Job: jobID, Index: 1}, dispatcher.TaskID{Job: jobID, Index: 2}
 	a, store := newArchiver(t)
 	acceptPlain(t, a)
--- a/archiver/save.go
+++ b/archiver/save.go
@@ -107,8 +107,8 @@
 }
 
 // addReturn adds the rows that give a part, or some of its tasks, back to the home cell of its job, unless an earlier save
-// whose answer was lost has done so. A part that the home cell has extended isn't given back, nor is one of which the home
-// cell hasn't taken back yet what was given back before.
+// whose answer was lost has done so. The home cell must not have extended the part since, and must have taken back what
+// was given back before.
 func (a *CellArchive) addReturn(ctx context.Context, transaction *platform.Transaction, r *dispatcher.PartReturn) error {
 	key := JobPrefix(a.Cell) + r.Job
 	item, err := a.Archiver.Store.Get(ctx, key)
@@ -117,7 +117,7 @@
 	}
 	job, err := dispatcher.DecodeJob(item.Value)
 	if err != nil || !includesAll(job.Part, r.Part) {
-		return err // tasks that were given back may have been delegated again, but not all of them
+		return err // an earlier save has given them back; some may have been delegated again since
 	}
 	if len(job.Part) != len(r.Part)+len(r.Rest) || !includesAll(job.Part, r.Rest) {
 		return dispatcher.ErrRelocationRefused
@@ -161,8 +161,8 @@
 	})
 }
 
-// notTakenBack reports whether a transaction was refused because the home cell of a part hasn't taken back yet what this
-// cell has given back of it before.
+// notTakenBack reports whether a transaction was refused because an earlier return of tasks of the job is still
+// stored: its home cell hasn't taken them back.
 func (a *CellArchive) notTakenBack(err error, id string) bool {
 	var conflict *platform.ConflictError
 	if !errors.As(err, &conflict) {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -84,7 +84,7 @@
 	// FullLeaseAge is the age of its newest confirmation up to which the holder grants leases of full
 	// duration; 0 if unknown.
 	FullLeaseAge time.Duration
-	// MaxIsolation is how long after its last write under its term the holder acts, and its leases last; 0 if
+	// MaxIsolation is how long the holder acts, and its leases last, after its last write under its term; 0 if
 	// that has no limit.
 	MaxIsolation time.Duration
 }
--- a/claimer/takeover.go
+++ b/claimer/takeover.go
@@ -15,8 +15,8 @@
 	// abandoned. Registrations of a failure domain that was cut off may be back before its
 	// holder's.
 	abandonmentPeriod = 2 * time.Second
-	// lostDomainDelay is how long a cell whose workers aren't registered either is left to its last holder. Most cuts of a
-	// failure domain are over by then, and the authority of a holder that is lost, or cut off for longer, soon ends.
+	// lostDomainDelay is for how long a cell without registered workers is left to its last holder. By then most
+	// partitions of a failure domain are over, and the authority of a holder that doesn't answer soon ends.
 	lostDomainDelay = 5500 * time.Millisecond
 	// outsideRankDelay separates the claims of processes of other failure domains,
 	// secondCellDelay delays that of one that already holds a cell.
@@ -40,7 +40,7 @@
 // abandoned reports whether no process of the cell's failure domain holds a free cell or is going
 // to. A cell that was released has no holder that acts. Otherwise the last holder may be cut off from the
 // store or from this process: then its workers aren't registered, or it answers that it still
-// has them. Of a holder that doesn't answer nothing more is known after lostDomainDelay.
+// has them. If it doesn't answer, its failure domain counts as lost after lostDomainDelay.
 func (k *candidacy) abandoned(ctx context.Context) bool {
 	if k.released() {
 		return true
@@ -51,14 +51,14 @@
 	}
 	if !k.HasWorkers(ctx, k.cell) {
 		k.setAbandoned(time.Time{})
-		return k.lost()
+		return k.domainLost()
 	}
 	return k.abandonedFor() >= abandonmentPeriod
 }
 
-// lost reports whether the failure domain of a free cell is to be taken for lost. A last holder whose authority doesn't
-// end by itself keeps the cell, as a next one couldn't act.
-func (k *candidacy) lost() bool {
+// domainLost reports whether the failure domain of a free cell is to be taken for lost. The cell is left to a last holder
+// whose authority doesn't end by itself: no next one could act.
+func (k *candidacy) domainLost() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if last, found := k.lastHolders[k.cell]; found && last.MaxIsolation == 0 || k.freeSince.IsZero() {
@@ -68,7 +68,7 @@
 	if free < lostDomainDelay+k.claimDelay()-takeoverDelay {
 		return false
 	}
-	klog.InfoS("Cell of a failure domain that is silent has no holder", "cell", k.cell, "for", free)
+	klog.InfoS("Cell of an unresponsive failure domain has no holder", "cell", k.cell, "for", free)
 	return true
 }
 
--- a/dispatcher/absence.go
+++ b/dispatcher/absence.go
@@ -51,8 +51,8 @@
 			missing = append(missing, id+" ("+c.absence(now, w)+")")
 		}
 	}
-	return fmt.Sprintf("%d of %d workers confirm it, active: %t; last contact with the store %s ago, isolated: %t; earlier holders ended: %t; missing: %s",
-		confirming, voters, c.active, age(now, c.contactAt), c.isolated(now), !c.earlierEndedAt.IsZero(), strings.Join(missing, "; "))
+	return fmt.Sprintf("%d of %d workers confirm it, active: %t; authority renewed %s ago, isolated: %t; earlier holders ended: %t; missing: %s",
+		confirming, voters, c.active, age(now, c.renewedAt), c.isolated(now), !c.earlierEndedAt.IsZero(), strings.Join(missing, "; "))
 }
 
 // absence describes, for logs, since when a worker hasn't been registered or answered.
--- a/dispatcher/batch.go
+++ b/dispatcher/batch.go
@@ -211,7 +211,7 @@
 func (c *Cell) BatchStored(now time.Time, b *Batch) {
 	c.storing = false
 	c.TermChecked(b.begun)
-	c.Contacted(b.begun)
+	c.Renewed(b.begun)
 	for _, changed := range b.Jobs {
 		j := c.jobs[changed.ID]
 		j.stored = changed.Progress.State
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -52,9 +52,9 @@
 	// duration. An older one shortens them by the rest, so that no lease lasts longer than
 	// FullLeaseAge and LeaseDuration after the holder was last confirmed.
 	FullLeaseAge time.Duration
-	// MaxIsolation is how long after its last contact (Cell.Contacted) the holder acts, and its leases last, by the
-	// holder's clock; 0 is without limit. It turns a holder that is lost, and may act with workers that are
-	// lost as well, into one that has ended by a known time.
+	// MaxIsolation is how long the holder acts, and its leases last, without a renewal of its authority
+	// (Cell.Renewed), by its own clock; 0 is without limit. So a holder that doesn't answer any more has
+	// stopped by a known time.
 	MaxIsolation time.Duration
 	// StateRetention is how long the state of a final job is kept.
 	StateRetention time.Duration
@@ -140,8 +140,8 @@
 	// termCheckedAt is when the newest check of the store began that showed that no other
 	// holder's term has begun.
 	termCheckedAt time.Time
-	// contactAt is when the newest contact of the holder began.
-	contactAt time.Time
+	// renewedAt is when the authority of the holder was last renewed.
+	renewedAt time.Time
 	// pendingStops are the runs to stop whose stop the worker hasn't accepted yet.
 	pendingStops []*run
 	// headrooms estimates the headroom of long-running tasks and the effect of
--- a/dispatcher/confirmation.go
+++ b/dispatcher/confirmation.go
@@ -112,9 +112,9 @@
 }
 
 // leaseDuration returns how long a lease that is granted now lasts. It counts from the newest confirmation
-// of the holder if that is older than FullLeaseAge, and ends with the holder's isolation.
+// of the holder if that is older than FullLeaseAge, and ends with the holder's authority.
 func (c *Cell) leaseDuration(now time.Time) time.Duration {
-	return min(c.confirmedLeaseDuration(now), c.isolationLeft(now))
+	return min(c.confirmedLeaseDuration(now), c.authorityLeft(now))
 }
 
 // confirmedLeaseDuration returns how long a lease that is granted now lasts by the newest confirmation of the holder.
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -38,8 +38,8 @@
 	return known && j.job.Part != nil
 }
 
-// extendPart adds tasks to the delegated part of a known job. stored is true if the store was just found to have the
-// part. A task that was given back is looked up there first: the record may be an old one.
+// extendPart adds tasks to the delegated part of a known job. stored is true if the part was just read from the store.
+// Otherwise a task that was given back is looked up there first: the record may be an old one.
 func (c *Cell) extendPart(now time.Time, j *jobState, job *Job, stored bool) {
 	if j.job.Part == nil || j.state.Final() {
 		return
@@ -48,11 +48,11 @@
 		if j.job.includes(id) {
 			continue
 		}
-		if at, back := j.givenBack[id]; back && !stored && now.Sub(at) < absentJobTTL {
+		if at, back := j.returnedTasks[id]; back && !stored && now.Sub(at) < absentJobTTL {
 			c.unknownJobs[id.Job] = now.Add(-unknownJobTimeout)
 			continue
 		}
-		delete(j.givenBack, id)
+		delete(j.returnedTasks, id)
 		j.job.Part = append(j.job.Part, id)
 		if t := c.task(now, id); t != nil {
 			t.remote = false
@@ -289,7 +289,7 @@
 	}
 	part := j.job
 	part.Progress = nil
-	part.Part, part.PartCrashes = j.occurrences[id.Occurrence].partOf(cell)
+	part.Part, part.PartCrashes = j.partOf(cell)
 	c.pendingPart, c.pendingPartSince = &Part{Cell: cell, Job: part}, now
 	c.dirty[id.Job] = true
 	return true
@@ -309,17 +309,19 @@
 	c.record(recorder.Event{Kind: KindDelegated, Task: t.id.String(), Key: t.id.Job, Detail: "to " + cell})
 }
 
-// partOf returns the tasks of the occurrence that are delegated to a cell, and the crashes
-// of workers under them.
-func (o *occurrenceState) partOf(cell string) (part []TaskID, crashes []TaskCrashes) {
-	for _, s := range o.steps {
-		for _, t := range s.tasks {
-			if t.delegatedTo != cell {
-				continue
-			}
-			part = append(part, t.id)
-			if len(t.crashes) > 0 {
-				crashes = append(crashes, TaskCrashes{Task: t.id, Crashes: slices.Clone(t.crashes)})
+// partOf returns the tasks of the job that are delegated to a cell, and the crashes of workers under them. Tasks of
+// repeated jobs aren't delegated.
+func (j *jobState) partOf(cell string) (part []TaskID, crashes []TaskCrashes) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.delegatedTo != cell {
+					continue
+				}
+				part = append(part, t.id)
+				if len(t.crashes) > 0 {
+					crashes = append(crashes, TaskCrashes{Task: t.id, Crashes: slices.Clone(t.crashes)})
+				}
 			}
 		}
 	}
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -81,16 +81,16 @@
 	return r.OtherCells.FindCell(ctx, append(home, partCells...), service, step, true)
 }
 
-// relocateOnce offers the next job that has no room in the cell to the other cells. It reports
+// relocateOnce offers the next job that doesn't fit in the cell to the other cells. It reports
 // whether there was one.
 func (r *Runner) relocateOnce(ctx context.Context) bool {
 	r.mu.Lock()
 	now := r.Clock.Now()
 	id, job, found := r.Cell.NextToRelocate(now)
-	needed, later := r.Cell.PlacesToMove(now, id)
+	needed, later := r.Cell.PlacesToRelocate(now, id)
 	r.mu.Unlock()
 	if !found {
-		return r.returnOnce() || r.giveBackOnce(ctx)
+		return r.returnOnce() || r.returnTasksOnce(ctx)
 	}
 	cell, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, job.Steps[id.Step], later)
 	relocated := false
@@ -123,11 +123,11 @@
 	return found
 }
 
-// giveBackOnce gives the next task of a part back that has no place here, if another cell has one, with those of its step
-// that wait as well. It reports whether there was such a task.
-func (r *Runner) giveBackOnce(ctx context.Context) bool {
+// returnTasksOnce gives back the next task of a part that has no place here, if another cell has one, with the waiting tasks
+// of its step. It reports whether there was such a task.
+func (r *Runner) returnTasksOnce(ctx context.Context) bool {
 	r.mu.Lock()
-	id, job, found := r.Cell.NextToGiveBack(r.Clock.Now())
+	id, job, found := r.Cell.NextTaskToReturn(r.Clock.Now())
 	r.mu.Unlock()
 	if !found {
 		return false
@@ -137,7 +137,7 @@
 	if places == 0 {
 		r.Cell.DelegationRefused(r.Clock.Now(), id)
 	} else {
-		r.Cell.GiveBack(r.Clock.Now(), id, shareOfPlaces(places))
+		r.Cell.ReturnTasks(r.Clock.Now(), id, shareOfPlaces(places))
 	}
 	r.mu.Unlock()
 	signal(r.changed)
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -13,16 +13,16 @@
 // EarlierHolders finds out whether the earlier holders of a cell have ended.
 type EarlierHolders interface {
 	// Ended reports whether all holders of earlier terms have certainly stopped acting.
-	Ended(ctx context.Context, traces EarlierTraces) (EarlierEnd, bool)
+	Ended(ctx context.Context, records EarlierRecords) (EarlierEnd, bool)
 }
 
-// EarlierTraces is what earlier holders have left in the store.
-type EarlierTraces struct {
+// EarlierRecords is what earlier holders have stored of themselves.
+type EarlierRecords struct {
 	// ActiveEpoch is the newest epoch under which a holder became active, so that those of terms before that
 	// stop within Limits.MaxConfirmationAge; 0 if none is stored.
 	ActiveEpoch int64
-	// LastContact is the revision of the newest save or contact of any of them; 0 if there is none.
-	LastContact int64
+	// LastWrite is the revision of the newest save or heartbeat of any of them; 0 if there is none.
+	LastWrite int64
 }
 
 // EarlierEnd is when all holders of earlier terms have stopped acting.
@@ -94,7 +94,7 @@
 
 // askEarlierHolders asks once whether the earlier holders have ended.
 func (r *Runner) askEarlierHolders(ctx context.Context) {
-	end, ended := r.EarlierHolders.Ended(ctx, r.earlierTraces)
+	end, ended := r.EarlierHolders.Ended(ctx, r.earlierRecords)
 	if !ended {
 		r.sleep(ctx, earlierHoldersRetryDelay)
 	}
--- a/dispatcher/isolation.go
+++ b/dispatcher/isolation.go
@@ -5,47 +5,46 @@
 	"time"
 )
 
-const (
-	// contactInterval separates the contacts of a holder with the store: a save, or a trace of its own.
-	contactInterval = 500 * time.Millisecond
-)
-
-// Contacted records a contact of the holder that began at a time: the store has taken a write under its term, so that
-// the next holder knows of it, or the store is down for all processes, so that there is no next holder.
-func (c *Cell) Contacted(began time.Time) {
-	if began.After(c.contactAt) {
-		c.contactAt = began
+// heartbeatInterval separates the writes by which a holder shows that it reaches the store. A save is one as well.
+const heartbeatInterval = 500 * time.Millisecond
+
+// Renewed records that the authority of the holder was renewed at a time: by a write that the store has taken under its
+// term, which was sent then and tells the next holder of it; or by an outage of the store for all processes, in which no
+// other term can begin.
+func (c *Cell) Renewed(at time.Time) {
+	if at.After(c.renewedAt) {
+		c.renewedAt = at
 	}
 }
 
-// ContactDue reports whether the holder has to leave a trace in the store.
-func (c *Cell) ContactDue(now time.Time) bool {
-	return c.active && c.Limits.MaxIsolation > 0 && now.Sub(c.contactAt) >= contactInterval
+// HeartbeatDue reports whether the holder has to write a heartbeat.
+func (c *Cell) HeartbeatDue(now time.Time) bool {
+	return c.active && c.Limits.MaxIsolation > 0 && now.Sub(c.renewedAt) >= heartbeatInterval
 }
 
-// isolated reports whether the holder has had no contact for so long that another one may act in its place.
-func (c *Cell) isolated(now time.Time) bool { return c.isolationLeft(now) <= 0 }
+// isolated reports whether the authority of the holder has ended, so that another one may act.
+func (c *Cell) isolated(now time.Time) bool { return c.authorityLeft(now) <= 0 }
 
-// isolationLeft returns for how long the holder may act on without a contact, and its leases may last.
-func (c *Cell) isolationLeft(now time.Time) time.Duration {
+// authorityLeft returns for how long the holder may act, and its leases may last, unless its authority is renewed.
+func (c *Cell) authorityLeft(now time.Time) time.Duration {
 	switch {
 	case c.Limits.MaxIsolation == 0:
 		return math.MaxInt64
-	case !c.contactAt.After(c.resumedAt):
+	case !c.renewedAt.After(c.resumedAt):
 		return 0 // for how long the VM was suspended isn't known
 	}
-	return max(0, c.contactAt.Add(c.Limits.MaxIsolation).Sub(now))
+	return max(0, c.renewedAt.Add(c.Limits.MaxIsolation).Sub(now))
 }
 
-// IsolationEnd returns when a holder that has had no contact since a time has certainly stopped acting, and all of
-// its leases have expired, on clocks that run slow.
-func IsolationEnd(contact time.Time, maxIsolation time.Duration) time.Time {
-	return contact.Add(time.Duration(float64(maxIsolation)/minClockRate) + leaseExpiryMargin)
+// IsolationEnd returns when a holder has certainly stopped acting, and its leases have expired, whose authority was last
+// renewed at a time. Workers' clocks may run slow.
+func IsolationEnd(renewed time.Time, maxIsolation time.Duration) time.Time {
+	return renewed.Add(time.Duration(float64(maxIsolation)/minClockRate) + leaseExpiryMargin)
 }
 
-// noteOutage takes an outage of the store for all processes for a contact; the caller holds mu.
+// noteOutage renews the authority of the holder in an outage of the store for all processes; the caller holds mu.
 func (r *Runner) noteOutage() {
 	if r.OutageSeen != nil {
-		r.Cell.Contacted(r.OutageSeen())
+		r.Cell.Renewed(r.OutageSeen())
 	}
 }
--- a/dispatcher/isolation_test.go
+++ b/dispatcher/isolation_test.go
@@ -10,7 +10,7 @@
 // testIsolation is the MaxIsolation of the holders of these tests.
 const testIsolation = 7500 * time.Millisecond
 
-// newIsolatedSimulation returns a simulation whose holder stops acting without a contact.
+// newIsolatedSimulation returns a simulation whose holder stops acting unless its authority is renewed.
 func newIsolatedSimulation(workers int) *simulation {
 	s := newActiveSimulation(workers)
 	s.limitIsolation()
@@ -19,7 +19,7 @@
 
 func (s *simulation) limitIsolation() {
 	s.cell.Limits.MaxIsolation = testIsolation
-	s.cell.Contacted(s.now)
+	s.cell.Renewed(s.now)
 }
 
 // TestIsolatedHolder guards against two runs of a task: a holder that is cut off with its workers acts, or its leases
@@ -31,9 +31,9 @@
 		acts    bool
 	}{
 		"the store answers":                 {prepare: func(s *simulation) { s.storeDown = false }, acts: true},
-		"the store is down for all":         {prepare: func(s *simulation) { s.cell.Contacted(s.now) }, acts: true},
+		"the store is down for all":         {prepare: func(s *simulation) { s.cell.Renewed(s.now) }, acts: true},
 		"the holder is cut off":             {prepare: func(*simulation) {}},
-		"the store is down, its VM stopped": {prepare: func(s *simulation) { s.cell.Contacted(s.now); s.cell.Resumed(s.now) }},
+		"the store is down, its VM stopped": {prepare: func(s *simulation) { s.cell.Renewed(s.now); s.cell.Resumed(s.now) }},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -67,18 +67,18 @@
 	s.submit(longRunningJob(jobID, 4, 1500))
 	s.runFor(time.Second)
 	s.storeDown = true
-	s.cell.Contacted(s.now)
+	s.cell.Renewed(s.now)
 	end := dispatcher.IsolationEnd(s.now, testIsolation)
 	for cutAt := s.now; s.now.Before(end); s.step(50 * time.Millisecond) {
 		for index := range 4 {
 			if s.now.Sub(cutAt) < testIsolation && s.running[dispatcher.TaskID{Job: jobID, Index: index}] == 0 {
-				t.Fatalf("the lease of task %d has expired %v after the last contact", index, s.now.Sub(cutAt))
+				t.Fatalf("the lease of task %d has expired %v after the last renewal", index, s.now.Sub(cutAt))
 			}
 		}
 	}
 	for index := range 4 {
 		if s.running[dispatcher.TaskID{Job: jobID, Index: index}] > 0 {
-			t.Errorf("task %d still runs %v after the last contact", index, dispatcher.IsolationEnd(s.now, testIsolation).Sub(s.now))
+			t.Errorf("task %d still runs %v after the last renewal", index, dispatcher.IsolationEnd(s.now, testIsolation).Sub(s.now))
 		}
 	}
 }
@@ -119,8 +119,8 @@
 			s.submit(longRunningJob(jobID, 8, 300))
 			s.submit(plainJob(otherID, 8, 6*time.Second, 2))
 			s.runFor(time.Second)
-			earlier, contact := s.cell, s.now
-			earlier.Contacted(contact)
+			earlier, renewed := s.cell, s.now
+			earlier.Renewed(renewed)
 			lost, left := s.workers[:test.lost], s.workers[test.lost:]
 			for _, f := range lost {
 				f.reachable = false
@@ -132,7 +132,7 @@
 			s.pauseHolder(2 * time.Second)
 			s.changeHolder(left...)
 			s.limitIsolation()
-			end := dispatcher.IsolationEnd(contact, testIsolation)
+			end := dispatcher.IsolationEnd(renewed, testIsolation)
 			for until := s.now.Add(30 * time.Second); s.now.Before(until); s.step(40 * time.Millisecond) {
 				if s.now.After(end) {
 					s.cell.EarlierHoldersExpired(end)
@@ -162,7 +162,7 @@
 	s.submit(longRunningJob(jobID, 2, 1500))
 	s.submit(plainJob(otherID, 2, 6*time.Second, 1))
 	s.runFor(time.Second)
-	contact := s.now
+	renewed := s.now
 	for _, f := range s.workers {
 		s.unregister(f)
 		f.reboot()
@@ -171,7 +171,7 @@
 	s.pauseHolder(8 * time.Second)
 	s.changeHolder()
 	s.limitIsolation()
-	s.cell.EarlierHoldersExpired(dispatcher.IsolationEnd(contact, testIsolation))
+	s.cell.EarlierHoldersExpired(dispatcher.IsolationEnd(renewed, testIsolation))
 	s.runFor(registrationGrace + time.Second)
 	if id, _, found := s.cell.NextToDelegate(s.now); !found || id.Job != jobID {
 		t.Errorf("a task of %q is to be delegated (%v), want one of the long-running job", id.Job, found)
--- a/dispatcher/networkparts_test.go
+++ b/dispatcher/networkparts_test.go
@@ -195,7 +195,7 @@
 	}
 	if !found {
 		h.giveBack()
-		id, _, found = h.cell.NextToGiveBack(now)
+		id, _, found = h.cell.NextTaskToReturn(now)
 		apply = func(places int) { h.giveTasksBack(id, places) }
 	}
 	if !found {
@@ -245,7 +245,7 @@
 		h.cell.DelegationRefused(h.now(), id)
 		return
 	}
-	h.cell.GiveBack(h.now(), id, places)
+	h.cell.ReturnTasks(h.now(), id, places)
 }
 
 // giveBack gives a part back that no worker of the cell can run.
--- a/dispatcher/partreturn.go
+++ b/dispatcher/partreturn.go
@@ -46,15 +46,15 @@
 	return "", false
 }
 
-// waitsInPart reports whether a task of a part has waited for long enough to be given back, and isn't active.
+// waitsInPart reports whether a task of a part isn't active and has waited for long enough to be given back.
 func (c *Cell) waitsInPart(now time.Time, t *task) bool {
 	j := t.job()
 	return j.job.Part != nil && !t.remote && len(t.runs) == 0 && !j.state.Final() && !j.relocating &&
 		now.Sub(t.readyAt) >= delegationDelay && now.Sub(t.refusedAt) >= delegationRetryDelay && !c.mayHaveRun(now, t)
 }
 
-// partReturned applies a stored return. Of a part that stays in part, an old record of it may still arrive that has the
-// tasks.
+// partReturned applies a stored return. An old record of the part, with the tasks that were given back, may still
+// arrive.
 func (c *Cell) partReturned(now time.Time, r *PartReturn) {
 	c.pendingReturn = nil
 	if len(r.Rest) == 0 {
@@ -65,11 +65,11 @@
 	if j == nil {
 		return
 	}
-	if j.givenBack == nil {
-		j.givenBack = map[TaskID]time.Time{}
+	if j.returnedTasks == nil {
+		j.returnedTasks = map[TaskID]time.Time{}
 	}
 	for _, id := range r.Part {
-		j.givenBack[id] = now
+		j.returnedTasks[id] = now
 	}
 	j.job.Part = slices.DeleteFunc(slices.Clone(j.job.Part), func(id TaskID) bool { return slices.Contains(r.Part, id) })
 	if j.deliveredAgain {
@@ -87,10 +87,10 @@
 			c.enqueue(now, t)
 		}
 	}
-	if j := c.jobs[r.Job]; len(r.Rest) > 0 && j != nil {
-		j.deliveredAgain = false
-	} else {
+	if len(r.Rest) == 0 {
 		c.resume(now, r.Job)
+	} else if j := c.jobs[r.Job]; j != nil {
+		j.deliveredAgain = false
 	}
 }
 
@@ -132,22 +132,19 @@
 			}
 		}
 	}
-	c.renewPendingPart(id, returned.Cell)
+	c.updatePendingPart(id, returned.Cell)
 	return true
 }
 
-// renewPendingPart leaves the tasks out of a part that is being stored which its cell has just given back.
-func (c *Cell) renewPendingPart(id, cell string) {
+// updatePendingPart removes the tasks that a cell has just given back from the part that is being stored for it.
+func (c *Cell) updatePendingPart(id, cell string) {
 	p := c.pendingPart
 	if p == nil || p.Job.ID != id || p.Cell != cell {
 		return
 	}
 	c.pendingPart = nil
 	part := p.Job
-	for _, o := range c.jobs[id].occurrences {
-		tasks, crashes := o.partOf(cell)
-		part.Part, part.PartCrashes = tasks, crashes
-	}
+	part.Part, part.PartCrashes = c.jobs[id].partOf(cell)
 	if len(part.Part) > 0 {
 		c.pendingPart = &Part{Cell: cell, Job: part}
 	}
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -20,18 +20,18 @@
 	Job Job
 }
 
-// NextToRelocate returns a task that has no room in the cell, with its job, which may be relocated to another cell:
+// NextToRelocate returns a task that doesn't fit in the cell, with its job, which may be relocated to another cell:
 // nothing of it is active here or elsewhere. Of several it is the one whose last offer is longest ago.
 func (c *Cell) NextToRelocate(now time.Time) (TaskID, Job, bool) {
 	if c.pendingRelocation != nil || !c.mayAct(now) {
 		return TaskID{}, Job{}, false
 	}
-	lacking := c.newRoomless(now)
-	return c.longestUnoffered(func(t *task) bool { return c.relocatable(now, t, lacking) })
+	short := c.newShortages(now)
+	return c.longestUnoffered(func(t *task) bool { return c.relocatable(now, t, short) })
 }
 
 // relocatable reports whether the job of a waiting task may be relocated, and has to be.
-func (c *Cell) relocatable(now time.Time, t *task, lacking *roomless) bool {
+func (c *Cell) relocatable(now time.Time, t *task, short *shortages) bool {
 	j := t.job()
 	switch {
 	case t.movable() || t.remote || j.job.Part != nil || j.running > 0 || j.state.Final():
@@ -39,7 +39,7 @@
 	case now.Sub(t.readyAt) < delegationDelay || now.Sub(t.refusedAt) < delegationRetryDelay:
 		return false
 	}
-	return !c.mayHaveRun(now, t) && (lacking.has(t) || !c.capable(t)) && len(j.partCells()) == 0 && !c.hasUnconfirmedCrash(j)
+	return !c.mayHaveRun(now, t) && (short.affects(t) || !c.capable(t)) && len(j.partCells()) == 0 && !c.hasUnconfirmedCrash(j)
 }
 
 // Capable reports whether the workers of the cell could run a task if all of their capacity were free.
@@ -55,9 +55,9 @@
 	if unplaced == nil {
 		return
 	}
-	least := needOf(unplaced)
+	least := requirementOf(unplaced)
 	for _, t := range c.ready {
-		if needOf(t).includes(least) {
+		if requirementOf(t).covers(least) {
 			t.refusedAt = now
 		}
 	}
@@ -67,7 +67,7 @@
 // job may not be relocated any more.
 func (c *Cell) Relocate(now time.Time, id TaskID, cell string) bool {
 	t := c.task(now, id)
-	if t == nil || c.pendingRelocation != nil || !c.relocatable(now, t, c.newRoomless(now)) {
+	if t == nil || c.pendingRelocation != nil || !c.relocatable(now, t, c.newShortages(now)) {
 		return false
 	}
 	j := t.job()
@@ -76,7 +76,7 @@
 	job.Progress = &progress
 	j.relocating = true
 	c.pendingRelocation = &Relocation{Cell: cell, Job: job}
-	c.record(recorder.Event{Kind: KindRelocated, Key: id.Job, Detail: "to " + cell + ": no room here for " + id.String()})
+	c.record(recorder.Event{Kind: KindRelocated, Key: id.Job, Detail: "to " + cell + ": not enough capacity here for " + id.String()})
 	return true
 }
 
--- a/dispatcher/room_test.go
+++ b/dispatcher/requirement_test.go
@@ -48,9 +48,9 @@
 	return false
 }
 
-// TestJobWithoutRoomMoves guards against a job that waits for ever in a cell that is full of long-running tasks, beside cells
-// with room: a worker that could run it if it were empty never becomes empty.
-func TestJobWithoutRoomMoves(t *testing.T) {
+// TestJobWithoutCapacityIsRelocated guards against a job that waits forever in a cell that is full of long-running tasks, while
+// other cells have free capacity: a worker that could run it if it were empty never becomes empty.
+func TestJobWithoutCapacityIsRelocated(t *testing.T) {
 	gang := wholeWorkers(jobID, 3, 2*time.Second)
 	gang.Steps[0].Gang = true
 	later := wholeWorkers(jobID, 1, time.Second)
@@ -74,8 +74,8 @@
 	}{
 		"its workers are lost, the others full":   {job: wholeWorkers(jobID, 2, 30*time.Second), longRunning: 2, lost: true, moves: true, places: 1},
 		"all workers are full":                    {job: wholeWorkers(jobID, 2, 2*time.Second), longRunning: 4, moves: true, places: 1},
-		"a later step has no room":                {job: later, longRunning: 4, moves: true, places: 1},
-		"a gang is wider than the room":           {job: gang, longRunning: 2, moves: true, places: 3},
+		"a later step doesn't fit":                {job: later, longRunning: 4, moves: true, places: 1},
+		"a gang is wider than what is left":       {job: gang, longRunning: 2, moves: true, places: 3},
 		"a gang that no empty cell of ours holds": {job: gang, longRunning: 2, lost: true, moves: true, places: 3, later: true},
 		"one worker is left":                      {job: wholeWorkers(jobID, 3, 2*time.Second), longRunning: 3},
 		"short tasks are about to end":            {job: wholeWorkers(jobID, 8, 2*time.Second)},
@@ -98,7 +98,7 @@
 			if !moves {
 				return
 			}
-			if places, later := s.cell.PlacesToMove(s.now, id); places != test.places || later != test.later {
+			if places, later := s.cell.PlacesToRelocate(s.now, id); places != test.places || later != test.later {
 				t.Errorf("it needs %d places, later ones will do: %v; want %d, %v", places, later, test.places, test.later)
 			}
 			if !s.cell.Relocate(s.now, id, "graz-b") {
@@ -131,8 +131,8 @@
 	}
 }
 
-// TestManyJobsWithoutRoom guards against a crowd of waiting jobs that all move at once to the places that one cell has free.
-func TestManyJobsWithoutRoom(t *testing.T) {
+// TestManyJobsWithoutCapacity guards against a crowd of waiting jobs that all move at once to the places that one cell has free.
+func TestManyJobsWithoutCapacity(t *testing.T) {
 	const jobs = 40
 	s := newActiveSimulation(2)
 	fillWithLongRunning(s, 2)
--- a/dispatcher/returnrecord.go
+++ b/dispatcher/returnrecord.go
@@ -2,9 +2,9 @@
 
 import "encoding/json"
 
-// givenBackMessage is the record by which a cell gives tasks of a part back that it keeps otherwise. An earlier build, which
-// would take back all tasks, can't read its part: that of progressMessage is no list.
-type givenBackMessage struct {
+// returnedTasksMessage is the record by which a cell gives back some tasks of a part. An earlier build, which would take back
+// all of them, can't decode it: the field part of progressMessage isn't a list.
+type returnedTasksMessage struct {
 	Part    []partMessage    `json:"part"`
 	Crashes []crashesMessage `json:"crashes,omitempty"`
 }
@@ -14,7 +14,7 @@
 	if len(r.Rest) == 0 {
 		return EncodeProgress(r.Progress)
 	}
-	m := givenBackMessage{Crashes: encodeCrashes(r.Progress.Crashes)}
+	m := returnedTasksMessage{Crashes: encodeCrashes(r.Progress.Crashes)}
 	for _, id := range r.Part {
 		m.Part = append(m.Part, partMessage{Step: id.Step, Task: id.Index})
 	}
@@ -24,7 +24,7 @@
 // DecodeReturn decodes the record by which a cell has given back a part of a job, or some of its tasks. It leaves the
 // revision out.
 func DecodeReturn(job, cell string, content []byte) (ReturnedPart, error) {
-	var m givenBackMessage
+	var m returnedTasksMessage
 	if err := json.Unmarshal(content, &m); err != nil {
 		progress, err := DecodeProgress(job, content)
 		return ReturnedPart{Cell: cell, Crashes: progress.Crashes}, err
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -59,7 +59,7 @@
 	CheckTerm(ctx context.Context) error
 	// Contact does the same and leaves a trace in the store, by which the next holder knows until when this one
 	// may act.
-	Contact(ctx context.Context) error
+	Heartbeat(ctx context.Context) error
 }
 
 // OtherCells gives access to the other cells.
@@ -77,8 +77,8 @@
 	Jobs []StoredJob
 	// Workers are the workers on which tasks of the cell may run.
 	Workers []Registration
-	// Earlier is what earlier holders have left.
-	Earlier EarlierTraces
+	// Earlier is what earlier holders have stored of themselves.
+	Earlier EarlierRecords
 }
 
 // StoredJob is the stored state of a job.
@@ -133,8 +133,8 @@
 	// checkingTerm is true while the store is asked whether the term is still the newest, termUnconfirmed if the
 	// last such question got no answer.
 	checkingTerm, termUnconfirmed bool
-	// earlierTraces is what earlier holders have left in the store.
-	earlierTraces EarlierTraces
+	// earlierRecords is what earlier holders have stored of themselves.
+	earlierRecords EarlierRecords
 	// askingEarlierHolders is true while EarlierHolders is asked.
 	askingEarlierHolders bool
 	goroutines           sync.WaitGroup
@@ -236,7 +236,7 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	r.Cell.TermChecked(checked)
-	r.earlierTraces = stored.Earlier
+	r.earlierRecords = stored.Earlier
 	for _, registration := range stored.Workers {
 		r.Cell.RestoreWorker(now, registration)
 	}
--- a/dispatcher/runner_test.go
+++ b/dispatcher/runner_test.go
@@ -50,7 +50,7 @@
 
 func (a *slowArchive) Save(context.Context, *dispatcher.Batch) error { return nil }
 
-func (a *slowArchive) Contact(context.Context) error { return nil }
+func (a *slowArchive) Heartbeat(context.Context) error { return nil }
 
 func (a *slowArchive) CheckTerm(context.Context) error { return nil }
 
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -358,13 +358,13 @@
 
 // checkTerm asks the store whether the holder's term is still the newest, if that is due.
 func (s *simulation) checkTerm() {
-	contact := s.cell.ContactDue(s.now)
+	heartbeat := s.cell.HeartbeatDue(s.now)
 	switch {
-	case s.storeDown || !s.cell.TermCheckDue(s.now) && !contact:
+	case s.storeDown || !s.cell.TermCheckDue(s.now) && !heartbeat:
 	case s.archive.epoch == s.cell.Epoch:
 		s.cell.TermChecked(s.now)
-		if contact {
-			s.cell.Contacted(s.now)
+		if heartbeat {
+			s.cell.Renewed(s.now)
 		}
 	default:
 		s.cell.TermEnded()
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -186,8 +186,8 @@
 	// back, unstoredReturns the cells whose tasks the store still has as delegated.
 	returnedAt      map[string]int64
 	unstoredReturns []string
-	// givenBack holds the tasks of the part that were given back while the rest stays, each with the time.
-	givenBack map[TaskID]time.Time
+	// returnedTasks are the tasks that were given back while the rest of the part stays, each with the time.
+	returnedTasks map[TaskID]time.Time
 	// unaccepted is true if the job was cancelled before it was accepted.
 	unaccepted bool
 	// finalAt is when the job became final.
--- /dev/null
+++ b/dispatcher/taskreturn.go
@@ -0,0 +1,63 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"zinniashore.example/recorder"
+)
+
+// NextTaskToReturn returns a task of a part, with its job, that has no place in this cell, and gets none as short tasks end:
+// it may go back to the home cell without the rest of the part. Of several it is the one whose last offer is longest ago.
+func (c *Cell) NextTaskToReturn(now time.Time) (TaskID, Job, bool) {
+	if c.pendingReturn != nil || !c.mayAct(now) {
+		return TaskID{}, Job{}, false
+	}
+	return c.longestUnoffered(func(t *task) bool { return c.returnable(now, t) })
+}
+
+// returnable reports whether a task of a part may go back to the home cell alone.
+func (c *Cell) returnable(now time.Time, t *task) bool {
+	return c.waitsInPart(now, t) && now.Sub(t.readyAt) >= relocationDelay && c.unplaceablePart(now, t) && !t.hasUnconfirmedCrash() && !t.awaitsCrashReview()
+}
+
+// ReturnTasks begins to give back a task of a part and the other returnable tasks of its step, places tasks at most. The
+// next batch stores that. It reports whether it has begun.
+func (c *Cell) ReturnTasks(now time.Time, id TaskID, places int) bool {
+	first := c.task(now, id)
+	if first == nil || c.pendingReturn != nil || !c.returnable(now, first) {
+		return false
+	}
+	j := first.job()
+	back := []*task{first}
+	for _, t := range first.step.tasks {
+		if t != first && len(back) < places && t.queued && c.returnable(now, t) {
+			back = append(back, t)
+		}
+	}
+	r := &PartReturn{Job: id.Job, Progress: j.progress()}
+	for _, t := range back {
+		t.remote = true
+		r.Part = append(r.Part, t.id)
+		c.record(recorder.Event{Kind: KindRelocated, Task: t.id.String(), Key: id.Job, Detail: "task given back: no place here"})
+	}
+	for _, task := range j.job.Part {
+		if !slices.Contains(r.Part, task) {
+			r.Rest = append(r.Rest, task)
+		}
+	}
+	if len(r.Rest) == 0 {
+		j.relocating = true
+	}
+	c.pendingReturn = r
+	return true
+}
+
+// dropFinalReturn drops a return of tasks whose job has become final meanwhile.
+func (c *Cell) dropFinalReturn() {
+	if r := c.pendingReturn; r != nil && len(r.Rest) > 0 {
+		if j := c.jobs[r.Job]; j == nil || j.state.Final() {
+			c.pendingReturn = nil
+		}
+	}
+}
--- a/dispatcher/giveback_test.go
+++ b/dispatcher/taskreturn_test.go
@@ -19,7 +19,7 @@
 // awaitGivenBack runs the simulation until a task is to be given back, for at most span.
 func awaitGivenBack(s *simulation, span time.Duration) (dispatcher.TaskID, bool) {
 	for end := s.now.Add(span); s.now.Before(end); s.step(50 * time.Millisecond) {
-		if id, _, found := s.cell.NextToGiveBack(s.now); found {
+		if id, _, found := s.cell.NextTaskToReturn(s.now); found {
 			return id, true
 		}
 	}
@@ -61,10 +61,10 @@
 // fill the cell, and the rest of its part runs on there.
 func TestTaskOfPartWithoutPlace(t *testing.T) {
 	s, id := newPartWithoutPlace(t)
-	if !s.cell.GiveBack(s.now, id, 3) {
+	if !s.cell.ReturnTasks(s.now, id, 3) {
 		t.Fatal("the task isn't given back")
 	}
-	if next, _, found := s.cell.NextToGiveBack(s.now); found {
+	if next, _, found := s.cell.NextTaskToReturn(s.now); found {
 		t.Errorf("%s is to be given back before the store has the return of %s", next, id)
 	}
 	s.runFor(200 * time.Millisecond)
@@ -82,9 +82,9 @@
 	requireNoViolations(t, s)
 }
 
-// TestPlaceOfPartComesFree guards against delegated tasks that leave a cell in which they have a place, or get one once
+// TestPartIsKeptForShortTasks guards against delegated tasks that leave a cell in which they have a place, or get one once
 // short tasks have ended.
-func TestPlaceOfPartComesFree(t *testing.T) {
+func TestPartIsKeptForShortTasks(t *testing.T) {
 	s := newActiveSimulation(4)
 	fillWithLongRunning(s, 2)
 	s.submit(wholeWorkers(otherID, 2, 5*time.Second))
@@ -99,9 +99,9 @@
 	}
 }
 
-// TestRecordsOfGivenBackTask guards against two runs of a task, or none: a record of the part arrives that is older than
+// TestRecordsOfReturnedTask guards against two runs of a task, or none: a record of the part arrives that is older than
 // the return of one of its tasks, or one by which the home cell has delegated the task again.
-func TestRecordsOfGivenBackTask(t *testing.T) {
+func TestRecordsOfReturnedTask(t *testing.T) {
 	tests := map[string]struct {
 		// early is true if the record arrives before the answer to the save of the return.
 		early bool
@@ -117,7 +117,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s, id := newPartWithoutPlace(t)
-			s.cell.GiveBack(s.now, id, 1)
+			s.cell.ReturnTasks(s.now, id, 1)
 			batch := s.cell.NextBatch(s.now, 4)
 			if batch == nil || batch.Return == nil {
 				t.Fatal("nothing is given back")
@@ -149,11 +149,11 @@
 // TestRefusedReturnOfTask guards against a task that no cell runs: the store has refused its return.
 func TestRefusedReturnOfTask(t *testing.T) {
 	s, id := newPartWithoutPlace(t)
-	s.cell.GiveBack(s.now, id, 1)
+	s.cell.ReturnTasks(s.now, id, 1)
 	batch := s.cell.NextBatch(s.now, 4)
 	s.cell.BatchFailed(batch)
 	s.cell.RelocationRefused(s.now, batch)
-	if next, _, found := s.cell.NextToGiveBack(s.now); found {
+	if next, _, found := s.cell.NextTaskToReturn(s.now); found {
 		t.Errorf("%s is to be given back again at once", next)
 	}
 	s.bringBack()
@@ -163,9 +163,9 @@
 	}
 }
 
-// TestTaskGivenBackAlone guards against two runs of a task: its home cell takes back all tasks of a part of which one was
+// TestTaskReturnedAlone guards against two runs of a task: its home cell takes back all tasks of a part of which one was
 // given back. It also keeps the part that is just being delegated to the same cell, without that task.
-func TestTaskGivenBackAlone(t *testing.T) {
+func TestTaskReturnedAlone(t *testing.T) {
 	s := newActiveSimulation(1)
 	s.workers[0].registration.Phase = dispatcher.PhaseDraining
 	s.register(s.workers[0])
--- a/dispatcher/term.go
+++ b/dispatcher/term.go
@@ -66,7 +66,7 @@
 // checkTermIfDue begins a check of the term; the caller holds mu.
 func (r *Runner) checkTermIfDue(ctx context.Context) {
 	now := r.Clock.Now()
-	if r.checkingTerm || !r.Cell.TermCheckDue(now) && !r.Cell.ContactDue(now) {
+	if r.checkingTerm || !r.Cell.TermCheckDue(now) && !r.Cell.HeartbeatDue(now) {
 		return
 	}
 	r.checkingTerm = true
@@ -77,11 +77,11 @@
 func (r *Runner) checkTerm(ctx context.Context) {
 	began := r.Clock.Now()
 	r.mu.Lock()
-	contact := r.Cell.ContactDue(began)
+	heartbeat := r.Cell.HeartbeatDue(began)
 	r.mu.Unlock()
 	check := r.Archive.CheckTerm
-	if contact {
-		check = r.Archive.Contact
+	if heartbeat {
+		check = r.Archive.Heartbeat
 	}
 	err := check(ctx)
 	if unconfirmed := err != nil; unconfirmed != r.termUnconfirmed {
@@ -95,8 +95,8 @@
 	defer r.mu.Unlock()
 	r.checkingTerm = false
 	switch {
-	case err == nil && contact:
-		r.Cell.Contacted(began)
+	case err == nil && heartbeat:
+		r.Cell.Renewed(began)
 		r.Cell.TermChecked(began)
 	case err == nil:
 		r.Cell.TermChecked(began)
--- a/dispatcher/waitaccount.go
+++ b/dispatcher/waitaccount.go
@@ -261,6 +261,6 @@
 	if !t.refusedAt.IsZero() {
 		refused = age(now, t.refusedAt) + " ago"
 	}
-	return fmt.Sprintf("%d of %d workers of its service take starts, one could run it if all of its capacity were free: %t, there is room beside long-running tasks: %t; may move to another cell: %t, refused by the others: %s",
-		healthy, service, c.capable(t), c.hasRoom(now, needOf(t)), t.movable(), refused)
+	return fmt.Sprintf("%d of %d workers of its service take starts, one could run it if all of its capacity were free: %t, or beside long-running tasks: %t; may move to another cell: %t, refused by the others: %s",
+		healthy, service, c.capable(t), c.fitsBesideLongRunning(now, requirementOf(t)), t.movable(), refused)
 }
--- a/earlierholders.go
+++ b/earlierholders.go
@@ -23,7 +23,7 @@
 	term  claimer.Term
 	clock clockwork.Clock
 	peers *relayer.Client
-	// history tells for how long a trace of an earlier holder has been in the store.
+	// history tells since when the store has the last write of an earlier holder.
 	history *historian.Historian
 	// othersReachStore reports whether a holder of another cell reaches the store, unless no other process holds one.
 	othersReachStore func(ctx context.Context) bool
@@ -52,16 +52,16 @@
 	return names
 }
 
-// Ended implements dispatcher.EarlierHolders. Holders that don't answer have ended once their last trace in the store is
-// old enough.
-func (e *earlierHolders) Ended(ctx context.Context, traces dispatcher.EarlierTraces) (dispatcher.EarlierEnd, bool) {
+// Ended implements dispatcher.EarlierHolders. Holders that don't answer have ended MaxIsolation after their last
+// write.
+func (e *earlierHolders) Ended(ctx context.Context, records dispatcher.EarlierRecords) (dispatcher.EarlierEnd, bool) {
 	if e.term.EarlierUnknown {
 		return dispatcher.EarlierEnd{}, false
 	}
-	if at, ended := e.askAll(ctx, traces.ActiveEpoch); ended {
+	if at, ended := e.askAll(ctx, records.ActiveEpoch); ended {
 		return dispatcher.EarlierEnd{At: at}, true
 	}
-	if at, ended := e.isolationEnd(ctx, traces.LastContact); ended {
+	if at, ended := e.isolationEnd(ctx, records.LastWrite); ended {
 		return dispatcher.EarlierEnd{At: at, LeasesExpired: true}, true
 	}
 	return dispatcher.EarlierEnd{}, false
@@ -88,42 +88,42 @@
 	return at, all
 }
 
-// isolationEnd returns when all earlier holders have stopped acting and their leases have expired, by the newest trace
-// that one of them has left, and whether that time has passed. An outage of the store may have let them act on
-// without one. This process mustn't be cut off itself: another one has to reach the store too.
-func (e *earlierHolders) isolationEnd(ctx context.Context, lastContact int64) (time.Time, bool) {
+// isolationEnd returns when all earlier holders have stopped acting and their leases have expired, and whether that time
+// has passed. It follows from the newest write of any of them, or from the last outage of the store, in which they need
+// none. Another process has to reach the store too: this one may be partitioned from all others.
+func (e *earlierHolders) isolationEnd(ctx context.Context, lastWrite int64) (time.Time, bool) {
 	isolation := e.term.EarlierIsolation()
 	if isolation == 0 {
 		return time.Time{}, false
 	}
 	for _, holder := range e.term.Earlier {
-		lastContact = max(lastContact, holder.Epoch)
+		lastWrite = max(lastWrite, holder.Epoch)
 	}
-	since, known := e.history.Since(lastContact)
+	since, known := e.history.Since(lastWrite)
 	if !known {
 		return time.Time{}, false
 	}
 	end := dispatcher.IsolationEnd(since, isolation)
 	if now := e.clock.Now(); now.Before(end) {
-		e.reportIsolation(lastContact, since, end.Sub(now))
+		e.reportIsolation(lastWrite, since, end.Sub(now))
 		return time.Time{}, false
 	}
 	if !e.othersReachStore(ctx) {
 		return time.Time{}, false
 	}
-	klog.InfoS("Earlier holders of the cell have ended, as their last contact with the store is old", "cell", e.cell,
-		"lastContact", lastContact, "for", e.clock.Since(since))
+	klog.InfoS("Earlier holders of the cell have ended, as their last write is old", "cell", e.cell,
+		"lastWrite", lastWrite, "for", e.clock.Since(since))
 	return end, true
 }
 
 // reportIsolation logs once until when the earlier holders may act.
-func (e *earlierHolders) reportIsolation(lastContact int64, since time.Time, left time.Duration) {
+func (e *earlierHolders) reportIsolation(lastWrite int64, since time.Time, left time.Duration) {
 	if e.isolationReported {
 		return
 	}
 	e.isolationReported = true
 	klog.InfoS("Earlier holders of the cell that don't answer may act for a while", "cell", e.cell,
-		"lastContact", lastContact, "for", e.clock.Since(since), "left", left)
+		"lastWrite", lastWrite, "for", e.clock.Since(since), "left", left)
 }
 
 // holderEnded reports whether an earlier holder has certainly stopped acting.
--- a/earlierholders_test.go
+++ b/earlierholders_test.go
@@ -31,7 +31,7 @@
 			claimed := clock.Now()
 			clock.Advance(time.Second)
 			e := &earlierHolders{clock: clock, term: claimer.Term{Epoch: activeEpoch + 1, ClaimedAt: claimed, Earlier: test.earlier}}
-			end, ended := e.Ended(t.Context(), dispatcher.EarlierTraces{ActiveEpoch: activeEpoch})
+			end, ended := e.Ended(t.Context(), dispatcher.EarlierRecords{ActiveEpoch: activeEpoch})
 			if got := end.At.Sub(claimed); got != test.want || !ended {
 				t.Errorf("ended %v after the claim, %v, want %v, true", got, ended, test.want)
 			}
@@ -52,7 +52,7 @@
 // TestEndOfSilentHolders guards against a cell that never acts again as a lost holder never says that it has ended, and
 // against a holder that is taken for ended while it may act.
 func TestEndOfSilentHolders(t *testing.T) {
-	const epoch, trace = 5, 7
+	const epoch, written = 5, 7
 	silent := claimer.EarlierHolder{Epoch: epoch, Holder: claimer.Holder{Process: "edge-1", Address: "127.0.0.1:1", MaxIsolation: maxIsolation}}
 	earlierBuild := silent
 	earlierBuild.MaxIsolation = 0
@@ -60,7 +60,7 @@
 	tests := map[string]struct {
 		earlier []claimer.EarlierHolder
 		unknown bool
-		// passed is how long ago the store was first seen to have reached the revision of the last contact.
+		// passed is how long ago the store was first seen to have reached the revision of the last write.
 		passed time.Duration
 		// outage is true if the store didn't answer since, until outageEnd ago.
 		outage    bool
@@ -84,13 +84,13 @@
 			// answer lets the store answer for a span, as the watches of a process make it do.
 			answer := func(span time.Duration) {
 				for ; span > 0; span -= min(span, time.Second) {
-					history.Reached(trace)
+					history.Reached(written)
 					clock.Advance(min(span, time.Second))
 				}
-				history.Reached(trace)
+				history.Reached(written)
 			}
 			if test.outage {
-				history.Reached(trace)
+				history.Reached(written)
 				clock.Advance(test.passed - test.outageEnd)
 				answer(test.outageEnd)
 			} else {
@@ -98,10 +98,10 @@
 			}
 			e := &earlierHolders{
 				clock: clock, peers: &relayer.Client{}, history: history,
-				term:             claimer.Term{Epoch: trace + 1, ClaimedAt: clock.Now(), Earlier: test.earlier, EarlierUnknown: test.unknown},
+				term:             claimer.Term{Epoch: written + 1, ClaimedAt: clock.Now(), Earlier: test.earlier, EarlierUnknown: test.unknown},
 				othersReachStore: func(context.Context) bool { return !test.cutOff },
 			}
-			got, ended := e.Ended(t.Context(), dispatcher.EarlierTraces{LastContact: trace})
+			got, ended := e.Ended(t.Context(), dispatcher.EarlierRecords{LastWrite: written})
 			if ended != test.want || ended && !got.LeasesExpired {
 				t.Errorf("Ended() = %+v, %v, want %v with all leases expired", got, ended, test.want)
 			}
--- a/heldcells.go
+++ b/heldcells.go
@@ -45,8 +45,8 @@
 	// fullLeaseAge covers the time between two saves of a busy cell, or two checks of the term of
 	// another one. A new holder waits for as much longer before it takes earlier leases for expired.
 	fullLeaseAge = 500 * time.Millisecond
-	// maxIsolation is how long a holder acts, and its leases last, without a contact. It outlasts the usual cuts of a
-	// failure domain, and leaves time to run the tasks of one that is lost elsewhere.
+	// maxIsolation is how long a holder acts, and its leases last, without a renewal of its authority. It outlasts
+	// short partitions, and leaves time to run the tasks of a lost failure domain elsewhere.
 	maxIsolation = 7500 * time.Millisecond
 )
 
@@ -64,7 +64,7 @@
 
 	// peers sends requests to earlier holders.
 	peers *relayer.Client
-	// history is when the store had reached which revision.
+	// history records when the store had reached which revision.
 	history *historian.Historian
 	// others are the holders of the other cells; outageSeen is dispatcher.Runner.OutageSeen.
 	others     *otherHolders
@@ -144,7 +144,7 @@
 	runner.EarlierHolders = &earlierHolders{
 		cell: cell, term: term, clock: h.clock, peers: h.peers, history: h.history, othersReachStore: h.others.anyReachesStore,
 	}
-	runner.Cell.Contacted(term.ClaimedAt)
+	runner.Cell.Renewed(term.ClaimedAt)
 	runner.Cell.EarlierTerms = describeEarlier(term)
 	if !h.set(cell, heldCell{runner: runner, epoch: term.Epoch, stop: stop}) {
 		return dispatcher.ErrSuperseded
@@ -159,8 +159,8 @@
 	return group.Wait()
 }
 
-// isolationLimit returns how long a holder acts without a contact; 0 is without limit. Where there is one failure domain,
-// nothing tells an outage of the store from a cut.
+// isolationLimit returns MaxIsolation of the holders; 0 is without limit. With a single failure domain nothing tells an
+// outage of the store from a partition.
 func isolationLimit(settings platform.Settings) time.Duration {
 	if len(settings.FailureDomains) < 2 {
 		return 0
--- a/heldcells_test.go
+++ b/heldcells_test.go
@@ -32,7 +32,7 @@
 
 func (unreachableArchive) Save(context.Context, *dispatcher.Batch) error { return nil }
 
-func (unreachableArchive) Contact(context.Context) error {
+func (unreachableArchive) Heartbeat(context.Context) error {
 	return errors.New("the store is unreachable")
 }
 
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -1,5 +1,5 @@
-// Package historian records by when a process knew that the store had reached a revision, so that
-// it can tell for how long a change has been in the store.
+// Package historian records when a process learned that the store had reached a revision, so that
+// it can tell since when the store has had a change.
 package historian
 
 import (
@@ -59,8 +59,8 @@
 	h.marks = append([]mark(nil), h.marks[expired:]...)
 }
 
-// Since returns a time at which a change of a revision was in the store already, and after which the store has
-// never left this process without an answer for longer than MaxGap. It reports false if no such time is known.
+// Since returns a time at which the store already had the change of a revision. If the store hasn't answered this process
+// for longer than MaxGap since, the time is that of the first answer after that. It reports false if no such time is known.
 func (h *Historian) Since(revision int64) (time.Time, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
