--- a/archiver/return_test.go
+++ b/archiver/return_test.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// giveBackBatch gives some tasks of a part back.
-func giveBackBatch(rest []dispatcher.TaskID, part ...dispatcher.TaskID) *dispatcher.Batch {
+// returnTasksBatch returns some tasks of a part to the home cell.
+func returnTasksBatch(rest []dispatcher.TaskID, part ...dispatcher.TaskID) *dispatcher.Batch {
 	batch := returnBatch(part...)
 	batch.Return.Rest = rest
 	return batch
@@ -95,7 +95,7 @@
 		t.Fatal(err)
 	}
 	other := startTermOf(t, a, store, otherCell)
-	back := giveBackBatch([]dispatcher.TaskID{first}, second, third)
+	back := returnTasksBatch([]dispatcher.TaskID{first}, second, third)
 	mustSave(t, other, back)
 	if got := partOf(t, other); !slices.Equal(got, []dispatcher.TaskID{first}) {
 		t.Errorf("the part is %v, want %s", got, first)
@@ -106,7 +106,7 @@
 	}
 	loaded, err := home.Load(t.Context())
 	if err != nil || len(loaded.Jobs) != 1 || len(loaded.Jobs[0].Returned) != 1 || !slices.Equal(loaded.Jobs[0].Returned[0].Tasks, back.Return.Part) {
-		t.Fatalf("the home cell loads %+v (%v), want two tasks that were given back", loaded.Jobs, err)
+		t.Fatalf("the home cell loads %+v (%v), want two returned tasks", loaded.Jobs, err)
 	}
 	takeBack := &dispatcher.Batch{Jobs: []dispatcher.BatchJob{{
 		ID: jobID, Own: true, Progress: dispatcher.Progress{State: dispatcher.StateRunning},
@@ -120,7 +120,7 @@
 	if got := partOf(t, other); !slices.Equal(got, []dispatcher.TaskID{first, second}) {
 		t.Errorf("after the repeated save the part is %v, want %s and %s", got, first, second)
 	}
-	mustSave(t, other, giveBackBatch([]dispatcher.TaskID{second}, first))
+	mustSave(t, other, returnTasksBatch([]dispatcher.TaskID{second}, first))
 	mustSave(t, home, takeBack)
 	if loaded, err = home.Load(t.Context()); err != nil || len(loaded.Jobs[0].Returned) != 1 {
 		t.Errorf("the home cell loads %+v (%v): a repeated save has removed a newer record", loaded.Jobs, err)
--- a/dispatcher/earlier.go
+++ b/dispatcher/earlier.go
@@ -73,7 +73,7 @@
 // the registry doesn't list any more can't if it has answered this holder and the lease that this one
 // granted has expired, or if it has never answered and all earlier holders have ended.
 func (c *Cell) mayConfirmOther(now time.Time, w *worker) bool {
-	if !c.gone(w) {
+	if !c.exited(w) {
 		return true
 	}
 	if w.epochAccepted {
--- a/dispatcher/isolation_test.go
+++ b/dispatcher/isolation_test.go
@@ -186,5 +186,5 @@
 	}
 }
 
-// registrationGrace is how long workers may be missing from the registry before they count as gone.
+// registrationGrace is how long a worker may be missing from the registry before it counts as exited.
 const registrationGrace = 3 * time.Second
--- a/dispatcher/presence.go
+++ b/dispatcher/presence.go
@@ -3,14 +3,14 @@
 import "time"
 
 // registrationGrace is how long a worker may be missing from the registry before it
-// counts as gone. Workers whose registrations expired while the store was unavailable
+// counts as exited. Workers whose registrations expired while the store was unavailable
 // register again within two seconds; the watch of the registry lags behind.
 const registrationGrace = 3 * time.Second
 
-// gone reports whether a worker no longer exists according to the registry. What the
+// exited reports whether a worker no longer exists according to the registry. What the
 // registry has said since the holder last read it isn't known, so that a pause of either
 // doesn't count as absence of the worker. After one the worker has as long again to register.
-func (c *Cell) gone(w *worker) bool {
+func (c *Cell) exited(w *worker) bool {
 	return !w.registered && c.registryReadFor(w.absentSince) >= registrationGrace
 }
 
@@ -22,6 +22,6 @@
 	return c.registryReadAt.Sub(since)
 }
 
-// crashed reports whether a worker is gone according to the registry and nothing
+// crashed reports whether a worker has exited according to the registry and nothing
 // listens at its address. A worker that is only cut off doesn't refuse connections.
-func (c *Cell) crashed(w *worker) bool { return w.connectionRefused && c.gone(w) }
+func (c *Cell) crashed(w *worker) bool { return w.connectionRefused && c.exited(w) }
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -84,7 +84,7 @@
 }
 
 // removable reports whether nothing can run on a worker any more: it is lost, and the leases of its
-// runs have expired. One that is only gone may register again for a while.
+// runs have expired. One that has only exited may register again for a while.
 func (c *Cell) removable(now time.Time, w *worker) bool {
 	if w.registered || len(w.runs) > 0 || !c.active || w.epochAccepted && !w.leaseExpired(now) {
 		return false
@@ -92,7 +92,7 @@
 	if w.displaced() {
 		return w.epochAccepted || now.After(c.earlierLeasesEnd())
 	}
-	if !c.gone(w) || c.registryReadAt.Before(c.resumedAt) {
+	if !c.exited(w) || c.registryReadAt.Before(c.resumedAt) {
 		return false // it may have registered again while the holder was suspended
 	}
 	unanswered := now.Sub(w.answeredAt)
--- a/dispatcher/requirement.go
+++ b/dispatcher/requirement.go
@@ -54,7 +54,7 @@
 		case !c.matches(w, q):
 		case w.registered:
 			places += q.placesIn(capacityOf(w))
-		case !c.gone(w):
+		case !c.exited(w):
 			return true
 		}
 		if places >= q.members {
--- a/dispatcher/shutdown.go
+++ b/dispatcher/shutdown.go
@@ -35,9 +35,9 @@
 // it any more. Its process may still be shutting down: its runs last until their lease expires.
 func (w *worker) displaced() bool { return w.addressTaken && !w.registered }
 
-// lost reports whether a worker won't list its runs any more: it is gone or displaced. They may
+// lost reports whether a worker won't list its runs any more: it has exited or is displaced. They may
 // last until their lease expires.
-func (c *Cell) lost(w *worker) bool { return w.displaced() || c.gone(w) }
+func (c *Cell) lost(w *worker) bool { return w.displaced() || c.exited(w) }
 
 // noteLeaving notes what the registration tells of the process that was last heard: whether it drains, or
 // is back as ready.
--- a/dispatcher/taskreturn.go
+++ b/dispatcher/taskreturn.go
@@ -21,8 +21,8 @@
 	return c.waitsInPart(now, t) && now.Sub(t.readyAt) >= relocationDelay && c.unplaceablePart(now, t) && !t.hasUnconfirmedCrash() && !t.awaitsCrashReview()
 }
 
-// ReturnTasks begins to give back a task of a part and the other returnable tasks of its step, places tasks at most. The
-// next batch stores that. It reports whether it has begun.
+// ReturnTasks begins to return a task of a part and the other returnable tasks of its step to the home cell, places tasks
+// at most. The next batch stores that. It reports whether it has begun.
 func (c *Cell) ReturnTasks(now time.Time, id TaskID, places int) bool {
 	first := c.task(now, id)
 	if first == nil || c.pendingReturn != nil || !c.returnable(now, first) {
@@ -39,7 +39,7 @@
 	for _, t := range back {
 		t.remote = true
 		r.Part = append(r.Part, t.id)
-		c.record(recorder.Event{Kind: KindRelocated, Task: t.id.String(), Key: id.Job, Detail: "task given back: no place here"})
+		c.record(recorder.Event{Kind: KindRelocated, Task: t.id.String(), Key: id.Job, Detail: "task returned: no place here"})
 	}
 	for _, task := range j.job.Part {
 		if !slices.Contains(r.Part, task) {
