dispatcher: the log tells what a long-running task waited for before a late start

The logs that we have couldn't tell hypotheses apart: at the size of the grown deployments nearly all task_start and task_lost lines are left out by the rate limit, and tasks_wait names one task for all. task_start_late has a limit of its own and names, for each long-running task that waited 3 s, how long for each cause, the last run that the holder knows and how long it has been active. tasks_wait_capacity tells whether the task is of a part, whether it gets a place as short tasks end, and how many workers are reserved for such tasks. No change of decisions.

--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -4,10 +4,12 @@
 
 // Kinds of events of the time line.
 const (
-	KindJobAdded       recorder.Kind = "job_added"
-	KindJobFinal       recorder.Kind = "job_final"
-	KindJobCancelled   recorder.Kind = "job_cancelled"
-	KindStart          recorder.Kind = "task_start"
+	KindJobAdded     recorder.Kind = "job_added"
+	KindJobFinal     recorder.Kind = "job_final"
+	KindJobCancelled recorder.Kind = "job_cancelled"
+	KindStart        recorder.Kind = "task_start"
+	// KindLateStart reports a long-running task that has waited long.
+	KindLateStart      recorder.Kind = "task_start_late"
 	KindStartFailed    recorder.Kind = "task_start_failed"
 	KindEnd            recorder.Kind = "task_end"
 	KindStop           recorder.Kind = "task_stop"
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -259,6 +259,7 @@
 
 func (c *Cell) startOrder(now time.Time, r *run, checkpoint string) StartOrder {
 	c.recordRun(KindStart, r, c.earlierRuns(now, r.task))
+	c.recordLateStart(now, r)
 	return StartOrder{
 		Worker:     r.worker.registration,
 		Task:       r.task.id,
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -107,6 +107,8 @@
 	movedFrom string
 	movedAt   time.Time
 	slowMoves slowMoves
+	// waited is for how long a long-running task without a run was found to wait for each cause, nil if for none.
+	waited map[WaitCause]time.Duration
 	// refusedAt is when no other cell had capacity for the task.
 	refusedAt time.Time
 	// readyAt is when the task was last enqueued.
--- a/dispatcher/waitaccount.go
+++ b/dispatcher/waitaccount.go
@@ -261,6 +261,21 @@
 	if !t.refusedAt.IsZero() {
 		refused = age(now, t.refusedAt) + " ago"
 	}
-	return fmt.Sprintf("%d of %d workers of its service take starts, one could run it if all of its capacity were free: %t, or beside long-running tasks: %t; may move to another cell: %t, refused by the others: %s",
-		healthy, service, c.capable(t), c.fitsBesideLongRunning(now, requirementOf(t)), t.movable(), refused)
+	return fmt.Sprintf("%d of %d workers of its service take starts, one could run it if all of its capacity were free: %t, or beside long-running tasks: %t%s; may move to another cell: %t, refused by the others: %s",
+		healthy, service, c.capable(t), c.fitsBesideLongRunning(now, requirementOf(t)), c.laterPlaceAccount(now, t), t.movable(), refused)
+}
+
+// laterPlaceAccount describes whether a long-running task gets a place here as short tasks end, and for how many tasks a
+// worker is reserved until then.
+func (c *Cell) laterPlaceAccount(now time.Time, t *task) string {
+	if !t.step.step.LongRunning {
+		return ""
+	}
+	reserved := 0
+	for _, w := range c.workers {
+		if w.reservedFor != nil {
+			reserved++
+		}
+	}
+	return fmt.Sprintf("; part: %t, a place once short tasks end: %t, reserved workers: %d", t.job().job.Part != nil, c.WillHavePlace(now, t.id), reserved)
 }
--- a/dispatcher/waiting.go
+++ b/dispatcher/waiting.go
@@ -61,6 +61,8 @@
 type waitLog struct {
 	// scannedAt is when waiting tasks were last searched for.
 	scannedAt time.Time
+	// scannedBefore is when they were searched for the time before.
+	scannedBefore time.Time
 	// causes are the causes that were ever found; nil before.
 	causes map[WaitCause]*causeLog
 }
@@ -87,7 +89,7 @@
 	if now.Sub(scannedBefore) < waitScanInterval {
 		return
 	}
-	c.waits.scannedAt = now
+	c.waits.scannedBefore, c.waits.scannedAt = scannedBefore, now
 	for _, l := range c.waits.causes {
 		l.longRunning, l.others, l.longest = 0, 0, nil
 	}
@@ -106,6 +108,7 @@
 	if !waitsLong(now, since) {
 		return
 	}
+	t.addWaited(now, since, cause, c.waits.scannedBefore)
 	if c.waits.causes == nil {
 		c.waits.causes = map[WaitCause]*causeLog{}
 	}
