--- a/dispatcher/releasedcell_test.go
+++ b/dispatcher/releasedcell_test.go
@@ -66,6 +66,52 @@
 	}
 }
 
+// TestStartsAfterReleasesBesideRestart guards against long-running tasks that have no run for longer than the platform
+// allows: each holder that takes over gracefully waits anew for the leases of a process of a worker that may still be
+// shutting down, as another one has answered, or for all leases if the holder before hadn't become active.
+func TestStartsAfterReleasesBesideRestart(t *testing.T) {
+	tests := map[string]struct {
+		disturb func(s *simulation)
+		release func(s *simulation)
+	}{
+		"a draining worker restarts": {
+			disturb: func(s *simulation) {
+				f := s.workers[0]
+				f.registration.Phase = dispatcher.PhaseDraining
+				s.register(f)
+				s.runFor(100 * time.Millisecond)
+				f.reboot()
+			},
+			release: func(s *simulation) { s.release(s.workers...) },
+		},
+		"every other holder isn't active": {
+			disturb: func(s *simulation) { leaveSilently(s, s.workers[:2]) },
+			release: func(s *simulation) {
+				s.release(s.workers[2:]...)
+				s.release(s.workers[2:]...)
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const tasks = 12
+			s := newActiveSimulation(6)
+			s.submit(longRunningJob(jobID, tasks, 1200))
+			s.runFor(time.Second)
+			began := s.now
+			test.disturb(s)
+			for s.now.Sub(began) < maxTimeWithoutRun {
+				s.runFor(1200 * time.Millisecond)
+				test.release(s)
+			}
+			if waiting := s.withoutRun(jobID, tasks); len(waiting) > 0 {
+				t.Errorf("without a run %v after the restart: %v", s.now.Sub(began), waiting)
+			}
+			requireNoViolations(t, s)
+		})
+	}
+}
+
 // TestLeasesOfSilentWorkers guards against two runs of a task: a holder that releases the cell takes a worker for
 // free of runs that may have some.
 func TestLeasesOfSilentWorkers(t *testing.T) {
--- a/dispatcher/taskreturn_test.go
+++ b/dispatcher/taskreturn_test.go
@@ -8,6 +8,10 @@
 	"zinniashore.example/dispatcher"
 )
 
+// timeToMove is how long a long-running task has no run when it moves to another cell with a free place: the delay of the
+// offer, a save, and the watch of the other cell if the delivery is lost.
+const timeToMove = 1500 * time.Millisecond
+
 // partOfTwo returns a job of three long-running tasks that take a worker each, of which this cell runs the last two.
 func partOfTwo(id string) dispatcher.Job {
 	job := longRunningJob(id, 3, fullCapacity.MilliProcessors)
@@ -99,6 +103,37 @@
 	}
 }
 
+// TestPartBehindLongShortTasks guards against delegated tasks that have no run for longer than the platform allows although
+// another cell has a free place: they wait for short tasks that take longer than estimated, or for ones that take each place
+// that becomes free.
+func TestPartBehindLongShortTasks(t *testing.T) {
+	tests := map[string]struct {
+		// changesHolder is true if the cell gets a new holder while the part waits.
+		changesHolder bool
+	}{
+		"one holder":   {},
+		"a new holder": {changesHolder: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const fillers = 4
+			s := newActiveSimulation(fillers)
+			s.submit(wholeWorkers(otherID, fillers, time.Minute))
+			s.runFor(500 * time.Millisecond)
+			s.submit(partOfTwo(jobID))
+			left := maxTimeWithoutRun - 2*timeToMove
+			if test.changesHolder {
+				s.runFor(left / 2)
+				s.changeHolder(s.workers...)
+				left -= left / 2
+			}
+			if _, found := awaitGivenBack(s, left); !found {
+				t.Errorf("no task of the part is to be given back within %v", maxTimeWithoutRun-2*timeToMove)
+			}
+		})
+	}
+}
+
 // TestRecordsOfReturnedTask guards against two runs of a task, or none: a record of the part arrives that is older than
 // the return of one of its tasks, or one by which the home cell has delegated the task again.
 func TestRecordsOfReturnedTask(t *testing.T) {
