--- a/dispatcher/taskreturn.go
+++ b/dispatcher/taskreturn.go
@@ -7,8 +7,13 @@
 	"zinniashore.example/recorder"
 )
 
-// NextTaskToReturn returns a task of a part, with its job, that has no place in this cell, and gets none as short tasks end:
-// it may go back to the home cell without the rest of the part. Of several it is the one whose last offer is longest ago.
+// maxPlaceWait is how long a task of a part waits for short tasks to end, which may take longer than estimated, before it
+// may go to a cell with a free place. The move takes up to 3 s, and a long-running task may have no run for 10 s.
+const maxPlaceWait = 5 * time.Second
+
+// NextTaskToReturn returns a task of a part, with its job, that has no place in this cell, and gets none as short tasks end,
+// or not in time: it may go back to the home cell without the rest of the part. Of several it is the one whose last offer is
+// longest ago.
 func (c *Cell) NextTaskToReturn(now time.Time) (TaskID, Job, bool) {
 	if c.pendingReturn != nil || !c.mayAct(now) {
 		return TaskID{}, Job{}, false
@@ -18,7 +23,18 @@
 
 // returnable reports whether a task of a part may go back to the home cell alone.
 func (c *Cell) returnable(now time.Time, t *task) bool {
-	return c.waitsInPart(now, t) && now.Sub(t.readyAt) >= relocationDelay && c.unplaceablePart(now, t) && !t.hasUnconfirmedCrash() && !t.awaitsCrashReview()
+	if !c.waitsInPart(now, t) || now.Sub(t.readyAt) < relocationDelay || t.hasUnconfirmedCrash() || t.awaitsCrashReview() {
+		return false
+	}
+	return c.unplaceablePart(now, t) || c.outwaited(now, t)
+}
+
+// outwaited reports whether a task of a part has no place here and has waited for one for maxPlaceWait. How long one has
+// waited that an earlier holder got isn't known.
+func (c *Cell) outwaited(now time.Time, t *task) bool {
+	known := !t.job().restored || t.lastRun.reason != ""
+	return t.step.step.LongRunning && (!known || now.Sub(t.readyAt) >= maxPlaceWait) && !t.notBefore.After(now) &&
+		c.selectWorker(now, t) == nil && !c.pendingStopsFreeCapacity(t)
 }
 
 // ReturnTasks begins to return a task of a part and the other returnable tasks of its step to the home cell, places tasks
