--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -99,6 +99,14 @@
 	MaxIsolationMS int64   `json:"max_isolation_ms,omitempty"`
 	// LeasesMS holds Term.Leases of the next term. It is set when the cell is released.
 	LeasesMS map[string]int64 `json:"leases_ms,omitempty"`
+	// EarlierProcesses holds Term.ProcessLeases of the next term. It is set when the cell is released.
+	EarlierProcesses []processLeaseMessage `json:"earlier_processes,omitempty"`
+}
+
+type processLeaseMessage struct {
+	Worker  string `json:"worker"`
+	Boot    int64  `json:"boot"`
+	LeaseMS int64  `json:"lease_ms"`
 }
 
 func newHolderMessage(h Holder) holderMessage {
@@ -118,23 +126,34 @@
 }
 
 // leases returns Term.Leases of the term after a release.
-func (m holderMessage) leases() map[string]time.Duration {
-	leases := make(map[string]time.Duration, len(m.LeasesMS))
+func (m holderMessage) leases() Leases {
+	leases := Leases{Workers: make(map[string]time.Duration, len(m.LeasesMS))}
 	for worker, left := range m.LeasesMS {
-		leases[worker] = time.Duration(left) * time.Millisecond
+		leases.Workers[worker] = time.Duration(left) * time.Millisecond
+	}
+	for _, p := range m.EarlierProcesses {
+		leases.EarlierProcesses = append(leases.EarlierProcesses, ProcessLease{
+			Worker: p.Worker, Boot: p.Boot, Left: time.Duration(p.LeaseMS) * time.Millisecond,
+		})
 	}
 	return leases
 }
 
 // newReleaseMessage returns the value of the key of a cell that is released.
-func newReleaseMessage(leases map[string]time.Duration) holderMessage {
-	message := holderMessage{LeasesMS: make(map[string]int64, len(leases))}
-	for worker, left := range leases {
-		message.LeasesMS[worker] = (left + time.Millisecond - 1).Milliseconds()
+func newReleaseMessage(leases Leases) holderMessage {
+	message := holderMessage{LeasesMS: make(map[string]int64, len(leases.Workers))}
+	for worker, left := range leases.Workers {
+		message.LeasesMS[worker] = roundUp(left)
+	}
+	for _, p := range leases.EarlierProcesses {
+		message.EarlierProcesses = append(message.EarlierProcesses, processLeaseMessage{Worker: p.Worker, Boot: p.Boot, LeaseMS: roundUp(p.Left)})
 	}
 	return message
 }
 
+// roundUp returns a duration in milliseconds, rounded up.
+func roundUp(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 // Claimer claims cells. Its exported fields are set before Run.
 type Claimer struct {
 	Store Store
@@ -155,7 +174,7 @@
 	Hold func(ctx context.Context, cell string, term Term) error
 	// Leases, if set, returns Term.Leases of the next term of a cell. It is called once Hold has returned, before
 	// the cell is released.
-	Leases func(cell string) map[string]time.Duration
+	Leases func(cell string) Leases
 	// Eligible reports whether this process may hold a cell now.
 	Eligible func() bool
 	// Holds asks another process whether it still holds a cell according to its
@@ -231,7 +250,7 @@
 	Holder
 	revision int64
 	// leases is Term.Leases of the term after a release.
-	leases map[string]time.Duration
+	leases Leases
 }
 
 // notifyChange updates the state that follows from the holders and wakes the
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -58,7 +58,7 @@
 	// earlier are the earlier holders that may still act.
 	earlier []claimer.EarlierHolder
 	// leases is what the holder before has told of its workers.
-	leases map[string]time.Duration
+	leases claimer.Leases
 }
 
 func (h *harness) start(t *testing.T, process, address string) context.CancelFunc {
@@ -91,7 +91,7 @@
 			h.ended <- term{process, held.Epoch, held.Earlier, held.Leases}
 			return nil
 		},
-		Leases:     func(string) map[string]time.Duration { return testLeases },
+		Leases:     func(string) claimer.Leases { return testLeases },
 		Eligible:   func() bool { return true },
 		Holds:      func(_ context.Context, holder claimer.Holder, _ string) bool { return h.alive[holder.Process] },
 		Unanswered: func(holder claimer.Holder) int { return h.unanswered[holder.Process] },
--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -19,13 +19,29 @@
 	Earlier []EarlierHolder
 	// EarlierUnknown is true if there may be earlier holders that Earlier lacks.
 	EarlierUnknown bool
-	// Leases holds, by worker, how long leases on runs there may last from ClaimedAt. It covers workers that may
-	// have stopped answering before the previous holder released the cell.
-	Leases map[string]time.Duration
+	// Leases are the leases that the previous holder has reported when it released the cell. They count from ClaimedAt.
+	Leases Leases
 	// ClaimedAt is a time before the claim, at which the holders that Earlier lacks had ended.
 	ClaimedAt time.Time
 }
 
+// Leases is what a holder that releases a cell reports of the leases on runs of its workers.
+type Leases struct {
+	// Workers holds, by worker that may have stopped answering, how long leases on runs there may last.
+	Workers map[string]time.Duration
+	// EarlierProcesses holds the leases of processes of workers that may still be shutting down.
+	EarlierProcesses []ProcessLease
+}
+
+// ProcessLease is for how long leases may last on the runs of processes that a worker had before its present one.
+type ProcessLease struct {
+	// Worker is the id of the worker, Boot when its present process started, in Unix milliseconds.
+	Worker string
+	Boot   int64
+	// Left is how long the leases may last.
+	Left time.Duration
+}
+
 // EarlierFullLeaseAge returns the longest FullLeaseAge of the earlier holders. unknown stands for that of a
 // holder that doesn't tell it.
 func (t Term) EarlierFullLeaseAge(unknown time.Duration) time.Duration {
@@ -118,7 +134,7 @@
 
 // releasedAt reports whether the holder key of a revision says that the cell was released, and returns
 // Term.Leases of the next term.
-func (k *candidacy) releasedAt(revision int64) (leases map[string]time.Duration, released bool) {
+func (k *candidacy) releasedAt(revision int64) (leases Leases, released bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	holder, held := k.holders[k.cell]
--- a/claimer/earlier_test.go
+++ b/claimer/earlier_test.go
@@ -68,11 +68,14 @@
 	end   func(t *testing.T, stop context.CancelFunc, silent chan struct{}, address string)
 	named []string
 	// leases are the leases of that term.
-	leases map[string]time.Duration
+	leases claimer.Leases
 }{
 	"released": {
-		end:    func(_ *testing.T, stop context.CancelFunc, _ chan struct{}, _ string) { stop() },
-		leases: map[string]time.Duration{"w1": 0, "w2": 1500 * time.Millisecond, "w3": 2 * time.Millisecond},
+		end: func(_ *testing.T, stop context.CancelFunc, _ chan struct{}, _ string) { stop() },
+		leases: claimer.Leases{
+			Workers:          map[string]time.Duration{"w1": 0, "w2": 1500 * time.Millisecond, "w3": 2 * time.Millisecond},
+			EarlierProcesses: []claimer.ProcessLease{{Worker: "w4", Boot: 7, Left: 2 * time.Millisecond}},
+		},
 	},
 	"silent": {
 		end: func(t *testing.T, _ context.CancelFunc, silent chan struct{}, address string) {
@@ -107,7 +110,7 @@
 			if !slices.Equal(named, test.named) {
 				t.Errorf("the term names the earlier holders %q, want %q", named, test.named)
 			}
-			if !maps.Equal(second.leases, test.leases) {
+			if !maps.Equal(second.leases.Workers, test.leases.Workers) || !slices.Equal(second.leases.EarlierProcesses, test.leases.EarlierProcesses) {
 				t.Errorf("the term has the leases %v, want %v", second.leases, test.leases)
 			}
 			for _, earlier := range second.earlier {
@@ -124,7 +127,10 @@
 
 // testLeases is what the holders of these tests tell of their workers with a release, in which parts of a
 // millisecond are rounded up.
-var testLeases = map[string]time.Duration{"w1": 0, "w2": 1500 * time.Millisecond, "w3": 1001 * time.Microsecond}
+var testLeases = claimer.Leases{
+	Workers:          map[string]time.Duration{"w1": 0, "w2": 1500 * time.Millisecond, "w3": 1001 * time.Microsecond},
+	EarlierProcesses: []claimer.ProcessLease{{Worker: "w4", Boot: 7, Left: 1001 * time.Microsecond}},
+}
 
 // testFullLeaseAge is the FullLeaseAge of the processes of these tests.
 const testFullLeaseAge = 500 * time.Millisecond
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -100,7 +100,7 @@
 
 // releaseItem returns the key and value that release the cell.
 func (k *candidacy) releaseItem() (platform.Item, error) {
-	var leases map[string]time.Duration
+	var leases Leases
 	if k.Leases != nil {
 		leases = k.Leases(k.cell)
 	}
--- a/dispatcher/calls.go
+++ b/dispatcher/calls.go
@@ -20,6 +20,13 @@
 	return r.Cell.FreeCapacity(r.Clock.Now(), service, &step)
 }
 
+// LeasesOfEarlierProcesses is Cell.LeasesOfEarlierProcesses.
+func (r *Runner) LeasesOfEarlierProcesses() map[ProcessID]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Cell.LeasesOfEarlierProcesses(r.Clock.Now())
+}
+
 // LeasesOfSilentWorkers returns the workers that may have stopped answering, each with how long leases on runs
 // there still last if the holder stops acting now.
 func (r *Runner) LeasesOfSilentWorkers() map[string]time.Duration {
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -80,6 +80,9 @@
 	// EarlierLeaseEnds are the times by which leases on runs of workers have expired, as the previous
 	// holder reported when it released the cell. Of other workers nothing is known.
 	EarlierLeaseEnds map[string]time.Time
+	// EarlierProcessLeaseEnds are, by process of a worker, the times by which leases on runs of the processes before it have
+	// expired, which may still be shutting down, as the previous holder reported.
+	EarlierProcessLeaseEnds map[ProcessID]time.Time
 	// Recorder records the events of decisions.
 	Recorder Recorder
 	// EarlierTerms names, for logs, the holders of earlier terms that may act on.
--- a/dispatcher/earlierlease.go
+++ b/dispatcher/earlierlease.go
@@ -71,20 +71,28 @@
 	if ended := c.earlierEndedAt; !ended.IsZero() && ended.Before(granted) {
 		granted = ended
 	}
-	longest := time.Duration(float64(c.Limits.LeaseDuration) / minClockRate)
-	end := granted.Add(longest + leaseExpiryMargin)
+	end := granted.Add(c.longestLease())
 	if expired := c.earlierExpiredAt; !expired.IsZero() && expired.Before(end) {
 		return expired
 	}
 	return end
 }
 
-// earlierLeaseEnd returns when all leases that earlier holders granted on runs of a worker have certainly
-// expired.
+// longestLease returns how long a lease lasts at most, by the holder's clock.
+func (c *Cell) longestLease() time.Duration {
+	return time.Duration(float64(c.Limits.LeaseDuration)/minClockRate) + leaseExpiryMargin
+}
+
+// earlierLeaseEnd returns when all leases that earlier holders granted on runs of a worker, which it hasn't told this
+// holder, have certainly expired. Those of a process before the one that has told this holder its runs end on their own.
 func (c *Cell) earlierLeaseEnd(w *worker) time.Time {
-	end := c.earlierLeasesEnd()
-	if told, found := c.EarlierLeaseEnds[w.registration.ID]; found && told.Before(end) {
-		return told
+	id, end := w.registration.ID, c.earlierLeasesEnd()
+	if told, found := c.EarlierLeaseEnds[id]; found && told.Before(end) {
+		end = told
+	}
+	earlier, found := c.EarlierProcessLeaseEnds[ProcessID{Worker: id, Boot: w.boot}]
+	if found && w.succeeded() && !w.listedIncompletely && earlier.Before(end) {
+		end = earlier
 	}
 	return end
 }
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -57,6 +57,7 @@
 	case registration.Phase == PhaseDraining:
 		w.drainedBoot = registration.Boot
 	}
+	w.replaced = w.replaced || w.drainedBoot != 0
 	w.registration.EarlierBoot = 0
 	w.stored = w.toStore().equivalent(registration)
 }
@@ -118,6 +119,7 @@
 	c.record(recorder.Event{Kind: KindWorker, VM: w.registration.ID, Detail: fmt.Sprintf("started anew, %d runs, kept: %t; %s", len(w.runs), w.keepsRuns(), c.describe(now, w))})
 	c.blameRuns(now, w, SignRestarted)
 	c.keepRuns(now, w)
+	w.replaced = true
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r.observed && r.lastsUntil.IsZero():
--- a/dispatcher/releasedcell_test.go
+++ b/dispatcher/releasedcell_test.go
@@ -10,8 +10,12 @@
 // release changes the holder as a graceful shutdown does: the holder tells the next one of workers that don't
 // answer it, and has ended.
 func (s *simulation) release(listed ...*fakeWorker) {
-	leases := s.cell.LeasesOfSilentWorkers(s.now)
+	leases, processes := s.cell.LeasesOfSilentWorkers(s.now), s.cell.LeasesOfEarlierProcesses(s.now)
 	s.changeHolder(listed...)
+	s.cell.EarlierProcessLeaseEnds = map[dispatcher.ProcessID]time.Time{}
+	for process, left := range processes {
+		s.cell.EarlierProcessLeaseEnds[process] = s.now.Add(left)
+	}
 	s.cell.EarlierLeaseEnds = map[string]time.Time{}
 	for worker, left := range leases {
 		s.cell.EarlierLeaseEnds[worker] = s.now.Add(left)
@@ -137,3 +141,48 @@
 		t.Errorf("%d workers are told of, want the silent one only", told)
 	}
 }
+
+// TestLeasesOfEarlierProcesses guards against two runs of a task: a holder takes runs for ended of a process that may still
+// be shutting down, as the holder before reports its leases as expired, or those of the process before it.
+func TestLeasesOfEarlierProcesses(t *testing.T) {
+	tests := map[string]struct {
+		// after is how long after the second process has answered the cell is released.
+		after time.Duration
+		// restarts is true if the worker restarts once more after that.
+		restarts bool
+		// waits is true if tasks without a run have to wait.
+		waits bool
+	}{
+		"the lease lasts":                  {after: 100 * time.Millisecond, waits: true},
+		"the lease has expired":            {after: 5 * time.Second},
+		"another process since the report": {after: 5 * time.Second, restarts: true, waits: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newActiveSimulation(4)
+			s.submit(longRunningJob(jobID, 4, 1200))
+			s.runFor(time.Second)
+			f := s.workers[0]
+			drainAndRestart(s, f)
+			s.runFor(test.after)
+			s.release(s.workers...)
+			if test.restarts {
+				f.reboot()
+			}
+			s.add(longRunningJob(otherID, 1, 1200), true)
+			s.runFor(time.Second)
+			if waits := s.running[dispatcher.TaskID{Job: otherID}] == 0; waits != test.waits {
+				t.Errorf("a task that the earlier holder may have started waits: %v, want %v", waits, test.waits)
+			}
+		})
+	}
+}
+
+// drainAndRestart has a worker register that it drains, and another process of it answer soon after.
+func drainAndRestart(s *simulation, f *fakeWorker) {
+	f.registration.Phase = dispatcher.PhaseDraining
+	s.register(f)
+	s.runFor(100 * time.Millisecond)
+	f.reboot()
+	s.runFor(100 * time.Millisecond)
+}
--- a/dispatcher/workerstate.go
+++ b/dispatcher/workerstate.go
@@ -19,6 +19,8 @@
 	// that was shutting down then; 0 if there is none, it is unknown, or its leases have expired.
 	// earlierBoot is that of which this holder counts runs although another boot has answered.
 	drainedBoot, earlierBoot int64
+	// replaced is true if the worker had another process before, as far as this holder and what is stored tell.
+	replaced bool
 	// drainingBoot is the boot that was last registered as draining, 0 if none is known: its exit is planned.
 	drainingBoot int64
 	// boot is the boot time in Unix milliseconds that the worker last reported; 0 if
--- a/heldcells.go
+++ b/heldcells.go
@@ -76,8 +76,8 @@
 	services map[string]bool
 	// evacuated are the evacuated failure domains. They are known once the services are known.
 	evacuated dispatcher.FailureDomains
-	// leases holds, by cell that was held, the leases of silent workers that the release reports.
-	leases map[string]map[string]time.Duration
+	// leases holds, by cell that was held, what the release reports.
+	leases map[string]claimer.Leases
 	// yielded holds, by cell, the epoch before which this process doesn't hold it any more.
 	yielded map[string]int64
 }
@@ -129,14 +129,18 @@
 		CheckpointInterval: h.settings.CheckpointInterval,
 		RestoreTime:        h.settings.RestoreTime,
 	}
-	h.setLeases(cell, nil)
+	h.setLeases(cell, claimer.Leases{})
 	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: term.Epoch}
 	state := dispatcher.NewCell(cell, term.Epoch, limits, h.recorder)
 	state.EarlierFullLeaseAge = term.EarlierFullLeaseAge(maxConfirmationAge)
 	state.EarlierLeaseEnds = map[string]time.Time{}
-	for worker, left := range term.Leases {
+	for worker, left := range term.Leases.Workers {
 		state.EarlierLeaseEnds[worker] = term.ClaimedAt.Add(left)
 	}
+	state.EarlierProcessLeaseEnds = map[dispatcher.ProcessID]time.Time{}
+	for _, p := range term.Leases.EarlierProcesses {
+		state.EarlierProcessLeaseEnds[dispatcher.ProcessID{Worker: p.Worker, Boot: p.Boot}] = term.ClaimedAt.Add(p.Left)
+	}
 	runner := dispatcher.NewRunner(state, h.clock, h.workers, archive)
 	runner.OtherCells = h.selector
 	runner.SuspendedTime = suspendedTime
@@ -150,7 +154,7 @@
 		return dispatcher.ErrSuperseded
 	}
 	defer h.unset(cell, runner)
-	defer func() { h.setLeases(cell, runner.LeasesOfSilentWorkers()) }()
+	defer func() { h.setLeases(cell, leasesOf(runner)) }()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return runner.Run(ctx) })
 	for _, w := range h.watches(cell, runner) {
@@ -222,19 +226,27 @@
 	}
 }
 
-// setLeases sets the leases of silent workers that the release of a cell reports.
-func (h *heldCells) setLeases(cell string, leases map[string]time.Duration) {
+// leasesOf returns what the release of a cell reports of the leases that its runner knows.
+func leasesOf(runner *dispatcher.Runner) claimer.Leases {
+	leases := claimer.Leases{Workers: runner.LeasesOfSilentWorkers()}
+	for process, left := range runner.LeasesOfEarlierProcesses() {
+		leases.EarlierProcesses = append(leases.EarlierProcesses, claimer.ProcessLease{Worker: process.Worker, Boot: process.Boot, Left: left})
+	}
+	return leases
+}
+
+// setLeases sets the leases that the release of a cell reports.
+func (h *heldCells) setLeases(cell string, leases claimer.Leases) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.leases == nil {
-		h.leases = map[string]map[string]time.Duration{}
+		h.leases = map[string]claimer.Leases{}
 	}
 	h.leases[cell] = leases
 }
 
-// silentWorkers returns the workers that didn't answer this process when it stopped acting as the holder of a
-// cell, each with how long leases on runs there may last.
-func (h *heldCells) silentWorkers(cell string) map[string]time.Duration {
+// releasedLeases returns the leases that this process knew when it stopped acting as the holder of a cell.
+func (h *heldCells) releasedLeases(cell string) claimer.Leases {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.leases[cell]
--- a/scheduler.go
+++ b/scheduler.go
@@ -150,7 +150,7 @@
 		},
 		AssumedProcessors: wholeProcessor,
 		Hold:              s.heldCells.run,
-		Leases:            s.heldCells.silentWorkers,
+		Leases:            s.heldCells.releasedLeases,
 		Eligible:          func() bool { return !s.draining.Load() },
 		Holds:             s.queryHolder,
 		Unanswered:        func(holder claimer.Holder) int { return s.peerClient.Unanswered(holder.Address) },
