--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -51,7 +51,7 @@
 	// Prompt is true if the worker had not listed the run at an age of promptAge or more.
 	Prompt bool
 
-	// knownAt is when this holder recorded or restored the crash.
+	// knownAt is when the crash was recorded, or restored if that isn't known.
 	knownAt time.Time
 	// stored is true once the store has the crash.
 	stored bool
--- a/dispatcher/crashreview.go
+++ b/dispatcher/crashreview.go
@@ -133,11 +133,20 @@
 func (c *Cell) restoreCrashes(now time.Time, t *task, stored []Crash) {
 	t.crashes = slices.Clone(stored)
 	for i := range t.crashes {
-		t.crashes[i].knownAt, t.crashes[i].stored = now, true
+		crash := &t.crashes[i]
+		crash.knownAt, crash.stored = crash.recordedBy(now), true
 	}
 	c.blamed[t] = true
 }
 
+// recordedBy returns a time up to now by which the crash was recorded. The times of day of two VMs may differ.
+func (c Crash) recordedBy(now time.Time) time.Time {
+	if c.At.IsZero() || c.At.After(now) {
+		return now
+	}
+	return c.At
+}
+
 // markCrashesElsewhere notes that another cell recorded the crashes of a job that has moved here.
 func (c *Cell) markCrashesElsewhere(j *jobState) {
 	for t := range c.blamed {
--- a/dispatcher/forgottenworker_test.go
+++ b/dispatcher/forgottenworker_test.go
@@ -40,3 +40,31 @@
 		})
 	}
 }
+
+// TestForgottenCrashesOutliveHolders guards against a task that waits without end, since each holder reviews its crashes
+// anew: the workers that it has crashed are gone for good, and the holder changes before the review is over.
+func TestForgottenCrashesOutliveHolders(t *testing.T) {
+	id := dispatcher.TaskID{Job: jobID}
+	s := newActiveSimulation(12)
+	s.silent = true
+	s.deadly(id, time.Hour)
+	s.submit(plainJob(jobID, 1, time.Second, 1))
+	for range 8 {
+		s.advance(20 * time.Second)
+		s.changeHolder(s.present()...)
+	}
+	s.advance(20 * time.Second)
+	s.requireGivenUp(t, id)
+	requireNoViolations(t, s)
+}
+
+// present returns the workers that are registered.
+func (s *simulation) present() []*fakeWorker {
+	var present []*fakeWorker
+	for _, f := range s.workers {
+		if s.registered[f] {
+			present = append(present, f)
+		}
+	}
+	return present
+}
--- a/dispatcher/releaserandom_test.go
+++ b/dispatcher/releaserandom_test.go
@@ -53,12 +53,7 @@
 
 // releaseToRegistered changes the holder gracefully; the cell has none for a while.
 func (s *simulation) releaseToRegistered(t *rapid.T) {
-	var listed []*fakeWorker
-	for _, f := range s.workers {
-		if s.registered[f] {
-			listed = append(listed, f)
-		}
-	}
+	listed := s.present()
 	s.release(listed...)
 	if rapid.Bool().Draw(t, "released soon") {
 		s.runFor(drawSpan(t, "until the release", 1, 3))
