--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -233,6 +233,9 @@
 
 		acceptedAfter: c.jobsReadAt,
 	}
+	if restored && c.jobsReadAt.IsZero() {
+		j.loadedAt = now
+	}
 	j.due = j.job.Accepted.Add(j.job.Queue.Target + time.Duration(j.job.Queue.Stretch*float64(criticalPath(job.Steps))))
 	c.jobs[job.ID] = j
 	if progress != nil {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -178,6 +178,9 @@
 	// acceptedAfter is a time at which the store didn't have the job in this cell, or nothing of it
 	// ran there; zero if none is known.
 	acceptedAfter time.Time
+	// loadedAt is when the job was loaded with the cell, for which its tasks may have waited under earlier holders; zero
+	// if this holder got it later.
+	loadedAt time.Time
 	// relocating is true while the job is being relocated to another cell: nothing of it starts.
 	// cancelDeferred is true if it was cancelled meanwhile.
 	relocating, cancelDeferred bool
--- a/dispatcher/taskreturn.go
+++ b/dispatcher/taskreturn.go
@@ -32,7 +32,7 @@
 // outwaited reports whether a task of a part has no place here and has waited for one for maxPlaceWait. How long one has
 // waited that an earlier holder got isn't known.
 func (c *Cell) outwaited(now time.Time, t *task) bool {
-	known := !t.job().restored || t.lastRun.reason != ""
+	known := t.readyAt.After(t.job().loadedAt)
 	return t.step.step.LongRunning && (!known || now.Sub(t.readyAt) >= maxPlaceWait) && !t.notBefore.After(now) &&
 		c.selectWorker(now, t) == nil && !c.pendingStopsFreeCapacity(t)
 }
--- a/dispatcher/taskreturn_test.go
+++ b/dispatcher/taskreturn_test.go
@@ -89,17 +89,42 @@
 // TestPartIsKeptForShortTasks guards against delegated tasks that leave a cell in which they have a place, or get one once
 // short tasks have ended.
 func TestPartIsKeptForShortTasks(t *testing.T) {
-	s := newActiveSimulation(4)
-	fillWithLongRunning(s, 2)
-	s.submit(wholeWorkers(otherID, 2, 5*time.Second))
-	s.runFor(500 * time.Millisecond)
-	s.submit(partOfTwo(jobID))
-	if id, found := awaitGivenBack(s, 6*time.Second); found {
-		t.Errorf("%s is to be given back", id)
+	first, part := dispatcher.TaskID{Job: jobID, Index: 1}, partOfTwo(jobID)
+	tests := map[string]struct {
+		// before adds another part of the job to the cell before it is full.
+		before func(s *simulation)
+		// restored is true if the part arrives as each one does that the holder gets from a peer or the store.
+		restored bool
+	}{
+		"a part that no earlier holder can have started": {},
+		"one that a peer delivers, or the store":         {restored: true},
+		"more tasks of a part that the holder has loaded": {restored: true, before: func(s *simulation) {
+			earlier := part
+			earlier.Part = part.Part[1:]
+			s.submit(earlier)
+			s.runFor(time.Second)
+			s.changeHolder(s.workers...)
+			s.runFor(time.Second)
+		}},
 	}
-	s.runFor(2 * time.Second)
-	if got := s.running[dispatcher.TaskID{Job: jobID, Index: 1}]; got != 1 {
-		t.Errorf("the task has %d runs, want 1", got)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newActiveSimulation(4)
+			fillWithLongRunning(s, 2)
+			if test.before != nil {
+				test.before(s)
+			}
+			s.submit(wholeWorkers(otherID, 2, 5*time.Second))
+			s.runFor(500 * time.Millisecond)
+			s.add(part, test.restored)
+			if id, found := awaitGivenBack(s, 6*time.Second); found {
+				t.Errorf("%s is to be given back", id)
+			}
+			s.runFor(2 * time.Second)
+			if got := s.running[first]; got != 1 {
+				t.Errorf("the task has %d runs, want 1", got)
+			}
+		})
 	}
 }
 
