--- /dev/null
+++ b/dispatcher/formerlife_test.go
@@ -0,0 +1,77 @@
+package dispatcher_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"zinniashore.example/dispatcher"
+)
+
+// shortGrant is the longest lease that workers accept on most of the users' deployments.
+const shortGrant = 6 * time.Second
+
+// newGrantingSimulation returns a simulation whose holder is active and whose workers accept leases up to a length.
+func newGrantingSimulation(workers int, grant time.Duration) *simulation {
+	s := newSimulation(workers)
+	s.grant = grant
+	for _, f := range s.workers {
+		f.maxGrant = grant
+	}
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
+	return s
+}
+
+// sendLateStarts submits a job of long-running tasks, whose starts get no answer, and returns the worker of the first one.
+func (s *simulation) sendLateStarts(t *testing.T, id string, count int) *fakeWorker {
+	t.Helper()
+	before := len(s.lateStarts)
+	s.nextFate = func() startFate { return fateLate }
+	s.submit(longRunningJob(id, count, 500))
+	s.step(50 * time.Millisecond)
+	s.nextFate = func() startFate { return fateAccepted }
+	if len(s.lateStarts) != before+count {
+		t.Fatalf("%d starts are on their way, want %d", len(s.lateStarts)-before, count)
+	}
+	return s.lateStarts[before].worker
+}
+
+// TestStartsAfterSilentRestart guards against long-running tasks that have no run for longer than the platform allows, as a
+// start got no answer and its worker has restarted and is silent, but stays registered.
+func TestStartsAfterSilentRestart(t *testing.T) {
+	tests := map[string]struct {
+		// executed is true if the restarted worker executes the start before it becomes silent.
+		executed bool
+		bound    time.Duration
+		grant    time.Duration
+	}{
+		"the start is lost":                    {grant: shortGrant, bound: maxTimeWithoutRun},
+		"the restarted worker has executed it": {grant: shortGrant, bound: maxTimeWithoutRun, executed: true},
+		"long leases":                          {grant: 10 * time.Second, bound: 10500 * time.Millisecond},
+		"long leases, it has executed it":      {grant: 10 * time.Second, bound: 10500 * time.Millisecond, executed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newGrantingSimulation(3, test.grant)
+			restarted := s.sendLateStarts(t, jobID, 1)
+			restarted.reboot()
+			if test.executed {
+				restarted.start(s.lateStarts[0].order)
+			}
+			s.lateStarts = nil
+			s.register(restarted)
+			restarted.reachable = false
+			s.runFor(test.bound)
+			if task := (dispatcher.TaskID{Job: jobID}); s.running[task] != 1 {
+				t.Errorf("%s has %d runs %v after the restart, want 1", task, s.running[task], test.bound)
+			}
+			for _, report := range s.events.waits(dispatcher.WaitRun) {
+				if !strings.Contains(report.Detail, "time left: ") {
+					t.Errorf("a report without the time that is left: %s", report.Detail)
+				}
+			}
+			requireNoViolations(t, s)
+		})
+	}
+}
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -13,7 +13,7 @@
 	for id, w := range c.workers {
 		c.expireKeptRuns(now, w)
 		switch {
-		case !w.epochAccepted && c.lost(w):
+		case !w.epochAccepted:
 			c.handleUnheard(now, w)
 		case w.epochAccepted && w.leaseExpired(now):
 			c.handleExpiredLease(now, w)
@@ -67,17 +67,22 @@
 	}
 }
 
-// handleUnheard handles the runs of a worker that is lost and hasn't answered since it
-// restarted. The restarted worker may have accepted a start with a lease end on the clock
-// of the boot before, which it cuts to its longest lease.
+// handleUnheard handles the runs of a worker that hasn't answered since it restarted. The
+// restarted worker may have accepted a start with a lease end on the clock of the boot before,
+// which it cuts to its longest lease. A task that can be done waits besides until the worker
+// is lost, as it may list the end of the run.
 func (c *Cell) handleUnheard(now time.Time, w *worker) {
+	lost := c.lost(w)
 	for _, r := range w.sortedRuns() {
-		if r.lastsUntil.IsZero() && now.Sub(r.sentAt) > c.longestUnheardLease() {
-			c.markLost(now, r, "worker is lost")
+		if r.lastsUntil.IsZero() && (lost || r.task.step.step.LongRunning) && now.After(c.unheardRunEnd(r)) {
+			c.markLost(now, r, "worker hasn't answered since it started anew")
 		}
 	}
 }
 
+// unheardRunEnd returns when a run has certainly ended that a worker may have begun after a restart.
+func (c *Cell) unheardRunEnd(r *run) time.Time { return r.sentAt.Add(c.longestUnheardLease()) }
+
 // longestUnheardLease returns how long the run of a start may last on a worker that doesn't answer.
 func (c *Cell) longestUnheardLease() time.Duration {
 	return time.Duration(float64(c.Limits.MaxLeaseDuration)/minClockRate) + leaseExpiryMargin
--- a/dispatcher/silentworkers.go
+++ b/dispatcher/silentworkers.go
@@ -90,7 +90,7 @@
 		end = latest(end, r.lastsUntil)
 		if !w.epochAccepted {
 			// The worker has restarted, and may have accepted the start since.
-			end = latest(end, r.sentAt.Add(c.longestUnheardLease()))
+			end = latest(end, c.unheardRunEnd(r))
 		}
 	}
 	return end
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -106,6 +106,10 @@
 	violations       []string
 	// lateStarts are starts that got no answer and are executed later.
 	lateStarts []lateStart
+	// lateCalls are other calls of workers that got no answer and are executed later, by the boot that is up then.
+	lateCalls []lateCall
+	// grant is the longest lease that the workers accept, of which the holder knows; 0 is maxGrant.
+	grant time.Duration
 	// nextFate returns the fate of the next start.
 	nextFate  func() startFate
 	storeDown bool
@@ -165,6 +169,12 @@
 	capacity dispatcher.Size
 }
 
+// lateCall is a call of a worker that is executed at a time.
+type lateCall struct {
+	at      time.Time
+	execute func()
+}
+
 func newSimulation(workers int) *simulation {
 	s := &simulation{
 		now: time.UnixMilli(1_000_000), archive: newArchive(), events: &events{},
@@ -252,6 +262,9 @@
 	s.archive.epoch++
 	held := limits
 	held.RemoteFactor = s.remoteFactor
+	if s.grant > 0 {
+		held.MaxLeaseDuration = s.grant
+	}
 	s.cell = dispatcher.NewCell("graz-a", s.archive.epoch, held, s.events)
 	s.cell.TermChecked(s.now)
 	s.archive.load(s.cell, s.now)
@@ -458,6 +471,13 @@
 		l.worker.startWithin(l.order, l.capacity)
 		return true
 	})
+	s.lateCalls = slices.DeleteFunc(s.lateCalls, func(l lateCall) bool {
+		if s.now.Before(l.at) {
+			return false
+		}
+		l.execute()
+		return true
+	})
 }
 
 // runFor advances the simulation by span in steps of 50 ms.
--- a/dispatcher/waitaccount.go
+++ b/dispatcher/waitaccount.go
@@ -104,14 +104,14 @@
 // runBound returns until when a run counts as active if its worker doesn't answer.
 func (c *Cell) runBound(now time.Time, r *run) waitBound {
 	w := r.worker
-	switch lost := c.lost(w); {
+	switch longRunning := r.task.step.step.LongRunning; {
 	case !r.lastsUntil.IsZero():
 		return boundedBy(r.lastsUntil)
-	case !w.epochAccepted && lost:
-		return boundedBy(r.sentAt.Add(c.longestUnheardLease()))
+	case !w.epochAccepted && (longRunning || c.lost(w)):
+		return boundedBy(c.unheardRunEnd(r))
 	case !w.epochAccepted, w.responsive(now):
 		return noBound
-	case r.task.step.step.LongRunning:
+	case longRunning:
 		return boundedBy(w.leaseExpiry(now))
 	}
 	return c.listingBound(now, w)
