--- a/dispatcher/formerlife_test.go
+++ b/dispatcher/formerlife_test.go
@@ -11,7 +11,8 @@
 // shortGrant is the longest lease that workers accept on most of the users' deployments.
 const shortGrant = 6 * time.Second
 
-// newGrantingSimulation returns a simulation whose holder is active and whose workers accept leases up to a length.
+// newGrantingSimulation returns a simulation whose holder is active and whose workers accept leases up to a length. Their
+// clocks read 30 s and more.
 func newGrantingSimulation(workers int, grant time.Duration) *simulation {
 	s := newSimulation(workers)
 	s.grant = grant
@@ -19,7 +20,7 @@
 		f.maxGrant = grant
 	}
 	s.changeHolder(s.workers...)
-	s.runFor(200 * time.Millisecond)
+	s.runFor(30 * time.Second)
 	return s
 }
 
@@ -75,3 +76,39 @@
 		})
 	}
 }
+
+// TestLateStartsAfterSilentRestart guards against two runs of a task: a worker that has restarted and is silent executes starts
+// that were sent before its restart, seconds later, and its runs count as ended when the lease would have that counts from when
+// the first of them was sent.
+func TestLateStartsAfterSilentRestart(t *testing.T) {
+	tests := map[string]struct {
+		// between is the time from the first starts to the restart, in which starts of another job are sent if it isn't 0.
+		between    time.Duration
+		registered bool
+	}{
+		"the worker stays registered":        {registered: true},
+		"the worker isn't registered":        {},
+		"another start extends the lease":    {registered: true, between: time.Second},
+		"another start, it isn't registered": {between: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newGrantingSimulation(3, shortGrant)
+			s.lateAfterRestart, s.stopsLost = true, true
+			restarted := s.sendLateStarts(t, jobID, 3)
+			if test.between > 0 {
+				s.runFor(test.between)
+				s.sendLateStarts(t, otherID, 3)
+			}
+			restarted.reboot()
+			s.register(restarted)
+			restarted.reachable = false
+			if !test.registered {
+				s.step(50 * time.Millisecond)
+				s.unregister(restarted)
+			}
+			s.runFor(15 * time.Second)
+			requireNoViolations(t, s)
+		})
+	}
+}
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -48,6 +48,7 @@
 func (c *Cell) extendLease(now time.Time, w *worker) time.Duration {
 	end := w.minClock(now) + c.leaseDuration(now)
 	w.leaseEnd = max(w.leaseEnd, end)
+	w.grantedAt = now
 	return end
 }
 
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -80,14 +80,31 @@
 	}
 }
 
-// unheardRunEnd returns when a run has certainly ended that a worker may have begun after a restart.
-func (c *Cell) unheardRunEnd(r *run) time.Time { return r.sentAt.Add(c.longestUnheardLease()) }
+// unheardRunEnd returns when a run has ended that a worker may have begun after a restart. Each order with a lease
+// that was sent before may have extended it.
+func (c *Cell) unheardRunEnd(r *run) time.Time {
+	return latest(r.sentAt, r.worker.grantedAt).Add(c.lateOrderTime() + c.longestUnheardLease())
+}
 
-// longestUnheardLease returns how long the run of a start may last on a worker that doesn't answer.
+// longestUnheardLease returns how long a lease lasts at most that a worker has taken from an order for the boot before.
 func (c *Cell) longestUnheardLease() time.Duration {
 	return time.Duration(float64(c.Limits.MaxLeaseDuration)/minClockRate) + leaseExpiryMargin
 }
 
+const (
+	// maxLateOrderTime is how long after it was sent an order that got no answer is expected to be executed at most.
+	maxLateOrderTime = 3 * time.Second
+	// maxUnheardWait is how long a long-running task may wait for a run on a silent worker. It leaves time for the
+	// next start within the 10 s that the platform allows.
+	maxUnheardWait = 9500 * time.Millisecond
+)
+
+// lateOrderTime returns the part of maxLateOrderTime that waits for leases reckon with: where workers accept long
+// leases, the whole of it and the lease would exceed maxUnheardWait.
+func (c *Cell) lateOrderTime() time.Duration {
+	return min(max(maxUnheardWait-c.longestUnheardLease(), 0), maxLateOrderTime)
+}
+
 // removable reports whether nothing can run on a worker any more: it is lost, and the leases of its
 // runs have expired. One that has only exited may register again for a while.
 func (c *Cell) removable(now time.Time, w *worker) bool {
--- a/dispatcher/workerstate.go
+++ b/dispatcher/workerstate.go
@@ -37,6 +37,8 @@
 	// leaseEnd is the latest lease end that was sent to the worker, on the worker's
 	// clock.
 	leaseEnd time.Duration
+	// grantedAt is when the newest order with a lease was planned, to whichever boot.
+	grantedAt time.Time
 	// epochAccepted is true if the worker has accepted this holder's epoch.
 	epochAccepted bool
 	// endsListed is true once the worker's boot has listed all of its ends in one answer.
