--- a/dispatcher/formerlife_test.go
+++ b/dispatcher/formerlife_test.go
@@ -112,3 +112,50 @@
 		})
 	}
 }
+
+// giveUpPoll has the holder poll a worker without an answer. The poll is executed after a time by the boot that is up then.
+func (s *simulation) giveUpPoll(f *fakeWorker, delay time.Duration) {
+	order, _ := s.cell.NextPoll(s.now, f.registration.ID)
+	s.lateCalls = append(s.lateCalls, lateCall{at: s.now.Add(delay), execute: func() { f.poll(order) }})
+	s.cell.HandlePollAnswer(s.now, s.now, order, dispatcher.Listing{}, dispatcher.AnswerUnknown)
+}
+
+// TestLatePollsAfterRestart guards against two runs of a task: a restarted worker executes a poll for its former life, which
+// extends its lease to the longest that it accepts, and becomes silent. Its runs count as ended when the lease has expired that
+// the holder granted to the new life.
+func TestLatePollsAfterRestart(t *testing.T) {
+	tests := map[string]struct {
+		// delay is how long after the restart the poll is executed, heard for how long the worker answers then.
+		delay, heard time.Duration
+		run          func(s *simulation, restarted *fakeWorker)
+	}{
+		"the new life hasn't answered before": {delay: 20 * time.Millisecond, heard: 200 * time.Millisecond},
+		"the new life has runs":               {delay: 2900 * time.Millisecond, heard: 50 * time.Millisecond},
+		"the holder has changed since": {delay: 2 * time.Second, heard: 50 * time.Millisecond, run: func(s *simulation, _ *fakeWorker) {
+			s.release(s.workers...)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newGrantingSimulation(3, shortGrant)
+			restarted := s.workers[0]
+			s.giveUpPoll(restarted, test.delay)
+			restarted.reboot()
+			s.register(restarted)
+			s.runFor(100 * time.Millisecond)
+			s.submit(longRunningJob(jobID, 3, 3500))
+			s.runFor(test.delay)
+			if len(restarted.running) != 1 {
+				t.Fatalf("%s has %d runs, want 1", restarted.registration.ID, len(restarted.running))
+			}
+			if test.run != nil {
+				test.run(s, restarted)
+			}
+			s.runFor(test.heard)
+			restarted.reachable = false
+			s.enlarge(s.workers[1:])
+			s.runFor(15 * time.Second)
+			requireNoViolations(t, s)
+		})
+	}
+}
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -89,7 +89,7 @@
 		w.clockAt = now
 	}
 	if !w.epochAccepted {
-		w.leaseEnd = max(w.leaseEnd, listing.Clock+c.Limits.LeaseDuration)
+		w.leaseEnd = max(w.leaseEnd, listing.Clock+c.Limits.LeaseDuration, c.formerLeaseEnd(w))
 		w.noteBoot(now.Add(-listing.Clock))
 	}
 	w.epochAccepted = true
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -129,3 +129,12 @@
 
 // removalMargin is added to a lease before a worker is removed.
 const removalMargin = 2 * time.Second
+
+// formerLeaseEnd returns when a lease ends at the latest, on the clock of a worker, that it has taken, or may still take, from
+// an order for the boot before. Such an order was sent before the worker's clock began.
+func (c *Cell) formerLeaseEnd(w *worker) time.Duration {
+	if !w.replaced && !w.restored {
+		return 0
+	}
+	return c.lateOrderTime() + c.Limits.MaxLeaseDuration
+}
