--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -28,7 +28,11 @@
 	if !known {
 		return
 	}
-	r := w.runs[runKey{task: order.Task, run: order.Run}]
+	key := runKey{task: order.Task, run: order.Run}
+	if answer != AnswerUnknown {
+		delete(w.unclearStarts, key)
+	}
+	r := w.runs[key]
 	if r == nil {
 		return
 	}
@@ -85,10 +89,16 @@
 	if answer == AnswerFenced {
 		c.superseded = true
 	}
-	r := w.runs[runKey{task: order.Task, run: order.Run}]
-	if r != nil && answer == AnswerAccepted && order.Boot == w.boot {
+	if answer != AnswerAccepted || order.Boot != w.boot {
+		return
+	}
+	key := runKey{task: order.Task, run: order.Run}
+	if r := w.runs[key]; r != nil {
 		r.stopAcceptedAt = now
 	}
+	if u := w.unclearStarts[key]; u != nil {
+		u.refusedBy = w.boot
+	}
 }
 
 // recordFailure records a failed run. A worker on which different tasks fail
--- a/dispatcher/formerlife_test.go
+++ b/dispatcher/formerlife_test.go
@@ -159,3 +159,43 @@
 		})
 	}
 }
+
+// TestGivenUpStartsAfterRestart guards against two runs of a task: the holder gives up a start that got no answer, the task runs
+// elsewhere, and the worker restarts, answers, and executes the start.
+func TestGivenUpStartsAfterRestart(t *testing.T) {
+	const beforeStart = 200 * time.Millisecond
+	tests := map[string]func(s *simulation, f *fakeWorker){
+		"the worker had accepted the stop": func(s *simulation, f *fakeWorker) {
+			s.runFor(time.Second)
+			f.reboot()
+			s.runFor(time.Second)
+		},
+		"its lease had expired": func(s *simulation, f *fakeWorker) {
+			f.reachable = false
+			s.runFor(6 * time.Second)
+			f.reboot()
+			f.reachable = true
+		},
+		"it restarts twice": func(s *simulation, f *fakeWorker) {
+			s.runFor(time.Second)
+			f.reboot()
+			s.runFor(time.Second)
+			f.reboot()
+		},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newGrantingSimulation(3, shortGrant)
+			s.lateAfterRestart = true
+			restarted := s.sendLateStarts(t, jobID, 1)
+			s.lateStarts[0].at = s.now.Add(time.Hour)
+			run(s, restarted)
+			if task := (dispatcher.TaskID{Job: jobID}); s.running[task] != 1 {
+				t.Fatalf("%s has %d runs before its late start, want 1", task, s.running[task])
+			}
+			s.lateStarts[0].at = s.now.Add(beforeStart)
+			s.runFor(5 * time.Second)
+			requireNoViolations(t, s)
+		})
+	}
+}
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -63,7 +63,7 @@
 }
 
 func newWorker() *worker {
-	return &worker{runs: map[runKey]*run{}, orphanedRuns: map[runKey]time.Time{}, handledAhead: map[int64]bool{}, awaitedEnds: map[int64]EndedRow{}}
+	return &worker{runs: map[runKey]*run{}, orphanedRuns: map[runKey]time.Time{}, handledAhead: map[int64]bool{}, awaitedEnds: map[int64]EndedRow{}, unclearStarts: map[runKey]*unclearStart{}}
 }
 
 // RemoveWorker marks a worker as no longer registered.
@@ -156,6 +156,7 @@
 	if r.blameOnAnswer != "" {
 		c.blame(now, r, r.blameOnAnswer)
 	}
+	r.worker.noteUnclearStart(r)
 	c.recordRun(KindLost, r, reason+"; "+r.describe(now)+"; "+c.describe(now, r.worker))
 	c.removeRun(now, r, reason)
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -74,6 +74,7 @@
 				orders = append(orders, c.stopOrder(w, key))
 			}
 		}
+		orders = append(orders, c.refuseUnclearStarts(now, w)...)
 	}
 	return orders
 }
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -160,6 +160,7 @@
 func (c *Cell) handleEnd(now time.Time, w *worker, row EndedRow) {
 	key := runKey{task: row.Task, run: row.Run}
 	delete(w.orphanedRuns, key)
+	delete(w.unclearStarts, key)
 	r := w.runs[key]
 	c.recordEnd(w, row)
 	if r != nil && row.Checkpoint != "" {
@@ -279,6 +280,7 @@
 	for _, row := range listing.Running {
 		key := runKey{task: row.Task, run: row.Run}
 		listed[key] = true
+		delete(w.unclearStarts, key)
 		r := w.runs[key]
 		if r == nil {
 			r = c.adopt(now, w, row)
