root: routing of jobs needs only the runners of held cells

jobRouter, cellSelector and capacityQueries took heldCells as a whole, and jobRouter its clock from it. They now declare what they use (cellRunners), and jobRouter has a clock of its own, so that the code about holding cells can move to a package. Behaviour is unchanged.

--- a/capacityquery.go
+++ b/capacityquery.go
@@ -24,7 +24,7 @@
 // capacityQueries asks the holders of cells for the free capacity of the cells.
 type capacityQueries struct {
 	claimer   *claimer.Claimer
-	heldCells *heldCells
+	heldCells cellRunners
 	peers     *relayer.Client
 
 	mu sync.Mutex
--- a/capacityquery_test.go
+++ b/capacityquery_test.go
@@ -36,7 +36,7 @@
 	server := relayer.NewGRPCServer(&relayer.Server{Cells: cells})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
-	queries := &capacityQueries{claimer: &claimer.Claimer{}, heldCells: &heldCells{}, peers: &relayer.Client{}}
+	queries := &capacityQueries{claimer: &claimer.Claimer{}, heldCells: testRunners{}, peers: &relayer.Client{}}
 	t.Cleanup(queries.peers.Close)
 	holders := map[string]claimer.Holder{"graz-a": {Process: "edge-1", Address: listener.Addr().String()}}
 	began := time.Now()
--- a/cellselector.go
+++ b/cellselector.go
@@ -30,7 +30,7 @@
 	failureDomain string
 	partition     *sharedPartition
 	claimer       *claimer.Claimer
-	heldCells     *heldCells
+	heldCells     cellRunners
 	peers         *relayer.Client
 	capacities    *capacityQueries
 }
--- a/jobrouter.go
+++ b/jobrouter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
@@ -39,15 +40,22 @@
 // errTooManyCancellations reports that the cancellation of an unaccepted job wasn't stored.
 var errTooManyCancellations = errors.New("too many cancellations of jobs that aren't accepted")
 
+// cellRunners provides the runners of the cells that this process holds.
+type cellRunners interface {
+	// Runner returns the runner of a cell, or nil if this process doesn't hold it.
+	Runner(cell string) *dispatcher.Runner
+}
+
 // jobRouter routes calls about jobs to the processes that hold the cells of the jobs.
 type jobRouter struct {
+	clock         clockwork.Clock
 	failureDomain string
 	// failureDomains are all failure domains of the deployment.
 	failureDomains []string
 	self           string
 	partition      *sharedPartition
 	claimer        *claimer.Claimer
-	heldCells      *heldCells
+	heldCells      cellRunners
 	archiver       *archiver.Archiver
 	peers          *relayer.Client
 	selector       *cellSelector
@@ -175,7 +183,7 @@
 // reportFailed logs that a client was told that a job has failed, and who said so.
 func (r *jobRouter) reportFailed(id string, found foundState) {
 	r.reportsOnce.Do(func() { r.reports = logger.NewLimiter(failureLinesPerSecond, failureLineBurst) })
-	logged, suppressed := r.reports.Admit(r.heldCells.clock.Now())
+	logged, suppressed := r.reports.Admit(r.clock.Now())
 	if !logged {
 		return
 	}
@@ -231,7 +239,7 @@
 // still under way can't be, and returns acceptor.ErrUnknown. If the job has been accepted meanwhile, it
 // returns the job's cell.
 func (r *jobRouter) cancelUnaccepted(ctx context.Context, id string) (string, error) {
-	if !r.unaccepted.AllowN(r.heldCells.clock.Now(), 1) {
+	if !r.unaccepted.AllowN(r.clock.Now(), 1) {
 		return "", errTooManyCancellations
 	}
 	cell, err := r.archiver.CancelUnaccepted(ctx, r.partition.cells(r.failureDomain)[0], id)
@@ -299,7 +307,7 @@
 	r.mu.Lock()
 	last := r.pending[key]
 	r.mu.Unlock()
-	now := r.heldCells.clock.Now()
+	now := r.clock.Now()
 	if !last.at.IsZero() && now.Sub(last.at) < pendingTTL {
 		return last.count, nil
 	}
--- a/pendingjobs_test.go
+++ b/pendingjobs_test.go
@@ -16,12 +16,17 @@
 	"zinniashore.example/standin"
 )
 
+// testRunners are the runners of the cells that a process holds.
+type testRunners map[string]*dispatcher.Runner
+
+func (r testRunners) Runner(cell string) *dispatcher.Runner { return r[cell] }
+
 // TestPendingOfUnknownCell guards against a count of pending jobs that leaves a cell out without a word: its holder isn't
 // known, or this process has just claimed it and hasn't loaded its jobs. A cell without jobs needs no holder.
 func TestPendingOfUnknownCell(t *testing.T) {
 	unloaded := dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), clockwork.NewRealClock(), nil, unreachableArchive{})
 	tests := map[string]struct {
-		runners map[string]heldCell
+		runners testRunners
 		// jobs is true if the store has a job in the cell, away if it doesn't answer.
 		jobs, away bool
 		counted    bool
@@ -29,7 +34,7 @@
 		"it has jobs, no holder was ever seen": {jobs: true},
 		"no holder was ever seen, no store":    {away: true},
 		"it has never had a holder or jobs":    {counted: true},
-		"its jobs aren't loaded":               {runners: map[string]heldCell{"graz-a": {runner: unloaded, epoch: 1}}},
+		"its jobs aren't loaded":               {runners: testRunners{"graz-a": unloaded}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -47,8 +52,8 @@
 			partition := &sharedPartition{}
 			partition.set(partitioner.Partition{})
 			r := &jobRouter{
-				failureDomain: "graz-a", failureDomains: []string{"graz-a"}, partition: partition, claimer: &claimer.Claimer{},
-				heldCells: &heldCells{clock: clockwork.NewRealClock(), runners: test.runners}, peers: &relayer.Client{},
+				clock: clockwork.NewRealClock(), failureDomain: "graz-a", failureDomains: []string{"graz-a"}, partition: partition, claimer: &claimer.Claimer{},
+				heldCells: test.runners, peers: &relayer.Client{},
 				archiver: &archiver.Archiver{Store: platform.NewStore(address)},
 			}
 			if count, err := r.Pending(ctx, "orders"); (err == nil) != test.counted || count != 0 {
--- a/scheduler.go
+++ b/scheduler.go
@@ -171,7 +171,7 @@
 		Serving: serving,
 		Clock:   s.Clock, Configurations: dividedConfigurations{s.configurations, s.partition}, Intake: s.intake, StoreReached: s.prober.StoreReached,
 		Jobs: &jobRouter{
-			failureDomain: s.Settings.FailureDomain, failureDomains: s.Settings.FailureDomains, self: s.Settings.Process, partition: s.partition,
+			clock: s.Clock, failureDomain: s.Settings.FailureDomain, failureDomains: s.Settings.FailureDomains, self: s.Settings.Process, partition: s.partition,
 			claimer: s.claimer, heldCells: s.heldCells,
 			archiver: archive, peers: s.peerClient, selector: selector,
 			unaccepted: rate.NewLimiter(unacceptedPerSecond, unacceptedBurst),
--- a/unaccepted_test.go
+++ b/unaccepted_test.go
@@ -19,8 +19,8 @@
 // newTestRouter returns a router of calls about jobs that holds no cell.
 func newTestRouter(store *platform.Store, unaccepted *rate.Limiter) *jobRouter {
 	return &jobRouter{
-		failureDomain: testCell, partition: &sharedPartition{}, self: "edge-1", claimer: &claimer.Claimer{}, archiver: &archiver.Archiver{Store: store},
-		heldCells: &heldCells{clock: clockwork.NewRealClock()}, unaccepted: unaccepted,
+		clock: clockwork.NewRealClock(), failureDomain: testCell, partition: &sharedPartition{}, self: "edge-1", claimer: &claimer.Claimer{}, archiver: &archiver.Archiver{Store: store},
+		heldCells: testRunners{}, unaccepted: unaccepted,
 	}
 }
 
