holder: a package for the code about who holds a cell

heldCells, earlierHolders, otherHolders, cellWorkers and the query of the last holder lay in the root package beside the wiring. They are now in package holder, as Cells, earlierHolders, OtherHolders, CellWorkers and LastHolders, with the same logic and exported fields that are set before Run; the root only wires them. What they need of the root are two small interfaces, Partition and Configurations, and functions (SuspendedTime, OutageSeen, OthersReachStore). Behaviour is unchanged.

The services are now made empty, not nil, by Cells itself as it holds a cell, where the root set them before: nil would count each service as known.

Tests move with the code, with the same cases and assertions. In the root stay TestOutagesAreNoticed (it compares constants of three packages) and TestChangeAfterSilence, which takes the batch delay from the watch in place of the constant. TestEvacuationsBeforeServices reads the domains by Cells.Evacuated. TestQueryHolderLog calls LastHolders.Holds. Runners that are never run get no archive there.

--- a/capacityquery_test.go
+++ b/capacityquery_test.go
@@ -10,9 +10,15 @@
 
 	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
+	"zinniashore.example/recorder"
 	"zinniashore.example/relayer"
 )
 
+// noEvents drops events.
+type noEvents struct{}
+
+func (noEvents) Record(recorder.Event) recorder.Timestamp { return recorder.Timestamp{} }
+
 // busyCells are the cells of a holder that is behind: it answers no query.
 type busyCells struct {
 	relayer.Cells
@@ -58,3 +64,12 @@
 		return cells.queried.Load() > before
 	})
 }
+
+func waitFor(t *testing.T, limit time.Duration, what string, reached func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !reached(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+	}
+}
--- a/evacuation_test.go
+++ b/evacuation_test.go
@@ -20,7 +20,7 @@
 	s.build()
 	known := false
 	s.configurations.changed = func(platform.Configuration) {
-		known = s.heldCells.evacuated.Contains("graz-a")
+		known = s.heldCells.Evacuated("graz-a")
 	}
 	s.configurationWatch().Handler.Replace([]platform.Item{
 		{Key: platform.ConfigurationKey, Value: []byte(`{"version":1,"services":[{"name":"shop"}]}`)},
--- a/cancellation_test.go
+++ b/holder/cancellation_test.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"context"
@@ -32,6 +32,15 @@
 
 func (noEvents) Record(recorder.Event) recorder.Timestamp { return recorder.Timestamp{} }
 
+// undivided is the division that has one cell in each failure domain, of the domain's name.
+type undivided struct{}
+
+func (undivided) Contains(cell string, worker dispatcher.Registration) bool {
+	return worker.FailureDomain == cell
+}
+
+func (undivided) In(cell, failureDomain string) bool { return cell == failureDomain }
+
 // watchLoser serves a store and loses the answer of one watch of the jobs of a cell.
 type watchLoser struct {
 	store *standin.PlatformStore
@@ -94,13 +103,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cells := &heldCells{
-		clock: clockwork.NewRealClock(), store: store, workers: platform.NewWorkers(), archiver: &archiver.Archiver{Store: store}, recorder: noEvents{},
-		partition: &sharedPartition{},
-		settings:  platform.Settings{MaxGrant: 10 * time.Second, StateRetention: time.Minute},
+	cells := &Cells{
+		Clock: clockwork.NewRealClock(), Store: store, Workers: platform.NewWorkers(), Archiver: &archiver.Archiver{Store: store}, Recorder: noEvents{},
+		Partition: undivided{},
+		Settings:  platform.Settings{MaxGrant: 10 * time.Second, StateRetention: time.Minute},
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- cells.run(ctx, testCell, claimer.Term{Epoch: epoch}) }()
+	go func() { ended <- cells.Run(ctx, testCell, claimer.Term{Epoch: epoch}) }()
 	t.Cleanup(func() {
 		cancel()
 		<-ended
--- a/heldcells.go
+++ b/holder/cells.go
@@ -1,4 +1,7 @@
-package zinniashore
+// Package holder runs the cells that this process holds. It asks the earlier holders of a cell whether they
+// have ended, the last one whether it still holds the cell, and the holders of other cells whether they reach
+// the store.
+package holder
 
 import (
 	"context"
@@ -42,37 +45,38 @@
 	pollWait         = time.Second
 	// maxConfirmationAge covers one poll with its wait after one lost poll.
 	maxConfirmationAge = 2500 * time.Millisecond
-	// fullLeaseAge covers the time between two saves of a busy cell, or two checks of the term of
+	// FullLeaseAge covers the time between two saves of a busy cell, or two checks of the term of
 	// another one. A new holder waits for as much longer before it takes earlier leases for expired.
-	fullLeaseAge = 500 * time.Millisecond
+	FullLeaseAge = 500 * time.Millisecond
 	// maxIsolation is how long a holder acts, and its leases last, without a renewal of its authority. It outlasts
 	// short partitions, and leaves time to run the tasks of a lost failure domain elsewhere.
 	maxIsolation = 7500 * time.Millisecond
 )
 
-// heldCells runs the cells that this process holds.
-type heldCells struct {
-	clock    clockwork.Clock
-	settings platform.Settings
-	store    *platform.Store
-	workers  *platform.Workers
-	archiver *archiver.Archiver
-	recorder dispatcher.Recorder
-	selector *cellSelector
-	// partition maps workers to cells.
-	partition *sharedPartition
-
-	// peers sends requests to earlier holders.
-	peers *relayer.Client
-	// history records when the store had reached which revision.
-	history *historian.Historian
-	// others are the holders of the other cells; outageSeen is dispatcher.Runner.OutageSeen.
-	others     *otherHolders
-	outageSeen func() time.Time
+// Cells runs the cells that this process holds. Its exported fields are set before Run. It is safe for concurrent use.
+type Cells struct {
+	Clock    clockwork.Clock
+	Settings platform.Settings
+	Store    *platform.Store
+	Workers  *platform.Workers
+	Archiver *archiver.Archiver
+	Recorder dispatcher.Recorder
+	// OtherCells gives the runners access to the other cells.
+	OtherCells dispatcher.OtherCells
+	Partition  Partition
+	// Peers sends requests to earlier holders.
+	Peers *relayer.Client
+	// History records when the store had reached which revision.
+	History *historian.Historian
+	// OthersReachStore reports whether a holder of another cell reaches the store, unless no other process holds one.
+	OthersReachStore func(ctx context.Context) bool
+	// SuspendedTime and OutageSeen are those of dispatcher.Runner.
+	SuspendedTime func() time.Duration
+	OutageSeen    func() time.Time
 
 	mu      sync.Mutex
 	runners map[string]heldCell
-	// services are the names of the configured services, empty before they are known.
+	// services are the names of the configured services; empty, not nil, once a cell is held before they are known.
 	services map[string]bool
 	// evacuated are the evacuated failure domains. They are known once the services are known.
 	evacuated dispatcher.FailureDomains
@@ -82,6 +86,8 @@
 	yielded map[string]int64
 }
 
+var _ relayer.Cells = (*Cells)(nil)
+
 // heldCell is the runner of a cell that this process holds.
 type heldCell struct {
 	runner *dispatcher.Runner
@@ -90,21 +96,21 @@
 }
 
 // Runner implements relayer.Cells.
-func (h *heldCells) Runner(cell string) *dispatcher.Runner {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.runners[cell].runner
+func (c *Cells) Runner(cell string) *dispatcher.Runner {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runners[cell].runner
 }
 
 // Yield implements relayer.Cells.
-func (h *heldCells) Yield(cell string, epoch int64) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.yielded == nil {
-		h.yielded = map[string]int64{}
+func (c *Cells) Yield(cell string, epoch int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.yielded == nil {
+		c.yielded = map[string]int64{}
 	}
-	h.yielded[cell] = max(h.yielded[cell], epoch)
-	held, found := h.runners[cell]
+	c.yielded[cell] = max(c.yielded[cell], epoch)
+	held, found := c.runners[cell]
 	if !found || held.epoch >= epoch {
 		return true
 	}
@@ -113,25 +119,26 @@
 	return false
 }
 
-// run runs a cell under a term until ctx ends or the cell is lost.
-func (h *heldCells) run(ctx context.Context, cell string, term claimer.Term) error {
+// Run runs a cell under a term until ctx ends or the cell is lost. It returns dispatcher.ErrSuperseded if this process
+// has already yielded the cell to a holder of a later term, and otherwise the error of dispatcher.Runner.Run.
+func (c *Cells) Run(ctx context.Context, cell string, term claimer.Term) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	limits := dispatcher.Limits{
-		LeaseDuration:      min(time.Duration(float64(h.settings.MaxGrant)*leaseFraction), maxLeaseDuration),
-		MaxLeaseDuration:   h.settings.MaxGrant,
+		LeaseDuration:      min(time.Duration(float64(c.Settings.MaxGrant)*leaseFraction), maxLeaseDuration),
+		MaxLeaseDuration:   c.Settings.MaxGrant,
 		PollWait:           pollWait,
 		MaxConfirmationAge: maxConfirmationAge,
-		FullLeaseAge:       fullLeaseAge,
-		MaxIsolation:       isolationLimit(h.settings),
-		StateRetention:     h.settings.StateRetention,
-		RemoteFactor:       h.settings.RemoteFactor,
-		CheckpointInterval: h.settings.CheckpointInterval,
-		RestoreTime:        h.settings.RestoreTime,
+		FullLeaseAge:       FullLeaseAge,
+		MaxIsolation:       IsolationLimit(c.Settings),
+		StateRetention:     c.Settings.StateRetention,
+		RemoteFactor:       c.Settings.RemoteFactor,
+		CheckpointInterval: c.Settings.CheckpointInterval,
+		RestoreTime:        c.Settings.RestoreTime,
 	}
-	h.setLeases(cell, claimer.Leases{})
-	archive := &archiver.CellArchive{Archiver: h.archiver, Cell: cell, Epoch: term.Epoch}
-	state := dispatcher.NewCell(cell, term.Epoch, limits, h.recorder)
+	c.setLeases(cell, claimer.Leases{})
+	archive := &archiver.CellArchive{Archiver: c.Archiver, Cell: cell, Epoch: term.Epoch}
+	state := dispatcher.NewCell(cell, term.Epoch, limits, c.Recorder)
 	state.EarlierFullLeaseAge = term.EarlierFullLeaseAge(maxConfirmationAge)
 	state.EarlierLeaseEnds = map[string]time.Time{}
 	for worker, left := range term.Leases.Workers {
@@ -141,43 +148,43 @@
 	for _, p := range term.Leases.EarlierProcesses {
 		state.EarlierProcessLeaseEnds[dispatcher.ProcessID{Worker: p.Worker, Boot: p.Boot}] = term.ClaimedAt.Add(p.Left)
 	}
-	runner := dispatcher.NewRunner(state, h.clock, h.workers, archive)
-	runner.OtherCells = h.selector
-	runner.SuspendedTime = suspendedTime
-	runner.OutageSeen = h.outageSeen
+	runner := dispatcher.NewRunner(state, c.Clock, c.Workers, archive)
+	runner.OtherCells = c.OtherCells
+	runner.SuspendedTime = c.SuspendedTime
+	runner.OutageSeen = c.OutageSeen
 	runner.EarlierHolders = &earlierHolders{
-		cell: cell, term: term, clock: h.clock, peers: h.peers, history: h.history, othersReachStore: h.others.anyReachesStore,
+		cell: cell, term: term, clock: c.Clock, peers: c.Peers, history: c.History, othersReachStore: c.OthersReachStore,
 	}
 	runner.Cell.Renewed(term.ClaimedAt)
 	runner.Cell.EarlierTerms = describeEarlier(term)
-	if !h.set(cell, heldCell{runner: runner, epoch: term.Epoch, stop: stop}) {
+	if !c.set(cell, heldCell{runner: runner, epoch: term.Epoch, stop: stop}) {
 		return dispatcher.ErrSuperseded
 	}
-	defer h.unset(cell, runner)
-	defer func() { h.setLeases(cell, leasesOf(runner)) }()
+	defer c.unset(cell, runner)
+	defer func() { c.setLeases(cell, leasesOf(runner)) }()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return runner.Run(ctx) })
-	for _, w := range h.watches(cell, runner) {
+	for _, w := range c.Watches(cell, runner) {
 		group.Go(func() error { return w.Run(ctx) })
 	}
 	return group.Wait()
 }
 
-// isolationLimit returns MaxIsolation of the holders; 0 is without limit. With a single failure domain nothing tells an
+// IsolationLimit returns MaxIsolation of the holders; 0 is without limit. With a single failure domain nothing tells an
 // outage of the store from a partition.
-func isolationLimit(settings platform.Settings) time.Duration {
+func IsolationLimit(settings platform.Settings) time.Duration {
 	if len(settings.FailureDomains) < 2 {
 		return 0
 	}
 	return maxIsolation
 }
 
-// watches returns the watches that keep the runner of a cell up to date.
-func (h *heldCells) watches(cell string, runner *dispatcher.Runner) []watcher.Watcher {
+// Watches returns the watches that keep the runner of a cell up to date.
+func (c *Cells) Watches(cell string, runner *dispatcher.Runner) []watcher.Watcher {
 	watches := []watcher.Watcher{
 		{
 			Prefix: platform.RegistrationPrefix, Wait: registrationWait, BatchDelay: registrationBatchPause,
-			Handler: &registrations{cell: cell, partition: h.partition, runner: runner, passed: map[string]bool{}}, Read: runner.RegistryRead,
+			Handler: &registrations{cell: cell, partition: c.Partition, runner: runner, passed: map[string]bool{}}, Read: runner.RegistryRead,
 		},
 		{
 			Prefix: archiver.JobPrefix(cell), Wait: jobWait, BatchDelay: jobBatchPause,
@@ -185,47 +192,57 @@
 		},
 	}
 	for i := range watches {
-		watches[i].Store, watches[i].Clock = h.store, h.clock
+		watches[i].Store, watches[i].Clock = c.Store, c.Clock
 	}
 	return watches
 }
 
 // set records a held cell. It reports false if this process has already yielded it.
-func (h *heldCells) set(cell string, held heldCell) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if held.epoch < h.yielded[cell] {
+func (c *Cells) set(cell string, held heldCell) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held.epoch < c.yielded[cell] {
 		return false
 	}
-	if h.runners == nil {
-		h.runners = map[string]heldCell{}
+	if c.runners == nil {
+		c.runners = map[string]heldCell{}
+	}
+	c.runners[cell] = held
+	if c.services == nil {
+		c.services = map[string]bool{}
 	}
-	h.runners[cell] = held
-	held.runner.SetEvacuated(h.evacuated)
-	held.runner.SetServices(h.services)
+	held.runner.SetEvacuated(c.evacuated)
+	held.runner.SetServices(c.services)
 	return true
 }
 
-// setServices sets the names of the configured services.
-func (h *heldCells) setServices(configuration platform.Configuration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.services = configuration.Services
-	for _, held := range h.runners {
-		held.runner.SetServices(h.services)
+// SetServices sets the names of the configured services.
+func (c *Cells) SetServices(configuration platform.Configuration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.services = configuration.Services
+	for _, held := range c.runners {
+		held.runner.SetServices(c.services)
 	}
 }
 
-// setEvacuated sets the evacuated failure domains.
-func (h *heldCells) setEvacuated(evacuated dispatcher.FailureDomains) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.evacuated = evacuated
-	for _, held := range h.runners {
+// SetEvacuated sets the evacuated failure domains.
+func (c *Cells) SetEvacuated(evacuated dispatcher.FailureDomains) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuated = evacuated
+	for _, held := range c.runners {
 		held.runner.SetEvacuated(evacuated)
 	}
 }
 
+// Evacuated reports whether a failure domain is known to be evacuated.
+func (c *Cells) Evacuated(failureDomain string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evacuated.Contains(failureDomain)
+}
+
 // leasesOf returns what the release of a cell reports of the leases that its runner knows.
 func leasesOf(runner *dispatcher.Runner) claimer.Leases {
 	leases := claimer.Leases{Workers: runner.LeasesOfSilentWorkers()}
@@ -236,27 +253,27 @@
 }
 
 // setLeases sets the leases that the release of a cell reports.
-func (h *heldCells) setLeases(cell string, leases claimer.Leases) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.leases == nil {
-		h.leases = map[string]claimer.Leases{}
+func (c *Cells) setLeases(cell string, leases claimer.Leases) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leases == nil {
+		c.leases = map[string]claimer.Leases{}
 	}
-	h.leases[cell] = leases
+	c.leases[cell] = leases
 }
 
-// releasedLeases returns the leases that this process knew when it stopped acting as the holder of a cell.
-func (h *heldCells) releasedLeases(cell string) claimer.Leases {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.leases[cell]
+// ReleasedLeases returns the leases that this process knew when it stopped acting as the holder of a cell.
+func (c *Cells) ReleasedLeases(cell string) claimer.Leases {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leases[cell]
 }
 
-func (h *heldCells) unset(cell string, runner *dispatcher.Runner) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.runners[cell].runner == runner {
-		delete(h.runners, cell)
+func (c *Cells) unset(cell string, runner *dispatcher.Runner) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runners[cell].runner == runner {
+		delete(c.runners, cell)
 	}
 }
 
@@ -271,7 +288,7 @@
 // store, and none for workers of other cells.
 type registrations struct {
 	cell      string
-	partition *sharedPartition
+	partition Partition
 	runner    workerRegistry
 	// passed are the ids of the workers that are registered in the cell.
 	passed map[string]bool
@@ -283,7 +300,7 @@
 		klog.ErrorS(err, "Skipping a registration that can't be decoded", "worker", registration.ID)
 		return registration, false
 	}
-	return registration, r.partition.contains(r.cell, registration)
+	return registration, r.partition.Contains(r.cell, registration)
 }
 
 // Replace implements watcher.Handler.
--- a/cellworkers.go
+++ b/holder/cellworkers.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"context"
@@ -13,25 +13,32 @@
 // cellWorkersTimeout bounds the calls that find out whether a cell has workers.
 const cellWorkersTimeout = time.Second
 
-// cellWorkers finds out whether the workers of cells are registered.
-type cellWorkers struct {
-	store          *platform.Store
-	archiver       *archiver.Archiver
-	configurations *configurations
-	partition      *sharedPartition
+// Configurations provides the newest configuration.
+type Configurations interface {
+	// Configuration returns the configuration, and whether it is known.
+	Configuration() (platform.Configuration, bool)
 }
 
-// registered reports whether the registry lists more than half of a cell's workers. The
-// registrations of a failure domain that is cut off expire.
-func (c *cellWorkers) registered(ctx context.Context, cell string) bool {
+// CellWorkers finds out whether the workers of cells are registered. Its exported fields are set before the first call.
+type CellWorkers struct {
+	Store          *platform.Store
+	Archiver       *archiver.Archiver
+	Configurations Configurations
+	Partition      Partition
+}
+
+// Registered reports whether the registry lists more than half of a cell's workers. The
+// registrations of a failure domain that is cut off expire. It reports false if the store
+// doesn't answer within a second.
+func (c *CellWorkers) Registered(ctx context.Context, cell string) bool {
 	ctx, cancel := context.WithTimeout(ctx, cellWorkersTimeout)
 	defer cancel()
-	stored, err := c.archiver.Workers(ctx, cell)
+	stored, err := c.Archiver.Workers(ctx, cell)
 	if err != nil {
 		klog.InfoS("Reading the workers of a cell without a holder failed", "cell", cell, "err", err)
 		return false
 	}
-	items, _, err := c.store.List(ctx, platform.RegistrationPrefix)
+	items, _, err := c.Store.List(ctx, platform.RegistrationPrefix)
 	if err != nil {
 		klog.InfoS("Reading the registered workers of a cell without a holder failed", "cell", cell, "err", err)
 		return false
@@ -45,8 +52,8 @@
 }
 
 // registeredIn returns the ids of the workers of a cell that the registry lists.
-func (c *cellWorkers) registeredIn(cell string, items []platform.Item) map[string]bool {
-	configuration, _ := c.configurations.Configuration()
+func (c *CellWorkers) registeredIn(cell string, items []platform.Item) map[string]bool {
+	configuration, _ := c.Configurations.Configuration()
 	ids := map[string]bool{}
 	for _, item := range items {
 		registration, err := platform.DecodeRegistration(item)
@@ -54,7 +61,7 @@
 			klog.V(1).InfoS("Leaving out a registration that can't be decoded", "worker", registration.ID, "err", err)
 			continue
 		}
-		if c.partition.contains(cell, registration) && configuration.Services[registration.Service] {
+		if c.Partition.Contains(cell, registration) && configuration.Services[registration.Service] {
 			ids[registration.ID] = true
 		}
 	}
--- a/earlierholders_test.go
+++ b/holder/earlierholders_test.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"context"
@@ -10,7 +10,6 @@
 	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
 	"zinniashore.example/historian"
-	"zinniashore.example/prober"
 	"zinniashore.example/relayer"
 )
 
@@ -39,16 +38,6 @@
 	}
 }
 
-// TestOutagesAreNoticed guards against two holders that act: one acts on in an outage that the next one doesn't notice.
-func TestOutagesAreNoticed(t *testing.T) {
-	if historian.MaxGap >= prober.MinOutage {
-		t.Errorf("an outage of %v lets a holder act on, and only one of over %v is noticed", prober.MinOutage, historian.MaxGap)
-	}
-	if configurationWait >= historian.MaxGap {
-		t.Errorf("a watch that waits %v for a change looks like an outage of over %v", configurationWait, historian.MaxGap)
-	}
-}
-
 // TestEndOfSilentHolders guards against a cell that never acts again as a lost holder never says that it has ended, and
 // against a holder that is taken for ended while it may act.
 func TestEndOfSilentHolders(t *testing.T) {
--- a/failedpart_test.go
+++ b/holder/failedpart_test.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"testing"
--- a/holderquery.go
+++ b/holder/lastholders.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/claimer"
+	"zinniashore.example/relayer"
 )
 
 // holderAnswer is the answer of the last holder of a cell.
@@ -36,10 +37,18 @@
 	klog.InfoS("Queried the last holder of a cell", "cell", cell, "holder", answer.holder.Process, "held", answer.held, "err", err)
 }
 
-// queryHolder reports whether another process still holds a cell, by asking that
-// process.
-func (s *Scheduler) queryHolder(ctx context.Context, holder claimer.Holder, cell string) bool {
-	status, err := s.peerClient.PeerStatus(ctx, holder.Address, cell)
-	s.holderAnswers.record(cell, holderAnswer{holder: holder, held: status.Holds, failed: err != nil}, err)
+// LastHolders asks the last holders of cells whether they still hold them. Its exported fields are set before the
+// first call. It is safe for concurrent use.
+type LastHolders struct {
+	Peers *relayer.Client
+
+	answers answerLog
+}
+
+// Holds reports whether another process still holds a cell, by asking that process. It reports false if that doesn't
+// answer before ctx ends.
+func (l *LastHolders) Holds(ctx context.Context, holder claimer.Holder, cell string) bool {
+	status, err := l.Peers.PeerStatus(ctx, holder.Address, cell)
+	l.answers.record(cell, holderAnswer{holder: holder, held: status.Holds, failed: err != nil}, err)
 	return status.Holds
 }
--- a/holderquery_test.go
+++ b/holder/lastholders_test.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"bytes"
@@ -79,8 +79,8 @@
 		t.Run(name, func(t *testing.T) {
 			scripted := &scriptedHolder{}
 			address := scripted.serve(t)
-			s := &Scheduler{peerClient: &relayer.Client{}}
-			defer s.peerClient.Close()
+			last := &LastHolders{Peers: &relayer.Client{}}
+			defer last.Peers.Close()
 			var log bytes.Buffer
 			closeLog, err := logger.UseOutput(&log)
 			if err != nil {
@@ -91,8 +91,8 @@
 				scripted.held, scripted.failed = p.held, p.failed
 				for range repeats {
 					holder := claimer.Holder{Process: p.process, Address: address, Incarnation: p.process}
-					if held := s.queryHolder(t.Context(), holder, p.cell); held != p.held {
-						t.Errorf("queryHolder of %+v returns %t", p, held)
+					if held := last.Holds(t.Context(), holder, p.cell); held != p.held {
+						t.Errorf("Holds of %+v returns %t", p, held)
 					}
 				}
 			}
--- a/otherholders.go
+++ b/holder/otherholders.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"context"
@@ -8,43 +8,43 @@
 	"zinniashore.example/relayer"
 )
 
-// otherHolders are the processes that hold the cells of other failure domains.
-type otherHolders struct {
-	self          string
-	failureDomain string
-	partition     *sharedPartition
-	claimer       *claimer.Claimer
-	peers         *relayer.Client
+// OtherHolders are the processes that hold other cells. Its exported fields are set before the first call.
+type OtherHolders struct {
+	// Self is the name of this process, and FailureDomain its failure domain.
+	Self, FailureDomain string
+	Partition           Partition
+	Claimer             *claimer.Claimer
+	Peers               *relayer.Client
 }
 
-var _ prober.Peers = (*otherHolders)(nil)
+var _ prober.Peers = (*OtherHolders)(nil)
 
-// anyReachesStore reports whether another process that holds a cell answers that it reaches the store. It reports true if
+// AnyReachesStore reports whether another process that holds a cell answers that it reaches the store. It reports true if
 // no other process is known to hold one.
-func (o *otherHolders) anyReachesStore(ctx context.Context) bool {
+func (o *OtherHolders) AnyReachesStore(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
 	defer cancel()
 	answers := o.ask(ctx, func(string) bool { return true })
 	return answers.Asked == 0 || answers.Reaching > 0
 }
 
-// ReachStore implements prober.Peers.
-func (o *otherHolders) ReachStore(ctx context.Context) prober.PeerAnswers {
-	return o.ask(ctx, func(cell string) bool { return !o.partition.in(cell, o.failureDomain) })
+// ReachStore implements prober.Peers. It asks the holders of the cells of other failure domains.
+func (o *OtherHolders) ReachStore(ctx context.Context) prober.PeerAnswers {
+	return o.ask(ctx, func(cell string) bool { return !o.Partition.In(cell, o.FailureDomain) })
 }
 
 // ask asks the other processes that hold one of the cells that meet a condition whether they reach the store.
-func (o *otherHolders) ask(ctx context.Context, met func(cell string) bool) prober.PeerAnswers {
-	cells := o.claimer.Cells()
+func (o *OtherHolders) ask(ctx context.Context, met func(cell string) bool) prober.PeerAnswers {
+	cells := o.Claimer.Cells()
 	answers := make(chan storeStatus, len(cells))
 	var counts prober.PeerAnswers
 	for cell, holder := range cells {
-		if !met(cell) || holder.Process == o.self {
+		if !met(cell) || holder.Process == o.Self {
 			continue
 		}
 		counts.Asked++
 		go func() {
-			status, err := o.peers.PeerStatus(ctx, holder.Address, cell)
+			status, err := o.Peers.PeerStatus(ctx, holder.Address, cell)
 			answers <- storeStatus{answered: err == nil, reaching: status.ReachesStore}
 		}()
 	}
--- a/registrations_test.go
+++ b/holder/registrations_test.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"fmt"
@@ -36,7 +36,7 @@
 func TestRegistrationsOfOtherCells(t *testing.T) {
 	const others = 1000
 	registry := &countingRegistry{}
-	r := &registrations{cell: "graz-a", partition: &sharedPartition{}, runner: registry, passed: map[string]bool{}}
+	r := &registrations{cell: "graz-a", partition: undivided{}, runner: registry, passed: map[string]bool{}}
 	items := []platform.Item{registration("w", "graz-a", "ready"), registration("v", "graz-a", "ready")}
 	for n := range others {
 		items = append(items, registration(fmt.Sprint("other-", n), "graz-b", "ready"))
--- a/yield_test.go
+++ b/holder/yield_test.go
@@ -1,4 +1,4 @@
-package zinniashore
+package holder
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			cells := &heldCells{}
+			cells := &Cells{}
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
 			runner := dispatcher.NewRunner(dispatcher.NewCell(cell, test.held, dispatcher.Limits{}, noEvents{}), clockwork.NewRealClock(), nil, nil)
--- a/pendingjobs_test.go
+++ b/pendingjobs_test.go
@@ -24,7 +24,7 @@
 // TestPendingOfUnknownCell guards against a count of pending jobs that leaves a cell out without a word: its holder isn't
 // known, or this process has just claimed it and hasn't loaded its jobs. A cell without jobs needs no holder.
 func TestPendingOfUnknownCell(t *testing.T) {
-	unloaded := dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), clockwork.NewRealClock(), nil, unreachableArchive{})
+	unloaded := dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), clockwork.NewRealClock(), nil, nil)
 	tests := map[string]struct {
 		runners testRunners
 		// jobs is true if the store has a job in the cell, away if it doesn't answer.
--- a/scheduler.go
+++ b/scheduler.go
@@ -21,6 +21,7 @@
 	"zinniashore.example/claimer"
 	"zinniashore.example/evacuator"
 	"zinniashore.example/historian"
+	"zinniashore.example/holder"
 	"zinniashore.example/meter"
 	"zinniashore.example/partitioner"
 	"zinniashore.example/platform"
@@ -61,12 +62,11 @@
 	configurations *configurations
 	evacuations    *evacuator.Tracker
 	claimer        *claimer.Claimer
-	heldCells      *heldCells
+	heldCells      *holder.Cells
 	acceptor       *acceptor.Acceptor
 	intake         *acceptor.Intake
 	prober         *prober.Prober
 	peerClient     *relayer.Client
-	holderAnswers  answerLog
 	peerServer     *grpc.Server
 	peerListener   net.Listener
 	store          *platform.Store
@@ -130,40 +130,40 @@
 		Store: s.store, Clock: s.Clock, Key: archiver.PartitionKey, TermPrefix: archiver.TermPrefix,
 	}
 	s.configurations = &configurations{clock: s.Clock, suspendedTime: suspendedTime}
-	s.heldCells = &heldCells{
-		clock: s.Clock, settings: s.Settings, store: s.store, workers: platform.NewWorkers(), archiver: archive,
-		services: map[string]bool{}, partition: s.partition,
-		recorder: &eventLog{clock: s.Clock, scope: s.meter.Scope, recorder: &recorder.Recorder{
+	s.peerClient = &relayer.Client{}
+	s.heldCells = &holder.Cells{
+		Clock: s.Clock, Settings: s.Settings, Store: s.store, Workers: platform.NewWorkers(), Archiver: archive,
+		Partition: s.partition, Peers: s.peerClient, History: history, SuspendedTime: suspendedTime,
+		Recorder: &eventLog{clock: s.Clock, scope: s.meter.Scope, recorder: &recorder.Recorder{
 			Clock: s.Clock, Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Capacity: timeLineCapacity,
 		}},
 	}
-	s.configurations.changed = s.heldCells.setServices
-	s.evacuations = &evacuator.Tracker{Changed: s.heldCells.setEvacuated}
-	s.peerClient = &relayer.Client{}
-	s.heldCells.peers, s.heldCells.history = s.peerClient, history
+	s.configurations.changed = s.heldCells.SetServices
+	s.evacuations = &evacuator.Tracker{Changed: s.heldCells.SetEvacuated}
 	s.claimer = &claimer.Claimer{
 		Store: s.store, Clock: s.Clock, Prefix: archiver.HolderPrefix, TermPrefix: archiver.TermPrefix,
 		Self: claimer.Holder{
 			Process: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Address: s.Settings.PeerAddress,
-			Incarnation: uuid.NewString(), Processors: s.Settings.Processors, FullLeaseAge: fullLeaseAge,
-			MaxIsolation: isolationLimit(s.Settings),
+			Incarnation: uuid.NewString(), Processors: s.Settings.Processors, FullLeaseAge: holder.FullLeaseAge,
+			MaxIsolation: holder.IsolationLimit(s.Settings),
 		},
 		AssumedProcessors: wholeProcessor,
-		Hold:              s.heldCells.run,
-		Leases:            s.heldCells.releasedLeases,
+		Hold:              s.heldCells.Run,
+		Leases:            s.heldCells.ReleasedLeases,
 		Eligible:          func() bool { return !s.draining.Load() },
-		Holds:             s.queryHolder,
-		Unanswered:        func(holder claimer.Holder) int { return s.peerClient.Unanswered(holder.Address) },
-		HasWorkers:        (&cellWorkers{store: s.store, archiver: archive, configurations: s.configurations, partition: s.partition}).registered,
+		Holds:             (&holder.LastHolders{Peers: s.peerClient}).Holds,
+		Unanswered:        func(last claimer.Holder) int { return s.peerClient.Unanswered(last.Address) },
+		HasWorkers:        (&holder.CellWorkers{Store: s.store, Archiver: archive, Configurations: s.configurations, Partition: s.partition}).Registered,
 	}
 	selector := &cellSelector{
 		failureDomain: s.Settings.FailureDomain, partition: s.partition, claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient,
 		capacities: &capacityQueries{claimer: s.claimer, heldCells: s.heldCells, peers: s.peerClient},
 	}
-	s.heldCells.selector = selector
-	others := &otherHolders{self: s.Settings.Process, failureDomain: s.Settings.FailureDomain, partition: s.partition, claimer: s.claimer, peers: s.peerClient}
+	others := &holder.OtherHolders{
+		Self: s.Settings.Process, FailureDomain: s.Settings.FailureDomain, Partition: s.partition, Claimer: s.claimer, Peers: s.peerClient,
+	}
 	s.prober = &prober.Prober{Store: s.store, Clock: s.Clock, Peers: others}
-	s.heldCells.others, s.heldCells.outageSeen = others, s.prober.OutageSeen
+	s.heldCells.OtherCells, s.heldCells.OthersReachStore, s.heldCells.OutageSeen = selector, others.AnyReachesStore, s.prober.OutageSeen
 	s.intake = acceptor.NewIntake(s.Clock, archive)
 	serving, endRequests := context.WithCancel(context.Background())
 	s.endRequests = endRequests
--- a/sharedpartition.go
+++ b/sharedpartition.go
@@ -6,6 +6,7 @@
 
 	"zinniashore.example/acceptor"
 	"zinniashore.example/dispatcher"
+	"zinniashore.example/holder"
 	"zinniashore.example/partitioner"
 	"zinniashore.example/platform"
 )
@@ -15,6 +16,8 @@
 	partition atomic.Pointer[partitioner.Partition]
 }
 
+var _ holder.Partition = (*sharedPartition)(nil)
+
 func (s *sharedPartition) set(partition partitioner.Partition) { s.partition.Store(&partition) }
 
 // get returns the partition, and whether it is known.
@@ -31,14 +34,14 @@
 	return partition.Cells(failureDomain)
 }
 
-// contains reports whether a worker is in a cell.
-func (s *sharedPartition) contains(cell string, worker dispatcher.Registration) bool {
+// Contains reports whether a worker is in a cell.
+func (s *sharedPartition) Contains(cell string, worker dispatcher.Registration) bool {
 	partition, _ := s.get()
 	return partition.Cell(partitioner.Worker{FailureDomain: worker.FailureDomain, Rack: worker.Rack}) == cell
 }
 
-// in reports whether a cell is one of a failure domain.
-func (s *sharedPartition) in(cell, failureDomain string) bool {
+// In reports whether a cell is one of a failure domain.
+func (s *sharedPartition) In(cell, failureDomain string) bool {
 	return slices.Contains(s.cells(failureDomain), cell)
 }
 
--- a/unaccepted_test.go
+++ b/unaccepted_test.go
@@ -16,6 +16,21 @@
 	"zinniashore.example/standin"
 )
 
+const (
+	testCell = "graz-a"
+	testJob  = "00000000000000a1"
+)
+
+// encodeTestJob returns the record of the test job.
+func encodeTestJob(t *testing.T) []byte {
+	t.Helper()
+	record, err := dispatcher.EncodeJob(dispatcher.Job{ID: testJob, Occurrences: 1, Steps: []dispatcher.Step{{Count: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
 // newTestRouter returns a router of calls about jobs that holds no cell.
 func newTestRouter(store *platform.Store, unaccepted *rate.Limiter) *jobRouter {
 	return &jobRouter{
@@ -42,13 +57,9 @@
 	if err := router.Cancel(t.Context(), testJob); !errors.Is(err, acceptor.ErrUnknown) {
 		t.Fatalf("Cancel() = %v, want %v", err, acceptor.ErrUnknown)
 	}
-	record, err := dispatcher.EncodeJob(dispatcher.Job{ID: testJob, Occurrences: 1, Steps: []dispatcher.Step{{Count: 1}}})
-	if err != nil {
-		t.Fatal(err)
-	}
 	intake := acceptor.NewIntake(clockwork.NewRealClock(), router.archiver)
 	go func() { _ = intake.Run(t.Context()) }()
-	if outcome := intake.Accept(t.Context(), testJob, "graz-b", record); outcome != acceptor.OutcomeCancelled {
+	if outcome := intake.Accept(t.Context(), testJob, "graz-b", encodeTestJob(t)); outcome != acceptor.OutcomeCancelled {
 		t.Errorf("the outcome of the submission is %q, want %q", outcome, acceptor.OutcomeCancelled)
 	}
 	items, _, err := store.List(t.Context(), archiver.JobPrefix("graz-b"))
@@ -77,7 +88,9 @@
 func TestAcceptanceDuringCancellation(t *testing.T) {
 	store := startTestStore(t)
 	archive := &archiver.Archiver{Store: store}
-	acceptTestJob(t, archive)
+	if err := archive.Accept(t.Context(), []archiver.AcceptedJob{{ID: testJob, Cell: testCell, Record: encodeTestJob(t)}}); err != nil {
+		t.Fatal(err)
+	}
 	cell, err := archive.CancelUnaccepted(t.Context(), "graz-b", testJob)
 	if err != nil || cell != testCell {
 		t.Errorf("CancelUnaccepted() = %q, %v, want %q", cell, err, testCell)
--- a/watches_test.go
+++ b/watches_test.go
@@ -10,6 +10,7 @@
 	"zinniashore.example/archiver"
 	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
+	"zinniashore.example/holder"
 	"zinniashore.example/platform"
 	"zinniashore.example/standin"
 	"zinniashore.example/watcher"
@@ -73,19 +74,29 @@
 	follow func(t *testing.T, store *platform.Store) func(key string) string
 }
 
+// cellWatch returns the watch of a prefix by the holder of a cell, and whether there is one.
+func cellWatch(store *platform.Store, prefix string) (watcher.Watcher, bool) {
+	clock := clockwork.NewRealClock()
+	cells := &holder.Cells{Clock: clock, Store: store, Partition: &sharedPartition{}}
+	runner := dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), clock, nil, nil)
+	for _, w := range cells.Watches("graz-a", runner) {
+		if w.Prefix == prefix {
+			return w, true
+		}
+	}
+	return watcher.Watcher{}, false
+}
+
 func followedWatches() map[string]followedWatch {
 	clock := clockwork.NewRealClock()
 	ofCell := func(prefix string) func(*testing.T, *platform.Store) func(string) string {
 		return func(t *testing.T, store *platform.Store) func(string) string {
-			cells := &heldCells{clock: clock, store: store, partition: &sharedPartition{}}
-			runner := dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), clock, nil, unreachableArchive{})
-			for _, w := range cells.watches("graz-a", runner) {
-				if w.Prefix == prefix {
-					return follow(t, w)
-				}
+			w, found := cellWatch(store, prefix)
+			if !found {
+				t.Error("a cell doesn't watch " + prefix)
+				return func(string) string { return "" }
 			}
-			t.Error("a cell doesn't watch " + prefix)
-			return func(string) string { return "" }
+			return follow(t, w)
 		}
 	}
 	jobs := archiver.JobPrefix("graz-a")
@@ -108,8 +119,8 @@
 				}
 				go func() { _ = c.Run(t.Context()) }()
 				return func(string) string {
-					holder, _ := c.Holder("graz-a")
-					return holderValue(holder.Process)
+					registered, _ := c.Holder("graz-a")
+					return holderValue(registered.Process)
 				}
 			},
 		},
@@ -206,11 +217,16 @@
 	}
 	before, after := holderValue("edge-1"), holderValue("edge-2")
 	store.Put(w.key, []byte(before))
-	value := w.follow(t, platform.NewStore(address))
+	client := platform.NewStore(address)
+	value := w.follow(t, client)
 	if _, read := awaitValue(value, w.key, before, 10*time.Second); !read {
 		return 0, false
 	}
-	time.Sleep(registrationBatchPause + 100*time.Millisecond) // the next request waits for a change
+	registrations, found := cellWatch(client, platform.RegistrationPrefix)
+	if !found {
+		t.Error("a cell doesn't watch the registrations")
+	}
+	time.Sleep(registrations.BatchDelay + 100*time.Millisecond) // the next request waits for a change
 	cause(store)
 	store.Put(w.key, []byte(after))
 	return awaitValue(value, w.key, after, 2*w.bound)
