holder: the feed, the leases of releases and the limits apart from held cells

cells.go still mixed four jobs. Feed now follows the store for a runner (feed.go, with its handlers in registrations.go and storedjobs.go); leases.go holds what a release reports and tells a cell what the release before reported; limits.go holds the limits of cells. Cells keeps who holds which cell. Behaviour is unchanged.

--- a/holder/feed_test.go
+++ b/holder/feed_test.go
@@ -124,9 +124,9 @@
 	const inTouch = 3 * time.Second
 	server := httptest.NewServer(store)
 	defer server.Close()
-	cells := &Cells{Clock: clockwork.NewRealClock(), Partition: undivided{}, Store: platform.NewStore(server.Listener.Addr().String())}
-	runner := dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), cells.Clock, nil, unreachableArchive{})
-	watches := cells.Watches("graz-a", runner)
+	feed := &Feed{Clock: clockwork.NewRealClock(), Partition: undivided{}, Store: platform.NewStore(server.Listener.Addr().String()), Cell: "graz-a"}
+	feed.Runner = dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), feed.Clock, nil, unreachableArchive{})
+	watches := feed.Watches()
 	registrations := watches[slices.IndexFunc(watches, func(w watcher.Watcher) bool { return w.Prefix == platform.RegistrationPrefix })]
 	changes := make(applied, 1)
 	registrations.Handler = changes
--- a/watches_test.go
+++ b/watches_test.go
@@ -77,9 +77,9 @@
 // cellWatch returns the watch of a prefix by the holder of a cell, and whether there is one.
 func cellWatch(store *platform.Store, prefix string) (watcher.Watcher, bool) {
 	clock := clockwork.NewRealClock()
-	cells := &holder.Cells{Clock: clock, Store: store, Partition: &sharedPartition{}}
 	runner := dispatcher.NewRunner(dispatcher.NewCell("graz-a", 1, dispatcher.Limits{}, nil), clock, nil, nil)
-	for _, w := range cells.Watches("graz-a", runner) {
+	feed := &holder.Feed{Clock: clock, Store: store, Partition: &sharedPartition{}, Cell: "graz-a", Runner: runner}
+	for _, w := range feed.Watches() {
 		if w.Prefix == prefix {
 			return w, true
 		}
