--- a/dispatcher/formerlife_test.go
+++ b/dispatcher/formerlife_test.go
@@ -199,3 +199,64 @@
 		})
 	}
 }
+
+// TestEndsForgottenAfterRestart guards against a start after the end of a run that was done was acknowledged: a restarted
+// worker, whose answers are lost for a moment, executes a poll that acknowledges ends of its former life, and forgets the ends
+// with the same numbers of the present one, which nobody has read.
+func TestEndsForgottenAfterRestart(t *testing.T) {
+	s := newGrantingSimulation(1, shortGrant)
+	s.submit(plainJob(otherID, 3, 200*time.Millisecond, 1))
+	s.runFor(time.Second)
+	requireState(t, s, otherID, dispatcher.StateCompleted)
+	restarted := s.workers[0]
+	s.giveUpPoll(restarted, 2*time.Second)
+	restarted.reboot()
+	s.register(restarted)
+	s.runFor(time.Second)
+	s.submit(plainJob(jobID, 3, 500*time.Millisecond, 1))
+	s.runFor(200 * time.Millisecond)
+	if len(restarted.running) != 3 {
+		t.Fatalf("%s has %d runs, want 3", restarted.registration.ID, len(restarted.running))
+	}
+	restarted.answersLost = true
+	s.runFor(time.Second)
+	restarted.answersLost = false
+	s.runFor(5 * time.Second)
+	requireNoViolations(t, s)
+}
+
+// TestLateStartAfterUnseenRestart guards against two runs of a task: a worker that is cut off restarts unseen, and executes a
+// start for its former life, whose run counts as ended when the lease of the former life has expired.
+func TestLateStartAfterUnseenRestart(t *testing.T) {
+	s := newGrantingSimulation(3, shortGrant)
+	s.lateAfterRestart = true
+	restarted := s.sendLateStarts(t, jobID, 1)
+	restarted.reachable = false
+	s.runFor(100 * time.Millisecond)
+	restarted.reboot()
+	s.runFor(15 * time.Second)
+	requireNoViolations(t, s)
+}
+
+// TestLateStopAfterRestart guards against a task that doesn't run any more, as a restarted worker that runs it again executes the
+// stop of its run of the former life.
+func TestLateStopAfterRestart(t *testing.T) {
+	s := newGrantingSimulation(1, shortGrant)
+	s.submit(longRunningJob(jobID, 1, 500))
+	s.runFor(time.Second)
+	task, restarted := dispatcher.TaskID{Job: jobID}, s.workers[0]
+	former := restarted.running[task].number
+	restarted.reboot()
+	s.register(restarted)
+	s.runFor(time.Second)
+	for range 2 {
+		restarted.stop(dispatcher.StopOrder{Worker: restarted.registration, Task: task, Run: former, Epoch: s.cell.Epoch})
+		s.runFor(time.Second)
+		if r := restarted.running[task]; r == nil || r.number == former || r.stopping {
+			t.Fatalf("the run of %s after a late stop of run %d = %+v, want a later one that isn't stopped", task, former, r)
+		}
+		restarted.end(restarted.running[task], dispatcher.EndingFailed)
+		s.runFor(time.Second)
+	}
+	requireNoViolations(t, s)
+}
