--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -29,7 +29,10 @@
 		w.stored = false
 	}
 	restarted := registration.Boot != w.registration.Boot && registration.Boot > w.boot
-	if w.boot != 0 && restarted {
+	switch {
+	case w.boot == 0:
+		c.noteUnheardProcess(now, w, registration.Boot)
+	case restarted:
 		c.setBoot(now, w, registration.Boot)
 	}
 	w.stored = w.stored && (w.registered || w.earlierBoot == 0)
@@ -106,6 +109,8 @@
 func (c *Cell) setBoot(now time.Time, w *worker, boot int64) {
 	if w.boot != 0 {
 		c.handleRestart(now, w)
+	} else {
+		c.noteUnheardProcess(now, w, boot)
 	}
 	w.boot = boot
 	w.bootSince = now
--- a/dispatcher/shutdown.go
+++ b/dispatcher/shutdown.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// noteUnheardProcess notes that a process of the worker may still be shutting down which this holder has never heard: it has
+// registered that it drains, and another boot is the first to answer, or registers before one has.
+func (c *Cell) noteUnheardProcess(now time.Time, w *worker, boot int64) {
+	mayHaveRuns := w.restored && (!c.active || c.mayHoldEarlierLease(now, w))
+	if mayHaveRuns && w.drainedBoot == 0 && w.drainingBoot != 0 && w.drainingBoot != boot {
+		w.drainedBoot, w.replaced, w.stored = w.drainingBoot, true, false
+	}
+}
+
 // plansExit reports whether a boot of the worker has registered that it drains, so that its end is no
 // crash.
 func (w *worker) plansExit(boot int64) bool { return boot != 0 && boot == w.drainingBoot }
--- a/dispatcher/successor_test.go
+++ b/dispatcher/successor_test.go
@@ -127,3 +127,54 @@
 		})
 	}
 }
+
+// TestSuccessorOfUnheardProcess guards against two runs of a task: a worker that a new holder doesn't reach drains and shuts
+// down, and its next process answers while the runs of the earlier one last, which an earlier holder has started.
+func TestSuccessorOfUnheardProcess(t *testing.T) {
+	tests := map[string]func(s *simulation, next *fakeWorker){
+		"it answers before it registers": func(s *simulation, next *fakeWorker) {
+			s.runFor(300 * time.Millisecond)
+			s.register(next)
+		},
+		"it registers before it answers": func(s *simulation, next *fakeWorker) {
+			next.reachable = false
+			s.register(next)
+			s.runFor(300 * time.Millisecond)
+			next.reachable = true
+		},
+		"it drains in turn before it answers": func(s *simulation, next *fakeWorker) {
+			next.reachable = false
+			s.register(next)
+			s.drain(next)
+			s.runFor(300 * time.Millisecond)
+			next.reachable = true
+		},
+		"the holder changes once it has answered": func(s *simulation, next *fakeWorker) {
+			s.register(next)
+			s.runFor(200 * time.Millisecond)
+			s.release(s.workers[:3]...)
+		},
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newActiveSimulation(3)
+			s.submit(plainJob(jobID, 6, 12*time.Second, 1))
+			s.runFor(500 * time.Millisecond)
+			earlier := s.workers[0]
+			if len(earlier.running) == 0 {
+				t.Fatal("nothing runs on the worker")
+			}
+			earlier.reachable = false
+			s.changeHolder(s.workers...)
+			s.runFor(200 * time.Millisecond)
+			s.drain(earlier)
+			s.runFor(drainTime)
+			next := s.succeed(earlier)
+			next.reachable = true
+			answer(s, next)
+			s.runFor(40 * time.Second)
+			requireState(t, s, jobID, dispatcher.StateCompleted)
+			requireNoViolations(t, s)
+		})
+	}
+}
