--- a/dispatcher/releasedcell_test.go
+++ b/dispatcher/releasedcell_test.go
@@ -186,3 +186,24 @@
 	f.reboot()
 	s.runFor(100 * time.Millisecond)
 }
+
+// TestReportedProcessesAreBounded guards against a release that the store refuses for its size: each holder passes on what
+// it was told of all processes that workers ever had.
+func TestReportedProcessesAreBounded(t *testing.T) {
+	const workers = 3
+	s := newActiveSimulation(workers)
+	s.submit(longRunningJob(jobID, 2, 1200))
+	for range 4 {
+		s.runFor(2 * time.Second)
+		for _, f := range s.workers {
+			drainAndRestart(s, f)
+			s.register(f)
+		}
+		s.runFor(2 * time.Second)
+		s.release(s.workers...)
+	}
+	s.runFor(time.Second)
+	if told := s.cell.LeasesOfEarlierProcesses(s.now); len(told) > workers {
+		t.Errorf("%d processes of %d workers are reported: %v", len(told), workers, told)
+	}
+}
--- a/dispatcher/silentworkers.go
+++ b/dispatcher/silentworkers.go
@@ -33,13 +33,16 @@
 
 // LeasesOfEarlierProcesses returns the processes of workers before which there was one that may still be shutting down,
 // each with how long leases on runs of the earlier one last. It is nil if another holder is known to have begun a term.
+// What was told of a process is passed on unless another one of the worker has answered since, or the worker is forgotten.
 func (c *Cell) LeasesOfEarlierProcesses(now time.Time) map[ProcessID]time.Duration {
 	if c.superseded {
 		return nil
 	}
 	left := map[ProcessID]time.Duration{}
 	for process, end := range c.EarlierProcessLeaseEnds {
-		left[process] = timeLeft(now, end)
+		if w := c.workers[process.Worker]; w == nil && !c.active || w != nil && (w.boot == 0 || w.boot == process.Boot) {
+			left[process] = timeLeft(now, end)
+		}
 	}
 	for id, w := range c.workers {
 		if c.active && w.epochAccepted && w.replaced {
