--- a/capacityquery.go
+++ b/capacityquery.go
@@ -34,15 +34,15 @@
 
 // ask returns the free capacity of the cells whose holders answer within patience. It returns
 // as soon as all have answered, or ctx ends.
-func (q *capacityQueries) ask(ctx context.Context, cells map[string]claimer.Holder, patience time.Duration, service string, step dispatcher.Step) map[string]dispatcher.FreeCapacity {
+func (q *capacityQueries) ask(ctx context.Context, cells map[string]claimer.Holder, patience time.Duration, service string, id dispatcher.StepID, step dispatcher.Step) map[string]dispatcher.FreeCapacity {
 	answers := make(chan capacityAnswer, len(cells))
 	awaited := 0
 	for cell, holder := range cells {
 		if runner := q.heldCells.Runner(cell); runner != nil {
-			answers <- capacityAnswer{cell: cell, free: runner.FreeCapacity(service, step)}
+			answers <- capacityAnswer{cell: cell, free: runner.FreeCapacity(service, id, step)}
 			awaited++
 		} else if q.begin(holder.Address) {
-			go func() { answers <- q.query(ctx, cell, holder, service, step) }()
+			go func() { answers <- q.query(ctx, cell, holder, service, id, step) }()
 			awaited++
 		}
 	}
@@ -65,8 +65,8 @@
 }
 
 // askAll does the same as ask, for all cells.
-func (q *capacityQueries) askAll(ctx context.Context, patience time.Duration, service string, step dispatcher.Step) map[string]dispatcher.FreeCapacity {
-	return q.ask(ctx, q.claimer.Cells(), patience, service, step)
+func (q *capacityQueries) askAll(ctx context.Context, patience time.Duration, service string, id dispatcher.StepID, step dispatcher.Step) map[string]dispatcher.FreeCapacity {
+	return q.ask(ctx, q.claimer.Cells(), patience, service, id, step)
 }
 
 // capacityAnswer is the free capacity of a cell, or the error that prevented the answer.
@@ -78,11 +78,11 @@
 
 // query sends a query. It outlasts the caller, since a call that is given up early would
 // close the connection to the holder.
-func (q *capacityQueries) query(ctx context.Context, cell string, holder claimer.Holder, service string, step dispatcher.Step) capacityAnswer {
+func (q *capacityQueries) query(ctx context.Context, cell string, holder claimer.Holder, service string, id dispatcher.StepID, step dispatcher.Step) capacityAnswer {
 	defer q.end(holder.Address)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), capacityQueryTimeout)
 	defer cancel()
-	free, err := q.peers.FreeCapacity(ctx, holder.Address, cell, service, step)
+	free, err := q.peers.FreeCapacity(ctx, holder.Address, cell, service, id, step)
 	if err != nil {
 		klog.V(1).InfoS("Reading the free capacity of a cell failed", "cell", cell, "err", err)
 	}
--- a/capacityquery_test.go
+++ b/capacityquery_test.go
@@ -47,7 +47,7 @@
 	holders := map[string]claimer.Holder{"graz-a": {Process: "edge-1", Address: listener.Addr().String()}}
 	began := time.Now()
 	for range asked {
-		if found := queries.ask(t.Context(), holders, patience, "shop", dispatcher.Step{Count: 1}); len(found) > 0 {
+		if found := queries.ask(t.Context(), holders, patience, "shop", dispatcher.StepID{}, dispatcher.Step{Count: 1}); len(found) > 0 {
 			t.Fatalf("the silent holder answered: %v", found)
 		}
 	}
@@ -60,7 +60,7 @@
 	}
 	waitFor(t, 5*time.Second, "the holder is asked again", func() bool {
 		before := cells.queried.Load()
-		queries.ask(t.Context(), holders, patience, "shop", dispatcher.Step{Count: 1})
+		queries.ask(t.Context(), holders, patience, "shop", dispatcher.StepID{}, dispatcher.Step{Count: 1})
 		return cells.queried.Load() > before
 	})
 }
--- a/cellselector.go
+++ b/cellselector.go
@@ -43,9 +43,9 @@
 }
 
 // FindCell implements dispatcher.OtherCells.
-func (s *cellSelector) FindCell(ctx context.Context, leftOut []string, service string, step dispatcher.Step, later bool) (string, int) {
+func (s *cellSelector) FindCell(ctx context.Context, leftOut []string, service string, id dispatcher.StepID, step dispatcher.Step, later bool) (string, int) {
 	step.Count = 1
-	found := s.capacities.askAll(ctx, delegationPatience, service, step)
+	found := s.capacities.askAll(ctx, delegationPatience, service, id, step)
 	for _, cell := range leftOut {
 		delete(found, cell)
 	}
@@ -102,7 +102,7 @@
 	if s.fits(ctx, home, job.Queue.Service, step) {
 		return home
 	}
-	found := s.capacities.askAll(ctx, otherPatience, job.Queue.Service, step)
+	found := s.capacities.askAll(ctx, otherPatience, job.Queue.Service, dispatcher.StepID{}, step)
 	best, known := home, found[home]
 	_, answered := found[home]
 	for cell, free := range found {
@@ -130,7 +130,7 @@
 	if !held {
 		return false
 	}
-	found := s.capacities.ask(ctx, map[string]claimer.Holder{cell: holder}, homePatience, service, step)
+	found := s.capacities.ask(ctx, map[string]claimer.Holder{cell: holder}, homePatience, service, dispatcher.StepID{}, step)
 	free, answered := found[cell]
 	return answered && free.Places >= step.Count
 }
@@ -148,7 +148,7 @@
 // arrive together see the same free capacity and would otherwise all be assigned to the
 // same cell.
 func (s *cellSelector) cellForLongRunning(ctx context.Context, service string, step dispatcher.Step) string {
-	found := s.capacities.askAll(ctx, homePatience+otherPatience, service, step)
+	found := s.capacities.askAll(ctx, homePatience+otherPatience, service, dispatcher.StepID{}, step)
 	total := 0
 	for _, free := range found {
 		total += weight(free, step.Count)
--- a/dispatcher/calls.go
+++ b/dispatcher/calls.go
@@ -14,10 +14,10 @@
 }
 
 // FreeCapacity returns the capacity that the cell has left for a step of a service.
-func (r *Runner) FreeCapacity(service string, step Step) FreeCapacity {
+func (r *Runner) FreeCapacity(service string, id StepID, step Step) FreeCapacity {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Cell.FreeCapacity(r.Clock.Now(), service, &step)
+	return r.Cell.FreeCapacity(r.Clock.Now(), service, id, &step)
 }
 
 // LeasesOfEarlierProcesses is Cell.LeasesOfEarlierProcesses.
--- a/dispatcher/capacity.go
+++ b/dispatcher/capacity.go
@@ -15,8 +15,19 @@
 	Load float64
 }
 
-// FreeCapacity returns the capacity that the cell has left for a step of a service.
-func (c *Cell) FreeCapacity(now time.Time, service string, step *Step) FreeCapacity {
+// StepID identifies a step of a job. The zero value is none.
+type StepID struct {
+	// Job is the id of the job, Step the number of the step, from 0.
+	Job  string
+	Step int
+}
+
+// stepID returns the step of the task.
+func (t TaskID) stepID() StepID { return StepID{Job: t.Job, Step: t.Step} }
+
+// FreeCapacity returns the capacity that the cell has left for a step of a service. The runs of the step that the cell has
+// already count towards its limit of each worker.
+func (c *Cell) FreeCapacity(now time.Time, service string, id StepID, step *Step) FreeCapacity {
 	var free FreeCapacity
 	var capacity, taken int64
 	for _, w := range c.workers {
@@ -26,7 +37,7 @@
 		capacity += w.registration.Capacity.MilliProcessors
 		taken += w.registration.Capacity.MilliProcessors - w.idleProcessors()
 		if c.healthy(now, w) && w.hasLabel(step.Label) {
-			free.Places += c.places(w, step)
+			free.Places += c.places(w, id, step)
 		}
 	}
 	for _, t := range c.ready {
@@ -38,7 +49,7 @@
 			free.Places--
 		}
 	}
-	free.Places, free.LaterPlaces = max(0, free.Places), c.laterPlaces(now, service, step)
+	free.Places, free.LaterPlaces = max(0, free.Places), c.laterPlaces(now, service, id, step)
 	free.Load = float64(taken) / float64(max(capacity, 1))
 	return free
 }
@@ -65,12 +76,23 @@
 // maxPlaces bounds the places that are counted per worker.
 const maxPlaces = 100
 
-// places returns the number of tasks of a step that fit on a worker.
-func (c *Cell) places(w *worker, step *Step) int {
-	limit := maxPlaces
-	if step.WorkerLimit > 0 {
-		limit = min(limit, step.WorkerLimit)
+// placeLimit returns how many more tasks of a step the worker may run at most, whatever its capacity is.
+func (w *worker) placeLimit(id StepID, step *Step) int {
+	if step.WorkerLimit == 0 {
+		return maxPlaces
 	}
+	limit := step.WorkerLimit
+	for _, r := range w.runs {
+		if r.task.id.stepID() == id {
+			limit--
+		}
+	}
+	return min(max(limit, 0), maxPlaces)
+}
+
+// places returns the number of tasks of a step that fit on a worker.
+func (c *Cell) places(w *worker, id StepID, step *Step) int {
+	limit := w.placeLimit(id, step)
 	if w.onTrial(nil) || w.reservedFor != nil && !step.LongRunning {
 		return 0
 	}
--- a/dispatcher/capacity_test.go
+++ b/dispatcher/capacity_test.go
@@ -48,13 +48,39 @@
 				s.submit(job)
 			}
 			s.runFor(300 * time.Millisecond)
-			if free := s.cell.FreeCapacity(s.now, testService, &test.step); free.Places != test.want {
+			if free := s.cell.FreeCapacity(s.now, testService, dispatcher.StepID{}, &test.step); free.Places != test.want {
 				t.Errorf("places = %d, want %d (load %.2f)", free.Places, test.want, free.Load)
 			}
 		})
 	}
 }
 
+// TestPlacesBesideSiblings guards against a task with a limit a worker that goes to and fro between cells: a cell counts places
+// on workers that run as many tasks of the step already as they may.
+func TestPlacesBesideSiblings(t *testing.T) {
+	limited := longRunningJob(jobID, 3, 500)
+	limited.Steps[0].WorkerLimit = 2
+	tests := map[string]struct {
+		id   dispatcher.StepID
+		want int
+	}{
+		"of the same step":         {id: dispatcher.StepID{Job: jobID}, want: 1},
+		"of another job":           {id: dispatcher.StepID{Job: otherID}, want: 4},
+		"of no step in particular": {want: 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newActiveSimulation(2)
+			s.submit(limited)
+			s.runFor(time.Second)
+			free := s.cell.FreeCapacity(s.now, testService, test.id, &limited.Steps[0])
+			if free.Places != test.want || free.LaterPlaces != test.want {
+				t.Errorf("places = %d, later %d; want %d", free.Places, free.LaterPlaces, test.want)
+			}
+		})
+	}
+}
+
 // TestLaterPlaces guards against long-running tasks of a cell without workers that find no place in
 // others: short tasks take each place there that becomes free.
 func TestLaterPlaces(t *testing.T) {
@@ -63,7 +89,7 @@
 	s.submit(plainJob(jobID, 40, 10*time.Second, 1))
 	s.runFor(500 * time.Millisecond)
 	step := longRunningJob(jobID, 1, 2000).Steps[0]
-	free := s.cell.FreeCapacity(s.now, testService, &step)
+	free := s.cell.FreeCapacity(s.now, testService, dispatcher.StepID{}, &step)
 	want := int(fullCapacity.MilliProcessors/step.Size.MilliProcessors) - 1
 	if free.Places != 0 || free.LaterPlaces != want {
 		t.Errorf("places = %d, later %d; want 0 and %d", free.Places, free.LaterPlaces, want)
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -100,15 +100,6 @@
 	return cells
 }
 
-// PartCells returns the cells that run delegated parts of the job of a task.
-func (c *Cell) PartCells(now time.Time, id TaskID) []string {
-	t := c.task(now, id)
-	if t == nil {
-		return nil
-	}
-	return t.job().partCells()
-}
-
 // NextToDelegate returns the long-running task to offer to other cells next, with its
 // job. Of the tasks that have waited in this cell for delegationDelay, it is the one
 // whose last offer is longest ago.
--- a/dispatcher/delegator.go
+++ b/dispatcher/delegator.go
@@ -39,15 +39,11 @@
 		id, job, moves = r.Cell.NextToMove(now)
 	}
 	later := delegates && !r.Cell.WillHavePlace(now, id) || moves && !r.Cell.Capable(now, id)
-	var partCells []string
-	if r.Cell.Capable(now, id) {
-		partCells = r.Cell.PartCells(now, id)
-	}
 	r.mu.Unlock()
 	if !delegates && !moves {
 		return r.relocateOnce(ctx)
 	}
-	cell, places := r.findCell(ctx, job.Queue.Service, job.Steps[id.Step], later, partCells)
+	cell, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, id.stepID(), job.Steps[id.Step], later)
 	delegated := false
 	r.mu.Lock()
 	switch now = r.Clock.Now(); {
@@ -66,21 +62,6 @@
 	return true
 }
 
-// findCell returns another cell with capacity for tasks of a step, and for how many. The later
-// places of a cell that runs a part of the job don't show which workers have as many tasks of
-// the step as they may. So they don't count for a step with a limit that this cell could run:
-// partCells are the cells with parts then, and empty otherwise.
-func (r *Runner) findCell(ctx context.Context, service string, step Step, later bool, partCells []string) (string, int) {
-	home := []string{r.Cell.Name}
-	if !later || step.WorkerLimit == 0 || len(partCells) == 0 {
-		return r.OtherCells.FindCell(ctx, home, service, step, later)
-	}
-	if cell, places := r.OtherCells.FindCell(ctx, home, service, step, false); places > 0 {
-		return cell, places
-	}
-	return r.OtherCells.FindCell(ctx, append(home, partCells...), service, step, true)
-}
-
 // relocateOnce offers the next job that doesn't fit in the cell to the other cells. It reports
 // whether there was one.
 func (r *Runner) relocateOnce(ctx context.Context) bool {
@@ -92,7 +73,7 @@
 	if !found {
 		return r.returnOnce() || r.returnTasksOnce(ctx)
 	}
-	cell, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, job.Steps[id.Step], later)
+	cell, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, id.stepID(), job.Steps[id.Step], later)
 	relocated := false
 	r.mu.Lock()
 	if places < needed {
@@ -132,7 +113,7 @@
 	if !found {
 		return false
 	}
-	_, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, job.Steps[id.Step], false)
+	_, places := r.OtherCells.FindCell(ctx, []string{r.Cell.Name}, job.Queue.Service, id.stepID(), job.Steps[id.Step], false)
 	r.mu.Lock()
 	if places == 0 {
 		r.Cell.DelegationRefused(r.Clock.Now(), id)
--- a/dispatcher/delegator_test.go
+++ b/dispatcher/delegator_test.go
@@ -51,7 +51,7 @@
 	delivered map[dispatcher.TaskID]bool
 }
 
-func (c *otherCell) FindCell(context.Context, []string, string, dispatcher.Step, bool) (string, int) {
+func (c *otherCell) FindCell(context.Context, []string, string, dispatcher.StepID, dispatcher.Step, bool) (string, int) {
 	time.Sleep(10 * time.Millisecond)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/dispatcher/evacuation_test.go
+++ b/dispatcher/evacuation_test.go
@@ -93,7 +93,7 @@
 		t.Errorf("%s is to be delegated (%v), want a task of %s", id, found, otherID)
 	}
 	step := dispatcher.Step{Count: 1, Size: dispatcher.Size{MilliProcessors: 100, Megabytes: 10}}
-	if free := s.cell.FreeCapacity(s.now, testService, &step); free.Places != 0 || free.LaterPlaces != 0 {
+	if free := s.cell.FreeCapacity(s.now, testService, dispatcher.StepID{}, &step); free.Places != 0 || free.LaterPlaces != 0 {
 		t.Errorf("the evacuated cell offers %d places and %d later ones, want none", free.Places, free.LaterPlaces)
 	}
 }
--- a/dispatcher/laterplaces.go
+++ b/dispatcher/laterplaces.go
@@ -55,10 +55,14 @@
 }
 
 // places returns the number of tasks of a step of another cell that could run in the capacity.
-func (l *laterCapacity) places(step *Step) int {
-	limit := maxPlaces
+func (l *laterCapacity) places(id StepID, step *Step) int {
+	limit := l.worker.placeLimit(id, step)
 	if step.WorkerLimit > 0 {
-		limit = min(limit, step.WorkerLimit)
+		for _, t := range l.assigned {
+			if t.id.stepID() == id {
+				limit--
+			}
+		}
 	}
 	remaining, count := l.remaining, 0
 	for count < limit && remaining.Holds(step.Size) {
@@ -115,13 +119,13 @@
 
 // laterPlaces returns the number of tasks of a step of a service that could start once all
 // tasks that aren't long-running have ended, beside the long-running tasks that wait.
-func (c *Cell) laterPlaces(now time.Time, service string, step *Step) int {
+func (c *Cell) laterPlaces(now time.Time, service string, id StepID, step *Step) int {
 	all := c.laterCapacities(now)
 	c.assignWaiting(now, all, func(*task) bool { return true })
 	places := 0
 	for _, l := range all {
 		if l.worker.registration.Service == service && l.worker.hasLabel(step.Label) {
-			places += l.places(step)
+			places += l.places(id, step)
 		}
 	}
 	return places
--- a/dispatcher/rackgroup.go
+++ b/dispatcher/rackgroup.go
@@ -52,7 +52,7 @@
 	for _, rack := range racks {
 		places := 0
 		for _, w := range c.pass.racks.healthy(c, rack) {
-			places += c.places(w, t.step.step)
+			places += c.places(w, t.id.stepID(), t.step.step)
 		}
 		if places >= len(members) {
 			candidates = append(candidates, candidate{rack: rack, places: places})
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -67,7 +67,7 @@
 	// FindCell returns a cell, none of those left out, with capacity for tasks of a step of a
 	// service, and for how many. It is 0 if there is no such cell.
 	// If later is true, a cell that will have capacity once short tasks have ended will do.
-	FindCell(ctx context.Context, leftOut []string, service string, step Step, later bool) (cell string, places int)
+	FindCell(ctx context.Context, leftOut []string, service string, id StepID, step Step, later bool) (cell string, places int)
 	// Deliver sends a stored part to the cell that it is delegated to.
 	Deliver(ctx context.Context, part Part)
 }
--- a/dispatcher/runner_test.go
+++ b/dispatcher/runner_test.go
@@ -57,7 +57,7 @@
 // noCells knows no other cells.
 type noCells struct{}
 
-func (noCells) FindCell(context.Context, []string, string, dispatcher.Step, bool) (string, int) {
+func (noCells) FindCell(context.Context, []string, string, dispatcher.StepID, dispatcher.Step, bool) (string, int) {
 	return "", 0
 }
 
--- a/dispatcher/size_test.go
+++ b/dispatcher/size_test.go
@@ -48,7 +48,7 @@
 
 func BenchmarkFreeCapacity(b *testing.B) {
 	for name, step := range offeredSteps {
-		benchmarkCells(b, name, func(l *loadedCell) { l.cell.FreeCapacity(l.now, testService, &step) })
+		benchmarkCells(b, name, func(l *loadedCell) { l.cell.FreeCapacity(l.now, testService, dispatcher.StepID{}, &step) })
 	}
 }
 
--- a/dispatcher/waitingtask_test.go
+++ b/dispatcher/waitingtask_test.go
@@ -110,14 +110,14 @@
 }
 
 // FindCell implements dispatcher.OtherCells.
-func (c *connectedCells) FindCell(_ context.Context, leftOut []string, service string, step dispatcher.Step, later bool) (string, int) {
+func (c *connectedCells) FindCell(_ context.Context, leftOut []string, service string, id dispatcher.StepID, step dispatcher.Step, later bool) (string, int) {
 	time.Sleep(5 * time.Millisecond)
 	best, places := "", 0
 	for _, name := range slices.Sorted(maps.Keys(c.runners)) {
 		if slices.Contains(leftOut, name) {
 			continue
 		}
-		free := c.runners[name].FreeCapacity(service, step)
+		free := c.runners[name].FreeCapacity(service, id, step)
 		count := free.Places
 		if count == 0 && later {
 			count = free.LaterPlaces
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -126,7 +126,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, status.FromContextError(err).Err() // the caller has given up
 	}
-	capacity := runner.FreeCapacity(request.GetService(), dispatcher.Step{
+	capacity := runner.FreeCapacity(request.GetService(), dispatcher.StepID{Job: request.GetJob(), Step: int(request.GetStep())}, dispatcher.Step{
 		Count: int(request.GetCount()),
 		Size: dispatcher.Size{
 			MilliProcessors: request.GetMilliProcessors(), Megabytes: request.GetMegabytes(), Accelerators: request.GetAccelerators(),
@@ -209,12 +209,12 @@
 
 // FreeCapacity returns the free capacity of a cell for a step of a service. It returns
 // ErrNotHeld if the peer doesn't hold the cell.
-func (c *Client) FreeCapacity(ctx context.Context, address, cell, service string, step dispatcher.Step) (dispatcher.FreeCapacity, error) {
+func (c *Client) FreeCapacity(ctx context.Context, address, cell, service string, id dispatcher.StepID, step dispatcher.Step) (dispatcher.FreeCapacity, error) {
 	answer, err := call(ctx, c, address, relayerpb.RelayerClient.Room, &relayerpb.RoomRequest{
 		Cell: cell, Service: service,
 		MilliProcessors: step.Size.MilliProcessors, Megabytes: step.Size.Megabytes, Accelerators: step.Size.Accelerators,
 		WorkerLimit: int64(step.WorkerLimit), Count: int64(step.Count), Label: step.Label,
-		Lasting: step.LongRunning, Filler: step.BestEffort, Image: step.Image,
+		Lasting: step.LongRunning, Filler: step.BestEffort, Image: step.Image, Job: id.Job, Step: int64(id.Step),
 	})
 	if err != nil {
 		return dispatcher.FreeCapacity{}, err
