--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -27,6 +27,8 @@
 type trouble struct {
 	kind     string
 	from, to time.Duration
+	// latency is how much longer the answers of a slow store take.
+	latency time.Duration
 }
 
 // Kinds of trouble. A request that waits when one begins fails too.
@@ -36,6 +38,7 @@
 	resetting   = "resetting"
 	connections = "connections" // silent ones, at one moment
 	compacting  = "compacting"  // the history is dropped at one moment
+	slow        = "slow"        // answers arrive late
 )
 
 // simulatedStore is a store with planned changes and troubles. Times count from its start.
@@ -78,7 +81,7 @@
 // hinder applies the trouble that hits a request which is in progress from a time until now.
 func (s *simulatedStore) hinder(ctx context.Context, from time.Duration) error {
 	for _, t := range s.troubles {
-		if t.from > s.now() || t.to < from || t.kind == compacting {
+		if t.from > s.now() || t.to < from || t.kind == compacting || t.kind == slow {
 			continue
 		}
 		switch t.kind {
@@ -96,7 +99,17 @@
 
 // answer waits until a response with the state of now has arrived.
 func (s *simulatedStore) answer(ctx context.Context, from time.Duration) error {
-	time.Sleep(s.latency)
+	latency := s.latency
+	for _, t := range s.troubles {
+		if now := s.now(); t.kind == slow && t.from <= now && now < t.to {
+			latency += t.latency
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(latency):
+	}
 	return s.hinder(ctx, from)
 }
 
@@ -178,9 +191,9 @@
 	return due
 }
 
-// lateChanges runs a watch on the store and describes the changes that weren't known in time.
-func lateChanges(t *testing.T, store *simulatedStore, w watcher.Watcher) []string {
-	var late []string
+// knownChanges runs a watch on the store and returns when each change was known, 0 for never.
+func knownChanges(t *testing.T, store *simulatedStore, w watcher.Watcher) []time.Duration {
+	times := make([]time.Duration, len(store.changes))
 	synctest.Test(t, func(t *testing.T) {
 		store.began = time.Now()
 		known := &knownAt{store: store, times: map[int64]time.Duration{}}
@@ -190,13 +203,22 @@
 		if err := w.Run(ctx); err != nil {
 			t.Error(err)
 		}
-		for i, at := range store.changes {
-			due, revision := store.due(at), int64(i+1)
-			if got, found := known.times[revision]; due < store.length && (!found || got > due) {
-				late = append(late, fmt.Sprintf("revision %d of %s is known at %s (%t), due at %s", revision, at, got, found, due))
-			}
+		for i := range times {
+			times[i] = known.times[int64(i+1)]
 		}
 	})
+	return times
+}
+
+// lateChanges runs a watch on the store and describes the changes that weren't known in time.
+func lateChanges(t *testing.T, store *simulatedStore, w watcher.Watcher) []string {
+	var late []string
+	for i, known := range knownChanges(t, store, w) {
+		at := store.changes[i]
+		if due := store.due(at); due < store.length && (known == 0 || known > due) {
+			late = append(late, fmt.Sprintf("revision %d of %s is known at %s (0 is never), due at %s", i+1, at, known, due))
+		}
+	}
 	return late
 }
 
@@ -229,6 +251,33 @@
 	}
 }
 
+// TestChangeFromSlowStore guards against a watch that hides all changes while answers take longer than its
+// requests wait for one, or while the process is too slow to read them in time: each was dropped as lost.
+func TestChangeFromSlowStore(t *testing.T) {
+	const begin, length = 2 * time.Second, 20 * time.Second
+	for _, latency := range []time.Duration{500 * time.Millisecond, 1300 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+		for name, w := range watches {
+			t.Run(fmt.Sprintf("%s, %s", latency, name), func(t *testing.T) {
+				store := &simulatedStore{
+					length: begin + length, latency: 5 * time.Millisecond,
+					troubles: []trouble{{kind: slow, from: begin, to: begin + length, latency: latency}},
+				}
+				for change := begin; change < begin+length; change += 700 * time.Millisecond {
+					store.changes = append(store.changes, change)
+				}
+				// One answer may have just missed the change, the next one has it.
+				bound := 2*latency + changeBound
+				for i, known := range knownChanges(t, store, w) {
+					change := store.changes[i]
+					if due := change + bound; due < store.length && (known == 0 || known > due) {
+						t.Errorf("the change at %s is known at %s (0 is never), due at %s", change, known, due)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestChangesBesideTrouble guards against changes that a watch hides for longer than their
 // bound after trouble of the store.
 func TestChangesBesideTrouble(t *testing.T) {
