--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,6 +24,7 @@
 
 var scenarios = map[string]scenario{
 	"services": playServices,
+	"gang":     playGang,
 }
 
 func main() {
