--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -44,18 +44,17 @@
 	}
 }
 
-// job is a job of one step.
+// job is a job of one step, or of two: with beside, one small task that lasts runs beside it.
 type job struct {
 	id    string
 	queue queue
 	count int
 	size  size
 	// length is how long each task works.
-	length       time.Duration
-	gang, lasts  bool
-	accepted     time.Time
-	state        string
-	refused, ask int
+	length              time.Duration
+	gang, lasts, beside bool
+	accepted            time.Time
+	state               string
 }
 
 // jobBook is what the requesters know of their jobs. It is safe for concurrent use.
@@ -73,6 +72,9 @@
 	b.jobs[j.id] = j
 }
 
+// besideSize is the size of the task beside the first step of a job.
+var besideSize = size{1000, 1000}
+
 // of returns the job of a task.
 func (b *jobBook) of(task string) *job {
 	b.mu.Lock()
@@ -80,11 +82,18 @@
 	return b.jobs[strings.Split(task, ".")[0]]
 }
 
+// isBeside reports whether a task is of the second step of its job.
+func isBeside(task string) bool { return strings.Split(task, ".")[2] == "1" }
+
 func (b *jobBook) size(task string) size {
-	if j := b.of(task); j != nil {
-		return j.size
+	j := b.of(task)
+	switch {
+	case j == nil:
+		return size{}
+	case isBeside(task):
+		return besideSize
 	}
-	return size{}
+	return j.size
 }
 
 func (b *jobBook) length(task string) time.Duration {
@@ -101,7 +110,7 @@
 
 // gangSize returns the number of members of the gang of a task, 0 for a task without one.
 func (b *jobBook) gangSize(task string) int {
-	if j := b.of(task); j != nil && j.gang {
+	if j := b.of(task); j != nil && j.gang && !isBeside(task) {
 		return j.count
 	}
 	return 0
@@ -109,16 +118,27 @@
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
+// startupTime is the estimate that a task which lasts has, that of its startup.
+const startupTime = 400 * time.Millisecond
+
 // body returns the body of the submission.
 func (j *job) body() string {
-	step := map[string]any{"count": j.count, "cpu": j.size.cpu, "mem-mb": j.size.mem, "estimate-ms": j.length.Milliseconds()}
+	estimate := j.length
+	if j.lasts {
+		estimate = startupTime
+	}
+	step := map[string]any{"count": j.count, "cpu": j.size.cpu, "mem-mb": j.size.mem, "estimate-ms": estimate.Milliseconds()}
 	if j.gang {
 		step["gang"] = true
 	}
 	if j.lasts {
 		step["long-running"] = true
 	}
-	content, err := json.Marshal(map[string]any{"spec": "job " + j.id, "phases": []any{step}})
+	steps := []any{step}
+	if j.beside {
+		steps = append(steps, map[string]any{"count": 1, "cpu": besideSize.cpu, "mem-mb": besideSize.mem, "estimate-ms": startupTime.Milliseconds(), "long-running": true})
+	}
+	content, err := json.Marshal(map[string]any{"spec": "job " + j.id, "phases": steps})
 	if err != nil {
 		panic(err)
 	}
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -203,7 +203,7 @@
 func (p *play) logEvents() {
 	events := p.ledger.Events()
 	for _, e := range events[p.logged:] {
-		if e.Kind == "acknowledged" || e.Kind == "lapsed" && e.Time.Before(p.record.began) {
+		if e.Kind == "acknowledged" || e.Kind == "lapsed" && e.Time.Before(p.record.began.Add(time.Second)) {
 			continue
 		}
 		p.record.at(e.Time, "minion %s: %s %s run %d %s", e.Worker, e.Kind, e.Task, e.Run, e.Outcome)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 var scenarios = map[string]scenario{
 	"services": playServices,
 	"gang":     playGang,
+	"flap":     playFlap,
 }
 
 func main() {
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -104,6 +104,7 @@
 	m.gone = true
 	m.mu.Unlock()
 	m.SetDown(true)
+	m.Restart() // ends what runs on it
 	m.cancel()
 	m.p.store.Remove("servers/" + m.id)
 	m.p.record.printf("minion %s has left", m.id)
