--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -38,7 +38,7 @@
 		ID: m.id, LengthOf: p.jobs.length, LongRunning: p.jobs.lasts, MaxLease: 10 * time.Second, StopTime: 100 * time.Millisecond,
 		Fits: m.fits, Gangs: p.gangs, Ledger: p.ledger,
 	}
-	address, err := standin.Listen(ctx, "127.0.0.1:0", m.PlatformWorker)
+	address, err := standin.Listen(ctx, "127.0.0.1:0", &lateOrders{minion: m})
 	if err != nil {
 		return err
 	}
