review: case 11, polls for a former life make tasks run twice

A minion that is back under its id carries out a poll for its former life and forgets ends that nobody has read.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Two services: jobs of one that can never be done keep the jobs of the other one, which is idle, from running.
+# Minions that are back under their ids carry out polls for their former life: their tasks run twice.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin-3 services review/11
+exec target/review-standin-3 former review/11
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,6 +26,7 @@
 	"services": playServices,
 	"gang":     playGang,
 	"flap":     playFlap,
+	"former":   playFormer,
 	"lasting":  playLasting,
 }
 
