--- a/review/standin-3/former.go
+++ b/review/standin-3/former.go
@@ -21,8 +21,9 @@
 		return nil, err
 	}
 	time.Sleep(3 * time.Second)
+	stop := make(chan struct{})
 	if p.trouble {
-		lateCalls.Store(true)
+		go beLate(&lateCalls, stop)
 		go p.restartMinions()
 	}
 	for n := range 400 {
@@ -30,7 +31,7 @@
 		go p.submit(j, zones[n%len(zones)])
 		time.Sleep(100 * time.Millisecond)
 	}
-	lateCalls.Store(false)
+	close(stop)
 	time.Sleep(finishTime)
 	p.logEvents()
 	return p.judgeTwice(), nil
--- a/review/standin-3/late.go
+++ b/review/standin-3/late.go
@@ -48,3 +48,28 @@
 	})
 	<-r.Context().Done() // the caller gives up, or the minion ends the channel as it crashes
 }
+
+// lateTime is how long a disturbance lasts in which calls are carried out late: for_s of applied_late is 5, and up to 5.5 on
+// the site. lateGap is the pause to the next one.
+const (
+	lateTime = 5 * time.Second
+	lateGap  = time.Second
+)
+
+// beLate sets a flag for lateTime again and again, until stop is closed.
+func beLate(flag *atomic.Bool, stop chan struct{}) {
+	defer flag.Store(false)
+	for {
+		for _, phase := range []struct {
+			late bool
+			time time.Duration
+		}{{true, lateTime}, {false, lateGap}} {
+			flag.Store(phase.late)
+			select {
+			case <-stop:
+				return
+			case <-time.After(phase.time):
+			}
+		}
+	}
+}
