--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -157,6 +157,35 @@
 	}
 }
 
+// TestProvenRevision guards against fencing tokens above the term of the next holder: the revision of a write that wasn't conditional
+// on the term, or was refused, counts as proven.
+func TestProvenRevision(t *testing.T) {
+	a, store := newArchiver(t)
+	first := startTerm(t, a, store)
+	if proven := first.ProvenRevision(); proven != 0 {
+		t.Errorf("ProvenRevision() = %d before any write, want 0", proven)
+	}
+	if err := first.Heartbeat(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	renewed := first.ProvenRevision()
+	if renewed <= first.Epoch {
+		t.Errorf("ProvenRevision() = %d after a heartbeat, want one above the term %d", renewed, first.Epoch)
+	}
+	mustSave(t, first, jobBatch(dispatcher.StateRunning))
+	saved := first.ProvenRevision()
+	if saved <= renewed {
+		t.Errorf("ProvenRevision() = %d after a save, want one above %d", saved, renewed)
+	}
+	second := startTerm(t, a, store)
+	if err := first.Heartbeat(t.Context()); err == nil {
+		t.Error("a heartbeat of the previous holder is accepted")
+	}
+	if proven := first.ProvenRevision(); proven != saved || proven >= second.Epoch {
+		t.Errorf("ProvenRevision() = %d in the next term %d, want %d", proven, second.Epoch, saved)
+	}
+}
+
 func TestAcceptOnce(t *testing.T) {
 	a, _ := newArchiver(t)
 	record, err := dispatcher.EncodeJob(dispatcher.Job{ID: jobID, Occurrences: 1, Steps: []dispatcher.Step{{Count: 1}}})
--- a/archiver/cellarchive.go
+++ b/archiver/cellarchive.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 
@@ -23,6 +24,8 @@
 	// savedRevision is the revision of the last save. Each save is conditional on it,
 	// so that a save whose response was lost can't be committed after a newer one.
 	savedRevision int64
+	// writtenRevision is the newest revision of a write that was conditional on the term.
+	writtenRevision int64
 	// activeEpoch is the newest epoch under which a holder of the cell became active, as far
 	// as it is known.
 	activeEpoch int64
@@ -169,7 +172,7 @@
 
 // Heartbeat implements dispatcher.Archive.
 func (a *CellArchive) Heartbeat(ctx context.Context) error {
-	_, err := a.Archiver.Store.Commit(ctx, platform.Transaction{
+	revision, err := a.Archiver.Store.Commit(ctx, platform.Transaction{
 		Expect: []platform.Expectation{{Key: TermPrefix + a.Cell, Revision: a.Epoch}},
 		Writes: []platform.Item{{Key: heartbeatPrefix + a.Cell, Value: []byte(heartbeatValue)}},
 	})
@@ -177,9 +180,24 @@
 	if errors.As(err, &conflict) {
 		return dispatcher.ErrSuperseded
 	}
+	if err == nil {
+		a.noteWritten(revision)
+	}
 	return err
 }
 
+// ProvenRevision implements dispatcher.Archive.
+func (a *CellArchive) ProvenRevision() int64 { return atomic.LoadInt64(&a.writtenRevision) }
+
+// noteWritten notes the revision of a write that was conditional on the term.
+func (a *CellArchive) noteWritten(revision int64) {
+	for known := atomic.LoadInt64(&a.writtenRevision); revision > known; known = atomic.LoadInt64(&a.writtenRevision) {
+		if atomic.CompareAndSwapInt64(&a.writtenRevision, known, revision) {
+			return
+		}
+	}
+}
+
 // commit commits a transaction on condition that the term and the last save are
 // unchanged. It returns dispatcher.ErrSuperseded if the term has changed. After any
 // other conflict it adopts the revision of the last save, so that a retry can succeed.
@@ -207,6 +225,7 @@
 	}
 	if err == nil {
 		a.savedRevision = revision
+		a.noteWritten(revision)
 	}
 	return err
 }
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -56,9 +56,12 @@
 	case AnswerUnknown:
 		if r.phase == phaseSent {
 			r.phase = phaseUnknown
+			r.task.noteUnanswered(r)
 		}
+		w.unresolvedToken = max(w.unresolvedToken, order.Epoch)
+		w.lateStartsUntil = now.Add(unclearStartAge)
 	case AnswerFenced:
-		c.superseded = true
+		c.handleFenced(w, order.Epoch)
 		c.removeRun(now, r, string(answer))
 	default:
 		c.handleRefusedStart(now, r, answer)
@@ -87,7 +90,7 @@
 		return
 	}
 	if answer == AnswerFenced {
-		c.superseded = true
+		c.handleFenced(w, order.Epoch)
 	}
 	if answer != AnswerAccepted || order.Boot != w.boot {
 		return
--- a/dispatcher/archive_test.go
+++ b/dispatcher/archive_test.go
@@ -10,7 +10,10 @@
 
 // archive is the stored state of a cell.
 type archive struct {
-	epoch    int64
+	epoch int64
+	// writes counts the writes of holders. unproven keeps their revisions from the holders, as if the store had given no answer.
+	writes   int64
+	unproven bool
 	jobs     map[string]dispatcher.Job
 	progress map[string]dispatcher.Progress
 	workers  []dispatcher.Registration
@@ -31,11 +34,35 @@
 	return &archive{jobs: map[string]dispatcher.Job{}, progress: map[string]dispatcher.Progress{}, cancelIn: map[string][]string{}, failedIn: map[string]string{}}
 }
 
-// save applies a batch as the store does. It refuses a holder with an older epoch.
-func (a *archive) save(epoch int64, b *dispatcher.Batch) bool {
-	if epoch != a.epoch {
+// termRevisions is how many revisions of the store lie between two terms at least, and writeRevisions how many a write of the
+// holder passes, as others write as well.
+const (
+	termRevisions  = 10_000
+	writeRevisions = 20
+)
+
+// term returns the revision of the newest term.
+func (a *archive) term() int64 { return a.epoch * termRevisions }
+
+// write applies a write of a holder and returns its revision. It refuses that of an earlier term.
+func (a *archive) write(term int64) (int64, bool) {
+	if term != a.term() {
+		return 0, false
+	}
+	a.writes++
+	if a.unproven {
+		return 0, true
+	}
+	return term + min(a.writes*writeRevisions, termRevisions-1), true
+}
+
+// save applies a batch as the store does. It refuses a holder of an earlier term, else it tells the holder the revision.
+func (a *archive) save(cell *dispatcher.Cell, b *dispatcher.Batch) bool {
+	revision, written := a.write(cell.Epoch)
+	if !written {
 		return false
 	}
+	cell.RevisionProven(revision)
 	for _, j := range b.Jobs {
 		content, err := dispatcher.EncodeProgress(j.Progress)
 		if err != nil {
--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -7,6 +7,12 @@
 
 // selectWorker returns the usable worker with the highest score for a task, or nil.
 func (c *Cell) selectWorker(now time.Time, t *task) *worker {
+	if w := c.boundTo(now, t); w != nil {
+		if !c.usable(now, w, t) {
+			return nil
+		}
+		return w
+	}
 	if c.pass != nil {
 		return c.selectHealthyWorker(now, t)
 	}
@@ -95,8 +101,13 @@
 
 // healthy reports whether starts may be sent to a worker at all.
 func (c *Cell) healthy(now time.Time, w *worker) bool {
-	return c.takesStarts(w) && w.stored && w.epochAccepted && w.freeCapacityKnown() &&
-		!now.Before(w.quarantinedUntil) && now.Sub(w.answeredAt) <= unresponsiveTimeout+c.Limits.PollWait
+	return c.takesStarts(w) && w.stored && w.epochAccepted && w.established() && w.freeCapacityKnown() &&
+		!now.Before(w.quarantinedUntil) && c.answersOrders(now, w)
+}
+
+// answersOrders reports whether a worker has answered recently enough to get starts.
+func (c *Cell) answersOrders(now time.Time, w *worker) bool {
+	return now.Sub(w.answeredAt) <= unresponsiveTimeout+c.Limits.PollWait
 }
 
 // countRuns returns the number of runs of a step on the worker.
--- a/dispatcher/cancelledpart_test.go
+++ b/dispatcher/cancelledpart_test.go
@@ -47,7 +47,7 @@
 	p.home.runFor(time.Second)
 	p.delegate()
 	batch := p.home.cell.NextBatch(p.home.now, 4)
-	p.home.archive.save(p.home.cell.Epoch, batch)
+	p.home.archive.save(p.home.cell, batch)
 	p.home.cell.BatchFailed(batch)
 	p.passParts()
 	p.home.cell.Cancel(p.home.now, jobID)
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -71,7 +71,7 @@
 type Cell struct {
 	// Name is the name of the cell.
 	Name string
-	// Epoch is the fencing token of the holder's orders.
+	// Epoch is the fencing token of the holder's first orders to a worker.
 	Epoch int64
 	// Limits are the durations that govern the cell.
 	Limits Limits
@@ -138,6 +138,12 @@
 	// jobsReadAt is the time up to which the jobs that the store has in the cell are known; zero
 	// before it is known.
 	jobsReadAt time.Time
+	// provenRevision is the newest revision of the store that certainly precedes the next holder's term, needsRevision true if
+	// a worker's fencing token can't be raised for want of a newer one.
+	provenRevision int64
+	needsRevision  bool
+	// forgottenToken is the highest fencing token that a worker got which the cell has forgotten, 0 if there is none.
+	forgottenToken int64
 	// superseded is true once a worker has answered that it has seen a newer epoch.
 	superseded bool
 	// termCheckedAt is when the newest check of the store began that showed that no other
--- a/dispatcher/crashcount_test.go
+++ b/dispatcher/crashcount_test.go
@@ -54,6 +54,9 @@
 func TestCrashAfterLateStart(t *testing.T) {
 	id := dispatcher.TaskID{Job: jobID}
 	s := newActiveSimulation(12)
+	s.archive.unproven = true // else a poll with a higher fencing token excludes the late start
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
 	s.deadly(id, 3*time.Second)
 	s.nextFate = func() startFate { return fateLate }
 	s.stopsLost = true
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -30,11 +30,13 @@
 	KindRackLocal      recorder.Kind = "task_rack_wait_local"
 	KindRackRemote     recorder.Kind = "task_rack_wait_remote"
 	KindWorker         recorder.Kind = "worker"
-	KindWorkerSlow     recorder.Kind = "worker_slow"
-	KindWorkerProbed   recorder.Kind = "worker_probed"
-	KindWorkerNormal   recorder.Kind = "worker_normal"
-	KindSlowMove       recorder.Kind = "task_slow_move"
-	KindCell           recorder.Kind = "cell"
+	// KindEndsForgotten reports a worker that has forgotten ends which this holder hasn't acknowledged.
+	KindEndsForgotten recorder.Kind = "worker_ends_forgotten"
+	KindWorkerSlow    recorder.Kind = "worker_slow"
+	KindWorkerProbed  recorder.Kind = "worker_probed"
+	KindWorkerNormal  recorder.Kind = "worker_normal"
+	KindSlowMove      recorder.Kind = "task_slow_move"
+	KindCell          recorder.Kind = "cell"
 	// KindTasksWait begins the kinds of waits, one for each WaitCause.
 	KindTasksWait     recorder.Kind = "tasks_wait"
 	KindTasksWaitOver recorder.Kind = "tasks_wait_over"
--- a/dispatcher/fakeworker_test.go
+++ b/dispatcher/fakeworker_test.go
@@ -43,10 +43,12 @@
 // itself doesn't check it.
 func (w *fakeWorker) startWithin(o dispatcher.StartOrder, capacity dispatcher.Size) dispatcher.Answer {
 	w.endDueRuns()
+	if o.Epoch < w.epoch {
+		return dispatcher.AnswerFenced
+	}
+	w.epoch = o.Epoch
 	w.extendLease(o.LeaseEnd)
 	switch r := w.running[o.Task]; {
-	case o.Epoch < w.epoch:
-		return dispatcher.AnswerFenced
 	case o.LeaseEnd < w.clock():
 		return dispatcher.AnswerLate
 	case r != nil && r.number == o.Run:
@@ -54,7 +56,6 @@
 	case r != nil || o.Run <= w.highestRun[o.Task]:
 		return dispatcher.AnswerStaleRun
 	}
-	w.epoch = o.Epoch
 	ending, length := dispatcher.EndingDone, w.simulation.runTimeOn(w, o.Task)
 	if w.fails {
 		ending = dispatcher.EndingFailed
--- a/dispatcher/interference.go
+++ b/dispatcher/interference.go
@@ -133,7 +133,7 @@
 			if r.needsThrottleOrder(throttle) {
 				r.setThrottle(now, throttle)
 				orders = append(orders, ThrottleOrder{
-					Worker: w.registration, Task: r.task.id, Run: r.number, Percent: throttle, Epoch: c.Epoch,
+					Worker: w.registration, Task: r.task.id, Run: r.number, Percent: throttle, Epoch: w.fence.Token(),
 				})
 			}
 			c.migrateThrottled(now, r)
--- a/dispatcher/isolation.go
+++ b/dispatcher/isolation.go
@@ -19,7 +19,7 @@
 
 // HeartbeatDue reports whether the holder has to write a heartbeat.
 func (c *Cell) HeartbeatDue(now time.Time) bool {
-	return c.active && c.Limits.MaxIsolation > 0 && now.Sub(c.renewedAt) >= heartbeatInterval
+	return c.active && (c.Limits.MaxIsolation > 0 || c.needsRevision) && now.Sub(c.renewedAt) >= heartbeatInterval
 }
 
 // isolated reports whether the authority of the holder has ended, so that another one may act.
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -17,7 +17,7 @@
 		return
 	}
 	if !known {
-		w = newWorker()
+		w = c.newWorker()
 		c.addWorker(registration.ID, w)
 		c.record(recorder.Event{Kind: KindWorker, VM: registration.ID, Detail: "registered at " + registration.Address})
 	} else if w.registration.Phase != registration.Phase {
@@ -48,7 +48,7 @@
 func (c *Cell) RestoreWorker(now time.Time, registration Registration) {
 	w, known := c.workers[registration.ID]
 	if !known {
-		w = newWorker()
+		w = c.newWorker()
 		w.registration = registration
 		w.absentSince = now
 		c.addWorker(registration.ID, w)
@@ -65,8 +65,11 @@
 	w.stored = w.toStore().equivalent(registration)
 }
 
-func newWorker() *worker {
-	return &worker{runs: map[runKey]*run{}, orphanedRuns: map[runKey]time.Time{}, handledAhead: map[int64]bool{}, awaitedEnds: map[int64]EndedRow{}, unclearStarts: map[runKey]*unclearStart{}}
+func (c *Cell) newWorker() *worker {
+	return &worker{
+		runs: map[runKey]*run{}, orphanedRuns: map[runKey]time.Time{}, handledAhead: map[int64]bool{}, awaitedEnds: map[int64]EndedRow{},
+		unclearStarts: map[runKey]*unclearStart{}, fence: c.newFence(),
+	}
 }
 
 // RemoveWorker marks a worker as no longer registered.
@@ -127,19 +130,19 @@
 	w.replaced = true
 	for _, r := range w.sortedRuns() {
 		switch {
-		case r.observed && r.lastsUntil.IsZero():
+		case r.observed && r.lastsUntil.IsZero() && !r.mayStartLate(now):
 			c.markLost(now, r, "worker started anew")
-		case !r.observed:
+		case !r.observed || r.lastsUntil.IsZero():
 			// The restarted worker may have accepted the start, or may still get it: it first
 			// has to stop or refuse it.
-			r.phase = phaseUnknown
+			r.phase, r.observed, r.acceptedStart = phaseUnknown, false, false
 			r.stopAcceptedAt = time.Time{}
 			c.stop(r)
 		}
 	}
 	w.noteBoot(now)
 	w.epochAccepted, w.endsListed = false, false
-	w.lastEnd, w.acknowledgedEnd = 0, 0
+	w.lastEnd, w.acknowledgedEnd, w.heldEnds = 0, 0, nil
 	w.leaseEnd = 0
 	w.orphanedRuns = map[runKey]time.Time{}
 	w.handledAhead = map[int64]bool{}
--- a/dispatcher/networkparts_test.go
+++ b/dispatcher/networkparts_test.go
@@ -77,7 +77,7 @@
 			return errNotStored
 		}
 	}
-	if !n.archive.save(h.cell.Epoch, &changes) {
+	if !n.archive.save(h.cell, &changes) {
 		return errNotStored
 	}
 	if n.other != nil {
--- a/dispatcher/partreturn_test.go
+++ b/dispatcher/partreturn_test.go
@@ -91,7 +91,7 @@
 			if batch == nil || batch.Return == nil && batch.Relocation == nil {
 				t.Fatal("nothing leaves the cell")
 			}
-			s.archive.save(s.cell.Epoch, batch)
+			s.archive.save(s.cell, batch)
 			s.archive.jobs[jobID] = s.jobs[jobID]
 			s.cell.AddJob(s.now, s.jobs[jobID], nil, true)
 			s.cell.BatchStored(s.now, batch)
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -81,7 +81,7 @@
 
 func (c *Cell) stopOrder(w *worker, key runKey) StopOrder {
 	c.record(recorder.Event{Kind: KindStop, VM: w.registration.ID, Task: key.task.String(), Attempt: int(key.run), Key: key.task.Job})
-	return StopOrder{Worker: w.registration, Task: key.task, Run: key.run, Epoch: c.Epoch, Boot: w.boot}
+	return StopOrder{Worker: w.registration, Task: key.task, Run: key.run, Epoch: w.fence.Token(), Boot: w.boot}
 }
 
 // planStarts places the ready tasks, in the order of compareTasks, on workers with
@@ -126,7 +126,7 @@
 	if t.job().relocating || t.notBefore.After(now) || len(t.runs) > 0 {
 		return false
 	}
-	return !c.mayHaveRun(now, t) && !t.awaitsCrashStore() && !c.pass.unplaced.covers(t)
+	return !c.mayHaveRun(now, t) && !t.awaitsCrashStore() && !c.awaitsBoundWorker(now, t) && !c.pass.unplaced.covers(t)
 }
 
 // placeOrReserve starts a task, or notes that no worker has capacity for it. In each
@@ -191,13 +191,16 @@
 	return s.Label == "" && s.WorkerLimit == 0 && !s.Gang && !s.BestEffort && s.TailTarget == 0
 }
 
-// compareTasks orders tasks: suspects first, then by priority, then long-running tasks first
+// compareTasks orders tasks: suspects first, then those that were to start before, then by priority, then long-running tasks first
 // (of these the delegated ones, which no other cell can take), then those whose objective can
 // still be met, then by the deadline of the objective.
 func compareTasks(now time.Time, a, b *task) int {
 	if order := trueFirst(a.suspect(), b.suspect()); order != 0 {
 		return order
 	}
+	if order := trueFirst(a.unanswered.count > 0, b.unanswered.count > 0); order != 0 {
+		return order
+	}
 	ja, jb := a.job(), b.job()
 	if order := cmp.Compare(ja.job.Queue.Priority, jb.job.Queue.Priority); order != 0 {
 		return order
@@ -261,6 +264,7 @@
 func (c *Cell) startOrder(now time.Time, r *run, checkpoint string) StartOrder {
 	c.recordRun(KindStart, r, c.earlierRuns(now, r.task))
 	c.recordLateStart(now, r)
+	r.startToken = r.worker.fence.Grant()
 	return StartOrder{
 		Worker:     r.worker.registration,
 		Task:       r.task.id,
@@ -269,7 +273,7 @@
 		Checkpoint: checkpoint,
 		Boot:       r.worker.boot,
 		LeaseEnd:   c.extendLease(now, r.worker),
-		Epoch:      c.Epoch,
+		Epoch:      r.startToken,
 		Trial:      r.worker.trial == r,
 	}
 }
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -21,15 +21,19 @@
 	if !known {
 		return PollOrder{}, false
 	}
-	order := PollOrder{Worker: w.registration, Epoch: c.Epoch}
-	if w.epochAccepted && w.boot != 0 && w.answeredAt.After(w.unansweredAt) {
+	order := PollOrder{Worker: w.registration}
+	if w.epochAccepted && w.boot != 0 && w.established() && w.unresolvedToken == 0 && w.answeredAt.After(w.unansweredAt) {
 		order.Boot = w.boot
-		order.Acknowledged = w.acknowledgedEnd
+		order.Acknowledged = w.acknowledgeable(now)
+		order.Epoch = w.fence.Grant()
+	} else {
+		order.Epoch = c.raiseFence(w)
+		order.Urgent = now.Before(w.lateStartsUntil)
 	}
 	if order.Boot != 0 && c.mayAct(now) && w.responsive(now) {
 		order.LeaseEnd = c.extendLease(now, w)
 	}
-	if w.epochAccepted && w.lastEnd == w.acknowledgedEnd && w.answeredAt.After(w.unansweredAt) {
+	if w.epochAccepted && w.lastEnd == w.acknowledgedEnd && len(w.heldEnds) == 0 && w.answeredAt.After(w.unansweredAt) {
 		order.Wait = c.pollWait(now)
 	}
 	return order, true
@@ -58,8 +62,8 @@
 	if !known || w.registration.Address != order.Worker.Address {
 		return
 	}
-	if answer == AnswerFenced {
-		c.superseded = true
+	if answer == AnswerFenced && !c.handleFenced(w, order.Epoch) {
+		return
 	}
 	if answer == AnswerConnectionRefused && !sent.Before(w.answeredAt) {
 		w.connectionRefused = true
@@ -82,6 +86,9 @@
 		}
 		c.setBoot(now, w, listing.Boot)
 	}
+	if order.Boot == 0 && listing.Boot != 0 {
+		c.noteFence(w, order.Epoch, listing.Boot)
+	}
 	c.observeEnds(now, w, listing)
 	listedAt := w.latestTime(now, listing.Clock)
 	if listing.Clock >= w.clock || !w.epochAccepted {
@@ -100,7 +107,7 @@
 	w.listedIncompletely = listing.Incomplete
 	w.endsListed = w.endsListed || !listing.MoreEnds && !listing.Incomplete
 	c.handleEnds(now, w, listing)
-	c.handleRunning(now, sent, listedAt, w, listing)
+	c.handleRunning(now, sent, listedAt, w, order.Epoch, listing)
 	c.observeTails(now, w)
 	c.activate(now)
 }
@@ -123,6 +130,7 @@
 // being handled. So does an incomplete listing, in which any end may be missing.
 func (c *Cell) handleEnds(now time.Time, w *worker, listing Listing) {
 	slices.SortFunc(listing.Ended, func(a, b EndedRow) int { return int(a.Number - b.Number) })
+	c.reportForgottenEnds(w, listing.Ended)
 	awaiting := listing.Incomplete
 	for _, row := range listing.Ended {
 		if row.Number <= w.lastEnd {
@@ -166,6 +174,9 @@
 	if r != nil && row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
+	if r != nil && r.mayStartLate(now) {
+		w.holdEnd(row.Number, r.task.unanswered.sentAt.Add(unclearStartAge))
+	}
 	if t := c.task(now, row.Task); t != nil {
 		c.applyEnding(now, w, t, row)
 	}
@@ -274,8 +285,8 @@
 
 // handleRunning applies the running rows of a listing: it updates known runs, adopts
 // runs of an earlier holder and handles runs that are missing. The worker answered the poll at
-// listedAt at the latest.
-func (c *Cell) handleRunning(now, sent, listedAt time.Time, w *worker, listing Listing) {
+// listedAt at the latest, which carried a fencing token.
+func (c *Cell) handleRunning(now, sent, listedAt time.Time, w *worker, token int64, listing Listing) {
 	listed := make(map[runKey]bool, len(listing.Running))
 	for _, row := range listing.Running {
 		key := runKey{task: row.Task, run: row.Run}
@@ -299,7 +310,7 @@
 	}
 	for _, r := range w.sortedRuns() {
 		if r.lastsUntil.IsZero() && !listed[runKey{task: r.task.id, run: r.number}] {
-			c.handleUnlisted(now, sent, r)
+			c.handleUnlisted(now, sent, r, token)
 		}
 	}
 	for key := range w.orphanedRuns {
@@ -328,8 +339,12 @@
 	}
 }
 
-// handleUnlisted updates a run that an answered poll didn't list.
-func (c *Cell) handleUnlisted(now, sent time.Time, r *run) {
+// handleUnlisted updates a run that an answered poll with a fencing token didn't list.
+func (c *Cell) handleUnlisted(now, sent time.Time, r *run, token int64) {
+	if !r.observed && r.startToken < token && (r.phase == phaseUnknown || r.phase == phaseStopping) {
+		c.markLost(now, r, "never started")
+		return
+	}
 	switch r.phase {
 	case phaseConfirmed:
 		if sent.After(r.confirmedAt) {
--- a/dispatcher/remoteholder_test.go
+++ b/dispatcher/remoteholder_test.go
@@ -49,7 +49,7 @@
 func (n *network) addHolder() {
 	n.archive.epoch++
 	h := &remoteHolder{n: n, relocatedFrom: map[*dispatcher.Relocation]int64{}, polled: map[string]bool{}, known: map[string]dispatcher.Registration{}}
-	h.cell = dispatcher.NewCell(n.name, n.archive.epoch, limits, n.events)
+	h.cell = dispatcher.NewCell(n.name, n.archive.term(), limits, n.events)
 	n.load(h)
 	h.cell.TermChecked(h.now())
 	n.holders = append(n.holders, h)
@@ -401,7 +401,7 @@
 	h.checkingTerm = true
 	began := h.now()
 	n.after(n.delay()/2, func() {
-		newest := n.archive.epoch == h.cell.Epoch
+		newest := n.archive.term() == h.cell.Epoch
 		n.after(n.delay()/2, func() {
 			h.receive(func() {
 				h.checkingTerm = false
@@ -427,7 +427,7 @@
 	}
 	h.saving = true
 	n.after(n.delay()/2, func() {
-		out, newest := h.storeOut(), n.archive.epoch == h.cell.Epoch
+		out, newest := h.storeOut(), n.archive.term() == h.cell.Epoch
 		err := errNotStored
 		if !out && newest {
 			err = h.store(batch)
--- a/dispatcher/removal.go
+++ b/dispatcher/removal.go
@@ -21,6 +21,7 @@
 		if c.removable(now, w) {
 			c.confirmCrashes(now, w)
 			delete(c.workers, id)
+			c.forgottenToken = max(c.forgottenToken, w.fence.Token())
 			c.speeds.Forget(id)
 			c.workerIDs = nil
 			if w.stored {
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -60,6 +60,9 @@
 	// Contact does the same and leaves a trace in the store, by which the next holder knows until when this one
 	// may act.
 	Heartbeat(ctx context.Context) error
+	// ProvenRevision returns the newest revision of the store that a write of Save or Heartbeat had; 0 if there was none. The next
+	// term's revision is above it. It is safe for concurrent use.
+	ProvenRevision() int64
 }
 
 // OtherCells gives access to the other cells.
--- a/dispatcher/runner_test.go
+++ b/dispatcher/runner_test.go
@@ -50,6 +50,8 @@
 
 func (a *slowArchive) Save(context.Context, *dispatcher.Batch) error { return nil }
 
+func (a *slowArchive) ProvenRevision() int64 { return 0 }
+
 func (a *slowArchive) Heartbeat(context.Context) error { return nil }
 
 func (a *slowArchive) CheckTerm(context.Context) error { return nil }
--- a/dispatcher/saver.go
+++ b/dispatcher/saver.go
@@ -78,6 +78,7 @@
 	defer r.mu.Unlock()
 	if err == nil {
 		r.Cell.BatchStored(r.Clock.Now(), batch)
+		r.Cell.RevisionProven(r.Archive.ProvenRevision())
 	} else {
 		r.Cell.BatchFailed(batch)
 	}
@@ -111,7 +112,7 @@
 	for {
 		r.mu.Lock()
 		w := r.Cell.workers[id]
-		pending := w != nil && (w.lastEnd > w.acknowledgedEnd || w.listedIncompletely)
+		pending := w != nil && (w.lastEnd > w.acknowledgedEnd || len(w.heldEnds) > 0 || w.listedIncompletely)
 		stored := r.stored
 		r.mu.Unlock()
 		if !pending {
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -265,7 +265,7 @@
 	if s.grant > 0 {
 		held.MaxLeaseDuration = s.grant
 	}
-	s.cell = dispatcher.NewCell("graz-a", s.archive.epoch, held, s.events)
+	s.cell = dispatcher.NewCell("graz-a", s.archive.term(), held, s.events)
 	s.cell.TermChecked(s.now)
 	s.archive.load(s.cell, s.now)
 	clear(s.registered)
@@ -374,10 +374,12 @@
 	heartbeat := s.cell.HeartbeatDue(s.now)
 	switch {
 	case s.storeDown || !s.cell.TermCheckDue(s.now) && !heartbeat:
-	case s.archive.epoch == s.cell.Epoch:
+	case s.archive.term() == s.cell.Epoch:
 		s.cell.TermChecked(s.now)
 		if heartbeat {
 			s.cell.Renewed(s.now)
+			revision, _ := s.archive.write(s.cell.Epoch)
+			s.cell.RevisionProven(revision)
 		}
 	default:
 		s.cell.TermEnded()
@@ -408,7 +410,7 @@
 		return
 	}
 	for batch := s.cell.NextBatch(s.now, 4); batch != nil; batch = s.cell.NextBatch(s.now, 4) {
-		if !s.archive.save(s.cell.Epoch, batch) {
+		if !s.archive.save(s.cell, batch) {
 			s.cell.BatchFailed(batch)
 			return
 		}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -29,6 +29,8 @@
 	// boot is the boot of the worker that the start was for, or that listed the run; 0 if unknown.
 	boot  int64
 	phase runPhase
+	// startToken is the fencing token of the start, if this holder has sent it.
+	startToken int64
 	// observed is true once the worker has listed the run, acceptedStart once it has accepted the start.
 	observed, acceptedStart bool
 	// listedAt is when the worker last listed the run, at the latest. The holder may have
@@ -97,6 +99,8 @@
 	// runs are the runs that may be active on workers, lastRun the one that was removed last.
 	runs    []*run
 	lastRun removedRun
+	// unanswered are the newest starts without an answer.
+	unanswered unansweredStarts
 	// queued is true while the task is in the cell's ready list.
 	queued bool
 	// notBefore is the earliest time of the next start after a failure.
--- a/dispatcher/stopanswer_test.go
+++ b/dispatcher/stopanswer_test.go
@@ -12,6 +12,9 @@
 // start although the holder has taken the run for never started.
 func TestStopAnswerOfEarlierBoot(t *testing.T) {
 	s := newActiveSimulation(3)
+	s.archive.unproven = true // else a poll with a higher fencing token excludes the start, without a stop
+	s.changeHolder(s.workers...)
+	s.runFor(200 * time.Millisecond)
 	s.nextFate = func() startFate { return fateLate }
 	s.startsReachAnyBoot, s.lateAfterRestart = true, true
 	s.submit(plainJob(jobID, 1, 6*time.Second, 1))
--- a/dispatcher/taskreturn_test.go
+++ b/dispatcher/taskreturn_test.go
@@ -182,7 +182,7 @@
 			if batch == nil || batch.Return == nil {
 				t.Fatal("nothing is given back")
 			}
-			s.archive.save(s.cell.Epoch, batch)
+			s.archive.save(s.cell, batch)
 			part := s.archive.jobs[jobID]
 			full := partOfTwo(jobID)
 			if test.again {
--- a/dispatcher/term.go
+++ b/dispatcher/term.go
@@ -97,6 +97,7 @@
 	switch {
 	case err == nil && heartbeat:
 		r.Cell.Renewed(began)
+		r.Cell.RevisionProven(r.Archive.ProvenRevision())
 		r.Cell.TermChecked(began)
 	case err == nil:
 		r.Cell.TermChecked(began)
--- /dev/null
+++ b/dispatcher/unansweredstart.go
@@ -0,0 +1,105 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxBoundStarts is how many starts of a task on one worker may get no answer before it starts on any other.
+	maxBoundStarts = 5
+	// maxBoundWait is how long a task waits for a place on the worker that it is bound to while that one hasn't restarted.
+	maxBoundWait = 2 * time.Second
+)
+
+// unansweredStarts are the starts of a task on one worker that got no answer. While the worker's next life may execute one of them,
+// the task is bound to the worker: a run there ends with its life, one on another worker would be active beside the late run, or
+// would be done before it.
+type unansweredStarts struct {
+	worker string
+	// boot is the life that the newest one was for, sentAt when it was sent, run its number.
+	boot   int64
+	sentAt time.Time
+	run    int64
+	count  int
+}
+
+// noteUnanswered notes that the start of a run got no answer.
+func (t *task) noteUnanswered(r *run) {
+	u := &t.unanswered
+	if id := r.worker.registration.ID; u.worker != id {
+		*u = unansweredStarts{worker: id}
+	}
+	u.boot, u.sentAt, u.run = r.boot, r.sentAt, r.number
+	u.count++
+}
+
+// expectedOn reports whether a life of a worker may still execute one of the starts.
+func (u *unansweredStarts) expectedOn(now time.Time, worker string) bool {
+	return u.count > 0 && u.worker == worker && now.Sub(u.sentAt) < unclearStartAge
+}
+
+// mayStartLate reports whether a life of the worker after the one that has the run may still execute another start of its task.
+func (r *run) mayStartLate(now time.Time) bool {
+	u := &r.task.unanswered
+	return u.expectedOn(now, r.worker.registration.ID) && (u.run != r.number || u.count > 1)
+}
+
+// boundTo returns the worker that a task is bound to, or nil. A long-running task isn't bound to one that has restarted, as it has to
+// run again soon, nor is one that may have crashed the worker.
+func (c *Cell) boundTo(now time.Time, t *task) *worker {
+	u := &t.unanswered
+	if u.count == 0 || u.count > maxBoundStarts || !u.expectedOn(now, u.worker) || t.step.step.Gang || t.mayCrashWorkers() {
+		return nil
+	}
+	w := c.workers[u.worker]
+	if w == nil || !c.takesStarts(w) || c.lost(w) {
+		return nil
+	}
+	if w.boot != u.boot {
+		return w.unless(t.step.step.LongRunning || c.needsRevision)
+	}
+	return w.unless(now.Sub(t.readyAt) >= maxBoundWait || !c.answersOrders(now, w))
+}
+
+// mayCrashWorkers reports whether a worker that almost certainly had a run of the task has crashed, or several that may have had one.
+func (t *task) mayCrashWorkers() bool {
+	return t.suspect() || slices.ContainsFunc(t.crashes, func(crash Crash) bool { return crash.Attributed })
+}
+
+// unless returns the worker, or nil if a condition holds.
+func (w *worker) unless(condition bool) *worker {
+	if condition {
+		return nil
+	}
+	return w
+}
+
+// awaitsBoundWorker reports whether a task is bound to a worker that takes no start of it now.
+func (c *Cell) awaitsBoundWorker(now time.Time, t *task) bool {
+	w := c.boundTo(now, t)
+	return w != nil && !c.usable(now, w, t)
+}
+
+// holdEnd keeps the end of a run unacknowledged until no life of the worker executes a start of its task any more. If the worker
+// restarts before, and executes one, no acknowledged end precedes that run.
+func (w *worker) holdEnd(number int64, until time.Time) {
+	if w.heldEnds == nil {
+		w.heldEnds = map[int64]time.Time{}
+	}
+	w.heldEnds[number] = until
+}
+
+// acknowledgeable returns the number of the newest end that may be acknowledged now.
+func (w *worker) acknowledgeable(now time.Time) int64 {
+	newest := w.acknowledgedEnd
+	for number, until := range w.heldEnds {
+		if now.After(until) {
+			delete(w.heldEnds, number)
+		}
+	}
+	for number := range w.heldEnds {
+		newest = min(newest, number-1)
+	}
+	return newest
+}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -203,4 +203,7 @@
 	LeaseEnd time.Duration
 	// Wait is how long the worker may wait for a run to end before it answers.
 	Wait time.Duration
+	// Urgent is true if several such polls may be on their way at once: the worker may still execute starts that got no
+	// answer, until it answers one of them.
+	Urgent bool
 }
--- a/dispatcher/workerstate.go
+++ b/dispatcher/workerstate.go
@@ -1,6 +1,10 @@
 package dispatcher
 
-import "time"
+import (
+	"time"
+
+	"zinniashore.example/fencer"
+)
 
 // worker is the state of a worker of the cell.
 type worker struct {
@@ -31,6 +35,12 @@
 	// bootedAt is when the worker's boot began at the latest: when its restart was seen, or,
 	// for the first boot that was seen, by its monotonic clock, which may run slow.
 	bootedAt time.Time
+	// fence chooses the fencing tokens of the orders to the worker. unresolvedToken is the highest one of a
+	// start without an answer that the worker may still execute, 0 if there is none.
+	fence           fencer.Fence
+	unresolvedToken int64
+	// lateStartsUntil is until when the worker may execute a start that got no answer.
+	lateStartsUntil time.Time
 	// clock is a reading of the worker's monotonic clock, taken at clockAt or earlier.
 	clock   time.Duration
 	clockAt time.Time
@@ -55,6 +65,8 @@
 	// acknowledgedEnd that of the newest end that may be acknowledged to the worker
 	// because its effect is stored.
 	lastEnd, acknowledgedEnd int64
+	// heldEnds are the ends that mustn't be acknowledged before a time, by number.
+	heldEnds map[int64]time.Time
 	// handledAhead holds the numbers of the handled ends above lastEnd.
 	handledAhead map[int64]bool
 	// awaitedEnds holds the listed ends of jobs that aren't known yet, by number.
--- a/holder/feed_test.go
+++ b/holder/feed_test.go
@@ -32,6 +32,8 @@
 
 func (unreachableArchive) Save(context.Context, *dispatcher.Batch) error { return nil }
 
+func (unreachableArchive) ProvenRevision() int64 { return 0 }
+
 func (unreachableArchive) Heartbeat(context.Context) error {
 	return errors.New("the store is unreachable")
 }
