--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -135,6 +135,9 @@
 		case !r.observed || r.lastsUntil.IsZero():
 			// The restarted worker may have accepted the start, or may still get it: it first
 			// has to stop or refuse it.
+			if r.phase == phaseSent {
+				r.task.noteUnanswered(r)
+			}
 			r.phase, r.observed, r.acceptedStart = phaseUnknown, false, false
 			r.stopAcceptedAt = time.Time{}
 			c.stop(r)
--- a/dispatcher/unansweredstart.go
+++ b/dispatcher/unansweredstart.go
@@ -1,9 +1,6 @@
 package dispatcher
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// maxBoundStarts is how many starts of a task on one worker may get no answer before it starts on any other.
@@ -45,26 +42,24 @@
 	return u.expectedOn(now, r.worker.registration.ID) && (u.run != r.number || u.count > 1)
 }
 
-// boundTo returns the worker that a task is bound to, or nil. A long-running task isn't bound to one that has restarted, as it has to
-// run again soon, nor is one that may have crashed the worker.
+// boundTo returns the worker that a task is bound to, or nil. A long-running task, which has to run again soon, isn't bound to one that
+// has restarted or is silent, nor is a suspect.
 func (c *Cell) boundTo(now time.Time, t *task) *worker {
 	u := &t.unanswered
-	if u.count == 0 || u.count > maxBoundStarts || !u.expectedOn(now, u.worker) || t.step.step.Gang || t.mayCrashWorkers() {
+	if u.count == 0 || u.count > maxBoundStarts || !u.expectedOn(now, u.worker) || t.step.step.Gang || t.suspect() {
 		return nil
 	}
 	w := c.workers[u.worker]
 	if w == nil || !c.takesStarts(w) || c.lost(w) {
 		return nil
 	}
-	if w.boot != u.boot {
+	switch {
+	case w.boot != u.boot:
 		return w.unless(t.step.step.LongRunning || c.needsRevision)
+	case !c.answersOrders(now, w):
+		return w.unless(t.step.step.LongRunning)
 	}
-	return w.unless(now.Sub(t.readyAt) >= maxBoundWait || !c.answersOrders(now, w))
-}
-
-// mayCrashWorkers reports whether a worker that almost certainly had a run of the task has crashed, or several that may have had one.
-func (t *task) mayCrashWorkers() bool {
-	return t.suspect() || slices.ContainsFunc(t.crashes, func(crash Crash) bool { return crash.Attributed })
+	return w.unless(now.Sub(t.readyAt) >= maxBoundWait)
 }
 
 // unless returns the worker, or nil if a condition holds.
--- a/dispatcher/unansweredstart_test.go
+++ b/dispatcher/unansweredstart_test.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// TestLateStartInFlight guards against a start after an acknowledged end: the worker restarts before the answer to a start is
+// overdue, the task runs elsewhere, the worker restarts once more and executes the start.
+func TestLateStartInFlight(t *testing.T) {
+	s := newGrantingSimulation(3, shortGrant)
+	s.submit(plainJob(jobID, 1, 300*time.Millisecond, 1))
+	orders := s.cell.Plan(s.now)
+	if len(orders.Starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(orders.Starts))
+	}
+	f := s.workerByID(orders.Starts[0].Worker.ID)
+	f.reboot()
+	s.register(f)
+	s.runFor(2 * time.Second)
+	s.cell.HandleStartAnswer(s.now, orders.Starts[0], dispatcher.AnswerUnknown)
+	f.reboot()
+	f.start(orders.Starts[0])
+	s.register(f)
+	s.runFor(20 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	requireNoViolations(t, s)
+}
+
 // TestLateStartBesideLongRunningTask guards against two runs of a long-running task: the registry tells of the restart of its worker,
 // which executes an earlier start of the task before it has answered the holder.
 func TestLateStartBesideLongRunningTask(t *testing.T) {
