--- a/dispatcher/unansweredstart.go
+++ b/dispatcher/unansweredstart.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// maxBoundStarts is how many starts of a task on one worker may get no answer before it starts on any other.
-	maxBoundStarts = 5
+	// maxBoundStarts is how many starts of a task on one worker may get no answer before it starts on any other, and
+	// maxBoundLongStarts how many of a long-running task, which has to run again soon.
+	maxBoundStarts     = 10
+	maxBoundLongStarts = 3
 	// maxBoundWait is how long a task waits for a place on the worker that it is bound to while that one hasn't restarted.
 	maxBoundWait = 2 * time.Second
 )
@@ -42,11 +44,18 @@
 	return u.expectedOn(now, r.worker.registration.ID) && (u.run != r.number || u.count > 1)
 }
 
+func (t *task) maxBoundStarts() int {
+	if t.step.step.LongRunning {
+		return maxBoundLongStarts
+	}
+	return maxBoundStarts
+}
+
 // boundTo returns the worker that a task is bound to, or nil. A long-running task, which has to run again soon, isn't bound to one that
 // has restarted or is silent, nor is a suspect.
 func (c *Cell) boundTo(now time.Time, t *task) *worker {
 	u := &t.unanswered
-	if u.count == 0 || u.count > maxBoundStarts || !u.expectedOn(now, u.worker) || t.step.step.Gang || t.suspect() {
+	if u.count == 0 || u.count > t.maxBoundStarts() || !u.expectedOn(now, u.worker) || t.step.step.Gang || t.suspect() {
 		return nil
 	}
 	w := c.workers[u.worker]
