--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -29,9 +29,6 @@
 		return
 	}
 	key := runKey{task: order.Task, run: order.Run}
-	if answer != AnswerUnknown {
-		delete(w.unclearStarts, key)
-	}
 	r := w.runs[key]
 	if r == nil {
 		return
@@ -59,7 +56,7 @@
 			r.task.noteUnanswered(r)
 		}
 		w.unresolvedToken = max(w.unresolvedToken, order.Epoch)
-		w.lateStartsUntil = now.Add(unclearStartAge)
+		w.lateStartsUntil = now.Add(lateStartAge)
 	case AnswerFenced:
 		c.handleFenced(w, order.Epoch)
 		c.removeRun(now, r, string(answer))
@@ -99,9 +96,6 @@
 	if r := w.runs[key]; r != nil {
 		r.stopAcceptedAt = now
 	}
-	if u := w.unclearStarts[key]; u != nil {
-		u.refusedBy = w.boot
-	}
 }
 
 // recordFailure records a failed run. A worker on which different tasks fail
--- a/dispatcher/fencing.go
+++ b/dispatcher/fencing.go
@@ -7,8 +7,8 @@
 	"zinniashore.example/recorder"
 )
 
-// RevisionProven records that a write of the holder has got a revision of the store on condition of its term. Later terms begin
-// at higher revisions, so those up to this one are fencing tokens that no later holder exceeds by mistake.
+// RevisionProven records that a write of the holder has got a revision of the store on condition of its term. Each later
+// term begins at a higher revision, so that fencing tokens up to this one are below those of all later holders.
 func (c *Cell) RevisionProven(revision int64) {
 	c.provenRevision = max(c.provenRevision, revision)
 	c.needsRevision = false
@@ -47,8 +47,9 @@
 
 // reportForgottenEnds records ends of a worker that it no longer lists although this holder hasn't acknowledged them: it has
 // executed an acknowledgement of another holder, or one for its former life.
-func (c *Cell) reportForgottenEnds(w *worker, rows []EndedRow) {
-	if len(rows) == 0 || rows[0].Number <= w.lastEnd+1 || w.restored {
+func (c *Cell) reportForgottenEnds(w *worker, listing Listing) {
+	rows := listing.Ended
+	if len(rows) == 0 || rows[0].Number <= w.lastEnd+1 || w.restored || listing.Incomplete {
 		return
 	}
 	c.record(recorder.Event{
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -68,7 +68,7 @@
 func (c *Cell) newWorker() *worker {
 	return &worker{
 		runs: map[runKey]*run{}, orphanedRuns: map[runKey]time.Time{}, handledAhead: map[int64]bool{}, awaitedEnds: map[int64]EndedRow{},
-		unclearStarts: map[runKey]*unclearStart{}, fence: c.newFence(),
+		fence: c.newFence(),
 	}
 }
 
@@ -167,7 +167,6 @@
 	if r.blameOnAnswer != "" {
 		c.blame(now, r, r.blameOnAnswer)
 	}
-	r.worker.noteUnclearStart(r)
 	c.recordRun(KindLost, r, reason+"; "+r.describe(now)+"; "+c.describe(now, r.worker))
 	c.removeRun(now, r, reason)
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -74,7 +74,6 @@
 				orders = append(orders, c.stopOrder(w, key))
 			}
 		}
-		orders = append(orders, c.refuseUnclearStarts(now, w)...)
 	}
 	return orders
 }
@@ -198,7 +197,7 @@
 	if order := trueFirst(a.suspect(), b.suspect()); order != 0 {
 		return order
 	}
-	if order := trueFirst(a.unanswered.count > 0, b.unanswered.count > 0); order != 0 {
+	if order := trueFirst(a.mayStartLate(now), b.mayStartLate(now)); order != 0 {
 		return order
 	}
 	ja, jb := a.job(), b.job()
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -130,7 +130,7 @@
 // being handled. So does an incomplete listing, in which any end may be missing.
 func (c *Cell) handleEnds(now time.Time, w *worker, listing Listing) {
 	slices.SortFunc(listing.Ended, func(a, b EndedRow) int { return int(a.Number - b.Number) })
-	c.reportForgottenEnds(w, listing.Ended)
+	c.reportForgottenEnds(w, listing)
 	awaiting := listing.Incomplete
 	for _, row := range listing.Ended {
 		if row.Number <= w.lastEnd {
@@ -168,14 +168,13 @@
 func (c *Cell) handleEnd(now time.Time, w *worker, row EndedRow) {
 	key := runKey{task: row.Task, run: row.Run}
 	delete(w.orphanedRuns, key)
-	delete(w.unclearStarts, key)
 	r := w.runs[key]
 	c.recordEnd(w, row)
 	if r != nil && row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
 	if r != nil && r.mayStartLate(now) {
-		w.holdEnd(row.Number, r.task.unanswered.sentAt.Add(unclearStartAge))
+		w.holdEnd(row.Number, r.task.unanswered.sentAt.Add(lateStartAge))
 	}
 	if t := c.task(now, row.Task); t != nil {
 		c.applyEnding(now, w, t, row)
@@ -291,7 +290,6 @@
 	for _, row := range listing.Running {
 		key := runKey{task: row.Task, run: row.Run}
 		listed[key] = true
-		delete(w.unclearStarts, key)
 		r := w.runs[key]
 		if r == nil {
 			r = c.adopt(now, w, row)
--- a/dispatcher/unansweredstart.go
+++ b/dispatcher/unansweredstart.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// lateStartAge is how long after it was sent a start without an answer may still be executed.
+	lateStartAge = 15 * time.Second
 	// maxBoundStarts is how many starts of a task on one worker may get no answer before it starts on any other, and
 	// maxBoundLongStarts how many of a long-running task, which has to run again soon.
 	maxBoundStarts     = 10
@@ -35,7 +37,12 @@
 
 // expectedOn reports whether a life of a worker may still execute one of the starts.
 func (u *unansweredStarts) expectedOn(now time.Time, worker string) bool {
-	return u.count > 0 && u.worker == worker && now.Sub(u.sentAt) < unclearStartAge
+	return u.count > 0 && u.worker == worker && now.Sub(u.sentAt) < lateStartAge
+}
+
+// mayStartLate reports whether a worker may still execute a start of the task that got no answer.
+func (t *task) mayStartLate(now time.Time) bool {
+	return t.unanswered.expectedOn(now, t.unanswered.worker)
 }
 
 // mayStartLate reports whether a life of the worker after the one that has the run may still execute another start of its task.
@@ -55,7 +62,7 @@
 // has restarted or is silent, nor is a suspect.
 func (c *Cell) boundTo(now time.Time, t *task) *worker {
 	u := &t.unanswered
-	if u.count == 0 || u.count > t.maxBoundStarts() || !u.expectedOn(now, u.worker) || t.step.step.Gang || t.suspect() {
+	if u.count > t.maxBoundStarts() || !t.mayStartLate(now) || t.step.step.Gang || t.suspect() {
 		return nil
 	}
 	w := c.workers[u.worker]
--- a/dispatcher/unansweredstart_test.go
+++ b/dispatcher/unansweredstart_test.go
@@ -130,6 +130,33 @@
 	requireNoViolations(t, s)
 }
 
+// TestForgottenEndsAreReported guards against tasks that are started again without a line in the log that tells why: their worker
+// has forgotten ends which this holder hasn't acknowledged.
+func TestForgottenEndsAreReported(t *testing.T) {
+	s := newGrantingSimulation(1, shortGrant)
+	f := s.workers[0]
+	f.answersLost = true
+	s.submit(plainJob(jobID, 2, 300*time.Millisecond, 1))
+	s.step(50 * time.Millisecond)
+	f.answersLost = false
+	s.submit(plainJob(otherID, 2, 300*time.Millisecond, 1))
+	for len(f.ended) < 2 {
+		s.now = s.now.Add(50 * time.Millisecond)
+		f.endDueRuns()
+	}
+	f.ended = f.ended[1:]
+	s.runFor(time.Second)
+	reported := 0
+	for _, e := range s.events.recorded {
+		if e.Kind == dispatcher.KindEndsForgotten {
+			reported++
+		}
+	}
+	if reported != 1 {
+		t.Errorf("%d events of forgotten ends, want 1", reported)
+	}
+}
+
 // TestTokensStayBelowNextTerm guards against a worker that refuses the next holder, as the tokens of the one before have risen
 // above its term.
 func TestTokensStayBelowNextTerm(t *testing.T) {
--- a/dispatcher/workerstate.go
+++ b/dispatcher/workerstate.go
@@ -74,8 +74,6 @@
 	// listedIncompletely is true if the newest listing was incomplete.
 	listedIncompletely bool
 	runs               map[runKey]*run
-	// unclearStarts are the starts without an answer whose runs count as ended, but which the worker may still execute.
-	unclearStarts map[runKey]*unclearStart
 	// used is the capacity that runs take. It excludes the processors of best-effort
 	// tasks, for which idleProcessors applies.
 	used Size
