--- a/dispatcher/unansweredstart.go
+++ b/dispatcher/unansweredstart.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// lateStartAge is how long after it was sent a start without an answer may still be executed.
@@ -59,10 +62,10 @@
 }
 
 // boundTo returns the worker that a task is bound to, or nil. A long-running task, which has to run again soon, isn't bound to one that
-// has restarted or is silent, nor is a suspect.
+// has restarted or is silent, nor is a task that likely crashes workers.
 func (c *Cell) boundTo(now time.Time, t *task) *worker {
 	u := &t.unanswered
-	if u.count > t.maxBoundStarts() || !t.mayStartLate(now) || t.step.step.Gang || t.suspect() {
+	if u.count > t.maxBoundStarts() || !t.mayStartLate(now) || t.step.step.Gang || t.likelyCrashes() {
 		return nil
 	}
 	w := c.workers[u.worker]
@@ -78,6 +81,13 @@
 	return w.unless(now.Sub(t.readyAt) >= maxBoundWait)
 }
 
+// likelyCrashes reports whether a worker has crashed that almost certainly had the suspect, or so many that it is to be tried soon.
+// Starts without an answer alone make a suspect where workers restart again and again.
+func (t *task) likelyCrashes() bool {
+	attributed := func(crash Crash) bool { return crash.Attributed }
+	return t.suspect() && (len(t.crashes) > suspectCrashes || slices.ContainsFunc(t.crashes, attributed))
+}
+
 // unless returns the worker, or nil if a condition holds.
 func (w *worker) unless(condition bool) *worker {
 	if condition {
--- a/dispatcher/unansweredstart_test.go
+++ b/dispatcher/unansweredstart_test.go
@@ -76,6 +76,36 @@
 	requireNoViolations(t, s)
 }
 
+// TestLateStartOfSuspect guards against a start after an acknowledged end: a task counts as a suspect, as its worker has restarted
+// twice soon after starts that got no answer, runs elsewhere, and a later life of the worker executes the first of the starts.
+func TestLateStartOfSuspect(t *testing.T) {
+	s := newGrantingSimulation(3, shortGrant)
+	s.lateAfterRestart = true
+	s.nextFate = func() startFate { return fateLate }
+	s.submit(plainJob(jobID, 1, 300*time.Millisecond, 1))
+	s.step(50 * time.Millisecond)
+	if len(s.lateStarts) != 1 {
+		t.Fatalf("%d starts are on their way, want 1", len(s.lateStarts))
+	}
+	f := s.lateStarts[0].worker
+	for range 2 {
+		f.reboot()
+		s.register(f)
+		s.runFor(200 * time.Millisecond)
+	}
+	for i := range s.lateStarts {
+		s.lateStarts[i].at = s.now.Add(time.Hour)
+	}
+	s.nextFate = func() startFate { return fateAccepted }
+	s.runFor(2 * time.Second)
+	f.reboot()
+	s.register(f)
+	s.lateStarts[0].at = s.now
+	s.runFor(30 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	requireNoViolations(t, s)
+}
+
 // TestLateStartBesideLongRunningTask guards against two runs of a long-running task: the registry tells of the restart of its worker,
 // which executes an earlier start of the task before it has answered the holder.
 func TestLateStartBesideLongRunningTask(t *testing.T) {
