--- a/dispatcher/archive_test.go
+++ b/dispatcher/archive_test.go
@@ -56,7 +56,7 @@
 	return term + min(a.writes*writeRevisions, termRevisions-1), true
 }
 
-// save applies a batch as the store does. It refuses a holder of an earlier term, else it tells the holder the revision.
+// save applies a batch as the store does. It refuses a holder of an earlier term, and reports the revision to any other one.
 func (a *archive) save(cell *dispatcher.Cell, b *dispatcher.Batch) bool {
 	revision, written := a.write(cell.Epoch)
 	if !written {
--- a/dispatcher/unansweredstart.go
+++ b/dispatcher/unansweredstart.go
@@ -1,9 +1,6 @@
 package dispatcher
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// lateStartAge is how long after it was sent a start without an answer may still be executed.
@@ -17,8 +14,8 @@
 )
 
 // unansweredStarts are the starts of a task on one worker that got no answer. While the worker's next life may execute one of them,
-// the task is bound to the worker: a run there ends with its life, one on another worker would be active beside the late run, or
-// would be done before it.
+// the task is bound to the worker: a run there ends with its life, while one on another worker may be active at the same time
+// as the late run, or be done and acknowledged before it.
 type unansweredStarts struct {
 	worker string
 	// boot is the life that the newest one was for, sentAt when it was sent, run its number.
@@ -81,11 +78,16 @@
 	return w.unless(now.Sub(t.readyAt) >= maxBoundWait)
 }
 
-// likelyCrashes reports whether a worker has crashed that almost certainly had the suspect, or so many that it is to be tried soon.
-// Starts without an answer alone make a suspect where workers restart again and again.
+// likelyCrashes reports whether workers have crashed that almost certainly had the task, as many as make a suspect, or more than
+// that which may have had it. Starts without an answer make a suspect of any task where workers restart again and again.
 func (t *task) likelyCrashes() bool {
-	attributed := func(crash Crash) bool { return crash.Attributed }
-	return t.suspect() && (len(t.crashes) > suspectCrashes || slices.ContainsFunc(t.crashes, attributed))
+	attributed := 0
+	for _, crash := range t.crashes {
+		if crash.Attributed {
+			attributed++
+		}
+	}
+	return attributed >= suspectCrashes || len(t.crashes) > suspectCrashes
 }
 
 // unless returns the worker, or nil if a condition holds.
--- a/dispatcher/unansweredstart_test.go
+++ b/dispatcher/unansweredstart_test.go
@@ -106,9 +106,9 @@
 	requireNoViolations(t, s)
 }
 
-// TestLateStartBesideLongRunningTask guards against two runs of a long-running task: the registry tells of the restart of its worker,
+// TestLateStartOfLongRunningTask guards against two runs of a long-running task: the registry reports the restart of its worker,
 // which executes an earlier start of the task before it has answered the holder.
-func TestLateStartBesideLongRunningTask(t *testing.T) {
+func TestLateStartOfLongRunningTask(t *testing.T) {
 	s := newGrantingSimulation(3, shortGrant)
 	s.lateAfterRestart = true
 	f := s.sendLateStarts(t, jobID, 1)
@@ -160,7 +160,7 @@
 	requireNoViolations(t, s)
 }
 
-// TestForgottenEndsAreReported guards against tasks that are started again without a line in the log that tells why: their worker
+// TestForgottenEndsAreReported guards against tasks that are started again without an event that explains it: their worker
 // has forgotten ends which this holder hasn't acknowledged.
 func TestForgottenEndsAreReported(t *testing.T) {
 	s := newGrantingSimulation(1, shortGrant)
