--- a/dispatcher/fakeworker_test.go
+++ b/dispatcher/fakeworker_test.go
@@ -148,8 +148,13 @@
 	}
 }
 
-// reportedBoot returns the boot time that the worker reports, in Unix milliseconds.
-func (w *fakeWorker) reportedBoot() int64 { return w.bootedAt.Add(w.bootStep).UnixMilli() }
+// reportedBoot returns the boot time that the worker reports, in Unix milliseconds; 0 if it reports none.
+func (w *fakeWorker) reportedBoot() int64 {
+	if w.hidesBoot {
+		return 0
+	}
+	return w.bootedAt.Add(w.bootStep).UnixMilli()
+}
 
 // extendLease extends the lease, for at most maxGrant from now if that is set.
 func (w *fakeWorker) extendLease(end time.Duration) {
--- a/dispatcher/polling.go
+++ b/dispatcher/polling.go
@@ -86,7 +86,7 @@
 		}
 		c.setBoot(now, w, listing.Boot)
 	}
-	if order.Boot == 0 && listing.Boot != 0 {
+	if order.Boot == 0 && (listing.Boot != 0 || w.boot == 0) {
 		c.noteFence(w, order.Epoch, listing.Boot)
 	}
 	c.observeEnds(now, w, listing)
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -64,6 +64,8 @@
 	maxGrant time.Duration
 	// bootStep is how far the worker's time of day was off when it booted.
 	bootStep time.Duration
+	// hidesBoot leaves the boot out of what the worker reports.
+	hidesBoot bool
 	// answersLost makes the worker execute polls whose answers are lost.
 	answersLost bool
 	// answerDelay is how long after a poll its answer is handled. lateAnswer handles the
--- a/dispatcher/unansweredstart_test.go
+++ b/dispatcher/unansweredstart_test.go
@@ -160,6 +160,18 @@
 	requireNoViolations(t, s)
 }
 
+// TestWorkerWithoutBoot guards against a worker that never gets a start as it reports no boot.
+func TestWorkerWithoutBoot(t *testing.T) {
+	s := newSimulation(1)
+	s.workers[0].hidesBoot = true
+	s.workers[0].registration.Boot = 0
+	s.changeHolder(s.workers...)
+	s.submit(plainJob(jobID, 2, 300*time.Millisecond, 1))
+	s.runFor(5 * time.Second)
+	requireState(t, s, jobID, dispatcher.StateCompleted)
+	requireNoViolations(t, s)
+}
+
 // TestForgottenEndsAreReported guards against tasks that are started again without an event that explains it: their worker
 // has forgotten ends which this holder hasn't acknowledged.
 func TestForgottenEndsAreReported(t *testing.T) {
