--- a/throttler/connection.go
+++ b/throttler/connection.go
@@ -42,6 +42,8 @@
 	// place is the place in the list of waiting connections, nil if it has none. The list's lock
 	// guards it.
 	place *list.Element
+	// request is the progress of the present request.
+	request requestProgress
 }
 
 // headerProgress is what has been received of the header of a request.
@@ -49,8 +51,9 @@
 	// expected is true until a header has been read completely.
 	expected     bool
 	bytes, lines int
-	// ended is true once the end of the header was received.
-	ended bool
+	// ended is true once the end of the header was received, length is its length then.
+	ended  bool
+	length int
 	// tail holds the last bytes, since a read may split the end of the header.
 	tail []byte
 }
@@ -64,12 +67,14 @@
 	switch state {
 	case http.StateNew, http.StateIdle:
 		limited.header = headerProgress{expected: true, tail: limited.header.tail[:0]}
+		limited.request.begin()
 		t.waiting.add(limited)
 		if state == http.StateIdle {
 			t.keepOneFree(c.RemoteAddr())
 		}
 	case http.StateActive:
 		limited.header.expected = false
+		limited.request.parsed()
 		t.waiting.remove(limited)
 	case http.StateClosed, http.StateHijacked:
 		t.waiting.remove(limited)
@@ -87,10 +92,24 @@
 	if err != nil && len(p) > 1 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.reportSlow()
 	}
-	if !c.header.expected || n == 0 {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.request.leave()
+	}
+	if n == 0 {
+		return n, err
+	}
+	expected := c.header.expected
+	if expected {
+		c.header.add(p[:n])
+	}
+	c.request.add(n, int64(c.header.length), c.throttler.Clock.Now())
+	if c.closed.Load() {
+		c.reportUnanswered()
+	}
+	if !expected {
 		return n, err
 	}
-	if c.header.add(p[:n]); c.header.lines > c.throttler.Limits.HeaderLines {
+	if c.header.lines > c.throttler.Limits.HeaderLines {
 		c.throttler.report(LimitHeader, c.RemoteAddr())
 		return 0, &HeaderError{Lines: c.header.lines}
 	}
@@ -113,6 +132,7 @@
 // add counts the bytes received since the last request, and the lines of the header up to its
 // end.
 func (h *headerProgress) add(received []byte) {
+	before := h.bytes
 	h.bytes += len(received)
 	if h.ended {
 		return
@@ -123,8 +143,10 @@
 	if at := bytes.Index(h.tail, headerEnd); at >= 0 {
 		h.ended = true
 		received = received[:at+len(headerEnd)-earlier]
+		h.length = before + len(received)
 	} else if at := bytes.Index(received, headerEnd); at >= 0 {
 		h.ended = true
+		h.length = before + at + len(headerEnd)
 		received = received[:at]
 	}
 	h.lines += bytes.Count(received, []byte("\n"))
@@ -142,6 +164,7 @@
 			return 0, err
 		}
 	}
+	c.request.answer()
 	n, err := c.Conn.Write(p)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.throttler.report(LimitAnswerTime, c.RemoteAddr())
@@ -153,6 +176,15 @@
 func (c *connection) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
 		c.throttler.open.Add(-1)
+		c.reportUnanswered()
 	}
 	return c.Conn.Close()
 }
+
+// reportUnanswered reports the request in progress, if its client gets nothing of an answer.
+func (c *connection) reportUnanswered() {
+	if r, unanswered := c.request.unanswered(c.throttler.Clock.Now()); unanswered {
+		r.client = c.RemoteAddr()
+		c.throttler.reportUnanswered(r)
+	}
+}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -75,6 +75,8 @@
 	open    atomic.Int64
 	waiting waitingList
 	events  map[Limit]*eventCounter
+	// unanswered counts the requests whose connection ended before anything of an answer was written.
+	unanswered *eventCounter
 }
 
 // eventCounter counts the events of a limit and limits the rate of their log lines.
@@ -85,7 +87,13 @@
 
 // New returns a Throttler that reports to scope.
 func New(name string, limits Limits, budget *Budget, clock clockwork.Clock, scope tally.Scope) *Throttler {
-	t := &Throttler{Name: name, Limits: limits, Budget: budget, Clock: clock, events: map[Limit]*eventCounter{}}
+	t := &Throttler{
+		Name: name, Limits: limits, Budget: budget, Clock: clock, events: map[Limit]*eventCounter{},
+		unanswered: &eventCounter{
+			counter: scope.Tagged(map[string]string{"listener": name}).Counter("unanswered_requests"),
+			limiter: logger.NewLimiter(linesPerSecond, lineBurst),
+		},
+	}
 	for _, limit := range []Limit{
 		LimitConnections, LimitHeader, LimitHeaderTime, LimitBodyTime, LimitBodyMemory, LimitAnswerTime,
 	} {
@@ -97,6 +105,9 @@
 	return t
 }
 
+// Open returns the number of open connections.
+func (t *Throttler) Open() int { return int(t.open.Load()) }
+
 // Listener returns a listener that accepts the connections of inner within the limits.
 func (t *Throttler) Listener(inner net.Listener) net.Listener {
 	return &listener{Listener: netutil.LimitListener(inner, t.Limits.Connections), throttler: t}
@@ -124,6 +135,15 @@
 	}
 }
 
+// reportUnanswered counts a request without an answer and logs it.
+func (t *Throttler) reportUnanswered(r unansweredRequest) {
+	t.unanswered.counter.Inc(1)
+	if logged, suppressed := t.unanswered.limiter.Admit(t.Clock.Now()); logged {
+		klog.InfoS("Connection ended without an answer to its request", "listener", t.Name, "client", r.client,
+			"clientLeft", r.clientLeft, "bytes", r.bytes, "age", r.age, "left_out", suppressed)
+	}
+}
+
 // keepOneFree closes the connection that has waited longest for a request, if no connection is free.
 func (t *Throttler) keepOneFree(remote net.Addr) {
 	if t.open.Load() >= int64(t.Limits.Connections) {
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -32,6 +32,8 @@
 	t       *testing.T
 	address string
 	scope   tally.TestScope
+	limited *throttler.Throttler
+	server  *http.Server
 	// reading is the number of handlers that read a body.
 	reading atomic.Int64
 }
@@ -49,8 +51,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &testbed{t: t, address: inner.Addr().String(), scope: scope}
+	b := &testbed{t: t, address: inner.Addr().String(), scope: scope, limited: limited}
 	server := limited.Server(http.HandlerFunc(b.serveBody))
+	b.server = server
 	done := make(chan struct{})
 	listener := limited.Listener(inner)
 	go func() {
@@ -67,12 +70,19 @@
 }
 
 // serveBody answers with the length of the body, or 503 if it is refused. A request to
-// /large gets an answer that no socket holds, and one to /unread is answered without its body.
+// /large gets an answer that no socket holds, one to /unread is answered without its body, and one to
+// /silent once its connection has ended.
 func (b *testbed) serveBody(w http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/large" {
 		_, _ = w.Write(make([]byte, 64<<20))
 		return
 	}
+	if request.URL.Path == "/silent" {
+		b.reading.Add(1)
+		<-request.Context().Done()
+		b.reading.Add(-1)
+		return
+	}
 	if request.URL.Path == "/unread" {
 		http.NotFound(w, request)
 		return
@@ -124,6 +134,11 @@
 	return b.scope.Snapshot().Counters()["client_limits+limit="+string(limit)+",listener=callers"].Value()
 }
 
+// unanswered returns the number of requests whose connection ended without an answer.
+func (b *testbed) unanswered() int64 {
+	return b.scope.Snapshot().Counters()["unanswered_requests+listener=callers"].Value()
+}
+
 func (b *testbed) await(what string, reached func() bool) {
 	b.t.Helper()
 	for end := time.Now().Add(testWait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
