--- a/httplistener.go
+++ b/httplistener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/proc"
@@ -25,9 +26,11 @@
 
 // httpListener serves go-zero routes on one address.
 type httpListener struct {
-	name     string
-	listener net.Listener
-	server   *http.Server
+	throttler *throttler.Throttler
+	listener  net.Listener
+	server    *http.Server
+	// stopping is true once stop was called.
+	stopping atomic.Bool
 }
 
 // listenHTTP binds the address. The handler serves within the limits of t once serve is called.
@@ -36,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &httpListener{name: t.Name, listener: t.Listener(listener), server: t.Server(handler)}, nil
+	return &httpListener{throttler: t, listener: t.Listener(listener), server: t.Server(handler)}, nil
 }
 
 // listenREST binds the address. The routes are served once serve is called.
@@ -76,19 +79,26 @@
 
 func (l *httpListener) serve() error {
 	err := l.server.Serve(l.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || l.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// stop waits for the requests in flight until ctx ends, then closes the remaining
-// connections.
+// withdraw makes the answers ask clients to open another connection.
+func (l *httpListener) withdraw() { l.throttler.Withdraw() }
+
+// stop accepts no connection any more and waits for the requests that were received until ctx ends, then closes the
+// remaining connections.
 func (l *httpListener) stop(ctx context.Context) {
-	if err := l.server.Shutdown(ctx); err != nil {
-		klog.ErrorS(err, "Shutdown timed out with requests in flight", "listener", l.name)
-		_ = l.server.Close()
+	l.stopping.Store(true)
+	if err := l.listener.Close(); err != nil {
+		klog.ErrorS(err, "Closing a listener failed", "listener", l.throttler.Name)
+	}
+	if err := l.throttler.Drain(ctx); err != nil {
+		klog.ErrorS(err, "Shutdown timed out with requests in flight", "listener", l.throttler.Name)
 	}
+	_ = l.server.Close() // the listener is closed
 }
 
 // configuredLimits returns the limits of a listener of the product's own interface.
--- a/scheduler.go
+++ b/scheduler.go
@@ -257,6 +257,9 @@
 	limit := s.Settings.ShutdownGrace - exitReserve
 	klog.InfoS("Shutting down", "process", s.Settings.Process, "limit", limit)
 	s.draining.Store(true)
+	for _, l := range s.listeners {
+		l.withdraw()
+	}
 	end := s.Clock.Now().Add(limit)
 	lameDuckEnd := s.Clock.Now().Add(lameDuckPeriod)
 	for s.Clock.Now().Before(end) && (s.Clock.Now().Before(lameDuckEnd) || s.acceptor.InFlight() > 0) {
--- a/server.go
+++ b/server.go
@@ -196,6 +196,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.Shutdown.Limit)
 	defer cancel()
 	s.draining.Store(true)
+	s.callers.withdraw()
 	s.seater.Drain()
 	if err := s.router.Drain(ctx); err != nil {
 		klog.ErrorS(err, "Draining requests did not finish within the shutdown limit")
--- a/throttler/connection.go
+++ b/throttler/connection.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -69,6 +70,9 @@
 		limited.header = headerProgress{expected: true, tail: limited.header.tail[:0]}
 		limited.request.begin()
 		t.waiting.add(limited)
+		if t.draining.Load() {
+			limited.request.endWhenIdle()
+		}
 		if state == http.StateIdle {
 			t.keepOneFree(c.RemoteAddr())
 		}
@@ -87,12 +91,15 @@
 		p = p[:maxHeaderRead]
 	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.request.beginLastRead(c.throttler.Clock.Now()) {
+		n, err = c.Conn.Read(p)
+	}
 	// net/http reads a single byte in the background and ends that read by a deadline in
 	// the past.
 	if err != nil && len(p) > 1 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.reportSlow()
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.request.leave()
 	}
 	if n == 0 {
@@ -119,9 +126,13 @@
 	return n, err
 }
 
-// reportSlow reports a read that timed out, unless the connection was idle.
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(t time.Time) error { return c.request.setReadDeadline(t) }
+
+// reportSlow reports a read that timed out, unless the connection was idle or ends.
 func (c *connection) reportSlow() {
 	switch {
+	case c.request.isEnding():
 	case !c.header.expected:
 		c.throttler.report(LimitBodyTime, c.RemoteAddr())
 	case c.header.bytes > 0:
@@ -175,6 +186,9 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
+		if c.request.close() {
+			c.throttler.makingRoom.Add(-1)
+		}
 		c.throttler.open.Add(-1)
 		c.reportUnanswered()
 	}
@@ -184,7 +198,6 @@
 // reportUnanswered reports the request in progress, if its client gets nothing of an answer.
 func (c *connection) reportUnanswered() {
 	if r, unanswered := c.request.unanswered(c.throttler.Clock.Now()); unanswered {
-		r.client = c.RemoteAddr()
-		c.throttler.reportUnanswered(r)
+		c.throttler.reportUnanswered(c.RemoteAddr(), r)
 	}
 }
--- /dev/null
+++ b/throttler/export_test.go
@@ -0,0 +1,4 @@
+package throttler
+
+// Draining reports whether Drain was called.
+func (t *Throttler) Draining() bool { return t.draining.Load() }
--- a/throttler/requestprogress.go
+++ b/throttler/requestprogress.go
@@ -18,8 +18,12 @@
 	phaseRequest requestPhase = "request"
 )
 
-// requestProgress is the progress of the request of a connection. It is safe for concurrent use.
+// requestProgress is the progress of the present request of a connection. It ends the connection where no request gets
+// lost by that: it makes reads time out that would wait for a request, so that no request is read any more that the
+// server would drop. It is safe for concurrent use.
 type requestProgress struct {
+	connection net.Conn
+
 	mu    sync.Mutex
 	phase requestPhase
 	// received is the number of bytes received since the connection was idle, receivedAt when the last of them
@@ -30,15 +34,75 @@
 	answering bool
 	// clientLeft is true once the client has closed or reset the connection.
 	clientLeft bool
-	// reported is true once the request was reported as unanswered.
-	reported bool
+	// closed is true once the process has closed the connection, reported once the request was reported as
+	// unanswered.
+	closed, reported bool
+	// ending is true if the connection ends once it is idle, endsInHeader if it doesn't wait for the rest of a header
+	// either.
+	ending, endsInHeader bool
+	// lastRead is true once beginLastRead has set a deadline.
+	lastRead bool
+	// readDeadline is the deadline of reads that the server has set. It doesn't apply while the connection ends.
+	readDeadline time.Time
+}
+
+// pastDeadline makes a read time out at once; one that has received bytes returns them.
+var pastDeadline = time.Unix(1, 0)
+
+// lastReadTime is how long a connection that ends still waits for bytes that the kernel may have received.
+const lastReadTime = 2 * time.Millisecond
+
+// ends reports whether the connection ends now; the caller holds mu.
+func (p *requestProgress) ends() bool {
+	return p.ending && (p.phase == phaseIdle || p.endsInHeader && p.phase == phaseHeader)
+}
+
+// applyDeadline sets the deadline of reads that applies; the caller holds mu.
+func (p *requestProgress) applyDeadline() error {
+	deadline := p.readDeadline
+	if p.ends() {
+		deadline = pastDeadline
+	}
+	return p.connection.SetReadDeadline(deadline)
+}
+
+// beginLastRead allows one more read, for bytes that the kernel has received, before the connection ends. It reports
+// false if the connection doesn't end, or has had that read.
+func (p *requestProgress) beginLastRead(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ends() || p.lastRead {
+		return false
+	}
+	p.lastRead = true
+	return p.connection.SetReadDeadline(now.Add(lastReadTime)) == nil
+}
+
+// setPhase changes the phase; the caller holds mu.
+func (p *requestProgress) setPhase(phase requestPhase) {
+	if p.phase == phase {
+		return
+	}
+	p.phase, p.lastRead = phase, false
+	if p.ending {
+		_ = p.applyDeadline() // it fails only if the connection is closed
+	}
+}
+
+// setReadDeadline sets the deadline of reads.
+func (p *requestProgress) setReadDeadline(t time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readDeadline = t
+	return p.applyDeadline()
 }
 
 // begin notes that the connection waits for a request.
 func (p *requestProgress) begin() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.phase, p.received, p.headerBytes, p.answering = phaseIdle, 0, 0, false
+	p.received, p.headerBytes, p.answering = 0, 0, false
+	p.setPhase(phaseIdle)
 }
 
 // add notes received bytes. headerBytes is the length of the header, 0 if its end hasn't been received.
@@ -50,9 +114,9 @@
 	p.headerBytes = headerBytes
 	switch {
 	case headerBytes > 0:
-		p.phase = phaseRequest
+		p.setPhase(phaseRequest)
 	case p.phase == phaseIdle:
-		p.phase = phaseHeader
+		p.setPhase(phaseHeader)
 	}
 }
 
@@ -62,10 +126,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.phase == phaseIdle {
-		p.phase = phaseRequest
+		p.setPhase(phaseRequest)
 	}
 }
 
+// receivedOnly reports whether the present request, with a body of the given length, is all that was received.
+func (p *requestProgress) receivedOnly(bodyBytes int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.headerBytes > 0 && p.received == p.headerBytes+bodyBytes
+}
+
 // answer notes that a part of the answer was written.
 func (p *requestProgress) answer() {
 	p.mu.Lock()
@@ -80,9 +151,44 @@
 	p.clientLeft = true
 }
 
+// endWhenIdle ends the connection once it waits for a request.
+func (p *requestProgress) endWhenIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ending = true
+	_ = p.applyDeadline() // it fails only if the connection is closed
+}
+
+// endUnlessRequested ends the connection unless the header of a request was received or it ends already. It reports
+// whether it did.
+func (p *requestProgress) endUnlessRequested() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.phase == phaseRequest || p.closed || p.endsInHeader {
+		return false
+	}
+	p.ending, p.endsInHeader = true, true
+	_ = p.applyDeadline() // it fails only if the connection is closed
+	return true
+}
+
+// isEnding reports whether the connection ends before its next request.
+func (p *requestProgress) isEnding() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ending
+}
+
+// close notes that the process closes the connection, and reports whether endUnlessRequested has ended it.
+func (p *requestProgress) close() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	return p.endsInHeader
+}
+
 // unansweredRequest is a request of which nothing was answered when its connection ended.
 type unansweredRequest struct {
-	client net.Addr
 	// bytes is how much of the request was received, age how long ago the last of it.
 	bytes int64
 	age   time.Duration
@@ -90,12 +196,12 @@
 	clientLeft bool
 }
 
-// unanswered returns the request in progress, if its header was received and nothing of an answer was written. It
-// does so once.
+// unanswered returns the request in progress, if the connection is closed, the header was received and nothing of an
+// answer was written. It does so once.
 func (p *requestProgress) unanswered(now time.Time) (unansweredRequest, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.phase != phaseRequest || p.answering || p.reported {
+	if !p.closed || p.phase != phaseRequest || p.answering || p.reported {
 		return unansweredRequest{}, false
 	}
 	p.reported = true
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -71,10 +71,13 @@
 	// Clock must keep the real time, since the deadlines of connections follow it.
 	Clock clockwork.Clock
 
-	// open is the number of open connections, waiting are those without a request in progress.
-	open    atomic.Int64
-	waiting waitingList
-	events  map[Limit]*eventCounter
+	// open is the number of open connections, makingRoom the number of those that were ended at the limit and haven't
+	// been closed yet, waiting are those without a request in progress.
+	open, makingRoom atomic.Int64
+	waiting          waitingList
+	// withdrawn is true if the answers tell clients to use other connections, draining once Drain was called.
+	withdrawn, draining atomic.Bool
+	events              map[Limit]*eventCounter
 	// unanswered counts the requests whose connection ended before anything of an answer was written.
 	unanswered *eventCounter
 }
@@ -116,12 +119,13 @@
 // Server returns a server of handler for the connections of Listener.
 func (t *Throttler) Server(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           t.limitBodies(handler),
+		Handler:           t.announceClose(t.limitBodies(handler)),
 		ReadHeaderTimeout: t.Limits.HeaderTime,
 		ReadTimeout:       t.Limits.RequestTime,
 		IdleTimeout:       t.Limits.IdleTime,
 		MaxHeaderBytes:    t.Limits.HeaderBytes,
 		ConnState:         t.trackState,
+		ConnContext:       withConnection,
 	}
 }
 
@@ -136,19 +140,22 @@
 }
 
 // reportUnanswered counts a request without an answer and logs it.
-func (t *Throttler) reportUnanswered(r unansweredRequest) {
+func (t *Throttler) reportUnanswered(client net.Addr, r unansweredRequest) {
 	t.unanswered.counter.Inc(1)
 	if logged, suppressed := t.unanswered.limiter.Admit(t.Clock.Now()); logged {
-		klog.InfoS("Connection ended without an answer to its request", "listener", t.Name, "client", r.client,
+		klog.InfoS("Connection ended without an answer to its request", "listener", t.Name, "client", client,
 			"clientLeft", r.clientLeft, "bytes", r.bytes, "age", r.age, "left_out", suppressed)
 	}
 }
 
-// keepOneFree closes the connection that has waited longest for a request, if no connection is free.
+// keepOneFree ends the connection that has waited longest for a request, if no connection is free.
 func (t *Throttler) keepOneFree(remote net.Addr) {
-	if t.open.Load() >= int64(t.Limits.Connections) {
-		t.report(LimitConnections, remote)
-		t.waiting.closeFirst()
+	if t.open.Load()-t.makingRoom.Load() < int64(t.Limits.Connections) {
+		return
+	}
+	t.report(LimitConnections, remote)
+	if t.waiting.endFirst() {
+		t.makingRoom.Add(1)
 	}
 }
 
@@ -164,7 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &connection{Conn: inner, throttler: l.throttler}
+	c := &connection{Conn: inner, throttler: l.throttler, request: requestProgress{connection: inner}}
 	l.throttler.open.Add(1)
 	l.throttler.keepOneFree(inner.RemoteAddr())
 	return c, nil
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -36,6 +36,30 @@
 	server  *http.Server
 	// reading is the number of handlers that read a body.
 	reading atomic.Int64
+	// received is the number of bytes that connections have received.
+	received atomic.Int64
+}
+
+// countingListener counts the bytes that its connections receive.
+type countingListener struct {
+	net.Listener
+	received *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConnection{Conn: c, received: l.received}, err
+}
+
+type countingConnection struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+func (c countingConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 func (b *testbed) busy() int { return int(b.reading.Load()) }
@@ -55,7 +79,7 @@
 	server := limited.Server(http.HandlerFunc(b.serveBody))
 	b.server = server
 	done := make(chan struct{})
-	listener := limited.Listener(inner)
+	listener := limited.Listener(countingListener{Listener: inner, received: &b.received})
 	go func() {
 		defer close(done)
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/throttler/waitinglist.go
+++ b/throttler/waitinglist.go
@@ -30,18 +30,24 @@
 	}
 }
 
-// closeFirst closes the connection that has waited longest, if there is one.
-func (l *waitingList) closeFirst() {
+// endFirst ends the connection that has waited longest, of those of which the header of a request wasn't received. It
+// reports whether there was one.
+func (l *waitingList) endFirst() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	first := l.connections.Front()
-	if first == nil {
-		return
+	for e := l.connections.Front(); e != nil; e = e.Next() {
+		if e.Value.(*connection).request.endUnlessRequested() {
+			return true
+		}
+	}
+	return false
+}
+
+// endAll ends all connections in the list.
+func (l *waitingList) endAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.connections.Front(); e != nil; e = e.Next() {
+		e.Value.(*connection).request.endWhenIdle()
 	}
-	c := first.Value.(*connection)
-	l.connections.Remove(first)
-	c.place = nil
-	// A request that arrives at this moment may still run. Its client gets no answer, as with
-	// any connection that ends.
-	_ = c.Close()
 }
