--- a/throttler/connection.go
+++ b/throttler/connection.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 )
 
@@ -38,7 +37,6 @@
 type connection struct {
 	net.Conn
 	throttler *Throttler
-	closed    atomic.Bool
 	header    headerProgress
 	// place is the place in the list of waiting connections, nil if it has none. The list's lock
 	// guards it.
@@ -110,9 +108,7 @@
 		c.header.add(p[:n])
 	}
 	c.request.add(n, int64(c.header.length), c.throttler.Clock.Now())
-	if c.closed.Load() {
-		c.reportUnanswered()
-	}
+	c.reportUnanswered()
 	if !expected {
 		return n, err
 	}
@@ -185,17 +181,18 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		if c.request.close() {
+	if first, madeRoom := c.request.close(); first {
+		c.throttler.open.Add(-1)
+		if madeRoom {
 			c.throttler.makingRoom.Add(-1)
 		}
-		c.throttler.open.Add(-1)
 		c.reportUnanswered()
 	}
 	return c.Conn.Close()
 }
 
-// reportUnanswered reports the request in progress, if its client gets nothing of an answer.
+// reportUnanswered reports the request in progress, if the connection is closed and its client gets nothing of an
+// answer.
 func (c *connection) reportUnanswered() {
 	if r, unanswered := c.request.unanswered(c.throttler.Clock.Now()); unanswered {
 		c.throttler.reportUnanswered(c.RemoteAddr(), r)
--- a/throttler/requestprogress.go
+++ b/throttler/requestprogress.go
@@ -179,12 +179,14 @@
 	return p.ending
 }
 
-// close notes that the process closes the connection, and reports whether endUnlessRequested has ended it.
-func (p *requestProgress) close() bool {
+// close notes that the process closes the connection. It reports whether it does so for the first time, and whether
+// endUnlessRequested has ended the connection.
+func (p *requestProgress) close() (first, madeRoom bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	first = !p.closed
 	p.closed = true
-	return p.endsInHeader
+	return first, p.endsInHeader
 }
 
 // unansweredRequest is a request of which nothing was answered when its connection ended.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -1,5 +1,6 @@
 // Package throttler limits what the clients of a listener can take up: connections, memory
-// of the requests in progress, and time.
+// of the requests in progress, and time. It ends connections without dropping a request that
+// was received.
 package throttler
 
 import (
