--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -113,6 +113,9 @@
 		a.pending(ctx, w, queue)
 	case !validID(rest):
 		http.Error(w, "the job's id must be 16 hexadecimal digits", http.StatusNotFound)
+	case request.Method == http.MethodPost && a.exits():
+		klog.InfoS("Job refused because the process exits", "job", rest, "queue", queue.Name)
+		refuse(w, http.StatusServiceUnavailable)
 	case request.Method == http.MethodPost && !a.StoreReached():
 		klog.InfoS("Job refused because the store is unreachable", "job", rest, "queue", queue.Name)
 		refuse(w, http.StatusServiceUnavailable)
@@ -127,6 +130,9 @@
 	}
 }
 
+// exits reports whether requests in progress must be answered at once.
+func (a *Acceptor) exits() bool { return a.Serving != nil && a.Serving.Err() != nil }
+
 // matchQueue returns the queue of the request's host with the longest prefix of the
 // request's path, and the rest of the path.
 func matchQueue(queues []dispatcher.Queue, request *http.Request) (dispatcher.Queue, string, bool) {
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// TestSubmissionAtExit guards against an answer by which a job may have been accepted, although the process that
+// is about to exit hasn't sent anything of it to the store.
+func TestSubmissionAtExit(t *testing.T) {
+	serving, exit := context.WithCancel(t.Context())
+	exit()
+	a := &acceptor.Acceptor{
+		Clock: clockwork.NewRealClock(), Configurations: fakeConfigurations{}, Jobs: fakeJobs{}, Serving: serving,
+		StoreReached: func() bool { return true },
+	}
+	request := httptest.NewRequest(http.MethodPost, "/quotes/00000000000000a1", strings.NewReader(`{"spec":"x","phases":[{"count":1}]}`))
+	request.Host = "shop.example"
+	answer := httptest.NewRecorder()
+	a.ServeHTTP(answer, request)
+	if answer.Code != http.StatusServiceUnavailable || answer.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q; want %d", answer.Code, answer.Header().Get("Retry-After"), http.StatusServiceUnavailable)
+	}
+}
+
 // TestUnknownQueueIsLogged checks that a refusal names the version of the configuration
 // that it follows from and its age, at a limited rate.
 func TestUnknownQueueIsLogged(t *testing.T) {
