--- a/throttler/connection.go
+++ b/throttler/connection.go
@@ -8,7 +8,7 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
+	"time"
 )
 
 const (
@@ -37,11 +37,12 @@
 type connection struct {
 	net.Conn
 	throttler *Throttler
-	closed    atomic.Bool
 	header    headerProgress
 	// place is the place in the list of waiting connections, nil if it has none. The list's lock
 	// guards it.
 	place *list.Element
+	// request is the progress of the present request.
+	request requestProgress
 }
 
 // headerProgress is what has been received of the header of a request.
@@ -49,8 +50,9 @@
 	// expected is true until a header has been read completely.
 	expected     bool
 	bytes, lines int
-	// ended is true once the end of the header was received.
-	ended bool
+	// ended is true once the end of the header was received, length is its length then.
+	ended  bool
+	length int
 	// tail holds the last bytes, since a read may split the end of the header.
 	tail []byte
 }
@@ -64,12 +66,17 @@
 	switch state {
 	case http.StateNew, http.StateIdle:
 		limited.header = headerProgress{expected: true, tail: limited.header.tail[:0]}
+		limited.request.begin()
 		t.waiting.add(limited)
+		if t.draining.Load() {
+			limited.request.endWhenIdle()
+		}
 		if state == http.StateIdle {
 			t.keepOneFree(c.RemoteAddr())
 		}
 	case http.StateActive:
 		limited.header.expected = false
+		limited.request.parsed()
 		t.waiting.remove(limited)
 	case http.StateClosed, http.StateHijacked:
 		t.waiting.remove(limited)
@@ -82,15 +89,30 @@
 		p = p[:maxHeaderRead]
 	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.request.beginLastRead(c.throttler.Clock.Now()) {
+		n, err = c.Conn.Read(p)
+	}
 	// net/http reads a single byte in the background and ends that read by a deadline in
 	// the past.
 	if err != nil && len(p) > 1 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.reportSlow()
 	}
-	if !c.header.expected || n == 0 {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.request.leave()
+	}
+	if n == 0 {
+		return n, err
+	}
+	expected := c.header.expected
+	if expected {
+		c.header.add(p[:n])
+	}
+	c.request.add(n, int64(c.header.length), c.throttler.Clock.Now())
+	c.reportUnanswered()
+	if !expected {
 		return n, err
 	}
-	if c.header.add(p[:n]); c.header.lines > c.throttler.Limits.HeaderLines {
+	if c.header.lines > c.throttler.Limits.HeaderLines {
 		c.throttler.report(LimitHeader, c.RemoteAddr())
 		return 0, &HeaderError{Lines: c.header.lines}
 	}
@@ -100,9 +122,13 @@
 	return n, err
 }
 
-// reportSlow reports a read that timed out, unless the connection was idle.
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(t time.Time) error { return c.request.setReadDeadline(t) }
+
+// reportSlow reports a read that timed out, unless the connection was idle or ends.
 func (c *connection) reportSlow() {
 	switch {
+	case c.request.isEnding():
 	case !c.header.expected:
 		c.throttler.report(LimitBodyTime, c.RemoteAddr())
 	case c.header.bytes > 0:
@@ -113,6 +139,7 @@
 // add counts the bytes received since the last request, and the lines of the header up to its
 // end.
 func (h *headerProgress) add(received []byte) {
+	before := h.bytes
 	h.bytes += len(received)
 	if h.ended {
 		return
@@ -123,8 +150,10 @@
 	if at := bytes.Index(h.tail, headerEnd); at >= 0 {
 		h.ended = true
 		received = received[:at+len(headerEnd)-earlier]
+		h.length = before + len(received)
 	} else if at := bytes.Index(received, headerEnd); at >= 0 {
 		h.ended = true
+		h.length = before + at + len(headerEnd)
 		received = received[:at]
 	}
 	h.lines += bytes.Count(received, []byte("\n"))
@@ -142,6 +171,7 @@
 			return 0, err
 		}
 	}
+	c.request.answer()
 	n, err := c.Conn.Write(p)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.throttler.report(LimitAnswerTime, c.RemoteAddr())
@@ -151,8 +181,20 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
+	if first, madeRoom := c.request.close(); first {
 		c.throttler.open.Add(-1)
+		if madeRoom {
+			c.throttler.makingRoom.Add(-1)
+		}
+		c.reportUnanswered()
 	}
 	return c.Conn.Close()
 }
+
+// reportUnanswered reports the request in progress, if the connection is closed and its client gets nothing of an
+// answer.
+func (c *connection) reportUnanswered() {
+	if r, unanswered := c.request.unanswered(c.throttler.Clock.Now()); unanswered {
+		c.throttler.reportUnanswered(c.RemoteAddr(), r)
+	}
+}
