--- a/dispatcher/absence.go
+++ b/dispatcher/absence.go
@@ -106,7 +106,7 @@
 	case last.reason != "":
 		return fmt.Sprintf("after run %d on %s, removed %s ago: %s", last.number, last.worker, age(now, last.at), last.reason)
 	case c.mayBeStarted(t.job()):
-		return "accepted under an earlier holder, no run of which is listed"
+		return "an earlier holder may have started it, no run is listed"
 	}
 	return ""
 }
--- a/dispatcher/calls.go
+++ b/dispatcher/calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"zinniashore.example/recorder"
 )
 
 // Confirmed reports whether a majority of the workers has recently accepted the
@@ -38,19 +40,39 @@
 // Add adds a job that was accepted for the cell. restored is true if an earlier holder
 // may have started tasks of the job. Add waits until the stored state of the cell has
 // been restored, because that may contain progress of the job.
-func (r *Runner) Add(job Job, restored bool) {
-	select {
-	case <-r.loaded:
-	case <-r.ended:
+func (r *Runner) Add(job Job, restored bool) { r.add(job, restored, SourceDelivered) }
+
+// AddWatched is Add of a job that the watch of the store's jobs has reported.
+func (r *Runner) AddWatched(job Job) { r.add(job, true, SourceWatch) }
+
+func (r *Runner) add(job Job, restored bool, source JobSource) {
+	if !r.awaitLoaded() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.Cell.record(recorder.Event{Kind: KindNotAdded, Key: job.ID, Detail: string(source) + ", but the holder has ended: the next one loads it"})
 		return
 	}
 	r.mu.Lock()
-	r.Cell.AddJob(r.Clock.Now(), job, nil, restored)
+	r.Cell.addJob(r.Clock.Now(), job, nil, restored, source)
 	r.outdateLookup(job.ID)
 	r.mu.Unlock()
 	signal(r.wake)
 }
 
+// awaitLoaded waits until the stored state of the cell has been restored. It reports false if the holder has ended.
+func (r *Runner) awaitLoaded() bool {
+	select {
+	case <-r.loaded:
+	case <-r.ended:
+	}
+	select {
+	case <-r.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // Cancel cancels a job for a client and waits until the cancellation is stored. It reports whether the cell
 // knows the job. It doesn't know one of which it only runs a part: that job belongs to another cell.
 func (r *Runner) Cancel(ctx context.Context, id string) (bool, error) {
@@ -59,7 +81,7 @@
 		r.mu.Unlock()
 		return false, nil
 	}
-	known, stored := r.cancel(id)
+	known, stored := r.cancel(id, SourceDelivered)
 	r.mu.Unlock()
 	signal(r.wake)
 	if !known || stored == nil {
@@ -77,16 +99,16 @@
 // knows the job.
 func (r *Runner) CancelStored(id string) bool {
 	r.mu.Lock()
-	known, _ := r.cancel(id)
+	known, _ := r.cancel(id, SourceWatch)
 	r.mu.Unlock()
 	signal(r.wake)
 	return known
 }
 
 // cancel cancels a job or the part of one; the caller holds mu. It returns what Cell.Cancel does.
-func (r *Runner) cancel(id string) (known bool, stored <-chan struct{}) {
+func (r *Runner) cancel(id string, source JobSource) (known bool, stored <-chan struct{}) {
 	r.outdateLookup(id)
-	return r.Cell.Cancel(r.Clock.Now(), id)
+	return r.Cell.cancel(r.Clock.Now(), id, source)
 }
 
 // State returns the state of a job, and whether it is known and was accepted for this cell.
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -210,14 +210,19 @@
 // Superseded reports whether a worker has seen a newer epoch.
 func (c *Cell) Superseded() bool { return c.superseded }
 
-// AddJob adds an accepted job. progress is its stored progress, or nil. restored is
+// AddJob adds an accepted job that a process has sent. progress is its stored progress, or nil. restored is
 // true if an earlier holder may have started tasks of the job. A job that is already
 // known is not replaced; only its delegated part is extended. One that has departed is looked up
 // in the store first.
 func (c *Cell) AddJob(now time.Time, job Job, progress *Progress, restored bool) {
+	c.addJob(now, job, progress, restored, SourceDelivered)
+}
+
+// addJob is AddJob of a job from any source.
+func (c *Cell) addJob(now time.Time, job Job, progress *Progress, restored bool, source JobSource) {
 	if j, known := c.jobs[job.ID]; known {
 		j.deliveredAgain = j.deliveredAgain || j.relocating || c.pendingReturn != nil && c.pendingReturn.Job == job.ID
-		c.extendPart(now, j, &job, false)
+		c.extendPart(now, j, &job, source)
 		return
 	}
 	if _, departed := c.departed[job.ID]; departed {
@@ -253,7 +258,7 @@
 	if j.state.Final() {
 		return
 	}
-	c.record(recorder.Event{Kind: KindJobAdded, Key: job.ID, Detail: job.Queue.Name})
+	c.record(recorder.Event{Kind: KindJobAdded, Key: job.ID, Detail: describeAdded(&job, source)})
 	c.upcoming[job.ID] = j
 	c.noteRacks(&j.job)
 	c.beginOccurrences(now, j)
@@ -264,6 +269,11 @@
 // Cancel cancels a job. It reports whether the job is known; one that is being relocated isn't. The
 // channel stored is closed once the cancellation is in the store; it is nil if it already is.
 func (c *Cell) Cancel(now time.Time, id string) (known bool, stored <-chan struct{}) {
+	return c.cancel(now, id, SourceDelivered)
+}
+
+// cancel is Cancel of a cancellation from any source.
+func (c *Cell) cancel(now time.Time, id string, source JobSource) (known bool, stored <-chan struct{}) {
 	j, known := c.jobs[id]
 	if !known {
 		return false, nil
@@ -273,7 +283,7 @@
 		return false, nil
 	}
 	if !j.state.Final() {
-		c.record(recorder.Event{Kind: KindJobCancelled, Key: id})
+		c.record(recorder.Event{Kind: KindJobCancelled, Key: id, Detail: string(source)})
 		c.finish(now, j, StateCancelled)
 	}
 	if j.stored == j.state {
--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -38,28 +39,33 @@
 	return known && j.job.Part != nil
 }
 
-// extendPart adds tasks to the delegated part of a known job. stored is true if the part was just read from the store.
-// Otherwise a task that was given back is looked up there first: the record may be an old one.
-func (c *Cell) extendPart(now time.Time, j *jobState, job *Job, stored bool) {
+// extendPart adds tasks to the delegated part of a known job. Unless the part was just looked up in the store, a task
+// that was given back is looked up there first: the record may be an old one.
+func (c *Cell) extendPart(now time.Time, j *jobState, job *Job, source JobSource) {
 	if j.job.Part == nil || j.state.Final() {
 		return
 	}
+	var added []TaskID
 	for _, id := range job.Part {
 		if j.job.includes(id) {
 			continue
 		}
-		if at, back := j.returnedTasks[id]; back && !stored && now.Sub(at) < absentJobTTL {
+		if at, back := j.returnedTasks[id]; back && source != SourceLookup && now.Sub(at) < absentJobTTL {
 			c.unknownJobs[id.Job] = now.Add(-unknownJobTimeout)
 			continue
 		}
 		delete(j.returnedTasks, id)
 		j.job.Part = append(j.job.Part, id)
+		added = append(added, id)
 		if t := c.task(now, id); t != nil {
 			t.remote = false
 			c.addCrashes(now, t, job.PartCrashes)
 			c.enqueue(now, t)
 		}
 	}
+	if len(added) > 0 {
+		c.record(recorder.Event{Kind: KindPartExtended, Key: job.ID, Detail: fmt.Sprintf("%s: %s", source, listTaskIDs(added))})
+	}
 }
 
 // addPartCrashes adds the crashes that the cell which has delegated the part knew of. Those
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -26,10 +26,17 @@
 	KindRelocated      recorder.Kind = "job_relocated"
 	KindOrphaned       recorder.Kind = "task_stray"
 	KindEvacuation     recorder.Kind = "evacuation"
-	KindRackWait       recorder.Kind = "task_rack_wait"
-	KindRackLocal      recorder.Kind = "task_rack_wait_local"
-	KindRackRemote     recorder.Kind = "task_rack_wait_remote"
-	KindWorker         recorder.Kind = "worker"
+	// KindPartExtended reports more tasks of a job of which the cell runs a part.
+	KindPartExtended recorder.Kind = "part_extended"
+	// KindNotAdded reports a job that was delivered to a holder which had ended.
+	KindNotAdded recorder.Kind = "job_not_added"
+	// KindLoaded reports what a holder has loaded, KindLeft what it leaves to the next one.
+	KindLoaded     recorder.Kind = "cell_loaded"
+	KindLeft       recorder.Kind = "cell_left"
+	KindRackWait   recorder.Kind = "task_rack_wait"
+	KindRackLocal  recorder.Kind = "task_rack_wait_local"
+	KindRackRemote recorder.Kind = "task_rack_wait_remote"
+	KindWorker     recorder.Kind = "worker"
 	// KindEndsForgotten reports a worker that has forgotten ends which this holder hasn't acknowledged.
 	KindEndsForgotten recorder.Kind = "worker_ends_forgotten"
 	KindWorkerSlow    recorder.Kind = "worker_slow"
--- a/dispatcher/export_test.go
+++ b/dispatcher/export_test.go
@@ -58,3 +58,9 @@
 
 // Depart makes a job one that the cell has relocated.
 func Depart(c *Cell, now time.Time, id string) { c.departed[id] = now }
+
+// RecordLeft records what the holder of a cell leaves, as when it is stopped.
+func RecordLeft(c *Cell, now time.Time) { c.recordLeft(now, nil) }
+
+// ListTaskIDs lists tasks as logs do.
+func ListTaskIDs(ids []TaskID) string { return listTaskIDs(ids) }
--- a/dispatcher/latestart.go
+++ b/dispatcher/latestart.go
@@ -36,10 +36,6 @@
 	if total < minLateStart {
 		return
 	}
-	since := "no run under this holder"
-	if last := t.lastRun; last.reason != "" {
-		since = fmt.Sprintf("run %d on %s removed %s ago: %s", last.number, last.worker, age(now, last.at), last.reason)
-	}
 	c.recordRun(KindLateStart, r, fmt.Sprintf("active for %s, part: %t, %s; waited: %s",
-		age(now, c.activeAt), t.job().job.Part != nil, since, strings.Join(parts, ", ")))
+		age(now, c.activeAt), t.job().job.Part != nil, t.lastRunAccount(now), strings.Join(parts, ", ")))
 }
--- a/dispatcher/runner.go
+++ b/dispatcher/runner.go
@@ -160,8 +160,9 @@
 }
 
 // Run runs the cell until ctx ends or the cell is superseded. It is called once.
-func (r *Runner) Run(ctx context.Context) error {
+func (r *Runner) Run(ctx context.Context) (err error) {
 	defer close(r.ended)
+	defer func() { r.recordEnd(err) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.goroutines.Wait()
 	defer cancel()
@@ -246,6 +247,7 @@
 	for _, j := range stored.Jobs {
 		r.addStored(now, j)
 	}
+	r.Cell.recordLoaded(stored)
 	close(r.loaded)
 }
 
--- a/dispatcher/unknownjob.go
+++ b/dispatcher/unknownjob.go
@@ -84,12 +84,20 @@
 	delete(c.departed, job.ID)
 	if j, known := c.jobs[job.ID]; known {
 		delete(c.unknownJobs, job.ID)
-		c.extendPart(now, j, &job, true)
+		c.extendPart(now, j, &job, SourceLookup)
 	}
-	c.AddJob(now, job, progress, true)
+	c.addJob(now, job, progress, true, c.readSource())
 	c.jobs[job.ID].acceptedAfter = time.Time{}
 }
 
+// readSource returns the source of a job that was read from the store other than by the watch.
+func (c *Cell) readSource() JobSource {
+	if c.jobsReadAt.IsZero() {
+		return SourceLoaded
+	}
+	return SourceLookup
+}
+
 // JobsRead records that all jobs are known that the store had in the cell at a time.
 func (c *Cell) JobsRead(until time.Time) {
 	if until.After(c.jobsReadAt) {
@@ -155,7 +163,7 @@
 	}
 	r.Cell.AddFound(now, stored.Job, stored.Progress)
 	if stored.Cancelled {
-		r.Cell.Cancel(now, stored.Job.ID)
+		r.Cell.cancel(now, stored.Job.ID, r.Cell.readSource())
 	}
 	for _, returned := range stored.Returned {
 		r.Cell.AddReturned(now, stored.Job.ID, returned)
--- a/dispatcher/waiting.go
+++ b/dispatcher/waiting.go
@@ -69,8 +69,9 @@
 
 // causeLog is what is known of the tasks that wait for one cause.
 type causeLog struct {
-	// longRunning and others count the tasks that the newest scan has found.
-	longRunning, others int
+	// longRunning are the long-running tasks that the newest scan has found, others counts the other ones.
+	longRunning []*task
+	others      int
 	// longest is the task that has waited longest of these, since longestSince.
 	longest      *task
 	longestSince time.Time
@@ -91,7 +92,7 @@
 	}
 	c.waits.scannedBefore, c.waits.scannedAt = scannedBefore, now
 	for _, l := range c.waits.causes {
-		l.longRunning, l.others, l.longest = 0, 0, nil
+		l.longRunning, l.others, l.longest = l.longRunning[:0], 0, nil
 	}
 	c.scanDelegation(now)
 	c.scanRuns(now)
@@ -118,7 +119,7 @@
 		c.waits.causes[cause] = l
 	}
 	if t.step.step.LongRunning {
-		l.longRunning++
+		l.longRunning = append(l.longRunning, t)
 	} else {
 		l.others++
 	}
@@ -241,8 +242,20 @@
 	}
 	l.reportedAt, l.reported = now, true
 	account, bound := c.accountFor(now, cause, l.longest)
-	c.recordWait(cause.kind(), l.longest, fmt.Sprintf("%d long-running tasks, %d others, this one for %s: %s; %s",
-		l.longRunning, l.others, age(now, l.longestSince), account, bound.describe(now)))
+	c.recordWait(cause.kind(), l.longest, fmt.Sprintf("%d long-running tasks, %d others, this one for %s%s: %s; %s",
+		len(l.longRunning), l.others, age(now, l.longestSince), l.longRunningAccount(now), account, bound.describe(now)))
+}
+
+// longRunningAccount describes the long-running tasks that wait, and the last run of the task that has waited longest.
+func (l *causeLog) longRunningAccount(now time.Time) string {
+	if len(l.longRunning) == 0 {
+		return ""
+	}
+	last := ""
+	if len(l.longest.runs) == 0 {
+		last = ", " + l.longest.lastRunAccount(now)
+	}
+	return fmt.Sprintf("%s (long-running: %s)", last, listTasks(l.longRunning))
 }
 
 // reportWaitEnd records that no task waits for a cause any more that was reported. The wait has ended between
--- a/dispatcher/waiting_test.go
+++ b/dispatcher/waiting_test.go
@@ -41,7 +41,7 @@
 }{
 	"a worker of an earlier holder is lost": {
 		dispatcher.WaitEarlierLeases, loseWorker,
-		[]string{"1 workers: w0 (hasn't answered this holder", "unregistered for 1", "edge-2 (epoch 1), not known to have ended", "time left: "},
+		[]string{"no run under this holder, which has loaded the job 1", " ago (long-running: " + jobID + ".0.0.0", "1 workers: w0 (hasn't answered this holder", "unregistered for 1", "edge-2 (epoch 1), not known to have ended", "time left: "},
 	},
 	"all earlier holders have ended": {
 		dispatcher.WaitEarlierLeases,
@@ -65,7 +65,7 @@
 			s.runFor(500 * time.Millisecond)
 			s.workerOf(dispatcher.TaskID{Job: jobID}).reachable = false
 		},
-		[]string{"1 long-running tasks, 0 others", "(confirmed, last listed", "silent, last answered poll: 2.4s", "time left: 1.8s"},
+		[]string{"1 long-running tasks, 0 others", " (long-running: " + jobID + ".0.0.0): run 104", "(confirmed, last listed", "silent, last answered poll: 2.4s", "time left: 1.8s"},
 	},
 	"no majority": {
 		dispatcher.WaitHolder,
--- a/holder/storedjobs.go
+++ b/holder/storedjobs.go
@@ -57,6 +57,6 @@
 			klog.InfoS("Failed part of an unknown job", "job", change.ID, "cell", change.FailedIn)
 		}
 	default:
-		s.runner.Add(change.Job, true)
+		s.runner.AddWatched(change.Job)
 	}
 }
