--- a/archiver/cellarchive.go
+++ b/archiver/cellarchive.go
@@ -35,6 +35,9 @@
 	relocatedFrom int64
 }
 
+// maxReportedJobs is the number of jobs that a log line names at most.
+const maxReportedJobs = 8
+
 // saveMessage is the value that each save of a cell writes.
 type saveMessage struct {
 	ActiveEpoch int64 `json:"active_epoch,omitempty"`
@@ -123,11 +126,17 @@
 	}
 	a.mergeJobs(items, jobs)
 	var stored []dispatcher.StoredJob
+	var withoutRecord []string
 	for _, j := range jobs {
 		if len(j.Job.Steps) > 0 || j.Unaccepted || j.Progress != nil && j.Progress.State.Final() {
 			stored = append(stored, *j)
+		} else if j.Progress != nil {
+			withoutRecord = append(withoutRecord, j.Job.ID)
 		}
 	}
+	if count := len(withoutRecord); count > 0 {
+		klog.InfoS("Skipping the progress of jobs without a record", "cell", a.Cell, "count", count, "jobs", withoutRecord[:min(count, maxReportedJobs)])
+	}
 	return stored
 }
 
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -165,6 +165,7 @@
 	current, held := k.holders[k.cell]
 	k.mu.Unlock()
 	if held && current.Incarnation != k.Self.Incarnation {
+		klog.InfoS("Cell not released, as another process holds it", "cell", k.cell, "epoch", epoch, "holder", current.Process)
 		return nil
 	}
 	item, err := k.releaseItem()
@@ -175,6 +176,9 @@
 		Expect: []platform.Expectation{{Key: item.Key, Revision: current.revision}, {Key: k.TermPrefix + k.cell, Revision: epoch}},
 		Writes: []platform.Item{item},
 	})
+	if err == nil {
+		klog.InfoS("Cell released", "cell", k.cell, "epoch", epoch)
+	}
 	return err
 }
 
@@ -189,6 +193,7 @@
 		changed := k.changed
 		k.mu.Unlock()
 		if held && holder.Incarnation != k.Self.Incarnation {
+			klog.InfoS("Another process holds the cell", "cell", k.cell, "epoch", epoch, "holder", holder.Process)
 			return lease
 		}
 		if !held {
