--- a/jobrouter.go
+++ b/jobrouter.go
@@ -14,7 +14,6 @@
 	"zinniashore.example/archiver"
 	"zinniashore.example/claimer"
 	"zinniashore.example/dispatcher"
-	"zinniashore.example/logger"
 	"zinniashore.example/relayer"
 )
 
@@ -32,9 +31,6 @@
 	// process stores: anybody may send them, and each takes a write and is kept.
 	unacceptedPerSecond = 10
 	unacceptedBurst     = 100
-	// failureLinesPerSecond and failureLineBurst limit the log lines about failed jobs.
-	failureLinesPerSecond = 20
-	failureLineBurst      = 60
 )
 
 // errTooManyCancellations reports that the cancellation of an unaccepted job wasn't stored.
@@ -63,9 +59,8 @@
 	// unaccepted limits the cancellations of unaccepted jobs that are stored.
 	unaccepted *rate.Limiter
 
-	// reports limits the log lines about failed jobs.
-	reportsOnce sync.Once
-	reports     *logger.Limiter
+	// answers logs what clients are told of jobs that don't run.
+	answers answerLog
 
 	mu      sync.Mutex
 	cells   map[string]string
@@ -93,6 +88,7 @@
 	}
 	holder, held := r.claimer.Holder(cell)
 	if !held || holder.Process == r.self {
+		r.answers.log(r.clock.Now(), "No process to deliver a job to; the next holder of its cell reads it from the store", "job", job.ID, "cell", cell, "lastHolder", holder.Process)
 		return
 	}
 	go func() {
@@ -135,9 +131,7 @@
 // State implements acceptor.JobService.
 func (r *jobRouter) State(ctx context.Context, id string) (dispatcher.State, error) {
 	found, err := r.findState(ctx, id)
-	if err == nil && found.outcome.State == dispatcher.StateFailed {
-		r.reportFailed(id, found)
-	}
+	r.report(id, found, err)
 	return found.outcome.State, err
 }
 
@@ -149,7 +143,8 @@
 	sourceStore  stateSource = "store"
 )
 
-// foundState is the state of a job, with the cell and the source from which it was read.
+// foundState is the state of a job, with the cell and the source from which it was read. Of a job that isn't found it has
+// the cell that this process knew before, empty if none.
 type foundState struct {
 	outcome archiver.Outcome
 	cell    string
@@ -173,23 +168,35 @@
 	if err == nil && known {
 		return foundState{outcome: archiver.Outcome{State: state}, cell: cell, source: sourceHolder}, nil
 	}
+	former := cell
 	if cell, err = r.presentCell(ctx, id); err != nil {
-		return foundState{}, err
+		return foundState{cell: former, source: sourceStore}, err
 	}
 	outcome, err := r.archiver.Outcome(ctx, cell, id)
 	return foundState{outcome: outcome, cell: cell, source: sourceStore}, err
 }
 
-// reportFailed logs that a client was told that a job has failed, and who said so.
-func (r *jobRouter) reportFailed(id string, found foundState) {
-	r.reportsOnce.Do(func() { r.reports = logger.NewLimiter(failureLinesPerSecond, failureLineBurst) })
-	logged, suppressed := r.reports.Admit(r.clock.Now())
-	if !logged {
-		return
+// report logs that a client is told that a job has failed, was cancelled or doesn't exist, and who says so: the last two
+// once for each job, and once more if this process knew the cell of one that doesn't exist.
+func (r *jobRouter) report(id string, found foundState, err error) {
+	state := found.outcome.State
+	switch {
+	case errors.Is(err, acceptor.ErrUnknown):
+		if first := r.answers.first(toldAnswer{job: id}); first || found.cell != "" {
+			r.answers.log(r.clock.Now(), "Told a client that no such job was accepted", "job", id, "formerCell", found.cell, "source", sourceStore)
+		}
+	case err != nil:
+	case state == dispatcher.StateFailed, state == dispatcher.StateCancelled && r.answers.first(toldAnswer{job: id, state: state}):
+		holder, _ := r.claimer.Holder(found.cell)
+		r.answers.log(r.clock.Now(), toldMessages[state], "job", id, "cell", found.cell, "source", found.source,
+			"holder", holder.Process, "cause", found.outcome.Cause)
 	}
-	holder, _ := r.claimer.Holder(found.cell)
-	klog.InfoS("Told a client that a job has failed", "job", id, "cell", found.cell, "source", found.source,
-		"holder", holder.Process, "cause", found.outcome.Cause, "left_out", suppressed)
+}
+
+// toldMessages are the log lines of the states that a client is told.
+var toldMessages = map[dispatcher.State]string{
+	dispatcher.StateFailed:    "Told a client that a job has failed",
+	dispatcher.StateCancelled: "Told a client that a job was cancelled",
 }
 
 // presentCell returns the cell of an accepted job from the store: a job may have been relocated since
