--- a/cmd/zinniashore/leaving_test.go
+++ b/cmd/zinniashore/leaving_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	w := &leavingWorker{id: id, worker: &standin.PlatformWorker{ID: id, Length: leavingLength, Ledger: d.ledger}, link: &soakLink{}}
+	w := &leavingWorker{id: id, worker: &standin.PlatformWorker{ID: id, Length: leavingLength, Ledger: d.ledger, LongRunning: isLongRunning}, link: &soakLink{}}
 	address, err := standin.Listen(ctx, "127.0.0.1:0", w.worker)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/zinniashore/platform_test.go
+++ b/cmd/zinniashore/platform_test.go
@@ -32,16 +32,21 @@
 
 // platformDeployment is a set of three processes on stand-ins of the users' platform.
 type platformDeployment struct {
-	t         *testing.T
-	binary    string
-	store     *standin.PlatformStore
-	ledger    *standin.PlatformLedger
-	workers   []string // addresses
-	processes map[string]*exec.Cmd
-	settings  map[string]string
-	callers   map[string]string
+	t      *testing.T
+	binary string
+	store  *standin.PlatformStore
+	// storeAddress is the address of store.
+	storeAddress string
+	ledger       *standin.PlatformLedger
+	workers      []string // addresses
+	processes    map[string]*exec.Cmd
+	settings     map[string]string
+	callers      map[string]string
 }
 
+// isLongRunning reports whether the workers run a task until it is stopped, by the id of its job.
+func isLongRunning(task string) bool { return strings.HasPrefix(task, "ff") }
+
 func newPlatformDeployment(t *testing.T, binary string) *platformDeployment {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -54,12 +59,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.storeAddress = address
 	d.store.Put("op/config", []byte(platformConfiguration))
 	for i := range 4 {
-		worker := &standin.PlatformWorker{
-			Length: 150 * time.Millisecond, Ledger: d.ledger,
-			LongRunning: func(task string) bool { return strings.HasPrefix(task, "ff") },
-		}
+		worker := &standin.PlatformWorker{Length: 150 * time.Millisecond, Ledger: d.ledger, LongRunning: isLongRunning}
 		bound, err := standin.Listen(ctx, "127.0.0.1:0", worker)
 		if err != nil {
 			t.Fatal(err)
