--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -26,6 +26,10 @@
 	PauseLeases bool
 	// RenewLeases gives the leases that it pauses their full duration at the end.
 	RenewLeases bool
+	// PageItems, if above zero, is how many items an answer to a list has at most.
+	PageItems int
+	// KeepHistory, if above zero, is how many of the newest changes a watch can still get.
+	KeepHistory int
 }
 
 type platformItem struct {
@@ -45,8 +49,10 @@
 	history []platformItem
 	leases  map[int64]storeLease
 	// pausedAt is when the time of the leases stopped, zero while it passes.
-	pausedAt     time.Time
-	revision     int64
+	pausedAt time.Time
+	revision int64
+	// compacted is the revision up to which the history was discarded.
+	compacted    int64
 	nextLease    int64
 	transactions int
 	faults       PlatformFaults
@@ -197,6 +203,7 @@
 }
 
 func (s *PlatformStore) notifyWatchers() {
+	s.compact()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -257,7 +264,8 @@
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
-	writeMessage(w, map[string]any{"items": items, "has-more": false, "as-of": s.revision})
+	page := s.firstPage(items)
+	writeMessage(w, map[string]any{"items": page, "has-more": len(page) < len(items), "as-of": s.revision})
 }
 
 func (s *PlatformStore) watch(w http.ResponseWriter, r *http.Request, silences int) {
@@ -270,6 +278,10 @@
 			hang(r)
 			return
 		}
+		if s.discarded(after) {
+			http.Error(w, "the history was compacted", http.StatusGone)
+			return
+		}
 		if len(events) > 0 || expired {
 			writeMessage(w, map[string]any{"events": events, "as-of": asOf})
 			return
@@ -357,43 +369,3 @@
 	}
 	s.notifyWatchers()
 }
-
-func (s *PlatformStore) grant(w http.ResponseWriter, r *http.Request) {
-	var request struct {
-		TTL int64 `json:"ttl-ms"`
-	}
-	if !readMessage(w, r, &request) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nextLease++
-	ttl := time.Duration(request.TTL) * time.Millisecond
-	s.leases[s.nextLease] = storeLease{ttl: ttl, expires: time.Now().Add(ttl)}
-	writeMessage(w, map[string]any{"lease": s.nextLease, "ttl-ms": request.TTL})
-}
-
-func (s *PlatformStore) keepAlive(w http.ResponseWriter, text string) {
-	id, _ := strconv.ParseInt(text, 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	lease, live := s.leases[id]
-	if !live {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	lease.expires = time.Now().Add(lease.ttl)
-	s.leases[id] = lease
-	writeMessage(w, map[string]any{"ttl-ms": lease.ttl.Milliseconds()})
-}
-
-func (s *PlatformStore) revoke(w http.ResponseWriter, text string) {
-	id, _ := strconv.ParseInt(text, 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, live := s.leases[id]; !live {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	s.endLease(id)
-}
