--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -20,7 +20,7 @@
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
 	// minAnswerTime is how long an answer may take beyond the time that its request waits
-	// before the request counts as lost. It doubles with each failed request, up to
+	// before the next request is sent. It doubles with each failed request, up to
 	// maxAnswerTime, since the store may be slow.
 	minAnswerTime = 400 * time.Millisecond
 	maxAnswerTime = 1200 * time.Millisecond
@@ -84,13 +84,13 @@
 // returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
 	var revision int64
-	listed := false
+	var inProgress *requests // nil until the keys were listed
 	var lost outage
 	for ctx.Err() == nil {
 		var err error
 		sent := w.Clock.Now()
-		if listed {
-			revision, err = w.watch(ctx, revision, lost.failures)
+		if inProgress != nil {
+			revision, err = w.watch(ctx, inProgress, lost.failures)
 		} else {
 			revision, err = w.list(ctx)
 		}
@@ -98,16 +98,19 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			w.logEnd(lost, revision)
-			listed, lost = true, outage{}
+			inProgress.endAll()
+			inProgress, lost = newRequests(ctx, w, revision), outage{}
 		case errors.Is(err, platform.ErrCompacted):
 			klog.InfoS("Watched history was compacted; listing the keys again", "prefix", w.Prefix, "after", revision)
-			listed = false
+			inProgress.endAll()
+			inProgress = nil
 		default:
 			lost = lost.withFailure(sent, w.Clock.Now())
 			klog.ErrorS(err, "Store unreachable; retrying", "prefix", w.Prefix, "failures", lost.failures, "took", lost.lastTook)
 			w.backOff(ctx, lost)
 		}
 	}
+	inProgress.endAll()
 	return nil
 }
 
@@ -150,31 +153,29 @@
 	return revision, nil
 }
 
-// watch requests the changes after a revision. Its request waits for one only if the request
-// before hasn't failed.
-func (w *Watcher) watch(ctx context.Context, revision int64, failures int) (int64, error) {
+// watch requests the changes after the last known revision. Its request waits for one only if the request
+// before hasn't failed. It takes the answer to an earlier request as well, which may come late.
+func (w *Watcher) watch(ctx context.Context, inProgress *requests, failures int) (int64, error) {
 	wait := w.Wait
 	if failures > 0 {
 		wait = 0
 	}
-	sent := w.Clock.Now()
-	limited, cancel := clockwork.WithTimeout(ctx, w.Clock, wait+doubled(minAnswerTime, failures, maxAnswerTime))
-	events, next, err := w.Store.Watch(limited, w.Prefix, revision, wait)
-	cancel()
+	inProgress.send(wait)
+	a, err := inProgress.receive(ctx, wait+doubled(minAnswerTime, failures, maxAnswerTime))
 	if err != nil {
-		return revision, err
+		return inProgress.revision, err
 	}
-	if len(events) > 0 {
-		w.Handler.Apply(events...)
+	if len(a.events) > 0 {
+		w.Handler.Apply(a.events...)
 	}
-	w.read(sent)
-	if len(events) > 0 && w.BatchDelay > 0 {
+	w.read(a.sent)
+	if len(a.events) > 0 && w.BatchDelay > 0 {
 		select {
 		case <-ctx.Done():
 		case <-w.Clock.After(w.BatchDelay):
 		}
 	}
-	return next, nil
+	return a.next, nil
 }
 
 func (w *Watcher) read(until time.Time) {
