--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -36,6 +36,8 @@
 	switch {
 	case t.movable() || t.remote || j.job.Part != nil || j.running > 0 || j.state.Final():
 		return false
+	case len(j.unstoredReturns) > 0: // the record of the return would stay
+		return false
 	case now.Sub(t.readyAt) < delegationDelay || now.Sub(t.refusedAt) < delegationRetryDelay:
 		return false
 	}
