--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -62,6 +62,10 @@
 	soakSeriesLength = 10 * time.Second
 	// soakCrash is how long a worker is down that a task crashes.
 	soakCrash = 2 * time.Second
+	// soakPageItems and soakKeptHistory are the items of a page of the store's lists, and the changes that it keeps. A process
+	// that is held up for seconds finds its history compacted.
+	soakPageItems   = 20
+	soakKeptHistory = 200
 )
 
 // soakCase is a seed and its time with faults.
@@ -196,7 +200,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &soak{
-		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, refusals: c.refusals, lostHolder: c.lostHolder, lostDomain: c.lostDomain, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
+		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, refusals: c.refusals, lostHolder: c.lostHolder, lostDomain: c.lostDomain, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{PageItems: soakPageItems, KeepHistory: soakKeptHistory}, ledger: &standin.PlatformLedger{},
 		callers: map[workerConnection]string{}, jobs: map[string]*soakJob{}, innocent: map[string]bool{}, absences: map[string][]soakSpan{},
 		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, racks: map[string]string{}, versions: soakVersions{shown: map[string][]soakShown{}},
 	}
--- a/restartjobs_test.go
+++ b/restartjobs_test.go
@@ -120,7 +120,7 @@
 }
 
 func newRestartRun(t *testing.T) *restartRun {
-	r := &restartRun{t: t, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{}, workers: map[string][]*restartWorker{}}
+	r := &restartRun{t: t, store: &standin.PlatformStore{PageItems: 3, KeepHistory: 4}, ledger: &standin.PlatformLedger{}, workers: map[string][]*restartWorker{}}
 	address := r.listen(r.store)
 	r.store.Put(platform.ConfigurationKey, []byte(restartConfiguration))
 	for _, domain := range restartDomains {
@@ -336,7 +336,7 @@
 	for seed := *restartSeed; seed < *restartSeed+*restartRuns; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r := newRestartRun(t)
-			r.store.SetFaults(standin.PlatformFaults{PageItems: 3, KeepHistory: 4, LoseEvery: 9})
+			r.store.SetFaults(standin.PlatformFaults{LoseEvery: 9})
 			for _, vm := range r.vms {
 				vm.start(t)
 			}
--- a/standin/platformhistory.go
+++ b/standin/platformhistory.go
@@ -2,7 +2,7 @@
 
 // firstPage returns the first of the sorted items of a list that one answer has; the caller holds the mutex.
 func (s *PlatformStore) firstPage(items []platformItem) []platformItem {
-	if limit := s.faults.PageItems; limit > 0 && len(items) > limit {
+	if limit := s.PageItems; limit > 0 && len(items) > limit {
 		return items[:limit]
 	}
 	return items
@@ -10,8 +10,8 @@
 
 // compact discards the history that isn't kept; the caller holds the mutex.
 func (s *PlatformStore) compact() {
-	excess := len(s.history) - s.faults.KeepHistory
-	if s.faults.KeepHistory <= 0 || excess <= 0 {
+	excess := len(s.history) - s.KeepHistory
+	if s.KeepHistory <= 0 || excess <= 0 {
 		return
 	}
 	s.compacted = s.history[excess-1].Revision
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -26,10 +26,6 @@
 	PauseLeases bool
 	// RenewLeases gives the leases that it pauses their full duration at the end.
 	RenewLeases bool
-	// PageItems, if above zero, is how many items an answer to a list has at most.
-	PageItems int
-	// KeepHistory, if above zero, is how many of the newest changes a watch can still get.
-	KeepHistory int
 }
 
 type platformItem struct {
@@ -42,8 +38,14 @@
 }
 
 // PlatformStore is a stand-in for the store of the users' platform that implements its
-// published protocol. The zero value is ready for use as an http.Handler.
+// published protocol. The zero value is ready for use as an http.Handler. Its exported fields are set before its
+// first call.
 type PlatformStore struct {
+	// PageItems, if above zero, is how many items an answer to a list has at most.
+	PageItems int
+	// KeepHistory, if above zero, is how many of the newest changes a watch can still get.
+	KeepHistory int
+
 	mu      sync.Mutex
 	items   map[string]platformItem
 	history []platformItem
