--- a/answerlog_test.go
+++ b/answerlog_test.go
@@ -56,7 +56,7 @@
 				}
 				r.cacheCell(testJob, testCell)
 			},
-			want:    `"Told a client that no such job was accepted" job="` + testJob + `" formerCell="graz-a" source="store" left_out=0`,
+			want: `"Told a client that no such job was accepted" job="` + testJob + `" formerCell="graz-a" source="store" left_out=0`,
 		},
 		"cancelled": {
 			prepare: func(t *testing.T, r *jobRouter) {
