--- a/cmd/zinniashore/soak_test.go
+++ b/cmd/zinniashore/soak_test.go
@@ -84,6 +84,8 @@
 	lostHolder bool
 	// lostDomain leaves out all faults but soakLoseDomain or soakCutDomain.
 	lostDomain bool
+	// planned leaves out all but planned work, on the shape of plannedDomains.
+	planned bool
 }
 
 // soakCases run in CI. A seed that failed once has its cause as its name.
@@ -125,6 +127,7 @@
 	// A domain that is cut off for longer than the others leave its jobs to it, with a frozen holder that runs on after
 	// the cut.
 	"failure domain cut off for long": {seed: 80003, lostDomain: true},
+	"planned work":                    {seed: 134, length: plannedFixedLength, planned: true},
 }
 
 // soak is one run of the deployment under the faults of a seed.
@@ -140,12 +143,16 @@
 	loss       soakLoss
 	// lostDomain is true in a case in which a failure domain is lost or cut off.
 	lostDomain bool
-	binary     string
-	logs       string
-	began      time.Time
-	ctx        context.Context
-	store      *standin.PlatformStore
-	ledger     *standin.PlatformLedger
+	// planned is true in a case with planned work only.
+	planned bool
+	notes   plannedNotes
+	ends    openEnds
+	binary  string
+	logs    string
+	began   time.Time
+	ctx     context.Context
+	store   *standin.PlatformStore
+	ledger  *standin.PlatformLedger
 
 	processes []*soakProcess
 
@@ -155,6 +162,8 @@
 	// callers are the processes that opened connections to workers.
 	callers map[workerConnection]string
 	jobs    map[string]*soakJob
+	// order are the jobs in the order in which clients submitted them.
+	order []*soakJob
 	// innocent are the jobs that were given up because other causes crashed their workers.
 	innocent map[string]bool
 	problems []soakProblem
@@ -179,6 +188,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.jobs[job.id] = job
+	s.order = append(s.order, job)
 }
 
 func (s *soak) job(id string) *soakJob {
@@ -196,7 +206,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &soak{
-		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, refusals: c.refusals, lostHolder: c.lostHolder, lostDomain: c.lostDomain, binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
+		t: t, seed: c.seed, deadly: c.deadly, long: c.long, cells: c.cells, refusals: c.refusals, lostHolder: c.lostHolder, lostDomain: c.lostDomain, planned: c.planned, notes: newPlannedNotes(), binary: binary, logs: logs, began: time.Now(), ctx: ctx, store: &standin.PlatformStore{}, ledger: &standin.PlatformLedger{},
 		callers: map[workerConnection]string{}, jobs: map[string]*soakJob{}, innocent: map[string]bool{}, absences: map[string][]soakSpan{},
 		capacities: map[string][]soakRegistered{}, domains: map[string]string{}, racks: map[string]string{}, versions: soakVersions{shown: map[string][]soakShown{}},
 	}
@@ -205,6 +215,20 @@
 		s.store.Put("zinniashore/partition", []byte(`{"failure_domains":{"graz-a":{"cells":2,"racks":["r1-1","r1-2"]},"graz-b":{"cells":2,"racks":["r1-1","r1-2"]}}}`))
 	}
 	rng := rand.New(rand.NewPCG(c.seed, 0))
+	if s.planned {
+		s.addPlanned(rng)
+	} else {
+		s.addRandom(rng)
+	}
+	t.Cleanup(s.end)
+	for _, p := range s.processes {
+		s.start(p)
+	}
+	return s
+}
+
+// addRandom adds the processes and workers of a case, in one failure domain or two.
+func (s *soak) addRandom(rng *rand.Rand) {
 	processes := 3 + rng.IntN(3)
 	if s.lostHolder {
 		processes = soakLostProcesses
@@ -234,11 +258,6 @@
 			s.addWorker("graz-b", rng)
 		}
 	}
-	t.Cleanup(s.end)
-	for _, p := range s.processes {
-		s.start(p)
-	}
-	return s
 }
 
 // run runs the plan of faults with clients, waits until all jobs are over, and checks.
@@ -252,6 +271,12 @@
 	for i := range soakProbers {
 		clients.Go(func() { newSoakClient(s, soakClients+1+i).probeRoutes(stop) })
 	}
+	if s.planned {
+		clients.Go(s.fill)
+		for i := range openFewest + int(s.seed*openSeedStep%openSpread) {
+			clients.Go(func() { newOpenClient(s, i).run(stop) })
+		}
+	}
 	for _, f := range plan {
 		faults.Go(func() {
 			time.Sleep(time.Until(s.began.Add(f.at)))
@@ -262,6 +287,9 @@
 	ended := time.Now()
 	close(stop)
 	clients.Wait()
+	if s.planned {
+		s.finish(ended)
+	}
 	s.settle(ended)
 	close(stopAll)
 	background.Wait()
@@ -275,6 +303,9 @@
 	if s.lostHolder || s.lostDomain {
 		s.checkRestarts(history)
 	}
+	if s.planned {
+		s.checkPlanned(history)
+	}
 	s.conclude(plan, history)
 }
 
@@ -326,16 +357,20 @@
 //
 //	go test ./cmd/zinniashore -run TestSoak -timeout 2h -soak.seeds=50 -soak.first=1000
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "zinniashore")
-	if output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, output)
+	binary := *soakBinary
+	if binary == "" {
+		binary = filepath.Join(t.TempDir(), "zinniashore")
+		if output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			t.Fatalf("build: %v\n%s", err, output)
+		}
 	}
+	startBusy(t)
 	cases := soakCases
 	if *soakSeeds > 0 {
 		cases = map[string]soakCase{}
 		for i := range *soakSeeds {
 			seed := *soakFirst + uint64(i)
-			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells, evacuations: *soakEvacuates, refusals: *soakRefusals, lostHolder: *soakLostHolder, lostDomain: *soakLostDomain}
+			cases[fmt.Sprint("seed ", seed)] = soakCase{seed: seed, length: *soakLength, deadly: *soakDeadly, changes: *soakChanges, long: *soakLong, cells: *soakCells, evacuations: *soakEvacuates, refusals: *soakRefusals, lostHolder: *soakLostHolder, lostDomain: *soakLostDomain, planned: *soakPlanned}
 		}
 	}
 	names := make([]string, 0, len(cases))
--- a/cmd/zinniashore/soakclient_test.go
+++ b/cmd/zinniashore/soakclient_test.go
@@ -39,6 +39,12 @@
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"long-running,omitempty"`
 	Gang        bool  `json:"gang,omitempty"`
+
+	Image          string `json:"image,omitempty"`
+	TargetMS       int    `json:"target-ms,omitempty"`
+	Fills          bool   `json:"fills,omitempty"`
+	AntiAffinity   int    `json:"anti-affinity,omitempty"`
+	MaxUnavailable int    `json:"max-unavailable,omitempty"`
 }
 
 // soakJob is a job and what clients know of it.
@@ -76,6 +82,14 @@
 
 func (j *soakJob) longRunning() bool { return j.steps[0].LongRunning }
 
+// newJob returns a job of the kind that the case submits.
+func (s *soak) newJob(id uint64, rng *rand.Rand) *soakJob {
+	if s.planned {
+		return plannedJob(id, rng)
+	}
+	return randomJob(id, s.deadly, s.longRunningEvery(), rng)
+}
+
 // randomJob returns a job. One in longRunningEvery jobs runs until it is stopped.
 func randomJob(id uint64, deadly bool, longRunningEvery int, rng *rand.Rand) *soakJob {
 	if rng.IntN(longRunningEvery) == 0 {
@@ -208,7 +222,7 @@
 		switch choice := c.rng.IntN(10); {
 		case choice < 4 || len(c.jobs) == 0:
 			c.next++
-			job := randomJob(c.next, c.s.deadly, c.s.longRunningEvery(), c.rng)
+			job := c.s.newJob(c.next, c.rng)
 			if c.s.long {
 				job.enlarge(c.rng)
 				c.s.gangs.add(job)
@@ -244,8 +258,7 @@
 		if status/100 == 2 {
 			return
 		}
-		refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-		if refused && try > 0 && c.rng.IntN(2) == 0 {
+		if isRefusal(status) && try > 0 && c.rng.IntN(2) == 0 {
 			return
 		}
 		time.Sleep(time.Duration(50+c.rng.IntN(400)) * time.Millisecond)
@@ -253,18 +266,33 @@
 }
 
 func (c *soakClient) attempt(job *soakJob) int {
+	p := c.process(http.StatusOK)
+	attempt, sent := job.begin(p.name), time.Now()
+	status, answer := c.call(p, http.MethodPost, job.id, c.encode(job))
+	c.process(status)
+	c.record(job, attempt, p, status, answer, sent)
+	return status
+}
+
+// encode returns the body of a request that submits a job.
+func (c *soakClient) encode(job *soakJob) string {
 	body, err := json.Marshal(map[string]any{"spec": "cane", "phases": job.steps})
 	if err != nil {
 		c.s.t.Error(err)
 	}
-	p := c.process(http.StatusOK)
-	job.mu.Lock()
-	attempt := len(job.attempts)
-	job.attempts = append(job.attempts, "open at "+p.name)
-	job.mu.Unlock()
-	sent := time.Now()
-	status, answer := c.call(p, http.MethodPost, job.id, string(body))
-	c.process(status)
+	return string(body)
+}
+
+// begin notes an attempt to submit the job and returns its number.
+func (j *soakJob) begin(process string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts = append(j.attempts, "open at "+process)
+	return len(j.attempts) - 1
+}
+
+// record notes the answer to an attempt to submit a job.
+func (c *soakClient) record(job *soakJob, attempt int, p *soakProcess, status int, answer string, sent time.Time) {
 	job.mu.Lock()
 	defer job.mu.Unlock()
 	job.attempts[attempt] = fmt.Sprintf("%s at %s: %d %s after %s", c.s.since(sent), p.name, status, strings.TrimSpace(answer), time.Since(sent).Round(time.Millisecond))
@@ -273,12 +301,11 @@
 		if job.accepted.IsZero() {
 			job.accepted = time.Now()
 		}
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case isRefusal(status):
 		job.rejected++
 	case status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout:
 		c.s.report(fmt.Sprintf("REFUSED: %s answered %d to the submission of %s: %s", p.name, status, job.id, answer))
 	}
-	return status
 }
 
 // cancel cancels a job and returns whether that was acknowledged.
--- a/cmd/zinniashore/soakfaults_test.go
+++ b/cmd/zinniashore/soakfaults_test.go
@@ -51,6 +51,9 @@
 // them, in which every change has to be in force.
 func newSoakPlan(c soakCase) []soakFault {
 	seed, length := c.seed, c.length
+	if c.planned {
+		return plannedPlan(seed, length)
+	}
 	if c.changes {
 		return drawFaults(rand.New(rand.NewPCG(seed, 5<<32)), soakSilentKinds, soakCalmEvery, length)
 	}
@@ -142,6 +145,9 @@
 	if strings.HasSuffix(f.kind, "a holder") {
 		p = s.holder(p)
 	}
+	if s.planned && s.injectPlanned(f, p) {
+		return
+	}
 	if s.injectLost(f, p) || s.injectDomain(f) {
 		return
 	}
--- a/cmd/zinniashore/soaklimit_test.go
+++ b/cmd/zinniashore/soaklimit_test.go
@@ -49,6 +49,9 @@
 	if err != nil || step >= len(job.steps) {
 		return soakSize{}
 	}
+	if job.steps[step].Fills {
+		return soakSize{megabytes: job.steps[step].MemoryMB}
+	}
 	return soakSize{job.steps[step].CPU, job.steps[step].MemoryMB}
 }
 
@@ -67,7 +70,7 @@
 		sort.Slice(runs, func(i, j int) bool { return runs[i].start.Before(runs[j].start) })
 		for i, r := range runs {
 			limits := s.limits(r)
-			if !slices.Contains(limits, soakCapacity) {
+			if !s.planned && !slices.Contains(limits, soakCapacity) {
 				shrunk++
 			}
 			s.checkLimit(runs[:i], r, limits)
--- a/cmd/zinniashore/soaklong_test.go
+++ b/cmd/zinniashore/soaklong_test.go
@@ -87,7 +87,7 @@
 }
 
 func (s *soak) callSpacing() time.Duration {
-	if s.long || s.refusals {
+	if s.long || s.refusals || s.planned {
 		return soakLongSpacing
 	}
 	return 1
@@ -95,6 +95,9 @@
 
 // lengthOf returns how long a task runs.
 func (s *soak) lengthOf(task string) time.Duration {
+	if s.planned {
+		return plannedLength(task)
+	}
 	spread := soakTaskSpread
 	if s.long {
 		spread = soakLongestTask - soakShortestTask
--- a/cmd/zinniashore/soaklostholder_test.go
+++ b/cmd/zinniashore/soaklostholder_test.go
@@ -73,7 +73,7 @@
 
 // maxLease returns the longest lease of a worker.
 func (s *soak) maxLease() time.Duration {
-	if s.lostHolder || s.lostDomain {
+	if s.lostHolder || s.lostDomain || s.planned {
 		return soakLostMaxLease
 	}
 	return soakMaxLease
--- a/cmd/zinniashore/soakprocess_test.go
+++ b/cmd/zinniashore/soakprocess_test.go
@@ -69,6 +69,9 @@
 // platformSettings returns the settings of a process with the given first port.
 func (s *soak) platformSettings(name, domain string, ports int, store string) string {
 	settings := platformSettings(name, domain, ports, soakGrace, store)
+	if s.planned {
+		return plannedSettings(settings)
+	}
 	if !s.lostHolder && !s.lostDomain {
 		return settings
 	}
@@ -88,7 +91,7 @@
 		return
 	}
 	p.logged = logSize(p.log)
-	command := exec.Command(s.binary, "schedule", "--settings", p.settings)
+	command := soakCommand(s.binary, p.settings)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		s.t.Error(err)
@@ -96,6 +99,7 @@
 	}
 	_ = log.Close()
 	p.incarnation++
+	s.noteStart(fmt.Sprintf("%s/%d", p.name, p.incarnation))
 	exited := make(chan struct{})
 	p.command, p.exited, p.stopping, p.killed = command, exited, time.Time{}, false
 	go func() {
@@ -106,6 +110,7 @@
 		if !p.killed && !early && (p.stopping.IsZero() || err != nil) {
 			s.report(fmt.Sprintf("Fault: %s ended by itself: %v", p.name, err))
 		}
+		s.noteExit(p.stopping, p.killed)
 		p.command = nil
 		close(exited)
 	}()
@@ -150,6 +155,7 @@
 	case syscall.SIGTERM:
 		if p.stopping.IsZero() {
 			p.stopping = time.Now()
+			s.noteStop(fmt.Sprintf("%s/%d", p.name, p.incarnation))
 		}
 	}
 	// The process may have ended since; then there is nothing to signal.
--- a/cmd/zinniashore/soakreport_test.go
+++ b/cmd/zinniashore/soakreport_test.go
@@ -74,6 +74,9 @@
 	if s.lostHolder || s.lostDomain {
 		s.t.Logf("seed %d: %s", s.seed, s.describeRestarts(history))
 	}
+	if s.planned {
+		s.t.Logf("seed %d: %s", s.seed, s.describePlanned(history))
+	}
 	if accepted == 0 || len(history.runs) == 0 {
 		s.t.Errorf("seed %d: nothing ran", s.seed)
 	}
--- a/cmd/zinniashore/soakworker_test.go
+++ b/cmd/zinniashore/soakworker_test.go
@@ -54,6 +54,11 @@
 	if s.cells {
 		w.rack = fmt.Sprintf("r1-%d", 1+s.created%2)
 	}
+	if s.planned {
+		w.capacity = plannedCapacity(s.created)
+		w.rack = fmt.Sprintf("r1-%d", 1+s.created/plannedRack%3)
+		s.notes.joins[w.id] = time.Now()
+	}
 	s.domains[w.id] = domain
 	s.racks[w.id] = w.rack
 	for _, p := range s.processes {
@@ -79,6 +84,13 @@
 	if s.refusesExcess() {
 		w.worker.Fits = fitsWorker
 	}
+	if s.planned {
+		w.worker.StopTime = plannedStopTime
+		if s.seed%2 == 1 {
+			capacity := w.capacity
+			w.worker.Fits = func(task string, running []string) bool { return plannedFits(capacity, task, running) }
+		}
+	}
 	ctx, stop := context.WithCancel(s.ctx)
 	w.starts = &soakStarts{PlatformWorker: w.worker, s: s, w: w}
 	bound, err := standin.Listen(ctx, "127.0.0.1:0", w.starts)
@@ -274,6 +286,9 @@
 func (s *soak) cellOf(worker string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.planned {
+		return s.domains[worker]
+	}
 	return s.domains[worker] + " " + s.racks[worker]
 }
 
