--- a/cmd/zinniashore/soakworker_test.go
+++ b/cmd/zinniashore/soakworker_test.go
@@ -197,6 +197,9 @@
 		}
 		s.mu.Lock()
 		s.longestPause = max(s.longestPause, time.Since(stepped))
+		if s.planned && time.Since(stepped) > plannedHeldUp {
+			s.faults = append(s.faults, &soakSpan{from: stepped, to: time.Now(), kind: "machine busy"})
+		}
 		stepped = time.Now()
 		workers := append([]*soakWorker(nil), s.workers...)
 		s.mu.Unlock()
