--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -99,10 +99,19 @@
 	MaxIsolationMS int64   `json:"max_isolation_ms,omitempty"`
 	// LeasesMS holds Term.Leases of the next term. It is set when the cell is released.
 	LeasesMS map[string]int64 `json:"leases_ms,omitempty"`
+	// Runs holds Term.Leases.Runs of the next term. It is set when the cell is released.
+	Runs map[string][]taskMessage `json:"runs,omitempty"`
 	// EarlierProcesses holds Term.ProcessLeases of the next term. It is set when the cell is released.
 	EarlierProcesses []processLeaseMessage `json:"earlier_processes,omitempty"`
 }
 
+type taskMessage struct {
+	Job        string `json:"job"`
+	Occurrence int    `json:"occurrence,omitempty"`
+	Step       int    `json:"step,omitempty"`
+	Index      int    `json:"task,omitempty"`
+}
+
 type processLeaseMessage struct {
 	Worker  string `json:"worker"`
 	Boot    int64  `json:"boot"`
@@ -127,10 +136,16 @@
 
 // leases returns Term.Leases of the term after a release.
 func (m holderMessage) leases() Leases {
-	leases := Leases{Workers: make(map[string]time.Duration, len(m.LeasesMS))}
+	leases := Leases{Workers: make(map[string]time.Duration, len(m.LeasesMS)), Runs: make(map[string][]Task, len(m.Runs))}
 	for worker, left := range m.LeasesMS {
 		leases.Workers[worker] = time.Duration(left) * time.Millisecond
 	}
+	for worker, tasks := range m.Runs {
+		leases.Runs[worker] = nil
+		for _, t := range tasks {
+			leases.Runs[worker] = append(leases.Runs[worker], Task(t))
+		}
+	}
 	for _, p := range m.EarlierProcesses {
 		leases.EarlierProcesses = append(leases.EarlierProcesses, ProcessLease{
 			Worker: p.Worker, Boot: p.Boot, Left: time.Duration(p.LeaseMS) * time.Millisecond,
@@ -141,10 +156,16 @@
 
 // newReleaseMessage returns the value of the key of a cell that is released.
 func newReleaseMessage(leases Leases) holderMessage {
-	message := holderMessage{LeasesMS: make(map[string]int64, len(leases.Workers))}
+	message := holderMessage{LeasesMS: make(map[string]int64, len(leases.Workers)), Runs: make(map[string][]taskMessage, len(leases.Runs))}
 	for worker, left := range leases.Workers {
 		message.LeasesMS[worker] = roundUp(left)
 	}
+	for worker, tasks := range leases.Runs {
+		message.Runs[worker] = []taskMessage{}
+		for _, t := range tasks {
+			message.Runs[worker] = append(message.Runs[worker], taskMessage(t))
+		}
+	}
 	for _, p := range leases.EarlierProcesses {
 		message.EarlierProcesses = append(message.EarlierProcesses, processLeaseMessage{Worker: p.Worker, Boot: p.Boot, LeaseMS: roundUp(p.Left)})
 	}
--- a/claimer/earlier.go
+++ b/claimer/earlier.go
@@ -29,10 +29,19 @@
 type Leases struct {
 	// Workers holds, by worker that may have stopped answering, how long leases on runs there may last.
 	Workers map[string]time.Duration
+	// Runs holds, by worker, all tasks that may have a run there. A worker of which they aren't known is left out.
+	Runs map[string][]Task
 	// EarlierProcesses holds the leases of processes of workers that may still be shutting down.
 	EarlierProcesses []ProcessLease
 }
 
+// Task identifies a task of a job.
+type Task struct {
+	// Job is the id of the job, Occurrence, Step and Index number the task within it, from 0.
+	Job                     string
+	Occurrence, Step, Index int
+}
+
 // ProcessLease is for how long leases may last on the runs of processes that a worker had before its present one.
 type ProcessLease struct {
 	// Worker is the id of the worker, Boot when its present process started, in Unix milliseconds.
--- a/claimer/earlier_test.go
+++ b/claimer/earlier_test.go
@@ -75,6 +75,7 @@
 		leases: claimer.Leases{
 			Workers:          map[string]time.Duration{"w1": 0, "w2": 1500 * time.Millisecond, "w3": 2 * time.Millisecond},
 			EarlierProcesses: []claimer.ProcessLease{{Worker: "w4", Boot: 7, Left: 2 * time.Millisecond}},
+			Runs:             testRuns,
 		},
 	},
 	"silent": {
@@ -113,6 +114,9 @@
 			if !maps.Equal(second.leases.Workers, test.leases.Workers) || !slices.Equal(second.leases.EarlierProcesses, test.leases.EarlierProcesses) {
 				t.Errorf("the term has the leases %v, want %v", second.leases, test.leases)
 			}
+			if !maps.EqualFunc(second.leases.Runs, test.leases.Runs, slices.Equal) {
+				t.Errorf("the term has the runs %v, want %v", second.leases.Runs, test.leases.Runs)
+			}
 			for _, earlier := range second.earlier {
 				if earlier.MaxIsolation != testIsolation {
 					t.Errorf("longest isolation of %s = %v, want %v", earlier.Process, earlier.MaxIsolation, testIsolation)
@@ -130,8 +134,12 @@
 var testLeases = claimer.Leases{
 	Workers:          map[string]time.Duration{"w1": 0, "w2": 1500 * time.Millisecond, "w3": 1001 * time.Microsecond},
 	EarlierProcesses: []claimer.ProcessLease{{Worker: "w4", Boot: 7, Left: 1001 * time.Microsecond}},
+	Runs:             testRuns,
 }
 
+// testRuns are the runs that these holders tell of: that nothing runs on a worker differs from that nothing is told of it.
+var testRuns = map[string][]claimer.Task{"w1": nil, "w2": {{Job: "a1", Index: 3}, {Job: "a1", Occurrence: 1, Step: 2}}}
+
 // testFullLeaseAge is the FullLeaseAge of the processes of these tests.
 const testFullLeaseAge = 500 * time.Millisecond
 
--- a/dispatcher/calls.go
+++ b/dispatcher/calls.go
@@ -27,6 +27,13 @@
 	return r.Cell.LeasesOfEarlierProcesses(r.Clock.Now())
 }
 
+// ReportedRuns is Cell.ReportedRuns.
+func (r *Runner) ReportedRuns() map[string][]TaskID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Cell.ReportedRuns(r.Clock.Now())
+}
+
 // LeasesOfSilentWorkers returns the workers that may have stopped answering, each with how long leases on runs
 // there still last if the holder stops acting now.
 func (r *Runner) LeasesOfSilentWorkers() map[string]time.Duration {
--- a/dispatcher/cell.go
+++ b/dispatcher/cell.go
@@ -80,6 +80,8 @@
 	// EarlierLeaseEnds are the times by which leases on runs of workers have expired, as the previous
 	// holder reported when it released the cell. Of other workers nothing is known.
 	EarlierLeaseEnds map[string]time.Time
+	// EarlierRuns are the tasks that may have a run of an earlier holder on a worker, as the previous holder reported.
+	EarlierRuns ReportedRuns
 	// EarlierProcessLeaseEnds are, by process of a worker, the times by which leases on runs of the processes before it have
 	// expired, which may still be shutting down, as the previous holder reported.
 	EarlierProcessLeaseEnds map[ProcessID]time.Time
--- a/dispatcher/earlierlease.go
+++ b/dispatcher/earlierlease.go
@@ -10,14 +10,14 @@
 		return false
 	}
 	waits, longRunningWaits := c.unansweredWorkers(now)
-	if t.step.step.LongRunning {
-		return longRunningWaits
+	if !t.step.step.LongRunning {
+		return waits
 	}
-	return waits
+	return longRunningWaits || t.anyMember(func(member *task) bool { return c.mayHaveReportedRun(now, member) })
 }
 
 // unansweredWorkers reports whether a task of a restored job, and whether a long-running
-// one, has to wait for the answer of a worker that an earlier holder used, for the rest of its
+// one of which nothing is reported, has to wait for the answer of a worker that an earlier holder used, for the rest of its
 // ends, or for the leases of a process of it that no longer answers. A worker that has answered lists
 // more ends while its lease lasts, also if it isn't registered.
 func (c *Cell) unansweredWorkers(now time.Time) (waits, longRunningWaits bool) {
@@ -26,7 +26,8 @@
 	}
 	for _, w := range c.workers {
 		leased := c.mayHoldEarlierLease(now, w)
-		longRunningWaits = longRunningWaits || leased
+		_, told := c.EarlierRuns.on(w.registration.ID)
+		longRunningWaits = longRunningWaits || leased && (!told || w.epochAccepted)
 		waits = waits || leased || c.mayListEnds(now, w)
 	}
 	return waits, longRunningWaits
--- a/dispatcher/membership.go
+++ b/dispatcher/membership.go
@@ -147,6 +147,7 @@
 	w.epochAccepted, w.endsListed = false, false
 	w.lastEnd, w.acknowledgedEnd, w.heldEnds = 0, 0, nil
 	w.leaseEnd = 0
+	w.forgotRuns = w.forgotRuns || len(w.orphanedRuns) > 0
 	w.orphanedRuns = map[runKey]time.Time{}
 	w.handledAhead = map[int64]bool{}
 	w.awaitedEnds = map[int64]EndedRow{}
--- a/dispatcher/networkrelease_test.go
+++ b/dispatcher/networkrelease_test.go
@@ -57,11 +57,13 @@
 		return
 	}
 	silent, processes := h.cell.LeasesOfSilentWorkers(h.now()), h.cell.LeasesOfEarlierProcesses(h.now())
-	n.logf("holder of epoch %d releases the cell: silent %v, earlier processes %v", h.cell.Epoch, silent, processes)
+	runs := h.cell.ReportedRuns(h.now())
+	n.logf("holder of epoch %d releases the cell: silent %v, earlier processes %v, runs %v", h.cell.Epoch, silent, processes, runs)
 	h.end()
 	n.addHolder()
 	next := n.holder().cell
 	next.EarlierLeaseEnds, next.EarlierProcessLeaseEnds = map[string]time.Time{}, map[dispatcher.ProcessID]time.Time{}
+	next.EarlierRuns = dispatcher.NewReportedRuns(runs)
 	for worker, left := range silent {
 		next.EarlierLeaseEnds[worker] = n.now.Add(left)
 	}
--- a/dispatcher/partreturn.go
+++ b/dispatcher/partreturn.go
@@ -39,7 +39,7 @@
 	}
 	for _, t := range c.ready {
 		j := t.job()
-		if j.running == 0 && c.waitsInPart(now, t) && !c.capable(t) && !c.hasUnconfirmedCrash(j) {
+		if j.running == 0 && c.waitsInPart(now, t) && !c.mayHaveReportedRunOf(now, j) && !c.capable(t) && !c.hasUnconfirmedCrash(j) {
 			return t.id.Job, true
 		}
 	}
--- a/dispatcher/planning.go
+++ b/dispatcher/planning.go
@@ -11,7 +11,7 @@
 	// healthy are the workers to which starts may be sent.
 	healthy []*worker
 	// waits and longRunningWaits report whether a task of a restored job, or a
-	// long-running one, may have run on a worker that hasn't answered yet.
+	// long-running one of which nothing is reported, may have run on a worker that hasn't answered yet.
 	waits, longRunningWaits bool
 	// headrooms are the remaining headrooms of the long-running tasks of a worker at its
 	// current load. A worker is absent until they are needed, and after a change of its
--- a/dispatcher/releasedcell_test.go
+++ b/dispatcher/releasedcell_test.go
@@ -11,7 +11,9 @@
 // answer it, and has ended.
 func (s *simulation) release(listed ...*fakeWorker) {
 	leases, processes := s.cell.LeasesOfSilentWorkers(s.now), s.cell.LeasesOfEarlierProcesses(s.now)
+	runs := s.cell.ReportedRuns(s.now)
 	s.changeHolder(listed...)
+	s.cell.EarlierRuns = dispatcher.NewReportedRuns(runs)
 	s.cell.EarlierProcessLeaseEnds = map[dispatcher.ProcessID]time.Time{}
 	for process, left := range processes {
 		s.cell.EarlierProcessLeaseEnds[process] = s.now.Add(left)
--- a/dispatcher/relocation.go
+++ b/dispatcher/relocation.go
@@ -39,7 +39,7 @@
 	case now.Sub(t.readyAt) < delegationDelay || now.Sub(t.refusedAt) < delegationRetryDelay:
 		return false
 	}
-	return !c.mayHaveRun(now, t) && (short.affects(t) || !c.capable(t)) && len(j.partCells()) == 0 && !c.hasUnconfirmedCrash(j)
+	return !c.mayHaveRun(now, t) && !c.mayHaveReportedRunOf(now, j) && (short.affects(t) || !c.capable(t)) && len(j.partCells()) == 0 && !c.hasUnconfirmedCrash(j)
 }
 
 // Capable reports whether the workers of the cell could run a task if all of their capacity were free.
--- a/dispatcher/waitaccount.go
+++ b/dispatcher/waitaccount.go
@@ -147,13 +147,22 @@
 	bound := boundedBy(now)
 	for _, id := range c.Workers() {
 		if w := c.workers[id]; c.mayHoldEarlierLease(now, w) {
-			leased.add(w, w.earlierLeaseReason()+", "+c.describe(now, w))
+			leased.add(w, w.earlierLeaseReason()+c.describeReportedRuns(id)+", "+c.describe(now, w))
 			bound = bound.later(boundedBy(c.earlierLeaseEnd(w)))
 		}
 	}
 	return fmt.Sprintf("%s; %s", &leased, c.describeEarlierHolders(now)), bound
 }
 
+// describeReportedRuns describes, for logs, what the previous holder has reported of the runs on a worker.
+func (c *Cell) describeReportedRuns(worker string) string {
+	tasks, told := c.EarlierRuns.on(worker)
+	if !told {
+		return ""
+	}
+	return fmt.Sprintf(", may run %d reported tasks only", len(tasks))
+}
+
 // earlierLeaseReason tells why leases of earlier holders may last on a worker that mayHaveEarlierLeases.
 func (w *worker) earlierLeaseReason() string {
 	switch {
--- a/dispatcher/waiting.go
+++ b/dispatcher/waiting.go
@@ -207,7 +207,7 @@
 		return WaitRelocation
 	case t.anyMember(func(member *task) bool { return member.notBefore.After(now) }):
 		return WaitBackoff
-	case c.mayHaveRun(now, t) && c.pass.longRunningWaits:
+	case c.mayHaveRun(now, t) && (c.pass.longRunningWaits || t.step.step.LongRunning):
 		return WaitEarlierLeases
 	case c.mayHaveRun(now, t):
 		return WaitUnlistedEnds
--- a/dispatcher/workerstate.go
+++ b/dispatcher/workerstate.go
@@ -107,6 +107,8 @@
 	// was last sent. For a run of an unknown job, the time is first set to
 	// orphanedStopDelay ahead, which delays the first stop.
 	orphanedRuns map[runKey]time.Time
+	// forgotRuns is true if an earlier process of the worker had orphaned runs when it was replaced, which may last.
+	forgotRuns bool
 	// exitsAfter is the earliest time at which the worker exits if it drains, by its
 	// registration. drainStoppedAt is when a task was last stopped because the worker drains.
 	exitsAfter, drainStoppedAt time.Time
--- a/holder/leases.go
+++ b/holder/leases.go
@@ -33,19 +33,33 @@
 
 // leasesOf returns what the release of a cell reports of the leases that its runner knows.
 func leasesOf(runner *dispatcher.Runner) claimer.Leases {
-	leases := claimer.Leases{Workers: runner.LeasesOfSilentWorkers()}
+	leases := claimer.Leases{Workers: runner.LeasesOfSilentWorkers(), Runs: map[string][]claimer.Task{}}
+	for worker, tasks := range runner.ReportedRuns() {
+		leases.Runs[worker] = nil
+		for _, t := range tasks {
+			leases.Runs[worker] = append(leases.Runs[worker], claimer.Task(t))
+		}
+	}
 	for process, left := range runner.LeasesOfEarlierProcesses() {
 		leases.EarlierProcesses = append(leases.EarlierProcesses, claimer.ProcessLease{Worker: process.Worker, Boot: process.Boot, Left: left})
 	}
 	return leases
 }
 
-// setEarlierLeases tells a cell until when the leases last that the release before its term reported.
+// setEarlierLeases tells a cell until when the leases last that the release before its term reported, and on runs of which tasks.
 func setEarlierLeases(state *dispatcher.Cell, term claimer.Term) {
 	state.EarlierLeaseEnds = map[string]time.Time{}
 	for worker, left := range term.Leases.Workers {
 		state.EarlierLeaseEnds[worker] = term.ClaimedAt.Add(left)
 	}
+	runs := make(map[string][]dispatcher.TaskID, len(term.Leases.Runs))
+	for worker, tasks := range term.Leases.Runs {
+		runs[worker] = nil
+		for _, t := range tasks {
+			runs[worker] = append(runs[worker], dispatcher.TaskID(t))
+		}
+	}
+	state.EarlierRuns = dispatcher.NewReportedRuns(runs)
 	state.EarlierProcessLeaseEnds = map[dispatcher.ProcessID]time.Time{}
 	for _, p := range term.Leases.EarlierProcesses {
 		state.EarlierProcessLeaseEnds[dispatcher.ProcessID{Worker: p.Worker, Boot: p.Boot}] = term.ClaimedAt.Add(p.Left)
