--- a/dispatcher/delegation.go
+++ b/dispatcher/delegation.go
@@ -204,13 +204,16 @@
 func (c *Cell) unplaceablePart(now time.Time, t *task) bool {
 	return t.job().job.Part != nil && t.step.step.LongRunning && !t.remote && len(t.runs) == 0 && !t.job().state.Final() &&
 		!t.notBefore.After(now) && now.Sub(t.readyAt) >= delegationDelay && !c.mayHaveRun(now, t) &&
-		c.selectWorker(now, t) == nil && !c.pendingStopsFreeCapacity(t) && !c.willHavePlaceAsPart(now, t)
+		c.selectWorker(now, t) == nil && !c.pendingStopsFreeCapacity(now, t) && !c.willHavePlaceAsPart(now, t)
 }
 
-// pendingStopsFreeCapacity reports whether a task will fit on a worker once its
+// pendingStopsFreeCapacity reports whether a task will fit on a worker that takes starts once its
 // stopping runs have ended.
-func (c *Cell) pendingStopsFreeCapacity(t *task) bool {
+func (c *Cell) pendingStopsFreeCapacity(now time.Time, t *task) bool {
 	for _, w := range c.workers {
+		if !c.healthy(now, w) {
+			continue
+		}
 		capacity, stopping := w.freeCapacity(), false
 		for _, r := range w.runs {
 			if step := r.task.step.step; r.phase == phaseStopping && step.LongRunning {
--- a/dispatcher/taskreturn.go
+++ b/dispatcher/taskreturn.go
@@ -34,7 +34,7 @@
 func (c *Cell) outwaited(now time.Time, t *task) bool {
 	known := t.readyAt.After(t.job().loadedAt)
 	return t.step.step.LongRunning && (!known || now.Sub(t.readyAt) >= maxPlaceWait) && !t.notBefore.After(now) &&
-		c.selectWorker(now, t) == nil && !c.pendingStopsFreeCapacity(t)
+		c.selectWorker(now, t) == nil && !c.pendingStopsFreeCapacity(now, t)
 }
 
 // ReturnTasks begins to return a task of a part and the other returnable tasks of its step to the home cell, places tasks
--- a/dispatcher/taskreturn_test.go
+++ b/dispatcher/taskreturn_test.go
@@ -12,6 +12,9 @@
 // offer, a save, and the watch of the other cell if the delivery is lost.
 const timeToMove = 1500 * time.Millisecond
 
+// unresponsive is for how long a worker doesn't answer that gets no starts any more, within the lease on its runs.
+const unresponsive = 3500 * time.Millisecond
+
 // partOfTwo returns a job of three long-running tasks that take a worker each, of which this cell runs the last two.
 func partOfTwo(id string) dispatcher.Job {
 	job := longRunningJob(id, 3, fullCapacity.MilliProcessors)
@@ -86,6 +89,31 @@
 	requireNoViolations(t, s)
 }
 
+// TestTaskOfPartBesideDrainingWorker guards against a delegated task that waits in a full cell, and isn't given back, as a
+// long-running task is stopped on a worker that drains and starts nothing any more.
+func TestTaskOfPartBesideDrainingWorker(t *testing.T) {
+	tests := map[string]func(s *simulation, f *fakeWorker){
+		"it drains":         func(s *simulation, f *fakeWorker) { s.drain(f) },
+		"it is gone":        func(s *simulation, f *fakeWorker) { s.unregister(f) },
+		"it doesn't answer": func(s *simulation, _ *fakeWorker) { s.runFor(unresponsive) },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, id := newPartWithoutPlace(t)
+			i := slices.IndexFunc(s.workers, func(f *fakeWorker) bool { return f.reachable && !f.runs(jobID) })
+			leaving := s.workers[i]
+			leaving.reachable = false
+			leave(s, leaving)
+			for _, r := range leaving.running {
+				s.cell.StopToMove(s.now, r.task)
+			}
+			if found, _ := awaitGivenBack(s, 100*time.Millisecond); found != id {
+				t.Errorf("%v is to be given back, want %s", found, id)
+			}
+		})
+	}
+}
+
 // TestPartIsKeptForShortTasks guards against delegated tasks that leave a cell in which they have a place, or get one once
 // short tasks have ended.
 func TestPartIsKeptForShortTasks(t *testing.T) {
