dispatcher: no place is reserved on a worker that doesn't answer

What callers would see: a long-running task without a run for 10 s and longer in a cell of short tasks, as long as a worker of the cell stays registered and doesn't answer.

Cause: the worker with the most free processors is reserved for the task, and that is the silent one, on which nothing runs any more. In each plan it is chosen again, and short tasks take each place on the others.

--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -142,7 +142,7 @@
 	default:
 		c.pass.unplaced.add(t)
 		if t.step.step.LongRunning && !c.pass.reserved && now.Sub(t.readyAt) > reservationDelay {
-			c.pass.reserved = c.reserve(t)
+			c.pass.reserved = c.reserve(now, t)
 		}
 	}
 	return placed
--- a/dispatcher/reservation.go
+++ b/dispatcher/reservation.go
@@ -9,11 +9,11 @@
 // reserve reserves a worker for a long-running task: the one that is expected to have
 // capacity for the task first, which is the one with the most free processors. No
 // other task starts there. It reports whether there is such a worker.
-func (c *Cell) reserve(t *task) bool {
+func (c *Cell) reserve(now time.Time, t *task) bool {
 	var best *worker
 	var maxFree int64
 	for _, w := range c.workers {
-		if w.reservedFor != nil || !c.takesStarts(w) || !w.fitsEventually(t) {
+		if w.reservedFor != nil || !c.healthy(now, w) || !w.fitsEventually(t) {
 			continue
 		}
 		if free := w.freeCapacity().MilliProcessors; best == nil || free > maxFree || free == maxFree && w.registration.ID < best.registration.ID {
