--- a/throttler/connection.go
+++ b/throttler/connection.go
@@ -89,7 +89,7 @@
 		p = p[:maxHeaderRead]
 	}
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.request.beginLastRead(c.throttler.Clock.Now()) {
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.request.beginLastRead(c.throttler.Clock.Now()) {
 		n, err = c.Conn.Read(p)
 	}
 	// net/http reads a single byte in the background and ends that read by a deadline in
--- a/throttler/requestprogress.go
+++ b/throttler/requestprogress.go
@@ -40,8 +40,9 @@
 	// ending is true if the connection ends once it is idle, endsInHeader if it doesn't wait for the rest of a header
 	// either.
 	ending, endsInHeader bool
-	// lastRead is true once beginLastRead has set a deadline.
-	lastRead bool
+	// lastReads is how many times beginLastRead has set a deadline, lastReadEnd the newest of these.
+	lastReads   int
+	lastReadEnd time.Time
 	// readDeadline is the deadline of reads that the server has set. It doesn't apply while the connection ends.
 	readDeadline time.Time
 }
@@ -49,8 +50,14 @@
 // pastDeadline makes a read time out at once; one that has received bytes returns them.
 var pastDeadline = time.Unix(1, 0)
 
-// lastReadTime is how long a connection that ends still waits for bytes that the kernel may have received.
-const lastReadTime = 2 * time.Millisecond
+const (
+	// lastReadTime is how long a connection that ends still waits for bytes that the kernel may have received.
+	lastReadTime = 2 * time.Millisecond
+	// minLastReads and maxLastReads are how many such reads there are. One that the process gets no processor for in time
+	// doesn't look at what the kernel has received.
+	minLastReads = 2
+	maxLastReads = 10
+)
 
 // ends reports whether the connection ends now; the caller holds mu.
 func (p *requestProgress) ends() bool {
@@ -67,15 +74,17 @@
 }
 
 // beginLastRead allows one more read, for bytes that the kernel has received, before the connection ends. It reports
-// false if the connection doesn't end, or has had that read.
+// false if the connection doesn't end, or has had enough of these reads, the last one in time.
 func (p *requestProgress) beginLastRead(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.ends() || p.lastRead {
+	late := now.Sub(p.lastReadEnd) > lastReadTime
+	if !p.ends() || p.lastReads >= minLastReads && !late || p.lastReads == maxLastReads {
 		return false
 	}
-	p.lastRead = true
-	return p.connection.SetReadDeadline(now.Add(lastReadTime)) == nil
+	p.lastReads++
+	p.lastReadEnd = now.Add(lastReadTime)
+	return p.connection.SetReadDeadline(p.lastReadEnd) == nil
 }
 
 // setPhase changes the phase; the caller holds mu.
@@ -83,7 +92,7 @@
 	if p.phase == phase {
 		return
 	}
-	p.phase, p.lastRead = phase, false
+	p.phase, p.lastReads = phase, 0
 	if p.ending {
 		_ = p.applyDeadline() // it fails only if the connection is closed
 	}
