--- a/throttler/drain.go
+++ b/throttler/drain.go
@@ -56,9 +56,47 @@
 func (t *Throttler) announceClose(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		c, limited := request.Context().Value(connectionKey{}).(*connection)
-		if limited && t.withdrawn.Load() && c.request.receivedOnly(request.ContentLength) {
-			w.Header().Set("Connection", "close")
+		if !limited || !t.withdrawn.Load() {
+			next.ServeHTTP(w, request)
+			return
 		}
-		next.ServeHTTP(w, request)
+		announcing := &announcingWriter{ResponseWriter: w, connection: c, bodyBytes: request.ContentLength}
+		next.ServeHTTP(announcing, request)
+		announcing.announce()
 	})
 }
+
+// announcingWriter decides when an answer begins whether it tells that its connection closes: a client may send its next
+// request while the answer is being made.
+type announcingWriter struct {
+	http.ResponseWriter
+	connection *connection
+	// bodyBytes is the length of the request's body.
+	bodyBytes int64
+	begun     bool
+}
+
+// announce decides, unless the answer has begun.
+func (w *announcingWriter) announce() {
+	if !w.begun && w.connection.request.receivedOnly(w.bodyBytes) {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *announcingWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.announce()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *announcingWriter) Write(p []byte) (int, error) {
+	w.announce()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer of the server, for http.ResponseController.
+func (w *announcingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -38,6 +38,8 @@
 	reading atomic.Int64
 	// received is the number of bytes that connections have received.
 	received atomic.Int64
+	// finish ends the requests to /slow.
+	finish chan struct{}
 }
 
 // countingListener counts the bytes that its connections receive.
@@ -75,7 +77,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &testbed{t: t, address: inner.Addr().String(), scope: scope, limited: limited}
+	b := &testbed{t: t, address: inner.Addr().String(), scope: scope, limited: limited, finish: make(chan struct{})}
 	server := limited.Server(http.HandlerFunc(b.serveBody))
 	b.server = server
 	done := make(chan struct{})
@@ -94,8 +96,8 @@
 }
 
 // serveBody answers with the length of the body, or 503 if it is refused. A request to
-// /large gets an answer that no socket holds, one to /unread is answered without its body, and one to
-// /silent once its connection has ended.
+// /large gets an answer that no socket holds, one to /unread is answered without its body, one to
+// /silent once its connection has ended, and one to /slow once finish is closed.
 func (b *testbed) serveBody(w http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/large" {
 		_, _ = w.Write(make([]byte, 64<<20))
@@ -107,6 +109,12 @@
 		b.reading.Add(-1)
 		return
 	}
+	if request.URL.Path == "/slow" {
+		b.reading.Add(1)
+		<-b.finish
+		b.reading.Add(-1)
+		return
+	}
 	if request.URL.Path == "/unread" {
 		http.NotFound(w, request)
 		return
