--- a/cmd/zinniashore/soakreport_test.go
+++ b/cmd/zinniashore/soakreport_test.go
@@ -81,7 +81,11 @@
 		s.t.Errorf("seed %d: nothing ran", s.seed)
 	}
 	if len(problems) == 0 && !s.t.Failed() {
-		_ = os.RemoveAll(s.logs)
+		if s.notes.killed == 0 || !s.planned {
+			_ = os.RemoveAll(s.logs)
+			return
+		}
+		s.t.Logf("seed %d: a stop took longer than the grace; logs of the processes (seconds count from %s): %s", s.seed, s.began.UTC().Format("15:04:05.000"), s.logs)
 		return
 	}
 	var b strings.Builder
