--- a/dispatcher/waiting.go
+++ b/dispatcher/waiting.go
@@ -72,9 +72,10 @@
 	// longRunning are the long-running tasks that the newest scan has found, others counts the other ones.
 	longRunning []*task
 	others      int
-	// longest is the task that has waited longest of these, since longestSince.
-	longest      *task
-	longestSince time.Time
+	// longest is the task that has waited longest of these, since longestSince; longestRunning the long-running one, since
+	// longestRunningSince.
+	longest, longestRunning           *task
+	longestSince, longestRunningSince time.Time
 	// since is when the first task began to wait for the cause, at the latest, and seenAt when one was last
 	// found; both are zero while none waits.
 	since, seenAt time.Time
@@ -92,7 +93,7 @@
 	}
 	c.waits.scannedBefore, c.waits.scannedAt = scannedBefore, now
 	for _, l := range c.waits.causes {
-		l.longRunning, l.others, l.longest = l.longRunning[:0], 0, nil
+		l.longRunning, l.others, l.longest, l.longestRunning = l.longRunning[:0], 0, nil, nil
 	}
 	c.scanDelegation(now)
 	c.scanRuns(now)
@@ -120,6 +121,9 @@
 	}
 	if t.step.step.LongRunning {
 		l.longRunning = append(l.longRunning, t)
+		if l.longestRunning == nil || since.Before(l.longestRunningSince) {
+			l.longestRunning, l.longestRunningSince = t, since
+		}
 	} else {
 		l.others++
 	}
@@ -242,20 +246,25 @@
 	}
 	l.reportedAt, l.reported = now, true
 	account, bound := c.accountFor(now, cause, l.longest)
+	if t := l.longestRunning; t != nil && t != l.longest {
+		other, left := c.accountFor(now, cause, t)
+		account += fmt.Sprintf("; for %s: %s, %s", t.id, other, left.describe(now))
+	}
 	c.recordWait(cause.kind(), l.longest, fmt.Sprintf("%d long-running tasks, %d others, this one for %s%s: %s; %s",
 		len(l.longRunning), l.others, age(now, l.longestSince), l.longRunningAccount(now), account, bound.describe(now)))
 }
 
-// longRunningAccount describes the long-running tasks that wait, and the last run of the task that has waited longest.
+// longRunningAccount describes the long-running tasks that wait, and the last run of the one that has waited longest.
 func (l *causeLog) longRunningAccount(now time.Time) string {
 	if len(l.longRunning) == 0 {
 		return ""
 	}
+	t := l.longestRunning
 	last := ""
-	if len(l.longest.runs) == 0 {
-		last = ", " + l.longest.lastRunAccount(now)
+	if len(t.runs) == 0 {
+		last = ", " + t.lastRunAccount(now)
 	}
-	return fmt.Sprintf("%s (long-running: %s)", last, listTasks(l.longRunning))
+	return fmt.Sprintf(" (long-running: %s, of which %s for %s%s)", listTasks(l.longRunning), t.id, age(now, l.longestRunningSince), last)
 }
 
 // reportWaitEnd records that no task waits for a cause any more that was reported. The wait has ended between
