--- a/dispatcher/waiting.go
+++ b/dispatcher/waiting.go
@@ -187,20 +187,21 @@
 	acts := c.mayAct(now)
 	c.pass = c.newPlanningPass(now)
 	defer func() { c.pass = nil }()
+	leased := c.anyMayHoldEarlierLease(now, c.Workers())
 	for _, t := range c.ready {
 		if t.done || t.remote || len(t.runs) > 0 || t.job().state.Final() || !waitsLong(now, t.readyAt) {
 			continue
 		}
 		cause := WaitHolder
 		if acts {
-			cause = c.waitCause(now, t)
+			cause = c.waitCause(now, t, leased)
 		}
 		c.noteWait(now, t.readyAt, cause, t)
 	}
 }
 
-// waitCause returns why a ready task doesn't start although the holder acts.
-func (c *Cell) waitCause(now time.Time, t *task) WaitCause {
+// waitCause returns why a ready task doesn't start although the holder acts. leased is true if leases of earlier holders may last.
+func (c *Cell) waitCause(now time.Time, t *task, leased bool) WaitCause {
 	switch {
 	case t.gangRuns():
 		return WaitRun
@@ -208,7 +209,7 @@
 		return WaitRelocation
 	case t.anyMember(func(member *task) bool { return member.notBefore.After(now) }):
 		return WaitBackoff
-	case c.mayHaveRun(now, t) && (c.pass.longRunningWaits || t.step.step.LongRunning):
+	case c.mayHaveRun(now, t) && leased:
 		return WaitEarlierLeases
 	case c.mayHaveRun(now, t):
 		return WaitUnlistedEnds
--- a/dispatcher/waiting_test.go
+++ b/dispatcher/waiting_test.go
@@ -48,6 +48,17 @@
 		func(s *simulation) { loseWorker(s); s.cell.EarlierHoldersEnded(s.now) },
 		[]string{"edge-2 (epoch 1), ended 1", "time left: "},
 	},
+	"short tasks, after a release that tells of the runs on a lost worker": {
+		dispatcher.WaitEarlierLeases,
+		func(s *simulation) {
+			s.submit(plainJob(jobID, 3, time.Hour, 1))
+			s.runFor(500 * time.Millisecond)
+			s.unregister(s.workers[0])
+			s.workers[0].reachable = false
+			s.release(s.workers[1:]...)
+		},
+		[]string{"0 long-running tasks, 3 others", "1 workers: w0 (hasn't answered this holder, may run 3 reported tasks only", "time left: "},
+	},
 	"a worker that may list ends": {
 		dispatcher.WaitUnlistedEnds,
 		func(s *simulation) {
