--- a/throttler/connection.go
+++ b/throttler/connection.go
@@ -76,7 +76,9 @@
 		}
 	case http.StateActive:
 		limited.header.expected = false
-		limited.request.parsed()
+		if limited.request.parsed() {
+			t.makeOtherRoom(c.RemoteAddr())
+		}
 		t.waiting.remove(limited)
 	case http.StateClosed, http.StateHijacked:
 		t.waiting.remove(limited)
@@ -107,7 +109,9 @@
 	if expected {
 		c.header.add(p[:n])
 	}
-	c.request.add(n, int64(c.header.length), c.throttler.Clock.Now())
+	if c.request.add(n, int64(c.header.length), c.throttler.Clock.Now()) {
+		c.throttler.makeOtherRoom(c.RemoteAddr())
+	}
 	c.reportUnanswered()
 	if !expected {
 		return n, err
--- a/throttler/latedrain_test.go
+++ b/throttler/latedrain_test.go
@@ -23,6 +23,8 @@
 	net.Listener
 	timedOut, sent chan struct{}
 	pause          time.Duration
+	// once guards the first read that times out, of any connection.
+	once *sync.Once
 }
 
 func (l pausedListener) Accept() (net.Conn, error) {
@@ -33,7 +35,6 @@
 type pausedConnection struct {
 	net.Conn
 	listener pausedListener
-	once     sync.Once
 	pause    time.Duration
 }
 
@@ -42,7 +43,7 @@
 	c.pause = 0
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.once.Do(func() {
+		c.listener.once.Do(func() {
 			close(c.listener.timedOut)
 			<-c.listener.sent
 			c.pause = c.listener.pause
@@ -65,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	paused := pausedListener{Listener: inner, timedOut: make(chan struct{}), sent: make(chan struct{}), pause: pause}
+	paused := pausedListener{Listener: inner, timedOut: make(chan struct{}), sent: make(chan struct{}), once: new(sync.Once), pause: pause}
 	limits := throttler.ClientLimits(testConnections)
 	limited := throttler.New("callers", limits, throttler.NewBudget(testBudget), clockwork.NewRealClock(), tally.NoopScope)
 	server := limited.Server(http.NotFoundHandler())
@@ -98,3 +99,49 @@
 		t.Error(err)
 	}
 }
+
+// TestRoomBesideLateRequest guards against clients that are kept out by a slow body while other connections are idle: the header of
+// its request arrives as its connection is ended to make room.
+func TestRoomBesideLateRequest(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	paused := pausedListener{Listener: inner, timedOut: make(chan struct{}), sent: make(chan struct{}), once: new(sync.Once)}
+	limits := throttler.Limits{Connections: testConnections, HeaderBytes: 4 << 10, HeaderLines: 20}
+	limited := throttler.New("callers", limits, throttler.NewBudget(testBudget), clockwork.NewRealClock(), tally.NoopScope)
+	server := limited.Server(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}))
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(limited.Listener(paused)) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-served
+	})
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetDeadline(time.Now().Add(testWait))
+		return c
+	}
+	first := dial()
+	for range testConnections - 1 {
+		dial()
+	}
+	<-paused.timedOut
+	if _, err := io.WriteString(first, post(2, "a")); err != nil {
+		t.Fatal(err)
+	}
+	close(paused.sent)
+	further := dial()
+	if _, err := io.WriteString(further, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := http.ReadResponse(bufio.NewReader(further), nil); err != nil {
+		t.Errorf("no answer: %v", err)
+	}
+}
--- a/throttler/requestprogress.go
+++ b/throttler/requestprogress.go
@@ -38,8 +38,8 @@
 	// unanswered.
 	closed, reported bool
 	// ending is true if the connection ends once it is idle, endsInHeader if it doesn't wait for the rest of a header
-	// either.
-	ending, endsInHeader bool
+	// either. makesRoom is true from then on, until it is closed or has a request after all.
+	ending, endsInHeader, makesRoom bool
 	// lastReads is how many times beginLastRead has set a deadline, lastReadEnd the newest of these.
 	lastReads   int
 	lastReadEnd time.Time
@@ -114,8 +114,9 @@
 	p.setPhase(phaseIdle)
 }
 
-// add notes received bytes. headerBytes is the length of the header, 0 if its end hasn't been received.
-func (p *requestProgress) add(bytes int, headerBytes int64, now time.Time) {
+// add notes received bytes. headerBytes is the length of the header, 0 if its end hasn't been received. It reports whether the
+// connection makes no room any more.
+func (p *requestProgress) add(bytes int, headerBytes int64, now time.Time) (stays bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.received += int64(bytes)
@@ -127,16 +128,25 @@
 	case p.phase == phaseIdle:
 		p.setPhase(phaseHeader)
 	}
+	return p.stay()
+}
+
+// stay reports, once, whether the connection has a request although it was ended to make room; the caller holds mu.
+func (p *requestProgress) stay() bool {
+	stays := p.makesRoom && p.phase == phaseRequest
+	p.makesRoom = p.makesRoom && !stays
+	return stays
 }
 
 // parsed notes that the server has parsed a header. It had received the header with the request before if the
-// client pipelines its requests.
-func (p *requestProgress) parsed() {
+// client pipelines its requests. It reports whether the connection makes no room any more.
+func (p *requestProgress) parsed() (stays bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.phase == phaseIdle {
 		p.setPhase(phaseRequest)
 	}
+	return p.stay()
 }
 
 // receivedOnly reports whether the present request, with a body of the given length, is all that was received.
@@ -176,7 +186,7 @@
 	if p.phase == phaseRequest || p.closed || p.endsInHeader {
 		return false
 	}
-	p.ending, p.endsInHeader = true, true
+	p.ending, p.endsInHeader, p.makesRoom = true, true, true
 	_ = p.applyDeadline() // it fails only if the connection is closed
 	return true
 }
@@ -189,13 +199,13 @@
 }
 
 // close notes that the process closes the connection. It reports whether it does so for the first time, and whether
-// endUnlessRequested has ended the connection.
+// it makes room.
 func (p *requestProgress) close() (first, madeRoom bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first = !p.closed
 	p.closed = true
-	return first, p.endsInHeader
+	return first, p.makesRoom
 }
 
 // unansweredRequest is a request of which nothing was answered when its connection ended.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -160,6 +160,12 @@
 	}
 }
 
+// makeOtherRoom ends another connection, as one that was ended to make room has a request after all.
+func (t *Throttler) makeOtherRoom(remote net.Addr) {
+	t.makingRoom.Add(-1)
+	t.keepOneFree(remote)
+}
+
 // listener accepts connections and counts them.
 type listener struct {
 	net.Listener
