--- a/cmd/zinniashore/main.go
+++ b/cmd/zinniashore/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/zeromicro/go-zero/core/proc"
 	"k8s.io/klog/v2"
 
 	"zinniashore.example/logger"
@@ -130,7 +131,7 @@
 		return operator.ExitFailed
 	}
 	defer klog.Flush()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilTerminated(context.Background(), proc.Done())
 	defer stop()
 	status, err := chosen.Run(ctx, out)
 	if err == nil {
@@ -147,6 +148,25 @@
 	return status
 }
 
+// untilTerminated returns a context that ends with the first signal to terminate, or once caught is closed. go-zero catches such
+// signals from its initialization on, so that one that comes before this call reaches only go-zero. Further signals do
+// nothing until the returned function is called.
+func untilTerminated(parent context.Context, caught <-chan struct{}) (context.Context, context.CancelFunc) {
+	notified, stopNotifying := signal.NotifyContext(parent, os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := context.WithCancel(notified)
+	go func() {
+		select {
+		case <-caught:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() {
+		cancel()
+		stopNotifying()
+	}
+}
+
 func setUpLog(verbose int) error {
 	var level klog.Level
 	if err := level.Set(fmt.Sprint(verbose)); err != nil {
