--- a/answerlog.go
+++ b/answerlog.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// first reports whether an answer wasn't noted before, as far as is remembered, and notes it.
+// first reports whether an answer is given for the first time, as far as is remembered, and remembers it.
 func (l *answerLog) first(answer toldAnswer) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/throttler/drain.go
+++ b/throttler/drain.go
@@ -27,7 +27,7 @@
 // Drain ends the connections: each request that was received is answered, and a connection ends once it waits for a
 // request. It returns when no connection is left, or with the error of ctx. The listener is closed before.
 //
-// http.Server.Shutdown doesn't do: it drops requests whose header it reads later, and those of connections that it
+// http.Server.Shutdown can't be used: it drops requests whose header is read later, and those of connections that it
 // takes for idle.
 func (t *Throttler) Drain(ctx context.Context) error {
 	began, open := t.Clock.Now(), t.Open()
