--- a/answerlog_test.go
+++ b/answerlog_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// TestAnswersInLog guards against a job that a client is told is gone or cancelled without a line that tells who said so,
+// TestAnswersInLog guards against a job that a client is told is gone or cancelled without a log line that names the source,
 // and against a line for each request.
 func TestAnswersInLog(t *testing.T) {
 	const requests = 5
@@ -100,7 +100,7 @@
 	}
 }
 
-// TestUndeliveredJobInLog guards against an accepted job that no process can be sent to, and of which no line tells so.
+// TestUndeliveredJobInLog guards against an accepted job that no process can be sent to, without a log line about it.
 func TestUndeliveredJobInLog(t *testing.T) {
 	router := newTestRouter(startTestStore(t), rate.NewLimiter(1, 1))
 	logged := captureLog(t)
--- a/cmd/zinniashore/soakloads_test.go
+++ b/cmd/zinniashore/soakloads_test.go
@@ -13,7 +13,7 @@
 	plannedLook   = 200 * time.Millisecond
 )
 
-// soakLoads tells what is free on the workers at a time.
+// soakLoads returns the free capacity of the workers at a time.
 type soakLoads struct {
 	s    *soak
 	runs map[string][]*soakRun
