--- a/cmd/zinniashore/soakloads_test.go
+++ b/cmd/zinniashore/soakloads_test.go
@@ -13,7 +13,7 @@
 	plannedLook   = 200 * time.Millisecond
 )
 
-// soakLoads returns the free capacity of the workers at a time.
+// soakLoads holds the free capacity of the workers over time.
 type soakLoads struct {
 	s    *soak
 	runs map[string][]*soakRun
